--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,7 @@
+//! Load, experiments and benches.
+
+pub mod caller;
+pub mod testbed;
+
+pub use caller::{Answered, Caller, CallerError};
+pub use testbed::{Testbed, TestbedError, TestbedOptions};
--- /dev/null
+++ b/crates/coord/src/lib.rs
@@ -0,0 +1,7 @@
+//! Coordination parts as state machines: time and events in, actions out.
+//!
+//! Nothing here reads a clock, opens a socket or spawns a task, so every run can be replayed.
+
+pub mod ledger;
+
+pub use ledger::{Claim, Ledger, LedgerOptions};
--- /dev/null
+++ b/crates/core/src/event.rs
@@ -0,0 +1,46 @@
+//! The catalogue of numbered log events.
+
+/// An `Event` is one kind of log line; its number never changes its meaning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Event {
+    /// A node's process has started.
+    NodeStarted,
+    /// A node has been told to stop and no longer takes new work.
+    NodeLeaving,
+    /// A node's process has ended its work.
+    NodeStopped,
+    /// A connection was closed because of an error on it.
+    ConnectionFailed,
+    /// A configuration was read that cannot be used; the one in force stays.
+    ConfigRejected,
+    /// A caller's request was refused.
+    RequestRefused,
+    /// An attempt of a request at an engine failed and the request goes on elsewhere.
+    AttemptFailed,
+}
+
+impl Event {
+    /// Every event, in the order of their numbers.
+    pub const ALL: &'static [Event] = &[
+        Event::NodeStarted,
+        Event::NodeLeaving,
+        Event::NodeStopped,
+        Event::ConnectionFailed,
+        Event::ConfigRejected,
+        Event::RequestRefused,
+        Event::AttemptFailed,
+    ];
+
+    /// Returns the number that the log line carries.
+    pub fn number(self) -> u16 {
+        match self {
+            Event::NodeStarted => 100,
+            Event::NodeLeaving => 101,
+            Event::NodeStopped => 102,
+            Event::ConnectionFailed => 110,
+            Event::ConfigRejected => 120,
+            Event::RequestRefused => 200,
+            Event::AttemptFailed => 201,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,19 @@
+//! Shared types: names, identifiers, units, the configuration model, errors and numbered events.
+
+pub mod config;
+pub mod entries;
+pub mod errors;
+pub mod event;
+pub mod ids;
+pub mod name;
+pub mod ran;
+pub mod stamp;
+pub mod token;
+
+pub use config::Deployment;
+pub use errors::{CoreError, Result};
+pub use event::Event;
+pub use ids::{Fence, Incarnation, RequestId, Revision};
+pub use name::{ClassName, ModelName, NodeName, ServiceName, TeamName, VmName, ZoneName};
+pub use ran::Ran;
+pub use stamp::Stamp;
--- /dev/null
+++ b/crates/daemon/src/answers/mod.rs
@@ -0,0 +1,7 @@
+//! Answers in progress and finished ones that late readers may still ask for.
+
+mod answer;
+mod registry;
+
+pub use answer::{Answer, AnswerEnd, Part, Reader};
+pub use registry::Answers;
--- /dev/null
+++ b/crates/daemon/src/backends.rs
@@ -0,0 +1,121 @@
+//! The backend servers that a node knows, with their clients.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard},
+};
+
+use bulrushhall_core::{
+    Deployment, ServiceName, VmName, ZoneName,
+    config::{BackendAddress, ServiceType},
+};
+use bulrushhall_platform::{
+    Engine, PlainService,
+    clients::{HttpEngine, HttpService},
+    http::{Endpoint, EndpointOptions},
+};
+use bulrushhall_policy::WorkerKey;
+use slotmap::SlotMap;
+
+use crate::settings::LimitSettings;
+
+/// A `Backend` is one backend server and the client that reaches it.
+#[derive(Clone)]
+pub struct Backend {
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// The VM that it runs on.
+    pub vm: VmName,
+    /// The availability zone of the VM.
+    pub zone: ZoneName,
+    /// The client.
+    pub client: BackendClient,
+}
+
+/// A `BackendClient` reaches a backend server of one type.
+#[derive(Clone)]
+pub enum BackendClient {
+    /// A model engine.
+    Engine(Arc<dyn Engine>),
+    /// A plain service.
+    Plain(Arc<dyn PlainService>),
+}
+
+/// `Backends` are the backend servers that a node knows.
+#[derive(Default)]
+pub struct Backends {
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    arena: SlotMap<WorkerKey, Backend>,
+    by_address: HashMap<String, WorkerKey>,
+}
+
+impl Backends {
+    /// Makes the known backend servers those that `deployment` names.
+    pub fn follow(&self, deployment: &Deployment, limits: &LimitSettings) {
+        let mut state = self.lock();
+        let mut named = HashMap::new();
+        for (service, cfg) in &deployment.services {
+            for address in &cfg.backends {
+                let id = format!("{service} {address}");
+                let known = state.by_address.get(&id).copied();
+                let key = known.unwrap_or_else(|| {
+                    let client = client(cfg.service_type, address, limits, cfg.timeout.into());
+                    state.arena.insert(Backend {
+                        service: service.clone(),
+                        vm: address.vm.clone(),
+                        zone: address.zone.clone(),
+                        client,
+                    })
+                });
+                named.insert(id, key);
+            }
+        }
+        let kept: Vec<WorkerKey> = named.values().copied().collect();
+        state.arena.retain(|key, _| kept.contains(&key));
+        state.by_address = named;
+    }
+
+    /// Gets a backend server.
+    pub fn get(&self, key: WorkerKey) -> Option<Backend> {
+        self.lock().arena.get(key).cloned()
+    }
+
+    /// Returns the backend servers of a service.
+    pub fn of(&self, service: &ServiceName) -> Vec<(WorkerKey, Backend)> {
+        let state = self.lock();
+        let of_service = state.arena.iter().filter(|(_, backend)| backend.service == *service);
+        of_service.map(|(key, backend)| (key, backend.clone())).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
+
+fn client(
+    service_type: ServiceType,
+    address: &BackendAddress,
+    limits: &LimitSettings,
+    timeout: std::time::Duration,
+) -> BackendClient {
+    let vm = Some(address.vm.clone());
+    match service_type {
+        ServiceType::Model => {
+            let options = EndpointOptions { vm, ..EndpointOptions::default() };
+            let endpoint = Endpoint::new(address.address, options);
+            BackendClient::Engine(Arc::new(HttpEngine::new(
+                endpoint,
+                limits.engine_progress.into(),
+            )))
+        }
+        ServiceType::Plain => {
+            let options = EndpointOptions { vm, answer: timeout, ..EndpointOptions::default() };
+            let endpoint = Endpoint::new(address.address, options);
+            BackendClient::Plain(Arc::new(HttpService::new(endpoint, timeout)))
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/callers/events.rs
@@ -0,0 +1,168 @@
+//! Answers as the public chat convention has them, whole and as server-sent events.
+
+use std::sync::Arc;
+
+use bulrushhall_core::ids::StreamPosition;
+use bulrushhall_platform::{
+    engine::Usage,
+    http::{Body, streamed},
+};
+use bytes::{BufMut, Bytes, BytesMut};
+use futures_util::stream;
+use hyper::{
+    Response,
+    header::{CACHE_CONTROL, CONTENT_TYPE, HeaderName, HeaderValue},
+};
+use serde::Serialize;
+use serde_json::json;
+
+use crate::{
+    answers::{Answer, AnswerEnd, Part, Reader},
+    callers::{ApiError, classify::Delivery, respond},
+};
+
+/// The header that carries the id of an accepted request.
+pub const REQUEST_HEADER: HeaderName = HeaderName::from_static("x-request-id");
+
+/// The seconds since 1970 that answers carry.
+pub fn created() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(0, |since| since.as_secs())
+}
+
+/// Returns the answer as one JSON body once it is whole.
+pub async fn whole(answer: &Arc<Answer>) -> Result<Response<Body>, ApiError> {
+    let mut reader = answer.read_from(0);
+    let mut text = String::new();
+    loop {
+        for part in reader.next().await {
+            match part {
+                Part::Token(_, token) => text.push_str(&token),
+                Part::End(AnswerEnd::Failed(error)) => return Err(error),
+                Part::End(AnswerEnd::Whole(usage)) => {
+                    let mut res = respond::json(&completion(answer, &text, usage));
+                    set_request(&mut res, answer);
+                    return Ok(res);
+                }
+            }
+        }
+    }
+}
+
+/// Returns the answer as server-sent events from token number `next` on, as they come.
+pub fn stream_from(answer: &Arc<Answer>, next: usize, delivery: Delivery) -> Response<Body> {
+    let reader = answer.read_from(next);
+    let chunks = stream::unfold((reader, next == 0), move |(mut reader, first)| async move {
+        let parts = reader.next().await;
+        if parts.is_empty() {
+            return None;
+        }
+        let mut buf = BytesMut::new();
+        if first {
+            let role = json!({ "role": "assistant", "content": "" });
+            put_event(&mut buf, None, &chunk(reader.answer(), role, None, None));
+        }
+        for part in parts {
+            put_part(&mut buf, &reader, part, delivery);
+        }
+        Some((buf.freeze(), (reader, false)))
+    });
+
+    let mut res = Response::new(streamed(chunks));
+    let headers = res.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    set_request(&mut res, answer);
+    res
+}
+
+/// Puts the id of a request into the headers of an answer.
+pub fn set_request(res: &mut Response<Body>, answer: &Answer) {
+    if let Ok(id) = HeaderValue::from_str(&answer.id().to_string()) {
+        res.headers_mut().insert(REQUEST_HEADER, id);
+    }
+}
+
+/// Returns the whole answer in the form of the public chat convention.
+pub fn completion(answer: &Answer, text: &str, usage: Usage) -> serde_json::Value {
+    json!({
+        "id": answer.id().to_string(),
+        "object": "chat.completion",
+        "created": created(),
+        "model": answer.model(),
+        "choices": [{
+            "index": 0,
+            "message": { "role": "assistant", "content": text },
+            "finish_reason": finish_reason(usage),
+        }],
+        "usage": usage_figures(usage),
+    })
+}
+
+fn put_part(buf: &mut BytesMut, reader: &Reader, part: Part, delivery: Delivery) {
+    let answer = reader.answer();
+    match part {
+        Part::Token(number, token) => {
+            let position = StreamPosition { request: answer.id(), number: number as u64 };
+            let delta = json!({ "content": token });
+            put_event(buf, Some(position), &chunk(answer, delta, None, None));
+        }
+        Part::End(AnswerEnd::Whole(usage)) => {
+            let reason = Some(finish_reason(usage));
+            put_event(buf, None, &chunk(answer, json!({}), reason, None));
+            if delivery == Delivery::StreamedWithUsage {
+                let mut last = chunk(answer, json!({}), None, Some(usage));
+                last["choices"] = json!([]);
+                put_event(buf, None, &last);
+            }
+            buf.put_slice(b"data: [DONE]\n\n");
+        }
+        Part::End(AnswerEnd::Failed(error)) => {
+            buf.put_slice(b"event: error\ndata: ");
+            buf.put_slice(&error.to_json());
+            buf.put_slice(b"\n\n");
+        }
+    }
+}
+
+fn put_event(buf: &mut BytesMut, position: Option<StreamPosition>, value: &impl Serialize) {
+    if let Some(position) = position {
+        buf.put_slice(format!("id: {position}\n").as_bytes());
+    }
+    buf.put_slice(b"data: ");
+    let bytes = Bytes::from(serde_json::to_vec(value).unwrap_or_default());
+    buf.put_slice(&bytes);
+    buf.put_slice(b"\n\n");
+}
+
+fn chunk(
+    answer: &Answer,
+    delta: serde_json::Value,
+    reason: Option<&str>,
+    usage: Option<Usage>,
+) -> serde_json::Value {
+    let mut value = json!({
+        "id": answer.id().to_string(),
+        "object": "chat.completion.chunk",
+        "created": created(),
+        "model": answer.model(),
+        "choices": [{ "index": 0, "delta": delta, "finish_reason": reason }],
+    });
+    if let Some(usage) = usage {
+        value["usage"] = usage_figures(usage);
+    }
+    value
+}
+
+fn finish_reason(usage: Usage) -> &'static str {
+    if usage.truncated { "length" } else { "stop" }
+}
+
+fn usage_figures(usage: Usage) -> serde_json::Value {
+    json!({
+        "prompt_tokens": usage.prompt_tokens,
+        "completion_tokens": usage.completion_tokens,
+        "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+        "prompt_tokens_details": { "cached_tokens": usage.cached_tokens },
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/callers/mod.rs
@@ -0,0 +1,19 @@
+//! The callers' port and the pipeline of a request, one filter a file.
+
+mod admit;
+mod chat;
+mod classify;
+mod entries;
+mod error;
+mod events;
+mod identify;
+mod models;
+mod relay;
+mod requests;
+mod respond;
+mod router;
+mod services;
+mod settle;
+
+pub use error::{ApiCode, ApiError};
+pub use router::CallerPort;
--- /dev/null
+++ b/crates/daemon/src/callers/router.rs
@@ -0,0 +1,102 @@
+//! The callers' port: which filter chain takes which path.
+
+use std::sync::Arc;
+
+use bulrushhall_core::Event;
+use bulrushhall_platform::{
+    BoxFuture,
+    http::{Body, Handler, read_limited},
+};
+use bytes::Bytes;
+use hyper::{Method, Request, Response, body::Incoming, http::request::Parts};
+
+use crate::{
+    callers::{ApiCode, ApiError, chat, entries, models, requests, services},
+    context::Context,
+};
+
+/// A `CallerPort` answers the requests that arrive on the callers' port.
+pub struct CallerPort {
+    cx: Arc<Context>,
+}
+
+impl CallerPort {
+    /// Returns the port of a node.
+    pub fn new(cx: Arc<Context>) -> CallerPort {
+        CallerPort { cx }
+    }
+
+    async fn route(&self, req: Request<Incoming>) -> Result<Response<Body>, ApiError> {
+        let (parts, body) = req.into_parts();
+        let path = parts.uri.path().to_owned();
+        let segments: Vec<&str> = path.split('/').skip(1).collect();
+        let cx = &self.cx;
+        match segments.as_slice() {
+            ["v1", "entries"] => {
+                only(&parts, &[Method::GET])?;
+                entries::list(cx)
+            }
+            ["v1", "models"] => {
+                only(&parts, &[Method::GET])?;
+                models::list(cx, &parts)
+            }
+            ["v1", "models", model] => {
+                only(&parts, &[Method::GET])?;
+                models::show(cx, &parts, model)
+            }
+            ["v1", "chat", "completions"] => {
+                only(&parts, &[Method::POST])?;
+                let body = self.read(body).await?;
+                chat::complete(cx, &parts, body).await
+            }
+            ["v1", "requests"] => {
+                only(&parts, &[Method::POST])?;
+                let body = self.read(body).await?;
+                requests::submit(cx, &parts, body).await
+            }
+            ["v1", "requests", id] => {
+                only(&parts, &[Method::GET, Method::DELETE])?;
+                requests::show_or_cancel(cx, &parts, id).await
+            }
+            ["v1", "requests", id, "stream"] => {
+                only(&parts, &[Method::GET])?;
+                requests::stream(cx, &parts, id).await
+            }
+            ["v1", "services", service, ..] => {
+                let body = self.read(body).await?;
+                services::call(cx, &parts, service, body).await
+            }
+            _ => Err(ApiError::not_run(ApiCode::NotFound, format!("nothing is at {path}"))),
+        }
+    }
+
+    async fn read(&self, body: Incoming) -> Result<Bytes, ApiError> {
+        let limits = &self.cx.settings.limits;
+        let limit = usize::try_from(limits.body.as_u64()).unwrap_or(usize::MAX);
+        Ok(read_limited(body, limit, limits.body_timeout.into()).await?)
+    }
+}
+
+impl Handler for CallerPort {
+    fn handle(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
+        Box::pin(async move {
+            match self.route(req).await {
+                Ok(answer) => answer,
+                Err(error) => {
+                    let code = error.code;
+                    tracing::info!(event = Event::RequestRefused.number(), ?code);
+                    error.into_response()
+                }
+            }
+        })
+    }
+}
+
+fn only(parts: &Parts, methods: &[Method]) -> Result<(), ApiError> {
+    if methods.contains(&parts.method) {
+        return Ok(());
+    }
+    let names: Vec<&str> = methods.iter().map(Method::as_str).collect();
+    let message = format!("{} takes {}", parts.uri.path(), names.join(" and "));
+    Err(ApiError::not_run(ApiCode::MethodNotAllowed, message))
+}
--- /dev/null
+++ b/crates/daemon/src/clock.rs
@@ -0,0 +1,27 @@
+//! The clock that turns real time into the stamps of state machines.
+
+use bulrushhall_core::Stamp;
+use tokio::time::Instant;
+
+/// A `Clock` counts from the start of the node.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    started: Instant,
+}
+
+impl Clock {
+    /// Returns a clock that starts now.
+    pub fn start() -> Clock {
+        Clock { started: Instant::now() }
+    }
+
+    /// Returns the present stamp.
+    pub fn now(&self) -> Stamp {
+        Stamp(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX))
+    }
+
+    /// Returns when a stamp is reached.
+    pub fn instant(&self, stamp: Stamp) -> Instant {
+        self.started + stamp.since(Stamp(0))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/errors.rs
@@ -0,0 +1,26 @@
+//! Why a node cannot start.
+
+use std::{error, fmt};
+
+/// A `NodeError` tells which step of a node's start failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NodeError {
+    /// The settings could not be read.
+    Settings,
+    /// A port could not be opened.
+    Listen,
+    /// The actors could not be started.
+    Start,
+}
+
+impl fmt::Display for NodeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            NodeError::Settings => "the settings could not be read",
+            NodeError::Listen => "a port could not be opened",
+            NodeError::Start => "the node could not be started",
+        })
+    }
+}
+
+impl error::Error for NodeError {}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,16 @@
+//! The node: the request pipeline, the ports for callers, peers and operators, and the actors.
+
+pub mod answers;
+pub mod backends;
+pub mod callers;
+pub mod clock;
+pub mod context;
+pub mod dispatcher;
+pub mod errors;
+pub mod node;
+pub mod operators;
+pub mod peers;
+pub mod settings;
+
+pub use node::Node;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,231 @@
+//! A node: its ports, its actors and its life from start to stop.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64},
+    },
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use arc_swap::ArcSwap;
+use bulrushhall_coord::{Ledger, LedgerOptions};
+use bulrushhall_core::{
+    Event, Incarnation, Revision,
+    config::{ServiceType, parse_deployment},
+};
+use bulrushhall_platform::{
+    KeyValue,
+    clients::HttpKeyValue,
+    http::{Endpoint, EndpointOptions, Handler, ServerOptions, serve},
+};
+use bulrushhall_policy::WorkerView;
+use error_stack::{Report, ResultExt};
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    task::{JoinHandle, JoinSet},
+};
+use xtra::Mailbox;
+
+use crate::{
+    answers::Answers,
+    backends::Backends,
+    callers::CallerPort,
+    clock::Clock,
+    context::{Context, InForce},
+    dispatcher::{Dispatcher, SetWorkers, Tick},
+    errors::NodeError,
+    operators::OperatorPort,
+    peers::PeerPort,
+    settings::Settings,
+};
+
+/// The key under which the configuration is found.
+pub const CONFIG_KEY: &str = "config/current";
+/// The pause between two looks at the configuration.
+const CONFIG_PAUSE: Duration = Duration::from_millis(500);
+/// The pause between two ticks of the dispatcher.
+const TICK_PAUSE: Duration = Duration::from_millis(50);
+/// The pause between two looks at unfinished answers while the node leaves.
+const DRAIN_PAUSE: Duration = Duration::from_millis(20);
+
+/// A `Node` is one running node.
+pub struct Node {
+    cx: Arc<Context>,
+    stop: watch::Sender<bool>,
+    ports: JoinSet<()>,
+    duties: Vec<JoinHandle<()>>,
+}
+
+impl Node {
+    /// Opens the ports and starts the actors.
+    pub async fn start(mut settings: Settings) -> Result<Node, Report<NodeError>> {
+        let callers = listen(&mut settings.node.callers).await?;
+        let peers = listen(&mut settings.node.peers).await?;
+        let operators = listen(&mut settings.node.operators).await?;
+
+        let clock = Clock::start();
+        let incarnation = new_incarnation();
+        let dispatcher = Dispatcher::new(clock, incarnation.0, settings.limits.answers_per_engine);
+        let dispatcher = xtra::spawn_tokio(dispatcher, Mailbox::unbounded());
+        let key_value = settings.platform.key_value.map(key_value_client);
+        let cx = Arc::new(Context {
+            settings,
+            incarnation,
+            clock,
+            config: ArcSwap::default(),
+            answers: Answers::default(),
+            backends: Backends::default(),
+            dispatcher,
+            ledger: Mutex::new(Ledger::new(LedgerOptions::default())),
+            key_value,
+            leaving: AtomicBool::new(false),
+            sequence: AtomicU64::new(0),
+        });
+
+        let (stop, stopped) = watch::channel(false);
+        let mut ports = JoinSet::new();
+        let handlers: [(TcpListener, Arc<dyn Handler>); 3] = [
+            (callers, Arc::new(CallerPort::new(Arc::clone(&cx)))),
+            (peers, Arc::new(PeerPort::default())),
+            (operators, Arc::new(OperatorPort::new(Arc::clone(&cx)))),
+        ];
+        for (listener, handler) in handlers {
+            let limits = &cx.settings.limits;
+            let options = ServerOptions {
+                header_timeout: limits.header_timeout.into(),
+                drain: limits.drain.into(),
+                ..ServerOptions::default()
+            };
+            ports.spawn(serve(listener, handler, options, stopped.clone()));
+        }
+        let duties =
+            vec![tokio::spawn(follow_config(Arc::clone(&cx))), tokio::spawn(tick(Arc::clone(&cx)))];
+        let name = &cx.settings.node.name;
+        tracing::info!(event = Event::NodeStarted.number(), node = %name, %incarnation);
+        Ok(Node { cx, stop, ports, duties })
+    }
+
+    /// Returns what the parts of the node share.
+    pub fn context(&self) -> &Arc<Context> {
+        &self.cx
+    }
+
+    /// Returns the address for callers.
+    pub fn callers(&self) -> SocketAddr {
+        self.cx.settings.node.callers
+    }
+
+    /// Returns the address for operators.
+    pub fn operators(&self) -> SocketAddr {
+        self.cx.settings.node.operators
+    }
+
+    /// Takes no new work, lets open answers end and stops.
+    pub async fn stop(mut self) {
+        self.cx.leave();
+        tracing::info!(event = Event::NodeLeaving.number());
+        let drain: Duration = self.cx.settings.limits.drain.into();
+        let emptied = async {
+            while 0 < self.cx.answers.unfinished() {
+                tokio::time::sleep(DRAIN_PAUSE).await;
+            }
+        };
+        let _ = tokio::time::timeout(drain, emptied).await;
+        self.stop.send_replace(true);
+        while self.ports.join_next().await.is_some() {}
+        self.end_duties();
+        tracing::info!(event = Event::NodeStopped.number());
+    }
+
+    /// Ends everything at once, as the death of the process would.
+    pub fn kill(mut self) {
+        self.ports.abort_all();
+        self.end_duties();
+    }
+
+    fn end_duties(&mut self) {
+        for duty in &self.duties {
+            duty.abort();
+        }
+    }
+}
+
+async fn listen(address: &mut SocketAddr) -> Result<TcpListener, Report<NodeError>> {
+    let listener = TcpListener::bind(*address).await.change_context(NodeError::Listen)?;
+    *address = listener.local_addr().change_context(NodeError::Listen)?;
+    Ok(listener)
+}
+
+// Lives of one node are told apart by the time of their start. The random low bits keep two
+// nodes that start in the same microsecond apart.
+fn new_incarnation() -> Incarnation {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let micros = u64::try_from(now.as_micros()).unwrap_or(u64::MAX >> 12);
+    Incarnation(micros << 12 | u64::from(rand::random::<u16>() & 0xfff))
+}
+
+fn key_value_client(address: SocketAddr) -> Arc<dyn KeyValue> {
+    Arc::new(HttpKeyValue::new(Endpoint::new(address, EndpointOptions::default())))
+}
+
+async fn tick(cx: Arc<Context>) {
+    loop {
+        tokio::time::sleep(TICK_PAUSE).await;
+        let _ = cx.dispatcher.send(Tick).await;
+    }
+}
+
+async fn follow_config(cx: Arc<Context>) {
+    let Some(key_value) = cx.key_value.clone() else { return };
+    loop {
+        if let Ok(found) = key_value.get(CONFIG_KEY).await {
+            let revision = Revision(found.version.0);
+            if cx.in_force().revision < revision {
+                put_in_force(&cx, revision, &found.value).await;
+            }
+        }
+        tokio::time::sleep(CONFIG_PAUSE).await;
+    }
+}
+
+async fn put_in_force(cx: &Context, revision: Revision, text: &[u8]) {
+    let text = String::from_utf8_lossy(text);
+    let deployment = match parse_deployment(CONFIG_KEY, &text) {
+        Ok(deployment) => deployment,
+        Err(error) => {
+            tracing::error!(event = Event::ConfigRejected.number(), ?revision, %error);
+            return;
+        }
+    };
+    cx.backends.follow(&deployment, &cx.settings.limits);
+    for (service, cfg) in &deployment.services {
+        if cfg.service_type != ServiceType::Model {
+            continue;
+        }
+        let mut workers = Vec::new();
+        for (key, backend) in cx.backends.of(service) {
+            let near = backend.zone == cx.settings.node.zone;
+            workers.push(WorkerView {
+                key,
+                open: true,
+                distance: if near { Duration::ZERO } else { Duration::from_millis(1) },
+                outstanding: 0,
+                outstanding_tokens: 0,
+                reported_running: 0,
+                reported_waiting: 0,
+                reported_backlog: 0,
+                reported_at: cx.clock.now(),
+                step: Duration::from_millis(20),
+                price: 0,
+                reclaimable: true,
+            });
+        }
+        let set = SetWorkers { service: service.clone(), workers };
+        let _ = cx.dispatcher.send(set).await;
+    }
+    let deployment = Arc::new(deployment);
+    cx.config.store(Arc::new(InForce { revision, deployment }));
+}
--- /dev/null
+++ b/crates/platform/src/clients/kv.rs
@@ -0,0 +1,157 @@
+//! The HTTP client of the platform's key-value service.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, http::request};
+use serde::de::DeserializeOwned;
+
+use crate::{
+    Call,
+    errors::{CallError, CallFault},
+    http::{Endpoint, read_limited},
+    kv::{CasOutcome, Change, KeyValue, LeaseId, VALUE_MAX, Version, Versioned},
+};
+
+/// The header that carries a key's version.
+pub const VERSION_HEADER: &str = "x-version";
+/// The header that carries the version that a write expects.
+pub const EXPECT_HEADER: &str = "x-expect-version";
+/// The header that carries the lease that a key is tied to.
+pub const LEASE_HEADER: &str = "x-lease";
+/// The longest time for the body of an answer.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// The largest answer, in bytes: a value, or a list of keys.
+const ANSWER_LIMIT: usize = VALUE_MAX + (1 << 16);
+
+/// An `HttpKeyValue` is the key-value service reached by HTTP.
+pub struct HttpKeyValue {
+    endpoint: Endpoint,
+}
+
+impl HttpKeyValue {
+    /// Returns the service at `endpoint`.
+    pub fn new(endpoint: Endpoint) -> HttpKeyValue {
+        HttpKeyValue { endpoint }
+    }
+
+    async fn send(
+        &self,
+        builder: request::Builder,
+        body: Bytes,
+    ) -> Result<Response<Incoming>, CallError> {
+        let req = builder.body(Full::new(body));
+        let req = req.map_err(|_| CallError::not_done(CallFault::Malformed))?;
+        let answer = self.endpoint.send(req).await?;
+        match answer.status() {
+            StatusCode::OK | StatusCode::CONFLICT => Ok(answer),
+            status if status.is_client_error() => {
+                Err(CallError::not_done(CallFault::Refused { status: status.as_u16() }))
+            }
+            status => Err(CallError::unknown(CallFault::Refused { status: status.as_u16() })),
+        }
+    }
+
+    async fn compare_and_swap(
+        &self,
+        builder: request::Builder,
+        body: Bytes,
+    ) -> Result<CasOutcome, CallError> {
+        let answer = self.send(builder, body).await?;
+        let conflict = answer.status() == StatusCode::CONFLICT;
+        let found = versioned(answer).await?;
+        Ok(if conflict { CasOutcome::Conflict(found) } else { CasOutcome::Written(found.version) })
+    }
+}
+
+impl KeyValue for HttpKeyValue {
+    fn get<'a>(&'a self, key: &'a str) -> Call<'a, Versioned> {
+        Box::pin(async move {
+            let builder = Request::builder().method(Method::GET).uri(key_path(key));
+            versioned(self.send(builder, Bytes::new()).await?).await
+        })
+    }
+
+    fn put_if<'a>(
+        &'a self,
+        key: &'a str,
+        expected: Version,
+        value: Bytes,
+        lease: Option<LeaseId>,
+    ) -> Call<'a, CasOutcome> {
+        Box::pin(async move {
+            let mut builder = Request::builder()
+                .method(Method::PUT)
+                .uri(key_path(key))
+                .header(EXPECT_HEADER, expected.0);
+            if let Some(lease) = lease {
+                builder = builder.header(LEASE_HEADER, lease.0);
+            }
+            self.compare_and_swap(builder, value).await
+        })
+    }
+
+    fn remove_if<'a>(&'a self, key: &'a str, expected: Version) -> Call<'a, CasOutcome> {
+        Box::pin(async move {
+            let builder = Request::builder()
+                .method(Method::DELETE)
+                .uri(key_path(key))
+                .header(EXPECT_HEADER, expected.0);
+            self.compare_and_swap(builder, Bytes::new()).await
+        })
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> Call<'a, Vec<Change>> {
+        Box::pin(async move {
+            let builder = Request::builder().uri(format!("/list/{prefix}"));
+            read_json(self.send(builder, Bytes::new()).await?).await
+        })
+    }
+
+    fn grant(&self, ttl: Duration) -> Call<'_, LeaseId> {
+        Box::pin(async move {
+            let builder =
+                Request::builder().method(Method::POST).uri(format!("/lease/{}", ttl.as_millis()));
+            read_json(self.send(builder, Bytes::new()).await?).await
+        })
+    }
+
+    fn renew(&self, lease: LeaseId) -> Call<'_, ()> {
+        Box::pin(async move {
+            let builder = Request::builder().method(Method::PUT).uri(format!("/lease/{}", lease.0));
+            self.send(builder, Bytes::new()).await.map(drop)
+        })
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Version,
+        wait: Duration,
+    ) -> Call<'a, Vec<Change>> {
+        Box::pin(async move {
+            let uri = format!("/watch/{}/{}/{prefix}", after.0, wait.as_millis());
+            read_json(self.send(Request::builder().uri(uri), Bytes::new()).await?).await
+        })
+    }
+}
+
+fn key_path(key: &str) -> String {
+    format!("/kv/{key}")
+}
+
+async fn versioned(answer: Response<Incoming>) -> Result<Versioned, CallError> {
+    let malformed = || CallError::unknown(CallFault::Malformed);
+    let header = answer.headers().get(VERSION_HEADER).ok_or_else(malformed)?;
+    let version = header.to_str().map_err(|_| malformed())?.parse().map_err(|_| malformed())?;
+    let body = read_limited(answer.into_body(), ANSWER_LIMIT, BODY_TIMEOUT).await;
+    let value = body.map_err(|_| CallError::unknown(CallFault::Closed))?;
+    Ok(Versioned { version: Version(version), value })
+}
+
+async fn read_json<T: DeserializeOwned>(answer: Response<Incoming>) -> Result<T, CallError> {
+    let body = read_limited(answer.into_body(), ANSWER_LIMIT, BODY_TIMEOUT).await;
+    let body = body.map_err(|_| CallError::unknown(CallFault::Closed))?;
+    serde_json::from_slice(&body).map_err(|_| CallError::unknown(CallFault::Malformed))
+}
--- /dev/null
+++ b/crates/platform/src/http/body.rs
@@ -0,0 +1,64 @@
+//! Bodies of requests and answers.
+
+use std::{error, fmt, time::Duration};
+
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt};
+use http_body_util::{BodyExt, Empty, Full, LengthLimitError, Limited, StreamBody, combinators};
+use hyper::body::Frame;
+
+/// The body of an answer.
+pub type Body = combinators::UnsyncBoxBody<Bytes, hyper::Error>;
+
+/// A `BodyError` tells why a body could not be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyError {
+    /// The body is larger than allowed.
+    TooLarge,
+    /// The body did not arrive in time.
+    Timeout,
+    /// The connection ended within the body.
+    Closed,
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            BodyError::TooLarge => "the body is too large",
+            BodyError::Timeout => "the body did not arrive in time",
+            BodyError::Closed => "the connection ended within the body",
+        })
+    }
+}
+
+impl error::Error for BodyError {}
+
+/// Returns an empty body.
+pub fn empty() -> Body {
+    Empty::new().map_err(|never| match never {}).boxed_unsync()
+}
+
+/// Returns a body that is known as a whole.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// Returns a body whose chunks are sent as the stream yields them.
+pub fn streamed(chunks: impl Stream<Item = Bytes> + Send + 'static) -> Body {
+    StreamBody::new(chunks.map(|chunk| Ok(Frame::data(chunk)))).boxed_unsync()
+}
+
+/// Returns the whole of a body of at most `limit` bytes that arrives within `timeout`.
+pub async fn read_limited<B>(body: B, limit: usize, timeout: Duration) -> Result<Bytes, BodyError>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn error::Error + Send + Sync>>,
+{
+    let collected = tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await;
+    match collected {
+        Err(_) => Err(BodyError::Timeout),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge),
+        Ok(Err(_)) => Err(BodyError::Closed),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http/mod.rs
@@ -0,0 +1,9 @@
+//! HTTP on both sides: a client that knows whether a call may have left, and a server.
+
+mod body;
+mod endpoint;
+mod server;
+
+pub use body::{Body, BodyError, empty, full, read_limited, streamed};
+pub use endpoint::{Endpoint, EndpointOptions, Identity};
+pub use server::{Handler, ServerOptions, serve};
--- /dev/null
+++ b/crates/platform/src/http/server.rs
@@ -0,0 +1,93 @@
+//! The server side of HTTP connections.
+
+use std::{convert::Infallible, sync::Arc, time::Duration};
+
+use bulrushhall_core::Event;
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use tokio::{net::TcpListener, sync::watch, task::JoinSet};
+
+use crate::{BoxFuture, http::Body};
+
+/// The pause after a failed accept, so that a lack of file handles does not become a busy loop.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A `Handler` answers the requests of one port.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Response<Body>>;
+}
+
+/// `ServerOptions` bound what a connection may cost.
+#[derive(Clone, Debug)]
+pub struct ServerOptions {
+    /// The longest time that a request's headers may take to arrive.
+    pub header_timeout: Duration,
+    /// The largest number of headers.
+    pub max_headers: usize,
+    /// The largest buffer for headers, in bytes.
+    pub max_buffer: usize,
+    /// How long open answers may go on after the stop.
+    pub drain: Duration,
+}
+
+impl Default for ServerOptions {
+    fn default() -> Self {
+        ServerOptions {
+            header_timeout: Duration::from_secs(10),
+            max_headers: 64,
+            max_buffer: 64 * 1024,
+            drain: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Serves a port until `stop` turns true, then lets open answers end.
+///
+/// Dropping the future closes every connection at once, as the death of the process would.
+pub async fn serve(
+    listener: TcpListener,
+    handler: Arc<dyn Handler>,
+    options: ServerOptions,
+    mut stop: watch::Receiver<bool>,
+) {
+    let graceful = GracefulShutdown::new();
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(options.header_timeout)
+        .max_headers(options.max_headers)
+        .max_buf_size(options.max_buffer);
+
+    let mut connections = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(_) = connections.join_next() => continue,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // Tokens are small; without this they would wait for the acknowledgement of the last one.
+        let _ = stream.set_nodelay(true);
+        let handler = Arc::clone(&handler);
+        let service = service_fn(move |req| {
+            let answer = Arc::clone(&handler).handle(req);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let connection = graceful.watch(builder.serve_connection(TokioIo::new(stream), service));
+        connections.spawn(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(event = Event::ConnectionFailed.number(), %error);
+            }
+        });
+    }
+
+    drop(listener);
+    let _ = tokio::time::timeout(options.drain, graceful.shutdown()).await;
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,10 @@
+//! Decisions on admission, queues, placement, retries and the fleet, as state machines.
+//!
+//! Nothing here reads a clock, opens a socket or spawns a task: time, events and random numbers
+//! come in as arguments and decisions go out as values.
+
+pub mod admission;
+pub mod placement;
+
+pub use admission::{Admission, AdmissionOptions, Decision, Ticket, Wait};
+pub use placement::{Placement, PlacementRequest, WorkerKey, WorkerView};
--- /dev/null
+++ b/crates/standin/src/cloud.rs
@@ -0,0 +1,1 @@
+//! Not written yet.
--- /dev/null
+++ b/crates/standin/src/engine/server.rs
@@ -0,0 +1,381 @@
+//! The stand-in engine behind HTTP: the model fed with real or accelerated time.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use bulrushhall_core::{Fence, ModelName, RequestId, Stamp, VmName};
+use bulrushhall_platform::{
+    BoxFuture,
+    engine::{CacheEvent, EngineLoad, EngineOrder, Frame, Generate},
+    http::{Body, Handler, streamed},
+};
+use bytes::Bytes;
+use futures_util::{Stream, stream};
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use tokio::{
+    sync::{Notify, mpsc},
+    task::JoinHandle,
+    time::{Instant, sleep, sleep_until},
+};
+
+use crate::{
+    engine::{EngineModel, EngineOptions, Output},
+    reply,
+    running::Running,
+    switches::Switches,
+};
+
+/// `EngineCounts` tell what an engine has done so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineCounts {
+    /// Requests taken in, attempts counted one by one.
+    pub generates: u64,
+    /// Tokens computed, prompts and answers.
+    pub computed_tokens: u64,
+    /// Tokens computed anew because of a resume.
+    pub recomputed_tokens: u64,
+    /// Bytes of KV cache that were moved away.
+    pub exported_bytes: u64,
+    /// Orders refused for their fencing number.
+    pub fenced_orders: u64,
+}
+
+/// An `EngineServer` is a stand-in engine on a loopback port.
+pub struct EngineServer {
+    shared: Arc<Shared>,
+    running: Running,
+    driver: JoinHandle<()>,
+}
+
+struct Shared {
+    vm: VmName,
+    options: EngineOptions,
+    started: Instant,
+    state: Mutex<State>,
+    wake: Notify,
+    switches: Switches,
+}
+
+struct State {
+    model: EngineModel,
+    answers: HashMap<RequestId, (u32, mpsc::UnboundedSender<Frame>)>,
+    counts: EngineCounts,
+    reports: VecDeque<(Stamp, EngineLoad)>,
+    events: VecDeque<(Stamp, CacheEvent)>,
+    next_event: u64,
+    fence: Fence,
+    generation: u64,
+    loaded: ModelName,
+    versions: HashMap<ModelName, String>,
+}
+
+/// The most cache events that are kept for readers.
+const EVENTS_KEPT: usize = 4_096;
+
+impl EngineServer {
+    /// Starts an engine for `model` on a free loopback port.
+    pub async fn start(
+        vm: VmName,
+        model: ModelName,
+        options: EngineOptions,
+    ) -> io::Result<EngineServer> {
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        EngineServer::start_at(address, vm, model, options).await
+    }
+
+    /// Starts an engine for `model` on `address`.
+    pub async fn start_at(
+        address: SocketAddr,
+        vm: VmName,
+        model: ModelName,
+        options: EngineOptions,
+    ) -> io::Result<EngineServer> {
+        let state = State {
+            model: EngineModel::new(options.clone()),
+            answers: HashMap::new(),
+            counts: EngineCounts::default(),
+            reports: VecDeque::new(),
+            events: VecDeque::new(),
+            next_event: 0,
+            fence: Fence(0),
+            generation: 0,
+            loaded: model,
+            versions: HashMap::new(),
+        };
+        let seed = xxhash_rust::xxh3::xxh3_64(vm.as_str().as_bytes());
+        let shared = Arc::new(Shared {
+            vm,
+            options,
+            started: Instant::now(),
+            state: Mutex::new(state),
+            wake: Notify::new(),
+            switches: Switches::new(seed),
+        });
+        let running = Running::start_at(address, Arc::clone(&shared) as Arc<dyn Handler>).await?;
+        let driver = tokio::spawn(drive(Arc::clone(&shared)));
+        Ok(EngineServer { shared, running, driver })
+    }
+
+    /// Returns the address that the engine listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.running.address()
+    }
+
+    /// Returns the VM that the engine runs on.
+    pub fn vm(&self) -> &VmName {
+        &self.shared.vm
+    }
+
+    /// Returns the fault switches.
+    pub fn switches(&self) -> &Switches {
+        &self.shared.switches
+    }
+
+    /// Returns what the engine has done so far.
+    pub fn counts(&self) -> EngineCounts {
+        let state = self.shared.lock();
+        let (computed_tokens, recomputed_tokens) = state.model.totals();
+        EngineCounts { computed_tokens, recomputed_tokens, ..state.counts }
+    }
+
+    /// Ends the engine and closes its connections, as the VM's death would.
+    pub fn kill(&self) {
+        self.running.kill();
+        self.driver.abort();
+    }
+}
+
+impl Drop for EngineServer {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    fn now(&self) -> Stamp {
+        let micros = self.started.elapsed().as_secs_f64() * self.options.speed * 1e6;
+        Stamp(micros as u64)
+    }
+
+    fn real(&self, stamp: Stamp) -> Instant {
+        self.started + Duration::from_secs_f64(stamp.0 as f64 / 1e6 / self.options.speed)
+    }
+
+    fn generate(self: &Arc<Self>, req: Generate) -> Response<Body> {
+        let now = self.now();
+        let (tx, rx) = mpsc::unbounded_channel();
+        let (request, attempt) = (req.request, req.attempt);
+        let mut state = self.lock();
+        if req.model != state.loaded {
+            return reply::status(StatusCode::NOT_FOUND);
+        }
+        state.counts.generates += 1;
+        state.answers.insert(request, (attempt, tx));
+        state.model.submit(now, req);
+        drop(state);
+        self.wake.notify_one();
+
+        let guard = CancelGuard { shared: Arc::clone(self), request, attempt };
+        Response::new(streamed(events(rx, guard)))
+    }
+
+    fn cancel(&self, request: RequestId) {
+        let mut state = self.lock();
+        state.answers.remove(&request);
+        state.model.cancel(request);
+    }
+
+    fn order(&self, order: EngineOrder) -> Response<Body> {
+        let mut state = self.lock();
+        if self.options.checks_fence && order.fence < state.fence {
+            state.counts.fenced_orders += 1;
+            return reply::status(StatusCode::CONFLICT);
+        }
+        state.fence = state.fence.max(order.fence);
+        if order.generation < state.generation && self.options.checks_fence {
+            return reply::status(StatusCode::OK);
+        }
+        state.generation = order.generation;
+        state.versions.insert(order.model.clone(), order.version);
+        state.loaded = order.model;
+        reply::status(StatusCode::OK)
+    }
+
+    fn report(&self) -> EngineLoad {
+        let now = self.now();
+        let mut state = self.lock();
+        let current = state.model.load();
+        state.reports.push_back((now, current));
+        let due = now - self.options.report_lag;
+        while let Some((_, next)) = state.reports.get(1).copied() {
+            if due < state.reports[1].0 {
+                break;
+            }
+            let _ = next;
+            state.reports.pop_front();
+        }
+        state.reports.front().map_or(current, |(_, report)| *report)
+    }
+
+    fn events_after(&self, after: u64) -> Vec<CacheEvent> {
+        let due = self.now() - self.options.event_lag;
+        let state = self.lock();
+        let ready = state.events.iter().filter(|(at, event)| *at <= due && after <= event.sequence);
+        ready.map(|(_, event)| *event).collect()
+    }
+
+    fn note_cache_changes(&self, state: &mut State, now: Stamp) {
+        for (block, held) in state.model.take_cache_changes() {
+            let event = CacheEvent { sequence: state.next_event, block, held };
+            state.next_event += 1;
+            let lost = (self.switches.below(1_000) as f64) < self.options.event_loss * 1_000.0;
+            if lost {
+                continue;
+            }
+            state.events.push_back((now, event));
+            if EVENTS_KEPT < state.events.len() {
+                state.events.pop_front();
+            }
+        }
+    }
+
+    async fn export(&self, request: RequestId) -> Response<Body> {
+        let blocks = self.lock().model.export(request);
+        let tokens = (blocks.len() * crate::engine::BLOCK_TOKENS) as u64;
+        let bytes = tokens * self.options.bytes_per_token;
+        let seconds = bytes as f64 / self.options.move_per_second as f64 / self.options.speed;
+        sleep(Duration::from_secs_f64(seconds)).await;
+        self.lock().counts.exported_bytes += bytes;
+        reply::json(&blocks)
+    }
+
+    async fn answer(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
+        let path = req.uri().path().to_owned();
+        if path == "/identity" {
+            return reply::identity(&self.vm);
+        }
+        let faults = self.switches.enter().await;
+        if faults.outage {
+            return reply::status(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let Ok(body) = reply::read(req.into_body()).await else {
+            return reply::status(StatusCode::BAD_REQUEST);
+        };
+        let (verb, rest) = path.trim_start_matches('/').split_once('/').unwrap_or((&path[1..], ""));
+        match verb {
+            "generate" => parsed(&body, |req| self.generate(req)),
+            "order" => parsed(&body, |order| self.order(order)),
+            "load" => reply::json(&self.report()),
+            "events" => reply::json(&self.events_after(rest.parse().unwrap_or(0))),
+            "import" => parsed(&body, |blocks: Vec<u64>| {
+                self.lock().model.import(&blocks);
+                reply::status(StatusCode::OK)
+            }),
+            "cancel" | "export" => {
+                let Ok(request) = rest.parse() else {
+                    return reply::status(StatusCode::BAD_REQUEST);
+                };
+                if verb == "export" {
+                    return self.export(request).await;
+                }
+                self.cancel(request);
+                reply::status(StatusCode::OK)
+            }
+            _ => reply::status(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+impl Handler for Shared {
+    fn handle(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
+        Box::pin(self.answer(req))
+    }
+}
+
+/// Cancels the work on a request when its reader has gone.
+struct CancelGuard {
+    shared: Arc<Shared>,
+    request: RequestId,
+    attempt: u32,
+}
+
+impl Drop for CancelGuard {
+    fn drop(&mut self) {
+        let mut state = self.shared.lock();
+        let current = state.answers.get(&self.request).map(|(attempt, _)| *attempt);
+        if current != Some(self.attempt) {
+            return;
+        }
+        state.answers.remove(&self.request);
+        state.model.cancel(self.request);
+    }
+}
+
+async fn drive(shared: Arc<Shared>) {
+    loop {
+        let next = shared.lock().model.next_wake();
+        match next {
+            None => shared.wake.notified().await,
+            Some(stamp) => sleep_until(shared.real(stamp)).await,
+        }
+        let now = shared.now();
+        let mut state = shared.lock();
+        let outputs = state.model.advance(now);
+        for output in outputs {
+            hand_out(&mut state, output);
+        }
+        shared.note_cache_changes(&mut state, now);
+    }
+}
+
+fn hand_out(state: &mut State, output: Output) {
+    let Some((attempt, tx)) = state.answers.get(&output.request) else { return };
+    if *attempt != output.attempt {
+        return;
+    }
+    let _ = tx.send(output.frame);
+}
+
+fn events(
+    rx: mpsc::UnboundedReceiver<Frame>,
+    guard: CancelGuard,
+) -> impl Stream<Item = Bytes> + Send {
+    stream::unfold((rx, guard), |(mut rx, guard)| async move {
+        // Frames that are ready together go out in one chunk.
+        let mut chunk = encode(&rx.recv().await?);
+        while let Ok(frame) = rx.try_recv() {
+            chunk.extend_from_slice(&encode(&frame));
+        }
+        // A frozen engine writes nothing more, although its connections stay open.
+        guard.shared.switches.enter().await;
+        Some((Bytes::from(chunk), (rx, guard)))
+    })
+}
+
+fn encode(frame: &Frame) -> Vec<u8> {
+    let mut chunk = b"data: ".to_vec();
+    // A frame holds only text and numbers, for which serialization cannot fail.
+    let _ = serde_json::to_writer(&mut chunk, frame);
+    chunk.extend_from_slice(b"\n\n");
+    chunk
+}
+
+fn parsed<T: DeserializeOwned>(
+    body: &[u8],
+    act: impl FnOnce(T) -> Response<Body>,
+) -> Response<Body> {
+    match serde_json::from_slice(body) {
+        Ok(value) => act(value),
+        Err(_) => reply::status(StatusCode::BAD_REQUEST),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,12 @@
+//! Small stand-ins for the platform and the backend servers, over HTTP, with fault switches.
+
+pub mod cloud;
+pub mod engine;
+pub mod kv;
+pub mod link;
+pub mod reply;
+pub mod running;
+pub mod service;
+pub mod switches;
+pub mod vm_list;
+pub mod weights;
--- /dev/null
+++ b/crates/standin/src/running.rs
@@ -0,0 +1,45 @@
+//! A stand-in's server task, which can be ended as a VM's death would end it.
+
+use std::{io, net::SocketAddr, sync::Arc};
+
+use bulrushhall_platform::http::{Handler, ServerOptions, serve};
+use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
+
+/// A `Running` is a server that runs until it is killed or dropped.
+pub struct Running {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+    _stop: watch::Sender<bool>,
+}
+
+impl Running {
+    /// Starts a server for `handler` on a free loopback port.
+    pub async fn start(handler: Arc<dyn Handler>) -> io::Result<Running> {
+        Running::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), handler).await
+    }
+
+    /// Starts a server for `handler` on `address`.
+    pub async fn start_at(address: SocketAddr, handler: Arc<dyn Handler>) -> io::Result<Running> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let (stop, stopped) = watch::channel(false);
+        let task = tokio::spawn(serve(listener, handler, ServerOptions::default(), stopped));
+        Ok(Running { address, task, _stop: stop })
+    }
+
+    /// Returns the address that the server listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Ends the server and closes its connections at once.
+    pub fn kill(&self) {
+        self.task.abort();
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,172 @@
+//! The stand-in of a plain service, which counts how often each key was executed.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use bulrushhall_core::VmName;
+use bulrushhall_platform::{
+    BoxFuture,
+    clients::FENCE_HEADER,
+    http::{Body, Handler},
+};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use serde::{Deserialize, Serialize};
+
+use crate::{reply, running::Running, switches::Switches};
+
+/// The header that carries a caller's idempotency key.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// A `Ledger` counts what all backend servers of one plain service have executed.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    runs: Mutex<BTreeMap<String, u32>>,
+}
+
+/// `ServiceCounts` tell what a plain service has executed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceCounts {
+    /// The number of executions of each key.
+    pub runs: BTreeMap<String, u32>,
+}
+
+/// A `ServiceServer` is one backend server of a plain service on a loopback port.
+pub struct ServiceServer {
+    shared: Arc<Shared>,
+    running: Running,
+}
+
+/// `ServiceOptions` set how a stand-in service behaves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceOptions {
+    /// How long a call takes.
+    pub work: Duration,
+    /// Whether a call with an old fencing number is refused.
+    pub checks_fence: bool,
+}
+
+struct Shared {
+    vm: VmName,
+    options: ServiceOptions,
+    ledger: Arc<Ledger>,
+    fence: Mutex<u64>,
+    switches: Switches,
+}
+
+impl Default for ServiceOptions {
+    fn default() -> Self {
+        ServiceOptions { work: Duration::from_millis(2), checks_fence: false }
+    }
+}
+
+impl Ledger {
+    /// Returns the executions so far.
+    pub fn counts(&self) -> ServiceCounts {
+        ServiceCounts { runs: self.lock().clone() }
+    }
+
+    /// Returns how many keys were executed more than once.
+    pub fn doubled(&self) -> usize {
+        self.lock().values().filter(|runs| 1 < **runs).count()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, u32>> {
+        self.runs.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    fn execute(&self, key: &str) -> u32 {
+        let mut runs = self.lock();
+        let count = runs.entry(key.to_owned()).or_default();
+        *count += 1;
+        *count
+    }
+}
+
+impl ServiceServer {
+    /// Starts a backend server on a free loopback port; executions go to `ledger`.
+    pub async fn start(
+        vm: VmName,
+        ledger: Arc<Ledger>,
+        options: ServiceOptions,
+    ) -> io::Result<ServiceServer> {
+        let seed = xxhash_rust::xxh3::xxh3_64(vm.as_str().as_bytes());
+        let switches = Switches::new(seed);
+        let shared = Arc::new(Shared { vm, options, ledger, fence: Mutex::default(), switches });
+        let running = Running::start(Arc::clone(&shared) as Arc<dyn Handler>).await?;
+        Ok(ServiceServer { shared, running })
+    }
+
+    /// Returns the address that the backend server listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.running.address()
+    }
+
+    /// Returns the VM that the backend server runs on.
+    pub fn vm(&self) -> &VmName {
+        &self.shared.vm
+    }
+
+    /// Returns the fault switches.
+    pub fn switches(&self) -> &Switches {
+        &self.shared.switches
+    }
+
+    /// Ends the backend server and closes its connections, as the VM's death would.
+    pub fn kill(&self) {
+        self.running.kill();
+    }
+}
+
+impl Shared {
+    async fn answer(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
+        if req.uri().path() == "/identity" {
+            return reply::identity(&self.vm);
+        }
+        let faults = self.switches.enter().await;
+        if faults.outage {
+            return reply::status(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        if !self.fence_passes(&req) {
+            return reply::status(StatusCode::PRECONDITION_FAILED);
+        }
+        let key = req.headers().get(KEY_HEADER).and_then(|key| key.to_str().ok());
+        let key = key.map(str::to_owned);
+        let (method, path) = (req.method().clone(), req.uri().path().to_owned());
+        if reply::read(req.into_body()).await.is_err() {
+            return reply::status(StatusCode::BAD_REQUEST);
+        }
+        tokio::time::sleep(self.options.work).await;
+
+        let run = match (&key, method) {
+            (_, Method::GET) => 0,
+            (Some(key), _) => self.ledger.execute(key),
+            (None, _) => self.ledger.execute("(no key)"),
+        };
+        if self.switches.loses_reply() {
+            return reply::status(StatusCode::GATEWAY_TIMEOUT);
+        }
+        reply::json(&serde_json::json!({ "path": path, "key": key, "run": run }))
+    }
+
+    fn fence_passes(&self, req: &Request<Incoming>) -> bool {
+        let fence = req.headers().get(FENCE_HEADER).and_then(|fence| fence.to_str().ok());
+        let fence: u64 = fence.and_then(|fence| fence.parse().ok()).unwrap_or(0);
+        let mut highest = self.fence.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        if self.options.checks_fence && fence < *highest {
+            return false;
+        }
+        *highest = fence.max(*highest);
+        true
+    }
+}
+
+impl Handler for Shared {
+    fn handle(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
+        Box::pin(self.answer(req))
+    }
+}
