Seams between the parts: members, peer messages, platform clients and stand-ins

Cause: the matters that follow are worked on side by side and need agreed types first.

Change: `Members` and typed peer messages with the sender's revision, the plainest membership (greetings) until the real one replaces it, HTTP clients and stand-ins of cloud, VM list and weight store, a network link with delay, cut and forgotten connections.

Conclusion: the parts can be built apart.

--- a/crates/bench/src/testbed.rs
+++ b/crates/bench/src/testbed.rs
@@ -147,6 +147,7 @@
             name: NodeName::new(format!("entry-{at}"))?,
             vm: VmName::new(format!("vm-entry-{at}"))?,
             zone: ZoneName::new(zone)?,
+            seeds: self.nodes.iter().map(|node| node.context().settings.node.peers).collect(),
             ..settings.node.clone()
         };
         let platform =
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -1,18 +1,29 @@
 //! What every part of a node needs to reach.
 
-use std::sync::{
-    Arc, Mutex,
-    atomic::{AtomicBool, AtomicU64, Ordering},
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
 };
 
 use arc_swap::ArcSwap;
 use bulrushhall_coord::Ledger;
 use bulrushhall_core::{Deployment, Incarnation, RequestId, Revision};
 use bulrushhall_platform::KeyValue;
+use tokio::sync::watch;
 use xtra::Address;
 
 use crate::{
-    answers::Answers, backends::Backends, clock::Clock, dispatcher::Dispatcher, settings::Settings,
+    answers::Answers,
+    backends::Backends,
+    clock::Clock,
+    dispatcher::Dispatcher,
+    members::{Member, Members},
+    peers::{PeerClient, Sender},
+    settings::Settings,
 };
 
 /// An `InForce` is the configuration that a node acts on.
@@ -44,6 +55,13 @@
     pub ledger: Mutex<Ledger>,
     /// The platform's key-value service, where one is set.
     pub key_value: Option<Arc<dyn KeyValue>>,
+    /// The other nodes that are believed to be alive.
+    pub members: Members,
+    /// Sends messages to other nodes.
+    pub peers: PeerClient,
+    /// The highest configuration revision that any message told of.
+    pub highest_revision: watch::Sender<Revision>,
+    pub(crate) greetings: Mutex<BTreeSet<SocketAddr>>,
     pub(crate) leaving: AtomicBool,
     pub(crate) sequence: AtomicU64,
 }
@@ -69,4 +87,46 @@
     pub fn in_force(&self) -> Arc<InForce> {
         self.config.load_full()
     }
+
+    /// Returns what messages of this node say of their sender.
+    pub fn sender(&self) -> Sender {
+        Sender {
+            node: self.settings.node.name.clone(),
+            incarnation: self.incarnation,
+            revision: self.in_force().revision,
+        }
+    }
+
+    /// Returns this node as others are told of it.
+    pub fn own_member(&self) -> Member {
+        let node = &self.settings.node;
+        Member {
+            node: node.name.clone(),
+            incarnation: self.incarnation,
+            vm: node.vm.clone(),
+            zone: node.zone.clone(),
+            callers: node.callers,
+            peers: node.peers,
+            leaving: self.is_leaving(),
+        }
+    }
+
+    /// Notes a revision that another node has in force.
+    pub fn note_revision(&self, revision: Revision) {
+        self.highest_revision.send_if_modified(|highest| {
+            let rises = *highest < revision;
+            *highest = (*highest).max(revision);
+            rises
+        });
+    }
+
+    pub(crate) fn greeted(&self, address: SocketAddr) {
+        let mut greetings = self.greetings.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        greetings.insert(address);
+    }
+
+    pub(crate) fn take_greetings(&self) -> BTreeSet<SocketAddr> {
+        let mut greetings = self.greetings.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        std::mem::take(&mut greetings)
+    }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -37,8 +37,9 @@
     context::{Context, InForce},
     dispatcher::{Dispatcher, SetWorkers, Tick},
     errors::NodeError,
+    members::Members,
     operators::OperatorPort,
-    peers::PeerPort,
+    peers::{self, PeerClient, PeerPort},
     settings::Settings,
 };
 
@@ -63,7 +64,7 @@
     /// Opens the ports and starts the actors.
     pub async fn start(mut settings: Settings) -> Result<Node, Report<NodeError>> {
         let callers = listen(&mut settings.node.callers).await?;
-        let peers = listen(&mut settings.node.peers).await?;
+        let peer_listener = listen(&mut settings.node.peers).await?;
         let operators = listen(&mut settings.node.operators).await?;
 
         let clock = Clock::start();
@@ -81,15 +82,22 @@
             dispatcher,
             ledger: Mutex::new(Ledger::new(LedgerOptions::default())),
             key_value,
+            members: Members::default(),
+            peers: PeerClient::default(),
+            highest_revision: watch::Sender::new(Revision(0)),
+            greetings: Mutex::default(),
             leaving: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
         });
 
+        let mut peer_port = PeerPort::new(Arc::clone(&cx));
+        peers::register_hello(&mut peer_port);
+
         let (stop, stopped) = watch::channel(false);
         let mut ports = JoinSet::new();
         let handlers: [(TcpListener, Arc<dyn Handler>); 3] = [
             (callers, Arc::new(CallerPort::new(Arc::clone(&cx)))),
-            (peers, Arc::new(PeerPort::default())),
+            (peer_listener, Arc::new(peer_port)),
             (operators, Arc::new(OperatorPort::new(Arc::clone(&cx)))),
         ];
         for (listener, handler) in handlers {
--- /dev/null
+++ b/crates/daemon/src/peers/client.rs
@@ -0,0 +1,82 @@
+//! The sending side of messages between nodes.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bulrushhall_core::Incarnation;
+use bulrushhall_platform::{
+    CallError, CallFault,
+    http::{Endpoint, EndpointOptions, read_limited},
+};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+
+use crate::{
+    context::Context,
+    peers::{Envelope, MESSAGE_LIMIT, PeerMessage},
+};
+
+/// The longest time that a reply may take.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The longest time for opening a connection to a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// A `PeerClient` sends messages to other nodes and keeps connections to them.
+#[derive(Default)]
+pub struct PeerClient {
+    endpoints: Mutex<HashMap<SocketAddr, Arc<Endpoint>>>,
+}
+
+impl PeerClient {
+    /// Sends a message to the node at `address`, to one life of it where `to` is given.
+    ///
+    /// The error says whether the peer may have acted on the message.
+    pub async fn send<M: PeerMessage>(
+        &self,
+        cx: &Context,
+        address: SocketAddr,
+        to: Option<Incarnation>,
+        body: M,
+    ) -> Result<M::Reply, CallError> {
+        let envelope = Envelope { from: cx.sender(), to, body };
+        let malformed = || CallError::not_done(CallFault::Malformed);
+        let bytes = rmp_serde::to_vec_named(&envelope).map_err(|_| malformed())?;
+        let req = Request::post(M::PATH).body(Full::new(Bytes::from(bytes)));
+        let answer = self.endpoint(address).send(req.map_err(|_| malformed())?).await?;
+
+        let status = answer.status();
+        if status != StatusCode::OK {
+            return Err(CallError::not_done(CallFault::Refused { status: status.as_u16() }));
+        }
+        let reply = read_limited(answer.into_body(), MESSAGE_LIMIT, REPLY_TIMEOUT).await;
+        let reply = reply.map_err(|_| CallError::unknown(CallFault::Closed))?;
+        let reply: Envelope<M::Reply> =
+            rmp_serde::from_slice(&reply).map_err(|_| CallError::unknown(CallFault::Malformed))?;
+        cx.note_revision(reply.from.revision);
+        Ok(reply.body)
+    }
+
+    /// Lets go of the connections to an address.
+    pub fn forget(&self, address: SocketAddr) {
+        let mut endpoints = self.endpoints.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        endpoints.remove(&address);
+    }
+
+    fn endpoint(&self, address: SocketAddr) -> Arc<Endpoint> {
+        let mut endpoints = self.endpoints.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let endpoint = endpoints.entry(address).or_insert_with(|| {
+            let options = EndpointOptions {
+                connect: CONNECT_TIMEOUT,
+                answer: REPLY_TIMEOUT,
+                ..EndpointOptions::default()
+            };
+            Arc::new(Endpoint::new(address, options))
+        });
+        Arc::clone(endpoint)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/clients/cloud.rs
@@ -0,0 +1,40 @@
+//! The HTTP client of the cloud API.
+
+use bulrushhall_core::VmName;
+
+use crate::{
+    Call,
+    clients::json,
+    cloud::{Cloud, Notice, Offer, Purchase},
+    http::Endpoint,
+};
+
+/// An `HttpCloud` is the cloud API reached by HTTP.
+pub struct HttpCloud {
+    endpoint: Endpoint,
+}
+
+impl HttpCloud {
+    /// Returns the cloud API at `endpoint`.
+    pub fn new(endpoint: Endpoint) -> HttpCloud {
+        HttpCloud { endpoint }
+    }
+}
+
+impl Cloud for HttpCloud {
+    fn offers(&self) -> Call<'_, Vec<Offer>> {
+        Box::pin(json::get(&self.endpoint, "/offers"))
+    }
+
+    fn buy(&self, purchase: Purchase) -> Call<'_, VmName> {
+        Box::pin(async move { json::post(&self.endpoint, "/buy", &purchase).await })
+    }
+
+    fn release<'a>(&'a self, vm: &'a VmName) -> Call<'a, ()> {
+        Box::pin(async move { json::post(&self.endpoint, "/release", vm).await })
+    }
+
+    fn notices(&self) -> Call<'_, Vec<Notice>> {
+        Box::pin(json::get(&self.endpoint, "/notices"))
+    }
+}
--- /dev/null
+++ b/crates/platform/src/clients/json.rs
@@ -0,0 +1,54 @@
+//! Calls with JSON both ways, as the platform's smaller services take them.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{
+    errors::{CallError, CallFault},
+    http::{Endpoint, read_limited},
+};
+
+/// The largest answer that is read, in bytes.
+const ANSWER_LIMIT: usize = 8 << 20;
+/// The longest time for the body of an answer.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Gets a value.
+pub async fn get<T: DeserializeOwned>(endpoint: &Endpoint, path: &str) -> Result<T, CallError> {
+    call(endpoint, Method::GET, path, Bytes::new()).await
+}
+
+/// Posts a value and returns what is answered.
+pub async fn post<T: DeserializeOwned>(
+    endpoint: &Endpoint,
+    path: &str,
+    body: &impl Serialize,
+) -> Result<T, CallError> {
+    let body = serde_json::to_vec(body).map_err(|_| CallError::not_done(CallFault::Malformed))?;
+    call(endpoint, Method::POST, path, body.into()).await
+}
+
+async fn call<T: DeserializeOwned>(
+    endpoint: &Endpoint,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Result<T, CallError> {
+    let req = Request::builder().method(method).uri(path).body(Full::new(body));
+    let req = req.map_err(|_| CallError::not_done(CallFault::Malformed))?;
+    let answer = endpoint.send(req).await?;
+    let status = answer.status();
+    if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE {
+        return Err(CallError::not_done(CallFault::Refused { status: status.as_u16() }));
+    }
+    if status != StatusCode::OK {
+        return Err(CallError::unknown(CallFault::Refused { status: status.as_u16() }));
+    }
+    let body = read_limited(answer.into_body(), ANSWER_LIMIT, BODY_TIMEOUT).await;
+    let body = body.map_err(|_| CallError::unknown(CallFault::Closed))?;
+    serde_json::from_slice(&body).map_err(|_| CallError::unknown(CallFault::Malformed))
+}
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -1,9 +1,16 @@
 //! HTTP clients of the platform and the backend servers.
 
+mod cloud;
 mod engine;
+mod json;
 mod kv;
 mod service;
+mod vm_list;
+mod weights;
 
+pub use cloud::HttpCloud;
 pub use engine::HttpEngine;
 pub use kv::{EXPECT_HEADER, HttpKeyValue, LEASE_HEADER, VERSION_HEADER};
 pub use service::{FENCE_HEADER, HttpService};
+pub use vm_list::HttpVmList;
+pub use weights::HttpWeightStore;
--- a/crates/standin/src/cloud.rs
+++ b/crates/standin/src/cloud.rs
@@ -1,1 +1,249 @@
-//! Not written yet.
+//! The stand-in of the cloud API: prices, purchases, refusals and reclaim notices.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use bulrushhall_core::{VmName, ZoneName};
+use bulrushhall_platform::{
+    BoxFuture,
+    cloud::{Market, Notice, Offer, Purchase},
+    http::{Body, Handler},
+};
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use tokio::{sync::mpsc, time::Instant};
+
+use crate::{reply, running::Running, switches::Switches};
+
+/// A `MachineEvent` tells whoever runs the VMs what the cloud has decided.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MachineEvent {
+    /// A VM was bought and is to be started.
+    Start(VmName, Purchase),
+    /// A VM is gone: released, or taken back.
+    Gone(VmName),
+}
+
+/// A `CloudServer` is a stand-in cloud API on a loopback port.
+pub struct CloudServer {
+    shared: Arc<Shared>,
+    running: Running,
+}
+
+struct Shared {
+    state: Mutex<State>,
+    events: mpsc::UnboundedSender<MachineEvent>,
+    switches: Switches,
+}
+
+struct State {
+    offers: Vec<Offer>,
+    refused: BTreeSet<(ZoneName, Market)>,
+    vms: BTreeMap<VmName, Machine>,
+    tokens: BTreeMap<String, VmName>,
+    spent_micros: u128,
+    next: u64,
+}
+
+struct Machine {
+    zone: ZoneName,
+    market: Market,
+    price: u64,
+    since: Instant,
+    reclaimed_at: Option<Instant>,
+}
+
+impl CloudServer {
+    /// Starts the cloud API on a free loopback port; what it decides comes out of the receiver.
+    pub async fn start(
+        offers: Vec<Offer>,
+    ) -> io::Result<(CloudServer, mpsc::UnboundedReceiver<MachineEvent>)> {
+        let (events, decided) = mpsc::unbounded_channel();
+        let state = State {
+            offers,
+            refused: BTreeSet::new(),
+            vms: BTreeMap::new(),
+            tokens: BTreeMap::new(),
+            spent_micros: 0,
+            next: 0,
+        };
+        let state = Mutex::new(state);
+        let shared = Arc::new(Shared { state, events, switches: Switches::new(2) });
+        let running = Running::start(Arc::clone(&shared) as Arc<dyn Handler>).await?;
+        Ok((CloudServer { shared, running }, decided))
+    }
+
+    /// Returns the address that the cloud API is found at.
+    pub fn address(&self) -> SocketAddr {
+        self.running.address()
+    }
+
+    /// Returns the fault switches.
+    pub fn switches(&self) -> &Switches {
+        &self.shared.switches
+    }
+
+    /// Notes a VM that runs from the start on.
+    pub fn adopt(&self, vm: VmName, zone: ZoneName, market: Market, price: u64) {
+        let machine = Machine { zone, market, price, since: Instant::now(), reclaimed_at: None };
+        self.shared.lock().vms.insert(vm, machine);
+    }
+
+    /// Refuses purchases in a zone and market, or takes them again.
+    pub fn set_refusals(&self, refused: BTreeSet<(ZoneName, Market)>) {
+        self.shared.lock().refused = refused;
+    }
+
+    /// Sets what can be bought at which price.
+    pub fn set_offers(&self, offers: Vec<Offer>) {
+        self.shared.lock().offers = offers;
+    }
+
+    /// Announces that a VM is taken back after `notice`; it is gone by then.
+    pub fn reclaim(&self, vm: &VmName, notice: Duration) {
+        self.shared.reclaim(vm, notice);
+    }
+
+    /// Announces that all reclaimable VMs of a zone are taken back; returns their names.
+    pub fn reclaim_zone(&self, zone: &ZoneName, notice: Duration) -> Vec<VmName> {
+        let state = self.shared.lock();
+        let hit = state
+            .vms
+            .iter()
+            .filter(|(_, machine)| machine.zone == *zone && machine.market == Market::Reclaimable);
+        let hit: Vec<VmName> = hit.map(|(vm, _)| vm.clone()).collect();
+        drop(state);
+        for vm in &hit {
+            self.shared.reclaim(vm, notice);
+        }
+        hit
+    }
+
+    /// Returns the VMs that run.
+    pub fn running_vms(&self) -> Vec<VmName> {
+        self.shared.lock().vms.keys().cloned().collect()
+    }
+
+    /// Returns what all VMs have cost so far, in thousandths of a cent.
+    pub fn spent(&self) -> f64 {
+        let state = self.shared.lock();
+        let running = state.vms.values().map(Machine::cost_micros).sum::<u128>();
+        (state.spent_micros + running) as f64 / 1e6
+    }
+}
+
+impl Machine {
+    // Costs are kept in millionths of a thousandth of a cent, so that seconds add up exactly.
+    fn cost_micros(&self) -> u128 {
+        u128::from(self.price) * self.since.elapsed().as_micros() / 3_600
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    fn reclaim(self: &Arc<Self>, vm: &VmName, notice: Duration) {
+        let mut state = self.lock();
+        let Some(machine) = state.vms.get_mut(vm) else { return };
+        let at = Instant::now() + notice;
+        machine.reclaimed_at = Some(at);
+        let (shared, vm) = (Arc::clone(self), vm.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep_until(at).await;
+            shared.end(&vm);
+        });
+    }
+
+    fn end(&self, vm: &VmName) -> bool {
+        let mut state = self.lock();
+        let Some(machine) = state.vms.remove(vm) else { return false };
+        state.spent_micros += machine.cost_micros();
+        let _ = self.events.send(MachineEvent::Gone(vm.clone()));
+        true
+    }
+
+    fn buy(&self, purchase: Purchase) -> Response<Body> {
+        let mut state = self.lock();
+        if let Some(vm) = state.tokens.get(&purchase.token) {
+            return reply::json(vm);
+        }
+        let offer = state.offers.iter().find(|offer| {
+            offer.zone == purchase.zone
+                && offer.class == purchase.class
+                && offer.market == purchase.market
+        });
+        let Some(price) = offer.map(|offer| offer.price) else {
+            return reply::status(StatusCode::NOT_FOUND);
+        };
+        if state.refused.contains(&(purchase.zone.clone(), purchase.market)) {
+            return reply::status(StatusCode::CONFLICT);
+        }
+        state.next += 1;
+        let Ok(vm) = VmName::new(format!("vm-{}-{}", purchase.zone, state.next)) else {
+            return reply::status(StatusCode::BAD_REQUEST);
+        };
+        let machine = Machine {
+            zone: purchase.zone.clone(),
+            market: purchase.market,
+            price,
+            since: Instant::now(),
+            reclaimed_at: None,
+        };
+        state.vms.insert(vm.clone(), machine);
+        state.tokens.insert(purchase.token.clone(), vm.clone());
+        let _ = self.events.send(MachineEvent::Start(vm.clone(), purchase));
+        reply::json(&vm)
+    }
+
+    fn notices(&self) -> Vec<Notice> {
+        let state = self.lock();
+        let mut notices = Vec::new();
+        for (vm, machine) in &state.vms {
+            let Some(at) = machine.reclaimed_at else { continue };
+            let left = at.saturating_duration_since(Instant::now()).as_millis();
+            let left_ms = u64::try_from(left).unwrap_or(u64::MAX);
+            notices.push(Notice { vm: vm.clone(), left_ms });
+        }
+        notices
+    }
+
+    async fn answer(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
+        if self.switches.enter().await.outage {
+            return reply::status(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let path = req.uri().path().to_owned();
+        let Ok(body) = reply::read(req.into_body()).await else {
+            return reply::status(StatusCode::BAD_REQUEST);
+        };
+        let answer = match path.as_str() {
+            "/offers" => reply::json(&self.lock().offers),
+            "/notices" => reply::json(&self.notices()),
+            "/buy" => match serde_json::from_slice(&body) {
+                Ok(purchase) => self.buy(purchase),
+                Err(_) => reply::status(StatusCode::BAD_REQUEST),
+            },
+            "/release" => match serde_json::from_slice(&body) {
+                Ok(vm) if self.end(&vm) => reply::json(&()),
+                Ok(_) => reply::status(StatusCode::NOT_FOUND),
+                Err(_) => reply::status(StatusCode::BAD_REQUEST),
+            },
+            _ => reply::status(StatusCode::NOT_FOUND),
+        };
+        if self.switches.loses_reply() {
+            return reply::status(StatusCode::GATEWAY_TIMEOUT);
+        }
+        answer
+    }
+}
+
+impl Handler for Shared {
+    fn handle(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
+        Box::pin(self.answer(req))
+    }
+}
