Testbed with cloud, VM list and nodes that die like processes; stalled peers

Cause: a node started on the test's own runtime went on in its detached tasks after `kill`, so its death could not be brought about. A peer that never read its answer held the answer for ever.

Change: `NodeProcess` gives each node a runtime and drops it whole on a kill; `Machines` runs what the cloud stand-in starts and ends; servers fail a connection whose bytes stay unread and bound the number of connections.

Conclusion: reclaims and deaths of nodes and engines can be brought about.

--- /dev/null
+++ b/crates/bench/src/testbed/machines.rs
@@ -0,0 +1,146 @@
+//! The VMs of a testbed: what runs on each, and what happens when the cloud starts or ends one.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use bulrushhall_core::{ModelName, ServiceName, VmName, ZoneName};
+use bulrushhall_platform::{cloud::Purchase, vm_list::ListedVm};
+use bulrushhall_standin::{
+    cloud::MachineEvent,
+    engine::{EngineCounts, EngineOptions, EngineServer},
+    service::ServiceServer,
+    vm_list::VmListServer,
+};
+use tokio::{sync::mpsc, time::sleep};
+
+use crate::testbed::NodeProcess;
+
+/// A `Machine` is what runs on one VM.
+#[derive(Clone)]
+pub enum Machine {
+    /// A model engine.
+    Engine(Arc<EngineServer>),
+    /// A backend server of the plain service.
+    Service(Arc<ServiceServer>),
+    /// A node.
+    Node(Arc<NodeProcess>),
+}
+
+/// `Machines` are the VMs that run.
+pub struct Machines {
+    state: Mutex<State>,
+    list: VmListServer,
+    model: ModelName,
+    service: ServiceName,
+    engine: EngineOptions,
+    boot: Duration,
+}
+
+#[derive(Default)]
+struct State {
+    running: BTreeMap<VmName, Machine>,
+    gone: Vec<EngineCounts>,
+}
+
+impl Machines {
+    /// Returns no VMs yet; bought ones run an engine of `service` that serves `model`.
+    pub fn new(
+        list: VmListServer,
+        service: ServiceName,
+        model: ModelName,
+        engine: EngineOptions,
+        boot: Duration,
+    ) -> Machines {
+        Machines { state: Mutex::default(), list, model, service, engine, boot }
+    }
+
+    /// Returns the list of VMs that nodes ask.
+    pub fn list(&self) -> &VmListServer {
+        &self.list
+    }
+
+    /// Notes what runs on a VM and, for an engine, puts it on the list.
+    pub fn run(&self, vm: VmName, zone: ZoneName, machine: Machine) {
+        if let Machine::Engine(engine) = &machine {
+            self.list.put(ListedVm {
+                vm: vm.clone(),
+                zone,
+                service: Some(self.service.clone()),
+                address: engine.address(),
+                leaving: false,
+            });
+        }
+        self.lock().running.insert(vm, machine);
+    }
+
+    /// Ends what runs on a VM, without a notice to anyone but the list of VMs.
+    pub fn kill(&self, vm: &VmName) {
+        self.list.remove(vm);
+        let mut state = self.lock();
+        match state.running.remove(vm) {
+            None => {}
+            Some(Machine::Engine(engine)) => {
+                engine.kill();
+                state.gone.push(engine.counts());
+            }
+            Some(Machine::Service(service)) => service.kill(),
+            Some(Machine::Node(node)) => node.kill(),
+        }
+    }
+
+    /// Returns what all engines, also those of ended VMs, have done so far.
+    pub fn engine_counts(&self) -> EngineCounts {
+        let state = self.lock();
+        let mut total = EngineCounts::default();
+        let running = state.running.values().filter_map(|machine| match machine {
+            Machine::Engine(engine) => Some(engine.counts()),
+            Machine::Service(_) | Machine::Node(_) => None,
+        });
+        for counts in running.chain(state.gone.iter().copied()) {
+            total.generates += counts.generates;
+            total.computed_tokens += counts.computed_tokens;
+            total.recomputed_tokens += counts.recomputed_tokens;
+            total.exported_bytes += counts.exported_bytes;
+            total.fenced_orders += counts.fenced_orders;
+        }
+        total
+    }
+
+    /// Returns the engines that run.
+    pub fn engines(&self) -> Vec<Arc<EngineServer>> {
+        let state = self.lock();
+        let engines = state.running.values().filter_map(|machine| match machine {
+            Machine::Engine(engine) => Some(Arc::clone(engine)),
+            Machine::Service(_) | Machine::Node(_) => None,
+        });
+        engines.collect()
+    }
+
+    async fn boot(&self, vm: VmName, purchase: Purchase) {
+        sleep(self.boot).await;
+        let started =
+            EngineServer::start(vm.clone(), self.model.clone(), self.engine.clone()).await;
+        let Ok(engine) = started else { return };
+        self.run(vm, purchase.zone, Machine::Engine(Arc::new(engine)));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
+
+/// Carries out what the cloud decides, until the cloud is gone.
+pub async fn follow(machines: Arc<Machines>, mut events: mpsc::UnboundedReceiver<MachineEvent>) {
+    while let Some(event) = events.recv().await {
+        match event {
+            MachineEvent::Gone(vm) => machines.kill(&vm),
+            MachineEvent::Start(vm, purchase) => {
+                let machines = Arc::clone(&machines);
+                tokio::spawn(async move { machines.boot(vm, purchase).await });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/testbed/mod.rs
@@ -0,0 +1,243 @@
+//! A whole deployment in one process: stand-ins, configuration, VMs and nodes.
+
+mod config;
+mod error;
+mod machines;
+mod options;
+mod process;
+
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+
+use bulrushhall_core::{ModelName, NodeName, ServiceName, VmName, ZoneName};
+use bulrushhall_daemon::{Settings, node::CONFIG_KEY, settings::NodeSettings};
+use bulrushhall_platform::{
+    KeyValue,
+    clients::HttpKeyValue,
+    cloud::{Market, Offer},
+    http::{Endpoint, EndpointOptions},
+    kv::Version,
+};
+use bulrushhall_standin::{
+    cloud::CloudServer,
+    engine::EngineServer,
+    kv::KvServer,
+    service::{Ledger, ServiceServer},
+    vm_list::VmListServer,
+    weights::WeightServer,
+};
+use tokio::{
+    task::JoinHandle,
+    time::{Instant, sleep},
+};
+
+use crate::Caller;
+
+pub use config::{LEDGER, MODEL, SERVICE};
+pub use error::TestbedError;
+pub use machines::{Machine, Machines};
+pub use options::TestbedOptions;
+pub use process::NodeProcess;
+
+/// The longest time that nodes may take to learn a configuration.
+const CONFIG_WAIT: Duration = Duration::from_secs(10);
+/// The class of machine that engines run on.
+pub const ENGINE_CLASS: &str = "accelerated";
+/// The class of machine that nodes and plain services run on.
+pub const SMALL_CLASS: &str = "small";
+/// How much cheaper a small machine is than one with accelerators.
+const SMALL_DIVISOR: u64 = 20;
+
+/// A `Testbed` is a whole deployment in one process.
+pub struct Testbed {
+    /// The key-value service.
+    pub kv: KvServer,
+    /// The cloud API.
+    pub cloud: CloudServer,
+    /// The weight store.
+    pub weights: WeightServer,
+    /// The VMs and what runs on them, bought ones included.
+    pub machines: Arc<Machines>,
+    /// The engines that the testbed started with.
+    pub engines: Vec<Arc<EngineServer>>,
+    /// The backend servers of the plain service.
+    pub services: Vec<Arc<ServiceServer>>,
+    /// What the plain service has executed.
+    pub ledger: Arc<Ledger>,
+    /// The nodes.
+    pub nodes: Vec<Arc<NodeProcess>>,
+    /// The configuration's text.
+    pub config: String,
+    options: TestbedOptions,
+    follower: JoinHandle<()>,
+}
+
+impl Testbed {
+    /// Starts the stand-ins, writes the configuration, starts the nodes and waits for them.
+    pub async fn start(options: TestbedOptions) -> Result<Testbed, TestbedError> {
+        let (cloud, events) = CloudServer::start(offers(&options)?).await?;
+        let list = VmListServer::start(options.list_lag).await?;
+        let service = ServiceName::new(SERVICE)?;
+        let model = ModelName::new(MODEL)?;
+        let machines = Machines::new(list, service, model, options.engine.clone(), options.boot);
+        let machines = Arc::new(machines);
+        let follower = tokio::spawn(machines::follow(Arc::clone(&machines), events));
+
+        let mut testbed = Testbed {
+            kv: KvServer::start(options.kv.clone()).await?,
+            cloud,
+            weights: WeightServer::start(options.weight_load).await?,
+            machines,
+            engines: Vec::new(),
+            services: Vec::new(),
+            ledger: Arc::new(Ledger::default()),
+            nodes: Vec::new(),
+            config: String::new(),
+            options,
+            follower,
+        };
+        testbed.start_backends().await?;
+        testbed.write_config().await?;
+        for at in 0..testbed.options.nodes {
+            let zone = testbed.zone_of(at);
+            let settings = testbed.options.settings.clone();
+            testbed.add_node(at, zone, &settings).await?;
+        }
+        testbed.wait_for_config().await?;
+        Ok(testbed)
+    }
+
+    /// Returns a caller of the first team that uses node number `at`.
+    pub fn caller(&self, at: usize) -> Caller {
+        Caller::new(self.nodes[at].callers(), "workshop")
+    }
+
+    /// Returns the addresses for callers of the nodes that live.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        let alive = self.nodes.iter().filter(|node| node.is_alive());
+        alive.map(|node| node.callers()).collect()
+    }
+
+    /// Returns the zone of the thing that was started as number `at` of its kind.
+    pub fn zone_of(&self, at: usize) -> &'static str {
+        self.options.zones[at % self.options.zones.len()]
+    }
+
+    /// Starts one more node.
+    pub async fn add_node(
+        &mut self,
+        at: usize,
+        zone: &str,
+        settings: &Settings,
+    ) -> Result<(), TestbedError> {
+        let vm = VmName::new(format!("vm-entry-{at}"))?;
+        let zone = ZoneName::new(zone)?;
+        let alive = self.nodes.iter().filter(|node| node.is_alive());
+        let node = NodeSettings {
+            name: NodeName::new(format!("entry-{at}"))?,
+            vm: vm.clone(),
+            zone: zone.clone(),
+            seeds: alive.map(|node| node.context().settings.node.peers).collect(),
+            ..settings.node.clone()
+        };
+        let mut settings = Settings { node, ..settings.clone() };
+        let platform = &mut settings.platform;
+        platform.key_value = Some(self.kv.address());
+        platform.cloud = Some(self.cloud.address());
+        platform.vm_list = Some(self.machines.list().address());
+        platform.weights = Some(self.weights.address());
+        let node = Arc::new(NodeProcess::start(settings).await?);
+        self.adopt(&vm, &zone, self.options.price / SMALL_DIVISOR);
+        self.machines.run(vm, zone, Machine::Node(Arc::clone(&node)));
+        self.nodes.push(node);
+        Ok(())
+    }
+
+    /// Announces that all reclaimable VMs of a zone are taken back after `notice`.
+    pub fn reclaim_zone(&self, zone: &str, notice: Duration) -> Vec<VmName> {
+        match ZoneName::new(zone) {
+            Ok(zone) => self.cloud.reclaim_zone(&zone, notice),
+            Err(_) => Vec::new(),
+        }
+    }
+
+    /// Refuses purchases of reclaimable VMs in the given zones, and only there.
+    pub fn refuse_in(&self, zones: &[&str]) {
+        let zones = zones.iter().filter_map(|zone| ZoneName::new(zone).ok());
+        let refused: BTreeSet<_> = zones.map(|zone| (zone, Market::Reclaimable)).collect();
+        self.cloud.set_refusals(refused);
+    }
+
+    async fn start_backends(&mut self) -> Result<(), TestbedError> {
+        for at in 0..self.options.engines {
+            let vm = VmName::new(format!("vm-engine-{at}"))?;
+            let zone = ZoneName::new(self.zone_of(at))?;
+            let model = ModelName::new(MODEL)?;
+            let engine = EngineServer::start(vm.clone(), model, self.options.engine.clone());
+            let engine = Arc::new(engine.await?);
+            self.adopt(&vm, &zone, self.options.price);
+            self.machines.run(vm, zone, Machine::Engine(Arc::clone(&engine)));
+            self.engines.push(engine);
+        }
+        for at in 0..self.options.services {
+            let vm = VmName::new(format!("vm-ledger-{at}"))?;
+            let zone = ZoneName::new(self.zone_of(at))?;
+            let ledger = Arc::clone(&self.ledger);
+            let service = ServiceServer::start(vm.clone(), ledger, self.options.service.clone());
+            let service = Arc::new(service.await?);
+            self.adopt(&vm, &zone, self.options.price / SMALL_DIVISOR);
+            self.machines.run(vm, zone, Machine::Service(Arc::clone(&service)));
+            self.services.push(service);
+        }
+        Ok(())
+    }
+
+    async fn write_config(&mut self) -> Result<(), TestbedError> {
+        self.config = config::text(&self.options.zones, &self.engines, &self.services);
+        let client =
+            HttpKeyValue::new(Endpoint::new(self.kv.address(), EndpointOptions::default()));
+        let text = self.config.clone().into();
+        let written = client.put_if(CONFIG_KEY, Version(0), text, None).await;
+        written.map(drop).map_err(TestbedError::Config)
+    }
+
+    fn adopt(&self, vm: &VmName, zone: &ZoneName, price: u64) {
+        self.cloud.adopt(vm.clone(), zone.clone(), Market::Reclaimable, price);
+    }
+
+    async fn wait_for_config(&self) -> Result<(), TestbedError> {
+        let until = Instant::now() + CONFIG_WAIT;
+        for node in &self.nodes {
+            while node.context().in_force().revision.0 == 0 {
+                if until <= Instant::now() {
+                    return Err(TestbedError::Late);
+                }
+                sleep(Duration::from_millis(5)).await;
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Testbed {
+    fn drop(&mut self) {
+        self.follower.abort();
+    }
+}
+
+fn offers(options: &TestbedOptions) -> Result<Vec<Offer>, TestbedError> {
+    let mut offers = Vec::new();
+    for zone in &options.zones {
+        let zone = ZoneName::new(zone)?;
+        for (class, price) in
+            [(ENGINE_CLASS, options.price), (SMALL_CLASS, options.price / SMALL_DIVISOR)]
+        {
+            for (market, factor) in
+                [(Market::Reclaimable, 1), (Market::OnDemand, options.on_demand_factor)]
+            {
+                let (zone, class) = (zone.clone(), class.to_owned());
+                offers.push(Offer { zone, class, market, price: price * factor });
+            }
+        }
+    }
+    Ok(offers)
+}
--- a/crates/platform/src/http/server.rs
+++ b/crates/platform/src/http/server.rs
@@ -9,6 +9,7 @@
     server::graceful::GracefulShutdown,
 };
 use tokio::{net::TcpListener, sync::watch, task::JoinSet};
+use tokio_io_timeout::TimeoutStream;
 
 use crate::{BoxFuture, http::Body};
 
@@ -30,6 +31,10 @@
     pub max_headers: usize,
     /// The largest buffer for headers, in bytes.
     pub max_buffer: usize,
+    /// The longest time that a peer may leave written bytes unread.
+    pub write_timeout: Duration,
+    /// The most connections that are open at once; further ones are closed on arrival.
+    pub connections: usize,
     /// How long open answers may go on after the stop.
     pub drain: Duration,
 }
@@ -40,6 +45,8 @@
             header_timeout: Duration::from_secs(10),
             max_headers: 64,
             max_buffer: 64 * 1024,
+            write_timeout: Duration::from_secs(30),
+            connections: 16_384,
             drain: Duration::from_secs(30),
         }
     }
@@ -73,8 +80,17 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
+        // Peers that connect and do nothing would otherwise take all file handles.
+        if options.connections <= connections.len() {
+            continue;
+        }
         // Tokens are small; without this they would wait for the acknowledgement of the last one.
         let _ = stream.set_nodelay(true);
+        // A peer that never reads would hold its answer for ever. Its connection fails once
+        // nothing could be written for this long, which lets go of everything tied to it.
+        let mut stream = TimeoutStream::new(stream);
+        stream.set_write_timeout(Some(options.write_timeout));
+        let stream = Box::pin(stream);
         let handler = Arc::clone(&handler);
         let service = service_fn(move |req| {
             let answer = Arc::clone(&handler).handle(req);
