Stand-in engine computes prompts again; tests of refusals, convention, stand-ins

Cause: the engine model marked a request as in the batch before it worked out how much of its prompt was missing, so the missing part was always taken as 0: prompts cost nothing, nothing was ever recomputed.

Ruled out: the block hashes and the cache's lookup, which the same tests drive.

Change: the missing tokens are worked out first.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,7 +1,9 @@
 //! Load, experiments and benches.
 
 pub mod caller;
+pub mod probe;
 pub mod testbed;
 
 pub use caller::{Answered, Caller, CallerError};
+pub use probe::{Probe, Reply};
 pub use testbed::{Testbed, TestbedError, TestbedOptions};
--- /dev/null
+++ b/crates/daemon/tests/refused_requests.rs
@@ -0,0 +1,91 @@
+//! A request that is refused as not run was not run, and its error says what is wrong.
+
+use bulrushhall_bench::{Probe, Testbed, TestbedOptions};
+use bulrushhall_core::Ran;
+use hyper::Method;
+use rstest::rstest;
+
+const CHAT: &str = "/v1/chat/completions";
+const ORDERS: &str = "/v1/services/guild-ledger/orders";
+const MESSAGES: &str = r#"[{"role":"user","content":"a"}]"#;
+
+fn chat_body(model: &str, messages: &str, rest: &str) -> String {
+    format!(r#"{{"model":"{model}","messages":{messages}{rest}}}"#)
+}
+
+// Each of these requests is wrong in one way. A caller that is told "not run" sends its request
+// again; had it run all the same, an order would be carried out twice.
+#[rstest]
+#[case::not_json(Method::POST, CHAT, "{".to_owned(), 400, "malformed_json")]
+#[case::not_an_object(Method::POST, CHAT, "[]".to_owned(), 400, "malformed_json")]
+#[case::no_model(Method::POST, CHAT, r#"{"messages":[]}"#.to_owned(), 400, "malformed_json")]
+#[case::unknown_model(Method::POST, CHAT, chat_body("other", MESSAGES, ""), 404, "model_not_found")]
+#[case::odd_model(Method::POST, CHAT, chat_body("a b/c", MESSAGES, ""), 404, "model_not_found")]
+#[case::no_messages(Method::POST, CHAT, chat_body("motif-7b", "[]", ""), 400, "invalid_value")]
+#[case::no_tokens(
+    Method::POST,
+    CHAT,
+    chat_body("motif-7b", MESSAGES, r#","max_tokens":0"#),
+    400,
+    "invalid_value"
+)]
+#[case::wrong_method(Method::GET, CHAT, String::new(), 405, "method_not_allowed")]
+#[case::models_posted(Method::POST, "/v1/models", String::new(), 405, "method_not_allowed")]
+#[case::unknown_path(Method::GET, "/v2/models", String::new(), 404, "not_found")]
+#[case::model_shown(Method::GET, "/v1/models/other", String::new(), 404, "model_not_found")]
+#[case::no_key(Method::POST, ORDERS, "{}".to_owned(), 400, "missing_idempotency_key")]
+#[case::unknown_service(
+    Method::POST,
+    "/v1/services/other/orders",
+    "{}".to_owned(),
+    404,
+    "service_not_found"
+)]
+#[case::model_service(
+    Method::POST,
+    "/v1/services/pattern-desk/generate",
+    "{}".to_owned(),
+    404,
+    "service_not_found"
+)]
+#[case::unknown_request(Method::GET, "/v1/requests/r-1-1", String::new(), 404, "request_not_found")]
+#[case::malformed_request(Method::GET, "/v1/requests/1", String::new(), 404, "request_not_found")]
+#[case::too_large(Method::POST, CHAT, "x".repeat(3 << 20), 413, "body_too_large")]
+#[tokio::test(flavor = "multi_thread")]
+async fn typed_error(
+    #[case] method: Method,
+    #[case] path: &str,
+    #[case] body: String,
+    #[case] status: u16,
+    #[case] code: &str,
+) {
+    let testbed = Testbed::start(TestbedOptions::default()).await.expect("a testbed");
+    let probe = Probe::new(testbed.nodes[0].callers());
+    let reply = probe.send(method, path, body).await.expect("an answer");
+
+    assert_eq!((reply.status.as_u16(), reply.error_code().as_str()), (status, code));
+    assert_eq!(reply.ran(), Some(Ran::No));
+    assert!(reply.json()["error"]["type"].is_string());
+    assert!(reply.json()["error"]["message"].is_string());
+    assert_eq!(testbed.machines.engine_counts().generates, 0);
+    assert!(testbed.ledger.counts().runs.is_empty());
+}
+
+#[rstest]
+#[case::unknown_class("x-request-class", "other", 400, "unknown_class")]
+#[case::unknown_team("x-team", "other", 401, "unknown_key")]
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_header(
+    #[case] name: &str,
+    #[case] value: &str,
+    #[case] status: u16,
+    #[case] code: &str,
+) {
+    let testbed = Testbed::start(TestbedOptions::default()).await.expect("a testbed");
+    let probe = Probe::new(testbed.nodes[0].callers()).with(name, value);
+    let body = chat_body("motif-7b", MESSAGES, "");
+    let reply = probe.send(Method::POST, CHAT, body).await.expect("an answer");
+    assert_eq!((reply.status.as_u16(), reply.error_code().as_str()), (status, code));
+    assert_eq!(reply.ran(), Some(Ran::No));
+    assert_eq!(testbed.machines.engine_counts().generates, 0);
+}
--- a/crates/standin/src/engine/model.rs
+++ b/crates/standin/src/engine/model.rs
@@ -173,10 +173,10 @@
             if place == self.jobs[at].in_batch {
                 continue;
             }
-            self.jobs[at].in_batch = place;
             if place {
                 self.admit(at);
             }
+            self.jobs[at].in_batch = place;
         }
     }
 
--- /dev/null
+++ b/crates/standin/tests/kv_faults.rs
@@ -0,0 +1,124 @@
+//! The stand-in key-value service keeps its promises and breaks them when told to.
+
+use std::time::Duration;
+
+use bulrushhall_core::Ran;
+use bulrushhall_platform::{
+    CallFault, KeyValue,
+    clients::HttpKeyValue,
+    http::{Endpoint, EndpointOptions},
+    kv::{CasOutcome, VALUE_MAX, Version},
+};
+use bulrushhall_standin::{
+    kv::{KvOptions, KvServer},
+    switches::Faults,
+};
+use tokio::time::{Instant, sleep};
+
+async fn start() -> (KvServer, HttpKeyValue) {
+    let server = KvServer::start(KvOptions::default()).await.expect("a service");
+    let endpoint = Endpoint::new(server.address(), EndpointOptions::default());
+    (server, HttpKeyValue::new(endpoint))
+}
+
+#[tokio::test]
+async fn compare_and_swap() {
+    let (_server, kv) = start().await;
+    let first = kv.put_if("a", Version(0), "1".into(), None).await.expect("an outcome");
+    let CasOutcome::Written(version) = first else { panic!("not written: {first:?}") };
+    let second = kv.put_if("a", Version(0), "2".into(), None).await.expect("an outcome");
+    let CasOutcome::Conflict(found) = second else { panic!("no conflict: {second:?}") };
+    assert_eq!((found.version, &found.value[..]), (version, &b"1"[..]));
+    assert!(matches!(kv.remove_if("a", version).await, Ok(CasOutcome::Written(_))));
+    assert_eq!(kv.get("a").await.expect("a value").version, Version(0));
+}
+
+#[tokio::test]
+async fn lapsed_lease() {
+    let (_server, kv) = start().await;
+    let lease = kv.grant(Duration::from_millis(150)).await.expect("a lease");
+    kv.put_if("held", Version(0), "me".into(), Some(lease)).await.expect("an outcome");
+    kv.renew(lease).await.expect("a renewal");
+    let seen = kv.get("held").await.expect("a value").version;
+    let changes = kv.watch("held", seen, Duration::from_secs(5)).await.expect("a change");
+    assert!(changes[0].removed);
+    let late = kv.renew(lease).await.expect_err("the lease has lapsed");
+    assert_eq!(late.fault, CallFault::Refused { status: 404 });
+}
+
+#[tokio::test]
+async fn woken_watch() {
+    let (_server, kv) = start().await;
+    let writing = async {
+        sleep(Duration::from_millis(50)).await;
+        kv.put_if("w/1", Version(0), "x".into(), None).await
+    };
+    let watching = kv.watch("w/", Version(0), Duration::from_secs(10));
+    let (changes, written) = tokio::join!(watching, writing);
+    written.expect("an outcome");
+    assert_eq!(changes.expect("changes")[0].key, "w/1");
+}
+
+// The service takes a write and its answer is lost on the way. The writer sees a failed call and
+// must not take it for a write that was not done.
+#[tokio::test]
+async fn lost_reply() {
+    let (server, kv) = start().await;
+    server.switches().set(Faults { lost_replies: 1.0, ..Faults::default() });
+    let error = kv.put_if("a", Version(0), "1".into(), None).await.expect_err("no answer");
+    assert_eq!(error.ran, Ran::Unknown);
+    server.switches().set(Faults::default());
+    assert_eq!(&kv.get("a").await.expect("a value").value[..], b"1");
+}
+
+// As above, but the write lands only later: a read straight after the failed call shows the old
+// value and would be wrongly taken for proof that the write never happened.
+#[tokio::test]
+async fn late_write() {
+    let (server, kv) = start().await;
+    server.switches().set(Faults { lost_replies: 1.0, late_ms: 200, ..Faults::default() });
+    kv.put_if("a", Version(0), "1".into(), None).await.expect_err("no answer");
+    server.switches().set(Faults::default());
+    assert_eq!(kv.get("a").await.expect("a value").version, Version(0));
+    let until = Instant::now() + Duration::from_secs(10);
+    while kv.get("a").await.expect("a value").version == Version(0) {
+        assert!(Instant::now() < until, "the write never landed");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[tokio::test]
+async fn outage() {
+    let (server, kv) = start().await;
+    server.switches().set(Faults { outage: true, ..Faults::default() });
+    let error = kv.get("a").await.expect_err("an outage");
+    assert_eq!(error.fault, CallFault::Refused { status: 503 });
+    server.switches().set(Faults::default());
+    kv.get("a").await.expect("a value");
+}
+
+#[tokio::test]
+async fn value_limit() {
+    let (_server, kv) = start().await;
+    let large = vec![b'x'; VALUE_MAX + 1];
+    let error = kv.put_if("a", Version(0), large.into(), None).await.expect_err("too large");
+    assert_eq!((error.fault, error.ran), (CallFault::Refused { status: 413 }, Ran::No));
+    let fits = vec![b'x'; VALUE_MAX];
+    kv.put_if("a", Version(0), fits.into(), None).await.expect("an outcome");
+}
+
+#[tokio::test]
+async fn rate_limit() {
+    let options = KvOptions { reads_per_second: 5, ..KvOptions::default() };
+    let server = KvServer::start(options).await.expect("a service");
+    let kv = HttpKeyValue::new(Endpoint::new(server.address(), EndpointOptions::default()));
+    let mut limited = 0;
+    for _ in 0..40 {
+        let Err(error) = kv.get("a").await else { continue };
+        assert_eq!((error.fault, error.ran), (CallFault::Refused { status: 429 }, Ran::No));
+        limited += 1;
+    }
+    assert_eq!(server.counts().limited, limited);
+    assert!(0 < limited);
+    assert_eq!(server.counts().reads, 40);
+}
