Whole configuration model, every problem told at once, keys as hashes

Cause: an operator's mistakes were told one a run, lists kept the spaces around their items, and teams with a key hash could not be used at all. Conclusion: the model can be written, checked, rendered and read back.

--- a/crates/core/src/config/ini.rs
+++ b/crates/core/src/config/ini.rs
@@ -1,34 +1,28 @@
 //! Reading of INI text into sections and typed settings, with line numbers for errors.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, btree_map::Entry};
 
 use ini_core::{Item, Parser};
-use serde::de::{
-    DeserializeOwned,
-    value::{Error as ValueError, MapDeserializer},
-};
+use serde::de::DeserializeOwned;
 
 use crate::{
-    config::{Deployment, Problem, check, value::IniValue},
+    config::{Deployment, Problem, Section, check, nearest},
     errors::{CoreError, Result},
     name::{Name, NameKind},
 };
 
-/// A `Section` is one section of an INI text.
-#[derive(Clone, Debug, Default)]
-pub struct Section {
-    /// The first word of the header, or empty for lines before the first header.
-    pub kind: String,
-    /// The second word of the header, or empty where there is none.
-    pub name: String,
-    /// The line of the header.
-    pub line: usize,
-    /// The values by key, each with its line.
-    pub values: BTreeMap<String, (String, usize)>,
-}
+/// The kinds of sections that a configuration may have.
+pub const SECTION_KINDS: [&str; 11] = [
+    "service", "engines", "model", "version", "adapter", "rollout", "class", "team", "zone",
+    "vm-class", "weights",
+];
 
-/// Returns the sections of an INI text; duplicate keys and malformed lines are problems.
-pub fn parse_sections(file: &str, text: &str) -> std::result::Result<Vec<Section>, Vec<Problem>> {
+type Problems = Vec<Problem>;
+
+/// Returns the sections of an INI text with what is wrong in its form.
+///
+/// A line that can't be read is left out, so that the rest can still be checked.
+pub fn read_sections(file: &str, text: &str) -> (Vec<Section>, Problems) {
     let mut problems = Vec::new();
     let mut sections = vec![Section::default()];
     let mut parser = Parser::new(text).auto_trim(true);
@@ -37,119 +31,125 @@
         let line = usize::try_from(parser.line()).unwrap_or(usize::MAX).saturating_add(1);
         let Some(item) = parser.next() else { break };
         match item {
-            Item::Section(header) => sections.push(open_section(header, line)),
+            Item::Section(header) => sections.push(Section::open(header, line)),
             Item::Property(key, value) => {
                 let Some(section) = sections.last_mut() else { continue };
-                let value = (value.unwrap_or_default().to_owned(), line);
-                let Some((_, first)) = section.values.insert(key.to_owned(), value) else {
-                    continue;
-                };
-                problems.push(problem(
-                    file,
-                    line,
-                    format!("{key} is set twice, first in line {first}"),
-                ));
+                let value = value.unwrap_or_default().to_owned();
+                match section.values.entry(key.to_owned()) {
+                    Entry::Vacant(entry) => {
+                        entry.insert((value, line));
+                    }
+                    Entry::Occupied(entry) => {
+                        let first = entry.get().1;
+                        let message = format!("{key} is set twice, first in line {first}");
+                        problems.push(Problem::new(file, line, message).hint("remove one of them"));
+                    }
+                }
             }
             Item::Error(text) => {
-                problems.push(problem(
-                    file,
-                    line,
-                    format!("not a section, key or comment: {text:?}"),
-                ));
+                let message = format!("not a section, key or comment: {text:?}");
+                problems.push(Problem::new(file, line, message).hint("write key = value"));
             }
             Item::Comment(_) | Item::Blank | Item::SectionEnd => continue,
         }
     }
-
-    if problems.is_empty() { Ok(sections) } else { Err(problems) }
+    (sections, problems)
 }
 
-/// Returns the settings that the values of a section stand for.
-pub fn from_section<T: DeserializeOwned>(
-    file: &str,
-    section: &Section,
-) -> std::result::Result<T, Problem> {
-    let values = section.values.iter().map(|(key, (value, _))| (key.as_str(), IniValue(value)));
-    let deserializer = MapDeserializer::<_, ValueError>::new(values);
-    T::deserialize(deserializer).map_err(|error| {
-        let text = error.to_string();
-        let line = line_of(section, &text);
-        problem(file, line, format!("in section [{} {}]: {text}", section.kind, section.name))
-    })
+/// Returns the sections of an INI text; duplicate keys and malformed lines are problems.
+pub fn parse_sections(file: &str, text: &str) -> std::result::Result<Vec<Section>, Problems> {
+    let (sections, problems) = read_sections(file, text);
+    if problems.is_empty() { Ok(sections) } else { Err(problems) }
 }
 
-/// Returns the settings of the section called `kind` in a text, or the defaults without one.
-pub fn settings_from<T: DeserializeOwned>(file: &str, text: &str, kind: &str) -> Result<T> {
-    let sections = parse_sections(file, text).map_err(CoreError::Config)?;
-    let found = sections.iter().find(|section| section.kind == kind);
-    let empty = Section::default();
-    from_section(file, found.unwrap_or(&empty)).map_err(|problem| CoreError::Config(vec![problem]))
+/// Returns a problem for each section whose kind is not among the known ones or stands twice.
+pub fn unknown_sections(file: &str, sections: &[Section], known: &[&str]) -> Problems {
+    let mut problems = Vec::new();
+    let mut seen = BTreeMap::new();
+    for section in sections {
+        if section.kind.is_empty() {
+            let Some((key, (_, line))) = section.values.first_key_value() else { continue };
+            let message = format!("{key} stands before the first section");
+            problems.push(Problem::new(file, *line, message).hint("move it below a [section]"));
+            continue;
+        }
+        if !known.contains(&section.kind.as_str()) {
+            let message = format!("unknown section {}", section.header());
+            let hint = match nearest(&section.kind, known.iter().copied()) {
+                Some(near) => format!("did you mean [{near}]?"),
+                None => format!("known sections are {}", known.join(", ")),
+            };
+            problems.push(Problem::new(file, section.line, message).hint(hint));
+            continue;
+        }
+        if let Some(first) = seen.insert((&section.kind, &section.name), section.line) {
+            let message = format!("{} stands twice, first in line {first}", section.header());
+            problems.push(Problem::new(file, section.line, message).hint("remove one of them"));
+        }
+    }
+    problems
 }
 
 /// Returns the deployment that an INI text describes, checked as a whole.
+///
+/// The error holds every problem, in the order of their lines.
 pub fn parse_deployment(file: &str, text: &str) -> Result<Deployment> {
-    let sections = parse_sections(file, text).map_err(CoreError::Config)?;
+    let (sections, mut problems) = read_sections(file, text);
     let mut deployment = Deployment::default();
-    let mut problems = Vec::new();
+    problems.extend(unknown_sections(file, &sections, &SECTION_KINDS));
     for section in &sections {
-        if let Err(problem) = add_section(file, section, &mut deployment) {
-            problems.push(problem);
+        if let Err(found) = add_section(file, section, &mut deployment) {
+            problems.extend(found);
         }
     }
-    problems.extend(check(file, &sections, &deployment));
-    if problems.is_empty() { Ok(deployment) } else { Err(CoreError::Config(problems)) }
+    // A value that was left out as malformed must not be reported again as missing.
+    let reported: BTreeSet<usize> = problems.iter().map(|problem| problem.line).collect();
+    let mut checked = check(file, &sections, &deployment);
+    checked.retain(|problem| !reported.contains(&problem.line));
+    problems.extend(checked);
+    if problems.is_empty() {
+        return Ok(deployment);
+    }
+    problems.sort_by_key(|problem| problem.line);
+    Err(CoreError::Config(problems))
 }
 
 fn add_section(
     file: &str,
     section: &Section,
     deployment: &mut Deployment,
-) -> std::result::Result<(), Problem> {
+) -> std::result::Result<(), Problems> {
     match section.kind.as_str() {
         "service" => insert(file, section, &mut deployment.services),
+        "engines" => insert(file, section, &mut deployment.engines),
         "model" => insert(file, section, &mut deployment.models),
+        "version" => insert(file, section, &mut deployment.versions),
+        "adapter" => insert(file, section, &mut deployment.adapters),
+        "rollout" => insert(file, section, &mut deployment.rollouts),
         "class" => insert(file, section, &mut deployment.classes),
         "team" => insert(file, section, &mut deployment.teams),
         "zone" => insert(file, section, &mut deployment.zones),
+        "vm-class" => insert(file, section, &mut deployment.vm_classes),
         "weights" => {
-            deployment.weights = from_section(file, section)?;
+            deployment.weights = section.read(file)?;
             Ok(())
         }
-        "" if section.values.is_empty() => Ok(()),
-        other => Err(problem(file, section.line, format!("unknown section [{other}]"))),
+        _ => Ok(()),
     }
 }
 
-fn insert<K: NameKind, T: DeserializeOwned>(
+// A section with a problem in it still counts as there: otherwise each reference to it would be
+// reported too.
+fn insert<K: NameKind, T: DeserializeOwned + Default>(
     file: &str,
     section: &Section,
     into: &mut BTreeMap<Name<K>, T>,
-) -> std::result::Result<(), Problem> {
-    let name = Name::<K>::new(&section.name)
-        .map_err(|error| problem(file, section.line, error.to_string()))?;
-    let value = from_section(file, section)?;
-    if into.insert(name, value).is_some() {
-        let message = format!("[{} {}] stands twice", section.kind, section.name);
-        return Err(problem(file, section.line, message));
-    }
-    Ok(())
-}
-
-fn open_section(header: &str, line: usize) -> Section {
-    let (kind, name) = header.trim().split_once(char::is_whitespace).unwrap_or((header.trim(), ""));
-    Section { kind: kind.to_owned(), name: name.trim().to_owned(), line, values: BTreeMap::new() }
-}
-
-// The deserializer names the key but not its line, so the key is looked up by its name.
-fn line_of(section: &Section, message: &str) -> usize {
-    for (key, (value, line)) in &section.values {
-        if message.contains(&format!("`{key}`")) || message.contains(value.as_str()) {
-            return *line;
-        }
-    }
-    section.line
-}
-
-fn problem(file: &str, line: usize, message: String) -> Problem {
-    Problem { file: file.to_owned(), line, message, hint: None }
+) -> std::result::Result<(), Problems> {
+    let name = Name::<K>::new(&section.name).map_err(|error| {
+        let hint = format!("write [{} NAME]", section.kind);
+        vec![Problem::new(file, section.line, error.to_string()).hint(hint)]
+    })?;
+    let (settings, problems) = section.read_well_formed(file);
+    into.entry(name).or_insert_with(|| settings.unwrap_or_default());
+    if problems.is_empty() { Ok(()) } else { Err(problems) }
 }
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -1,15 +1,46 @@
 //! The configuration model: what operators write and what nodes act on.
 
+mod backend_address;
 mod check;
+mod class;
+mod comma_list;
 mod deployment;
+mod engines;
+mod exact_size;
+mod fields;
 mod ini;
+mod key_hash;
+mod model;
+mod nearest;
+mod price;
 mod problem;
+mod rate;
+mod render;
+mod section;
+mod service;
+mod team;
 mod value;
+mod weights;
+mod zone;
 
+pub use backend_address::{BackendAddress, BackendAddressError};
 pub use check::check;
-pub use deployment::{
-    BackendAddress, ClassConfig, Deployment, Fencing, ModelConfig, ServiceConfig, ServiceType,
-    TeamConfig, Weights, ZoneConfig,
-};
-pub use ini::{Section, from_section, parse_deployment, parse_sections, settings_from};
+pub use class::ClassConfig;
+pub use comma_list::CommaList;
+pub use deployment::Deployment;
+pub use engines::EnginesConfig;
+pub use exact_size::ExactSize;
+pub use fields::fields_of;
+pub use ini::{SECTION_KINDS, parse_deployment, parse_sections, read_sections, unknown_sections};
+pub use key_hash::KeyHash;
+pub use model::{AdapterConfig, ModelConfig, RolloutConfig, VersionConfig};
+pub use nearest::nearest;
+pub use price::HourlyPrice;
 pub use problem::Problem;
+pub use rate::Rate;
+pub use render::{pairs_of, render};
+pub use section::Section;
+pub use service::{Fencing, ServiceConfig, ServiceType};
+pub use team::TeamConfig;
+pub use weights::Weights;
+pub use zone::{VmClassConfig, ZoneConfig};
--- a/crates/core/src/config/problem.rs
+++ b/crates/core/src/config/problem.rs
@@ -2,8 +2,10 @@
 
 use std::fmt;
 
+use serde::Serialize;
+
 /// A `Problem` says what is wrong in a text, where, and what would mend it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Problem {
     /// The name of the text, mostly a file's path.
     pub file: String,
@@ -15,6 +17,18 @@
     pub hint: Option<String>,
 }
 
+impl Problem {
+    /// Returns a problem without a hint.
+    pub fn new(file: &str, line: usize, message: impl Into<String>) -> Problem {
+        Problem { file: file.to_owned(), line, message: message.into(), hint: None }
+    }
+
+    /// Returns this problem with a hint.
+    pub fn hint(self, hint: impl Into<String>) -> Problem {
+        Problem { hint: Some(hint.into()), ..self }
+    }
+}
+
 impl fmt::Display for Problem {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}:{}: {}", self.file, self.line, self.message)?;
--- a/crates/core/src/errors.rs
+++ b/crates/core/src/errors.rs
@@ -25,6 +25,13 @@
         /// The text that was given.
         text: String,
     },
+    /// A value is not of the form that its unit asks for.
+    Value {
+        /// What a well-formed value looks like.
+        expected: &'static str,
+        /// The text that was given.
+        text: String,
+    },
     /// The configuration text is not well-formed or does not hold together.
     Config(Vec<crate::config::Problem>),
 }
@@ -40,6 +47,11 @@
         CoreError::RequestId { text: text.chars().take(80).collect() }
     }
 
+    /// Returns the error for a malformed value with a unit.
+    pub fn value(expected: &'static str, text: &str) -> CoreError {
+        CoreError::Value { expected, text: text.chars().take(80).collect() }
+    }
+
     /// Returns the error for a malformed stream position.
     pub fn stream_position(text: &str) -> CoreError {
         CoreError::StreamPosition { text: text.chars().take(80).collect() }
@@ -55,6 +67,9 @@
             ),
             CoreError::RequestId { text } => write!(f, "malformed request id: {text:?}"),
             CoreError::StreamPosition { text } => write!(f, "malformed stream event id: {text:?}"),
+            CoreError::Value { expected, text } => {
+                write!(f, "malformed value {text:?}, expected {expected}")
+            }
             CoreError::Config(problems) => {
                 for problem in problems {
                     writeln!(f, "{problem}")?;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,9 @@
 pub use errors::{CoreError, Result};
 pub use event::Event;
 pub use ids::{Fence, Incarnation, RequestId, Revision};
-pub use name::{ClassName, ModelName, NodeName, ServiceName, TeamName, VmName, ZoneName};
+pub use name::{
+    AdapterName, ClassName, ModelName, NodeName, RolloutName, ServiceName, TeamName, VersionName,
+    VmClassName, VmName, ZoneName,
+};
 pub use ran::Ran;
 pub use stamp::Stamp;
--- a/crates/core/src/name.rs
+++ b/crates/core/src/name.rs
@@ -38,6 +38,14 @@
 pub enum NodeKind {}
 /// The kind of names of VMs.
 pub enum VmKind {}
+/// The kind of names of versions.
+pub enum VersionKind {}
+/// The kind of names of adapters.
+pub enum AdapterKind {}
+/// The kind of names of rollouts.
+pub enum RolloutKind {}
+/// The kind of names of VM classes.
+pub enum VmClassKind {}
 
 /// The name of a service.
 pub type ServiceName = Name<ServiceKind>;
@@ -53,6 +61,14 @@
 pub type NodeName = Name<NodeKind>;
 /// The name that the cloud gave to a VM; never used twice.
 pub type VmName = Name<VmKind>;
+/// The name of a version.
+pub type VersionName = Name<VersionKind>;
+/// The name of an adapter.
+pub type AdapterName = Name<AdapterKind>;
+/// The name of a rollout.
+pub type RolloutName = Name<RolloutKind>;
+/// The name of a VM class.
+pub type VmClassName = Name<VmClassKind>;
 
 impl NameKind for ServiceKind {
     const WORD: &'static str = "service";
@@ -75,6 +91,18 @@
 impl NameKind for VmKind {
     const WORD: &'static str = "VM";
 }
+impl NameKind for VersionKind {
+    const WORD: &'static str = "version";
+}
+impl NameKind for AdapterKind {
+    const WORD: &'static str = "adapter";
+}
+impl NameKind for RolloutKind {
+    const WORD: &'static str = "rollout";
+}
+impl NameKind for VmClassKind {
+    const WORD: &'static str = "VM class";
+}
 
 impl<K: NameKind> Name<K> {
     /// Returns a checked name.
--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -13,7 +13,7 @@
     service::{ServiceAnswer, ServiceCall},
 };
 use bytes::Bytes;
-use hyper::{HeaderMap, Method, Response, header::CONTENT_TYPE, http::request::Parts};
+use hyper::{HeaderMap, Response, header::CONTENT_TYPE, http::request::Parts};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -147,10 +147,8 @@
 }
 
 fn is_repeatable(cfg: &ServiceConfig, call: &ServiceCall) -> bool {
-    let repeatable_method = matches!(call.method, Method::GET | Method::HEAD | Method::OPTIONS);
     let path = call.path.split('?').next().unwrap_or("/");
-    let listed = cfg.non_repeatable.iter().any(|prefix| path.starts_with(prefix.as_str()));
-    repeatable_method && !listed
+    cfg.is_idempotent(call.method.as_str(), path)
 }
 
 fn key_of(call: &ServiceCall) -> Result<Bytes, ApiError> {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,11 +1,14 @@
 //! The settings of one node, as its INI file gives them.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
-use bulrushhall_core::{NodeName, Result, VmName, ZoneName, config::settings_from};
+use bulrushhall_core::{
+    CoreError, NodeName, Result, VmName, ZoneName,
+    config::{CommaList, ExactSize, Problem, Section, read_sections, unknown_sections},
+};
 use bytesize::ByteSize;
-use serde::{Deserialize, Serialize};
-use serde_with::{DisplayFromStr, StringWithSeparator, formats::CommaSeparator, serde_as};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde_with::{DisplayFromStr, serde_as};
 
 /// The `Settings` of a node.
 #[derive(Clone, Debug, Default)]
@@ -16,6 +19,12 @@
     pub platform: PlatformSettings,
     /// What a request may cost.
     pub limits: LimitSettings,
+    /// What is logged and in what form.
+    pub log: LogSettings,
+    /// Where spans are sent.
+    pub trace: TraceSettings,
+    /// How the ports are protected.
+    pub tls: TlsSettings,
 }
 
 /// `NodeSettings` tell who the node is and where it listens.
@@ -36,7 +45,7 @@
     /// Where operators and monitoring connect.
     pub operators: SocketAddr,
     /// Addresses of other nodes to start from.
-    #[serde_as(as = "StringWithSeparator<CommaSeparator, SocketAddr>")]
+    #[serde_as(as = "CommaList")]
     pub seeds: Vec<SocketAddr>,
 }
 
@@ -60,7 +69,7 @@
 #[serde(default, deny_unknown_fields)]
 pub struct LimitSettings {
     /// The largest body.
-    #[serde_as(as = "DisplayFromStr")]
+    #[serde_as(as = "ExactSize")]
     pub body: ByteSize,
     /// The longest time that a body may take to arrive.
     #[serde_as(as = "DisplayFromStr")]
@@ -79,14 +88,94 @@
     pub answers_per_engine: usize,
 }
 
+/// A `LogFormat` tells for whom log lines are written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogFormat {
+    /// For people.
+    #[default]
+    Human,
+    /// For programs, one JSON object a line.
+    Json,
+}
+
+/// `LogSettings` tell what is logged and in what form.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogSettings {
+    /// For whom log lines are written.
+    pub format: LogFormat,
+    /// Which events are logged, as `tracing` filters are written.
+    pub filter: String,
+}
+
+/// `TraceSettings` tell where spans are sent.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct TraceSettings {
+    /// The collector, which takes OTLP over HTTP; none means that no spans are sent.
+    pub collector: Option<SocketAddr>,
+}
+
+/// `TlsSettings` tell how the ports are protected; without a certificate they are not.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct TlsSettings {
+    /// The file with the node's certificate chain, in PEM.
+    pub certificate: Option<PathBuf>,
+    /// The file with the private key, in PEM.
+    pub key: Option<PathBuf>,
+    /// The file with the certificates of the authority that signs nodes and operators, in PEM.
+    pub authority: Option<PathBuf>,
+}
+
+/// The kinds of sections that a settings file may have.
+const SECTION_KINDS: [&str; 6] = ["node", "platform", "limits", "log", "trace", "tls"];
+
 impl Settings {
-    /// Returns the settings that an INI text gives.
+    /// Returns the settings that an INI text gives; the error holds every problem in it.
     pub fn parse(file: &str, text: &str) -> Result<Settings> {
-        Ok(Settings {
-            node: settings_from(file, text, "node")?,
-            platform: settings_from(file, text, "platform")?,
-            limits: settings_from(file, text, "limits")?,
-        })
+        let (sections, mut problems) = read_sections(file, text);
+        problems.extend(unknown_sections(file, &sections, &SECTION_KINDS));
+        let settings = Settings {
+            node: read(file, &sections, "node", &mut problems),
+            platform: read(file, &sections, "platform", &mut problems),
+            limits: read(file, &sections, "limits", &mut problems),
+            log: read(file, &sections, "log", &mut problems),
+            trace: read(file, &sections, "trace", &mut problems),
+            tls: read(file, &sections, "tls", &mut problems),
+        };
+        if settings.tls.certificate.is_some() != settings.tls.key.is_some() {
+            let section = sections.iter().find(|section| section.kind == "tls");
+            let line = section.map_or(1, |section| section.line);
+            let message = "[tls] needs both certificate and key";
+            problems.push(Problem::new(file, line, message).hint("set the other one too"));
+        }
+        if problems.is_empty() {
+            return Ok(settings);
+        }
+        problems.sort_by_key(|problem| problem.line);
+        Err(CoreError::Config(problems))
+    }
+}
+
+fn read<T: DeserializeOwned + Default>(
+    file: &str,
+    sections: &[Section],
+    kind: &str,
+    problems: &mut Vec<Problem>,
+) -> T {
+    let Some(section) = sections.iter().find(|section| section.kind == kind) else {
+        return T::default();
+    };
+    let (settings, found) = section.read_well_formed(file);
+    problems.extend(found);
+    settings.unwrap_or_default()
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        LogSettings { format: LogFormat::Human, filter: "info".to_owned() }
     }
 }
 
