--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Load, experiments and benches.
 
 pub mod caller;
+pub mod cpu;
 pub mod probe;
 pub mod testbed;
 
--- a/crates/bench/src/testbed/mod.rs
+++ b/crates/bench/src/testbed/mod.rs
@@ -36,7 +36,7 @@
 pub use error::TestbedError;
 pub use machines::{Machine, Machines};
 pub use options::TestbedOptions;
-pub use process::NodeProcess;
+pub use process::{NODE_THREAD, NodeProcess};
 
 /// The longest time that nodes may take to learn a configuration.
 const CONFIG_WAIT: Duration = Duration::from_secs(10);
--- a/crates/bench/src/testbed/process.rs
+++ b/crates/bench/src/testbed/process.rs
@@ -11,6 +11,8 @@
 
 use crate::testbed::TestbedError;
 
+/// The name of the threads that nodes run on; the stand-ins run on others.
+pub const NODE_THREAD: &str = "node";
 /// The threads of one node's runtime.
 const THREADS: usize = 2;
 
@@ -26,7 +28,11 @@
 impl NodeProcess {
     /// Starts a node.
     pub async fn start(settings: Settings) -> Result<NodeProcess, TestbedError> {
-        let runtime = Builder::new_multi_thread().worker_threads(THREADS).enable_all().build()?;
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(THREADS)
+            .thread_name(NODE_THREAD)
+            .enable_all()
+            .build()?;
         let started = runtime.spawn(Node::start(settings)).await;
         let node = match started {
             Ok(Ok(node)) => node,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -18,7 +18,7 @@
 use bulrushhall_platform::{
     KeyValue,
     clients::HttpKeyValue,
-    http::{Endpoint, EndpointOptions, Handler, ServerOptions, serve},
+    http::{Endpoint, EndpointOptions, Handler, ServerOptions, listen, serve},
 };
 use bulrushhall_policy::WorkerView;
 use error_stack::{Report, ResultExt};
@@ -63,9 +63,9 @@
 impl Node {
     /// Opens the ports and starts the actors.
     pub async fn start(mut settings: Settings) -> Result<Node, Report<NodeError>> {
-        let callers = listen(&mut settings.node.callers).await?;
-        let peer_listener = listen(&mut settings.node.peers).await?;
-        let operators = listen(&mut settings.node.operators).await?;
+        let callers = open(&mut settings.node.callers)?;
+        let peer_listener = open(&mut settings.node.peers)?;
+        let operators = open(&mut settings.node.operators)?;
 
         let clock = Clock::start();
         let incarnation = new_incarnation();
@@ -161,8 +161,8 @@
     }
 }
 
-async fn listen(address: &mut SocketAddr) -> Result<TcpListener, Report<NodeError>> {
-    let listener = TcpListener::bind(*address).await.change_context(NodeError::Listen)?;
+fn open(address: &mut SocketAddr) -> Result<TcpListener, Report<NodeError>> {
+    let listener = listen(*address).change_context(NodeError::Listen)?;
     *address = listener.local_addr().change_context(NodeError::Listen)?;
     Ok(listener)
 }
--- a/crates/platform/src/http/mod.rs
+++ b/crates/platform/src/http/mod.rs
@@ -2,8 +2,10 @@
 
 mod body;
 mod endpoint;
+mod listen;
 mod server;
 
 pub use body::{Body, BodyError, empty, full, read_limited, streamed};
 pub use endpoint::{Endpoint, EndpointOptions, Identity};
+pub use listen::listen;
 pub use server::{Handler, ServerOptions, serve};
--- a/crates/platform/tests/stalled_peers.rs
+++ b/crates/platform/tests/stalled_peers.rs
@@ -11,7 +11,7 @@
 
 use bulrushhall_platform::{
     BoxFuture,
-    http::{Body, Handler, ServerOptions, read_limited, serve, streamed},
+    http::{Body, Handler, ServerOptions, listen, read_limited, serve, streamed},
 };
 use bytes::Bytes;
 use futures_util::stream;
@@ -20,7 +20,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::watch,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 /// Answers without end and counts the answers that are still held.
@@ -117,7 +117,7 @@
     let mut peer = TcpStream::connect(address).await.expect("a connection");
     peer.write_all(b"GET / HTTP/1.1\r\nhost:").await.expect("half a request");
     let mut buf = Vec::new();
-    let read = tokio::time::timeout(Duration::from_secs(10), peer.read_to_end(&mut buf)).await;
+    let read = timeout(Duration::from_secs(10), peer.read_to_end(&mut buf)).await;
     read.expect("the server closes the connection").expect("a clean end");
 }
 
@@ -149,6 +149,21 @@
     wait_for(&held, 2).await;
     let mut third = TcpStream::connect(address).await.expect("a connection");
     let mut buf = [0; 1];
-    let read = tokio::time::timeout(Duration::from_secs(10), third.read(&mut buf)).await;
+    let read = timeout(Duration::from_secs(10), third.read(&mut buf)).await;
     assert!(!matches!(read.expect("the server closes it"), Ok(1)));
 }
+
+// A node dies and its callers all connect to another one within moments, faster than it accepts
+// them. Were the queue of unaccepted connections short, the rest would be dropped without a word
+// and be taken for time-outs.
+#[tokio::test]
+async fn connection_burst() {
+    let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let mut waiting = Vec::new();
+    for number in 0..600 {
+        let opened = timeout(Duration::from_secs(5), TcpStream::connect(address)).await;
+        waiting.push(opened.unwrap_or_else(|_| panic!("connection {number} was dropped")));
+    }
+    assert!(waiting.iter().all(Result::is_ok));
+}
--- a/crates/standin/src/engine/server.rs
+++ b/crates/standin/src/engine/server.rs
@@ -343,7 +343,11 @@
     if *attempt != output.attempt {
         return;
     }
+    let last = matches!(output.frame, Frame::Done(_));
     let _ = tx.send(output.frame);
+    if last {
+        state.answers.remove(&output.request);
+    }
 }
 
 fn events(
--- a/crates/standin/src/running.rs
+++ b/crates/standin/src/running.rs
@@ -2,8 +2,8 @@
 
 use std::{io, net::SocketAddr, sync::Arc};
 
-use bulrushhall_platform::http::{Handler, ServerOptions, serve};
-use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
+use bulrushhall_platform::http::{Handler, ServerOptions, listen, serve};
+use tokio::{sync::watch, task::JoinHandle};
 
 /// A `Running` is a server that runs until it is killed or dropped.
 pub struct Running {
@@ -20,7 +20,7 @@
 
     /// Starts a server for `handler` on `address`.
     pub async fn start_at(address: SocketAddr, handler: Arc<dyn Handler>) -> io::Result<Running> {
-        let listener = TcpListener::bind(address).await?;
+        let listener = listen(address)?;
         let address = listener.local_addr()?;
         let (stop, stopped) = watch::channel(false);
         let task = tokio::spawn(serve(listener, handler, ServerOptions::default(), stopped));
