--- /dev/null
+++ b/crates/cli/src/commands/drain.rs
@@ -0,0 +1,47 @@
+//! `bulrush drain`: takes a node out of use.
+
+use bulrushhall_core::NodeName;
+use bulrushhall_daemon::operators::NodeStatus;
+use clap::{Arg, ArgMatches, Command, value_parser};
+use hyper::Method;
+use serde_json::json;
+
+use crate::{
+    error::CliError,
+    exit::ExitStatus,
+    output::Output,
+    remote::{ask, nodes, nodes_arg},
+};
+
+/// Returns the description of the command's arguments.
+pub fn command() -> Command {
+    Command::new("drain")
+        .about("Makes a node take no new work; what it has taken on is finished")
+        .arg(
+            Arg::new("name")
+                .value_name("NODE")
+                .help("The name of the node")
+                .required(true)
+                .value_parser(value_parser!(NodeName)),
+        )
+        .arg(nodes_arg())
+}
+
+/// Finds the node by its name and tells it to leave.
+pub async fn run(args: &ArgMatches, out: &Output) -> Result<ExitStatus, CliError> {
+    let Some(name) = args.get_one::<NodeName>("name") else { return Ok(ExitStatus::Usage) };
+    for address in nodes(args)? {
+        let status: Result<NodeStatus, _> = ask(address, Method::GET, "/status").await;
+        if !status.is_ok_and(|status| status.node == *name) {
+            continue;
+        }
+        let status: NodeStatus = ask(address, Method::POST, "/drain")
+            .await
+            .map_err(|cause| CliError::Node { address, cause })?;
+        let value = json!({ "node": name, "leaving": status.leaving, "unfinished": status.unfinished });
+        let told = format!("{name} takes no new work; {} request(s) to finish", status.unfinished);
+        out.print(&value, &told)?;
+        return Ok(ExitStatus::Done);
+    }
+    Err(CliError::NoNode(name.to_string()))
+}
--- /dev/null
+++ b/crates/cli/src/commands/requests.rs
@@ -0,0 +1,61 @@
+//! `bulrush requests`: where a request is.
+
+use bulrushhall_core::RequestId;
+use bulrushhall_daemon::operators::RequestStatus;
+use bulrushhall_platform::{CallError, CallFault};
+use clap::{Arg, ArgMatches, Command, value_parser};
+use hyper::Method;
+
+use crate::{
+    error::CliError,
+    exit::ExitStatus,
+    output::{Output, table},
+    remote::{ask, nodes, nodes_arg},
+};
+
+/// Returns the description of the command's arguments.
+pub fn command() -> Command {
+    Command::new("requests")
+        .about("Finds a request: which nodes know it and how far it is")
+        .arg(
+            Arg::new("id")
+                .value_name("ID")
+                .help("The id, from the x-request-id header or the answer")
+                .required(true)
+                .value_parser(value_parser!(RequestId)),
+        )
+        .arg(nodes_arg())
+}
+
+/// Asks every node for the request.
+pub async fn run(args: &ArgMatches, out: &Output) -> Result<ExitStatus, CliError> {
+    let Some(id) = args.get_one::<RequestId>("id") else { return Ok(ExitStatus::Usage) };
+    let mut found: Vec<RequestStatus> = Vec::new();
+    let mut failed = None;
+    for address in nodes(args)? {
+        match ask(address, Method::GET, &format!("/requests/{id}")).await {
+            Ok(status) => found.push(status),
+            Err(CallError { fault: CallFault::Refused { status: 404 }, .. }) => continue,
+            Err(cause) => failed = Some(CliError::Node { address, cause }),
+        }
+    }
+    if found.is_empty() {
+        // A node that was not reached may be the one that knows it.
+        return Err(failed.unwrap_or_else(|| CliError::NoRequest(id.to_string())));
+    }
+    let rows = found.iter().map(|status| {
+        vec![
+            status.node.to_string(),
+            status.role().to_owned(),
+            status.team.to_string(),
+            status.model.to_string(),
+            status.class.to_string(),
+            status.state.word().to_owned(),
+            status.tokens.to_string(),
+        ]
+    });
+    let header = ["NODE", "ROLE", "TEAM", "MODEL", "CLASS", "STATE", "TOKENS"];
+    let text = table(&header, rows);
+    out.print(&found, &text)?;
+    Ok(ExitStatus::Done)
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,24 +1,37 @@
 //! The operator's and newcomer's command-line tool.
 
+mod chain;
+mod changes;
+mod commands;
 mod demo;
+mod error;
+mod exit;
+mod output;
+mod remote;
 
 use std::process::ExitCode;
 
 use clap::{Command, crate_version};
 
+use crate::exit::ExitStatus;
+
 fn main() -> ExitCode {
     let matches = command().get_matches();
     match matches.subcommand() {
         Some(("demo", args)) => demo::run(args),
-        _ => ExitCode::from(2),
+        Some((name, args)) => commands::run(name, args).into(),
+        None => ExitStatus::Usage.into(),
     }
 }
 
 fn command() -> Command {
+    let codes = ExitStatus::ALL.map(|(status, meaning)| format!("  {}  {meaning}", status.code()));
     Command::new("bulrush")
         .about("Operates bulrushhall deployments")
         .version(crate_version!())
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .after_help(format!("Exit codes:\n{}", codes.join("\n")))
         .subcommand(demo::command())
+        .subcommands(commands::all())
 }
--- /dev/null
+++ b/crates/daemon/src/meters/catalogue.rs
@@ -0,0 +1,132 @@
+//! The catalogue of metrics.
+
+/// A `Kind` tells how a metric's value moves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// It only rises, until the process ends.
+    Counter,
+    /// It rises and falls.
+    Gauge,
+    /// It counts values in buckets.
+    Histogram,
+}
+
+/// A `Metric` is one thing that a node counts or measures; its name never changes its meaning.
+///
+/// Labels take their values out of the configuration or of a fixed set, so that callers cannot
+/// make the number of series grow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Metric {
+    /// Callers' requests by how they ended.
+    Requests,
+    /// The time from a caller's request to the end of its answer.
+    RequestSeconds,
+    /// The time from a caller's request to the first byte of its answer.
+    FirstByteSeconds,
+    /// Callers' requests that are being answered.
+    InFlight,
+    /// Accepted model requests that are not finished.
+    Unfinished,
+    /// Attempts at an engine that failed, after which the request went on elsewhere.
+    FailedAttempts,
+    /// Tokens that were computed again.
+    RecomputedTokens,
+    /// Calls to the key-value service.
+    KeyValueCalls,
+    /// The time that calls to the key-value service took.
+    KeyValueSeconds,
+    /// The configuration revision in force.
+    Revision,
+    /// How many revisions the node is behind the highest that it was told of.
+    RevisionLag,
+    /// The other nodes that are believed to be alive.
+    Members,
+    /// The known backend servers.
+    Backends,
+    /// Whether the node takes no new work any more.
+    Leaving,
+}
+
+impl Metric {
+    /// Every metric.
+    pub const ALL: [Metric; 14] = [
+        Metric::Requests,
+        Metric::RequestSeconds,
+        Metric::FirstByteSeconds,
+        Metric::InFlight,
+        Metric::Unfinished,
+        Metric::FailedAttempts,
+        Metric::RecomputedTokens,
+        Metric::KeyValueCalls,
+        Metric::KeyValueSeconds,
+        Metric::Revision,
+        Metric::RevisionLag,
+        Metric::Members,
+        Metric::Backends,
+        Metric::Leaving,
+    ];
+
+    /// Returns the name under which monitoring finds it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Metric::Requests => "bulrush_requests_total",
+            Metric::RequestSeconds => "bulrush_request_seconds",
+            Metric::FirstByteSeconds => "bulrush_first_byte_seconds",
+            Metric::InFlight => "bulrush_requests_in_flight",
+            Metric::Unfinished => "bulrush_answers_unfinished",
+            Metric::FailedAttempts => "bulrush_failed_attempts_total",
+            Metric::RecomputedTokens => "bulrush_recomputed_tokens_total",
+            Metric::KeyValueCalls => "bulrush_key_value_calls_total",
+            Metric::KeyValueSeconds => "bulrush_key_value_seconds",
+            Metric::Revision => "bulrush_config_revision",
+            Metric::RevisionLag => "bulrush_config_revision_lag",
+            Metric::Members => "bulrush_members",
+            Metric::Backends => "bulrush_backends",
+            Metric::Leaving => "bulrush_leaving",
+        }
+    }
+
+    /// Returns how its value moves.
+    pub fn kind(self) -> Kind {
+        match self {
+            Metric::Requests
+            | Metric::FailedAttempts
+            | Metric::RecomputedTokens
+            | Metric::KeyValueCalls => Kind::Counter,
+            Metric::RequestSeconds | Metric::FirstByteSeconds | Metric::KeyValueSeconds => {
+                Kind::Histogram
+            }
+            Metric::InFlight
+            | Metric::Unfinished
+            | Metric::Revision
+            | Metric::RevisionLag
+            | Metric::Members
+            | Metric::Backends
+            | Metric::Leaving => Kind::Gauge,
+        }
+    }
+
+    /// Returns the labels that it has beside `node`.
+    pub fn labels(self) -> &'static [&'static str] {
+        match self {
+            Metric::Requests => &["team", "class", "outcome"],
+            Metric::RequestSeconds | Metric::FirstByteSeconds => &["team", "class"],
+            Metric::FailedAttempts => &["class"],
+            Metric::RecomputedTokens => &["cause"],
+            Metric::KeyValueCalls => &["duty", "outcome"],
+            Metric::KeyValueSeconds => &["duty"],
+            Metric::Backends => &["service"],
+            Metric::InFlight
+            | Metric::Unfinished
+            | Metric::Revision
+            | Metric::RevisionLag
+            | Metric::Members
+            | Metric::Leaving => &[],
+        }
+    }
+
+    /// Returns its place in [`Metric::ALL`].
+    pub(crate) fn index(self) -> usize {
+        self as usize
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/operators/port.rs
@@ -0,0 +1,100 @@
+//! The port itself: what is at which path.
+
+use std::sync::Arc;
+
+use bulrushhall_core::RequestId;
+use bulrushhall_platform::{
+    BoxFuture,
+    http::{Body, Handler, full},
+};
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_TYPE, HeaderValue},
+};
+use serde::Serialize;
+
+use crate::{
+    context::Context,
+    operators::{NodeStatus, RequestStatus},
+};
+
+/// The content type of metrics.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+
+/// An `OperatorPort` answers operators and monitoring.
+pub struct OperatorPort {
+    cx: Arc<Context>,
+}
+
+impl OperatorPort {
+    /// Returns the port of a node.
+    pub fn new(cx: Arc<Context>) -> OperatorPort {
+        OperatorPort { cx }
+    }
+
+    fn answer(&self, method: &Method, path: &str) -> Response<Body> {
+        let segments: Vec<&str> = path.split('/').skip(1).collect();
+        match (method.as_str(), segments.as_slice()) {
+            ("GET", ["healthz"]) => text(StatusCode::OK, "ok\n"),
+            ("GET", ["readyz"]) => self.ready(),
+            ("GET", ["metrics"]) => self.metrics(),
+            ("GET", ["status"]) => json(StatusCode::OK, &NodeStatus::of(&self.cx)),
+            ("GET", ["requests", id]) => self.request(id),
+            ("POST", ["drain"]) => {
+                self.cx.leave();
+                json(StatusCode::ACCEPTED, &NodeStatus::of(&self.cx))
+            }
+            _ => text(StatusCode::NOT_FOUND, "not found\n"),
+        }
+    }
+
+    fn ready(&self) -> Response<Body> {
+        if self.cx.is_leaving() {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "leaving\n");
+        }
+        if self.cx.in_force().revision.0 == 0 {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n");
+        }
+        text(StatusCode::OK, "ready\n")
+    }
+
+    fn metrics(&self) -> Response<Body> {
+        self.cx.meters.sample(&self.cx);
+        let mut answer = text(StatusCode::OK, &self.cx.meters.render());
+        answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(METRICS_TYPE));
+        answer
+    }
+
+    fn request(&self, id: &str) -> Response<Body> {
+        let Ok(id) = id.parse::<RequestId>() else {
+            return text(StatusCode::BAD_REQUEST, "malformed request id\n");
+        };
+        match self.cx.answers.get(id) {
+            Some(answer) => json(StatusCode::OK, &RequestStatus::of(&self.cx, &answer)),
+            None => text(StatusCode::NOT_FOUND, "no such request\n"),
+        }
+    }
+}
+
+impl Handler for OperatorPort {
+    fn handle(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
+        Box::pin(async move { self.answer(req.method(), req.uri().path()) })
+    }
+}
+
+fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    let Ok(bytes) = serde_json::to_vec(value) else {
+        return text(StatusCode::INTERNAL_SERVER_ERROR, "the answer could not be written\n");
+    };
+    let mut answer = Response::new(full(bytes));
+    *answer.status_mut() = status;
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
+
+fn text(status: StatusCode, text: &str) -> Response<Body> {
+    let mut answer = Response::new(full(text.to_owned()));
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/crates/daemon/src/operators/status.rs
@@ -0,0 +1,122 @@
+//! How a node is, as operators are told.
+
+use bulrushhall_core::{ClassName, NodeName, Revision, ServiceName, VmName, ZoneName};
+use serde::{Deserialize, Serialize};
+
+use crate::{context::Context, meters::Metric};
+
+/// A `NodeStatus` tells how a node is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeStatus {
+    /// The node.
+    pub node: NodeName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// This life of it.
+    pub incarnation: String,
+    /// The configuration revision that it has in force; 0 before it learnt any.
+    pub revision: Revision,
+    /// The highest revision that any message told it of.
+    pub highest_revision: Revision,
+    /// Whether it takes no new work any more.
+    pub leaving: bool,
+    /// The model requests that it has accepted and not finished.
+    pub unfinished: usize,
+    /// The tokens that were computed again because an engine or a request's place was lost.
+    pub recomputed_tokens: u64,
+    /// The other nodes that it believes to be alive.
+    pub members: Vec<MemberStatus>,
+    /// The backend servers that it knows.
+    pub backends: Vec<BackendStatus>,
+    /// The request classes in force.
+    pub classes: Vec<ClassStatus>,
+}
+
+/// A `MemberStatus` is another node, as one node sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// The node.
+    pub node: NodeName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Whether it takes no new work any more.
+    pub leaving: bool,
+}
+
+/// A `BackendStatus` is a backend server, as one node sees it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct BackendStatus {
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// The VM that it runs on.
+    pub vm: VmName,
+    /// The availability zone of the VM.
+    pub zone: ZoneName,
+}
+
+/// A `ClassStatus` is a request class in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClassStatus {
+    /// The class.
+    pub name: ClassName,
+    /// Its priority; 0 is the most urgent.
+    pub priority: u8,
+    /// The time within which the whole answer is to come.
+    pub deadline: String,
+}
+
+impl NodeStatus {
+    /// Returns how the node is now.
+    pub fn of(cx: &Context) -> NodeStatus {
+        let in_force = cx.in_force();
+        let node = &cx.settings.node;
+        let mut members = Vec::new();
+        for member in cx.members.current().iter() {
+            members.push(MemberStatus {
+                node: member.node.clone(),
+                zone: member.zone.clone(),
+                leaving: member.leaving,
+            });
+        }
+        let mut backends = Vec::new();
+        for service in in_force.deployment.services.keys() {
+            for (_, backend) in cx.backends.of(service) {
+                let (vm, zone) = (backend.vm, backend.zone);
+                backends.push(BackendStatus { service: service.clone(), vm, zone });
+            }
+        }
+        backends.sort();
+        let mut classes = Vec::new();
+        for (name, cfg) in &in_force.deployment.classes {
+            let deadline = cfg.deadline.to_string();
+            classes.push(ClassStatus { name: name.clone(), priority: cfg.priority, deadline });
+        }
+        NodeStatus {
+            node: node.name.clone(),
+            zone: node.zone.clone(),
+            incarnation: cx.incarnation.to_string(),
+            revision: in_force.revision,
+            highest_revision: (*cx.highest_revision.borrow()).max(in_force.revision),
+            leaving: cx.is_leaving(),
+            unfinished: cx.answers.unfinished(),
+            recomputed_tokens: cx.meters.total(Metric::RecomputedTokens),
+            members,
+            backends,
+            classes,
+        }
+    }
+
+    /// Returns the word for the state that the node is in.
+    pub fn state(&self) -> &'static str {
+        if self.leaving {
+            return "leaving";
+        }
+        if self.revision == Revision(0) {
+            return "unconfigured";
+        }
+        if self.revision < self.highest_revision {
+            return "behind";
+        }
+        "serving"
+    }
+}
