Admission with fair queues, placement by predicted first token, wired into the node

Cause: the queue knew no teams, deadlines or refusals, and placement looked at its own requests only.

Change: start-time fair queueing over teams in each priority, early refusal with jitter, overdue patient work with a bounded part of the service; placement by predicted first token from lagging load reports, own changes since, cache hints and rendezvous homes, with baselines in a registry; a lane as one machine from arrival to place; nodes follow loads and cache events.

--- a/crates/daemon/src/backends.rs
+++ b/crates/daemon/src/backends.rs
@@ -1,8 +1,9 @@
 //! The backend servers that a node knows, with their clients.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
 };
 
 use bulrushhall_core::{
@@ -14,11 +15,15 @@
     clients::{HttpEngine, HttpService},
     http::{Endpoint, EndpointOptions},
 };
-use bulrushhall_policy::WorkerKey;
+use bulrushhall_policy::{WorkerKey, WorkerView};
 use slotmap::SlotMap;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::settings::LimitSettings;
 
+/// The assumed one-way latency to a backend server in another availability zone.
+const OTHER_ZONE_DISTANCE: Duration = Duration::from_micros(1_500);
+
 /// A `Backend` is one backend server and the client that reaches it.
 #[derive(Clone)]
 pub struct Backend {
@@ -51,6 +56,7 @@
 struct State {
     arena: SlotMap<WorkerKey, Backend>,
     by_address: HashMap<String, WorkerKey>,
+    leaving: BTreeSet<VmName>,
 }
 
 impl Backends {
@@ -91,6 +97,36 @@
         of_service.map(|(key, backend)| (key, backend.clone())).collect()
     }
 
+    /// Closes a VM for new work, for the rest of its life; returns its backend servers.
+    pub fn close(&self, vm: &VmName) -> Vec<(WorkerKey, Backend)> {
+        let mut state = self.lock();
+        state.leaving.insert(vm.clone());
+        let on_vm = state.arena.iter().filter(|(_, backend)| backend.vm == *vm);
+        on_vm.map(|(key, backend)| (key, backend.clone())).collect()
+    }
+
+    /// Returns whether a VM is closed for new work.
+    pub fn is_closed(&self, vm: &VmName) -> bool {
+        self.lock().leaving.contains(vm)
+    }
+
+    /// Returns the engines of a service as placement sees them at first.
+    pub fn views(&self, service: &ServiceName, own_zone: &ZoneName, slots: u32) -> Vec<WorkerView> {
+        let mut views = Vec::new();
+        for (key, backend) in self.of(service) {
+            let near = backend.zone == *own_zone;
+            views.push(WorkerView {
+                key,
+                identity: xxh3_64(backend.vm.as_str().as_bytes()),
+                open: !self.is_closed(&backend.vm),
+                distance: if near { Duration::ZERO } else { OTHER_ZONE_DISTANCE },
+                slots,
+                ..WorkerView::default()
+            });
+        }
+        views
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
@@ -100,7 +136,7 @@
     service_type: ServiceType,
     address: &BackendAddress,
     limits: &LimitSettings,
-    timeout: std::time::Duration,
+    timeout: Duration,
 ) -> BackendClient {
     let vm = Some(address.vm.clone());
     match service_type {
--- a/crates/daemon/src/callers/admit.rs
+++ b/crates/daemon/src/callers/admit.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bulrushhall_core::{Ran, TeamName};
-use bulrushhall_policy::{PlacementRequest, Ticket, Wait, WorkerKey};
+use bulrushhall_policy::{PlacementRequest, Ticket, Wait, WorkerKey, prefix::block_hashes};
 use tokio::sync::oneshot;
 
 use crate::{
@@ -79,10 +79,11 @@
             accepted: standing == Standing::Accepted,
         },
         req: PlacementRequest {
-            prefix: Vec::new(),
+            prefix: block_hashes(&request.prompt),
             prompt_tokens: request.prompt_tokens,
             answer_tokens: request.max_tokens,
             avoid: avoid.to_vec(),
+            ..PlacementRequest::default()
         },
         accepted: accepted_tx,
         start: start_tx,
--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -1,11 +1,14 @@
 //! The actor that feeds admission and placement and carries out what they decide.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
-use bulrushhall_core::ServiceName;
+use bulrushhall_core::{ServiceName, Stamp, TeamName, config::Weights};
 use bulrushhall_policy::{
-    Admission, AdmissionOptions, Decision, Placement, PlacementRequest, Ticket, Wait, WorkerKey,
-    WorkerView, placement::LeastOutstanding,
+    Lane, LaneAction, LaneOptions, LoadReport, PlacementOptions, PlacementRequest, Ticket, Wait,
+    WorkerKey, WorkerView,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -18,19 +21,17 @@
 pub struct Dispatcher {
     clock: Clock,
     random: Pcg64Mcg,
-    answers_per_engine: usize,
-    services: HashMap<ServiceName, Lane>,
+    nodes: usize,
+    services: BTreeMap<ServiceName, Service>,
 }
 
-struct Lane {
-    admission: Admission,
-    placement: Box<dyn Placement>,
-    workers: Vec<WorkerView>,
+struct Service {
+    lane: Lane,
+    weights: Weights,
     waiting: HashMap<Ticket, Waiting>,
 }
 
 struct Waiting {
-    req: PlacementRequest,
     accepted: Option<oneshot::Sender<Verdict>>,
     start: oneshot::Sender<Start>,
 }
@@ -79,12 +80,55 @@
     pub worker: Option<WorkerKey>,
 }
 
-/// A `SetWorkers` tells which engines a service has.
+/// A `FirstToken` tells that a started request got its first token.
+pub struct FirstToken {
+    /// The service.
+    pub service: ServiceName,
+    /// The request's ticket.
+    pub ticket: Ticket,
+}
+
+/// A `SetWorkers` tells which engines a service has and who shares them.
 pub struct SetWorkers {
     /// The service.
     pub service: ServiceName,
     /// Its engines.
     pub workers: Vec<WorkerView>,
+    /// The shares of the teams.
+    pub shares: BTreeMap<TeamName, u32>,
+    /// What weighs how much in placement.
+    pub weights: Weights,
+}
+
+/// A `SetNodes` tells how many nodes send work to the engines, this one included.
+pub struct SetNodes(pub usize);
+
+/// A `Report` is an engine's report of its load.
+pub struct Report {
+    /// The service.
+    pub service: ServiceName,
+    /// The engine.
+    pub key: WorkerKey,
+    /// What it reported.
+    pub report: LoadReport,
+}
+
+/// `CacheChanges` tell which blocks an engine's prefix cache took in or dropped.
+pub struct CacheChanges {
+    /// The service.
+    pub service: ServiceName,
+    /// The engine.
+    pub key: WorkerKey,
+    /// Each block and whether it is held now.
+    pub changes: Vec<(u64, bool)>,
+}
+
+/// A `Close` tells that an engine's VM is leaving and takes no new work.
+pub struct Close {
+    /// The service.
+    pub service: ServiceName,
+    /// The engine.
+    pub key: WorkerKey,
 }
 
 /// A `Tick` lets time pass.
@@ -92,58 +136,49 @@
 
 impl Dispatcher {
     /// Returns a dispatcher without engines.
-    pub fn new(clock: Clock, seed: u64, answers_per_engine: usize) -> Dispatcher {
+    pub fn new(clock: Clock, seed: u64) -> Dispatcher {
         let random = Pcg64Mcg::seed_from_u64(seed);
-        Dispatcher { clock, random, answers_per_engine, services: HashMap::new() }
+        Dispatcher { clock, random, nodes: 1, services: BTreeMap::new() }
     }
 
-    fn lane(&mut self, service: &ServiceName) -> &mut Lane {
-        self.services.entry(service.clone()).or_insert_with(|| Lane {
-            admission: Admission::new(AdmissionOptions::default()),
-            placement: Box::new(LeastOutstanding),
-            workers: Vec::new(),
-            waiting: HashMap::new(),
+    fn service(&mut self, name: &ServiceName) -> &mut Service {
+        let nodes = self.nodes;
+        self.services.entry(name.clone()).or_insert_with(|| {
+            let weights = Weights::default();
+            Service { lane: new_lane(&weights, nodes), weights, waiting: HashMap::new() }
         })
     }
 
-    fn carry_out(&mut self, service: &ServiceName, decisions: Vec<Decision>) {
-        let now = self.clock.now();
-        let Some(lane) = self.services.get_mut(service) else { return };
-        for decision in decisions {
-            match decision {
-                Decision::Accept(ticket) => {
-                    let waiting = lane.waiting.get_mut(&ticket);
+    fn carry_out(&mut self, service: &ServiceName, actions: Vec<LaneAction>) {
+        let Some(service) = self.services.get_mut(service) else { return };
+        for action in actions {
+            match action {
+                LaneAction::Accept(ticket) => {
+                    let waiting = service.waiting.get_mut(&ticket);
                     let tx = waiting.and_then(|waiting| waiting.accepted.take());
                     let Some(tx) = tx else { continue };
                     let _ = tx.send(Verdict::Accepted(ticket));
                 }
-                Decision::Refuse(ticket, after) => {
-                    let waiting = lane.waiting.remove(&ticket);
+                LaneAction::Refuse(ticket, after) => {
+                    let waiting = service.waiting.remove(&ticket);
                     let Some(tx) = waiting.and_then(|waiting| waiting.accepted) else { continue };
                     let _ = tx.send(Verdict::Refused(after));
                 }
-                Decision::Start(ticket) => {
-                    let Some(waiting) = lane.waiting.remove(&ticket) else { continue };
-                    let Lane { placement, workers, .. } = lane;
-                    let key = placement.place(now, &waiting.req, workers, &mut self.random);
-                    let Some(key) = key else {
-                        let _ = waiting.start.send(Start::Nowhere);
-                        continue;
-                    };
-                    for worker in workers.iter_mut().filter(|worker| worker.key == key) {
-                        worker.outstanding += 1;
-                    }
-                    let _ = waiting.start.send(Start::On(key));
-                }
-                Decision::Expire(ticket) => {
-                    let Some(waiting) = lane.waiting.remove(&ticket) else { continue };
-                    let _ = waiting.start.send(Start::Expired);
-                }
+                LaneAction::Start(ticket, key) => service.start(ticket, Start::On(key)),
+                LaneAction::Nowhere(ticket) => service.start(ticket, Start::Nowhere),
+                LaneAction::Expire(ticket) => service.start(ticket, Start::Expired),
             }
         }
     }
 }
 
+impl Service {
+    fn start(&mut self, ticket: Ticket, start: Start) {
+        let Some(waiting) = self.waiting.remove(&ticket) else { return };
+        let _ = waiting.start.send(start);
+    }
+}
+
 impl Actor for Dispatcher {
     type Stop = ();
 
@@ -159,12 +194,13 @@
 
     async fn handle(&mut self, submit: Submit, _cx: &mut Context<Self>) {
         let now = self.clock.now();
-        let lane = self.lane(&submit.service);
-        let (ticket, decisions) = lane.admission.arrive(now, submit.wait);
-        let waiting =
-            Waiting { req: submit.req, accepted: Some(submit.accepted), start: submit.start };
-        lane.waiting.insert(ticket, waiting);
-        self.carry_out(&submit.service, decisions);
+        let mut random = self.random.clone();
+        let service = self.service(&submit.service);
+        let (ticket, actions) = service.lane.submit(now, submit.wait, submit.req, &mut random);
+        let waiting = Waiting { accepted: Some(submit.accepted), start: submit.start };
+        service.waiting.insert(ticket, waiting);
+        self.random = random;
+        self.carry_out(&submit.service, actions);
     }
 }
 
@@ -172,15 +208,18 @@
     type Return = ();
 
     async fn handle(&mut self, finished: Finished, _cx: &mut Context<Self>) {
+        self.step(&finished.service, |lane, now, random| {
+            lane.finished(now, finished.ticket, random)
+        });
+    }
+}
+
+impl Handler<FirstToken> for Dispatcher {
+    type Return = ();
+
+    async fn handle(&mut self, first: FirstToken, _cx: &mut Context<Self>) {
         let now = self.clock.now();
-        let lane = self.lane(&finished.service);
-        for worker in &mut lane.workers {
-            if Some(worker.key) == finished.worker {
-                worker.outstanding = worker.outstanding.saturating_sub(1);
-            }
-        }
-        let decisions = lane.admission.finish(now, finished.ticket);
-        self.carry_out(&finished.service, decisions);
+        self.service(&first.service).lane.first_token(now, first.ticket);
     }
 }
 
@@ -188,16 +227,56 @@
     type Return = ();
 
     async fn handle(&mut self, set: SetWorkers, _cx: &mut Context<Self>) {
-        let capacity = set.workers.len() * self.answers_per_engine;
-        let lane = self.lane(&set.service);
-        let before = std::mem::take(&mut lane.workers);
-        lane.workers = set.workers;
-        for worker in &mut lane.workers {
-            let known = before.iter().find(|known| known.key == worker.key);
-            worker.outstanding = known.map_or(0, |known| known.outstanding);
+        let nodes = self.nodes;
+        let service = self.service(&set.service);
+        // Waiting and running requests live in the lane, so that one with other weights may only
+        // take its place while it holds none.
+        if service.weights != set.weights && service.lane.is_idle() {
+            service.lane = new_lane(&set.weights, nodes);
+            service.weights = set.weights;
+        }
+        service.lane.set_shares(set.shares);
+        self.step(&set.service, |lane, now, random| lane.set_workers(now, set.workers, random));
+    }
+}
+
+impl Handler<SetNodes> for Dispatcher {
+    type Return = ();
+
+    async fn handle(&mut self, set: SetNodes, _cx: &mut Context<Self>) {
+        self.nodes = set.0;
+        for service in self.services.values_mut() {
+            service.lane.set_nodes(set.0);
         }
-        let decisions = lane.admission.set_capacity(capacity);
-        self.carry_out(&set.service, decisions);
+    }
+}
+
+impl Handler<Report> for Dispatcher {
+    type Return = ();
+
+    async fn handle(&mut self, told: Report, _cx: &mut Context<Self>) {
+        self.step(&told.service, |lane, now, random| {
+            lane.report(now, told.key, told.report, random)
+        });
+    }
+}
+
+impl Handler<CacheChanges> for Dispatcher {
+    type Return = ();
+
+    async fn handle(&mut self, told: CacheChanges, _cx: &mut Context<Self>) {
+        let lane = &mut self.service(&told.service).lane;
+        for (block, held) in told.changes {
+            lane.note_cache(told.key, block, held);
+        }
+    }
+}
+
+impl Handler<Close> for Dispatcher {
+    type Return = ();
+
+    async fn handle(&mut self, close: Close, _cx: &mut Context<Self>) {
+        self.step(&close.service, |lane, now, random| lane.close(now, close.key, random));
     }
 }
 
@@ -205,11 +284,32 @@
     type Return = ();
 
     async fn handle(&mut self, _tick: Tick, _cx: &mut Context<Self>) {
-        let now = self.clock.now();
-        let services: Vec<ServiceName> = self.services.keys().cloned().collect();
-        for service in services {
-            let decisions = self.lane(&service).admission.tick(now);
-            self.carry_out(&service, decisions);
+        let names: Vec<ServiceName> = self.services.keys().cloned().collect();
+        for name in names {
+            self.step(&name, |lane, now, random| lane.tick(now, random));
         }
     }
 }
+
+impl Dispatcher {
+    fn step(
+        &mut self,
+        name: &ServiceName,
+        event: impl FnOnce(&mut Lane, Stamp, &mut Pcg64Mcg) -> Vec<LaneAction>,
+    ) {
+        let now = self.clock.now();
+        let mut random = self.random.clone();
+        let actions = event(&mut self.service(name).lane, now, &mut random);
+        self.random = random;
+        self.carry_out(name, actions);
+    }
+}
+
+fn new_lane(weights: &Weights, nodes: usize) -> Lane {
+    let placement = PlacementOptions {
+        cost: weights.cost,
+        recomputed: weights.recomputed,
+        ..PlacementOptions::default()
+    };
+    Lane::new(LaneOptions { placement, nodes, ..LaneOptions::default() })
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -20,7 +20,6 @@
     clients::HttpKeyValue,
     http::{Endpoint, EndpointOptions, Handler, ServerOptions, serve},
 };
-use bulrushhall_policy::WorkerView;
 use error_stack::{Report, ResultExt};
 use tokio::{
     net::TcpListener,
@@ -37,6 +36,7 @@
     context::{Context, InForce},
     dispatcher::{Dispatcher, SetWorkers, Tick},
     errors::NodeError,
+    loads,
     members::Members,
     operators::OperatorPort,
     peers::{self, PeerClient, PeerPort},
@@ -69,7 +69,7 @@
 
         let clock = Clock::start();
         let incarnation = new_incarnation();
-        let dispatcher = Dispatcher::new(clock, incarnation.0, settings.limits.answers_per_engine);
+        let dispatcher = Dispatcher::new(clock, incarnation.0);
         let dispatcher = xtra::spawn_tokio(dispatcher, Mailbox::unbounded());
         let key_value = settings.platform.key_value.map(key_value_client);
         let cx = Arc::new(Context {
@@ -109,8 +109,11 @@
             };
             ports.spawn(serve(listener, handler, options, stopped.clone()));
         }
-        let duties =
-            vec![tokio::spawn(follow_config(Arc::clone(&cx))), tokio::spawn(tick(Arc::clone(&cx)))];
+        let duties = vec![
+            tokio::spawn(follow_config(Arc::clone(&cx))),
+            tokio::spawn(tick(Arc::clone(&cx))),
+            tokio::spawn(loads::follow(Arc::clone(&cx))),
+        ];
         let name = &cx.settings.node.name;
         tracing::info!(event = Event::NodeStarted.number(), node = %name, %incarnation);
         Ok(Node { cx, stop, ports, duties })
@@ -213,25 +216,11 @@
         if cfg.service_type != ServiceType::Model {
             continue;
         }
-        let mut workers = Vec::new();
-        for (key, backend) in cx.backends.of(service) {
-            let near = backend.zone == cx.settings.node.zone;
-            workers.push(WorkerView {
-                key,
-                open: true,
-                distance: if near { Duration::ZERO } else { Duration::from_millis(1) },
-                outstanding: 0,
-                outstanding_tokens: 0,
-                reported_running: 0,
-                reported_waiting: 0,
-                reported_backlog: 0,
-                reported_at: cx.clock.now(),
-                step: Duration::from_millis(20),
-                price: 0,
-                reclaimable: true,
-            });
-        }
-        let set = SetWorkers { service: service.clone(), workers };
+        let slots = u32::try_from(cx.settings.limits.answers_per_engine).unwrap_or(u32::MAX);
+        let workers = cx.backends.views(service, &cx.settings.node.zone, slots);
+        let shares = deployment.teams.iter().map(|(team, cfg)| (team.clone(), cfg.share)).collect();
+        let weights = deployment.weights.clone();
+        let set = SetWorkers { service: service.clone(), workers, shares, weights };
         let _ = cx.dispatcher.send(set).await;
     }
     let deployment = Arc::new(deployment);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,7 +4,13 @@
 //! come in as arguments and decisions go out as values.
 
 pub mod admission;
+pub mod lane;
 pub mod placement;
+pub mod prefix;
 
 pub use admission::{Admission, AdmissionOptions, Decision, Ticket, Wait};
-pub use placement::{Placement, PlacementRequest, WorkerKey, WorkerView};
+pub use lane::{Lane, LaneAction, LaneOptions};
+pub use placement::{
+    LoadReport, Placement, PlacementOptions, PlacementRegistry, PlacementRequest, WorkerKey,
+    WorkerView,
+};
--- /dev/null
+++ b/crates/policy/src/placement/baselines.rs
@@ -0,0 +1,120 @@
+//! Simple placements that the real one is measured against.
+
+use bulrushhall_core::Stamp;
+use rand::{Rng, RngExt};
+
+use crate::placement::{
+    Placement, PlacementRequest, WorkerKey, WorkerView, affinity_block, rendezvous_score,
+};
+
+/// `Random` chooses any engine.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Random;
+
+/// `RoundRobin` chooses one engine after the other.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RoundRobin {
+    next: usize,
+}
+
+/// `LeastOutstanding` chooses the engine with the fewest requests of this node.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LeastOutstanding;
+
+/// `TwoChoices` chooses the less loaded of two random engines.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TwoChoices;
+
+/// `PrefixAffinity` chooses the engine that the prompt's prefix hashes to, whatever its load.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PrefixAffinity;
+
+impl Placement for Random {
+    fn place(
+        &mut self,
+        _now: Stamp,
+        req: &PlacementRequest,
+        workers: &[WorkerView],
+        random: &mut dyn Rng,
+    ) -> Option<WorkerKey> {
+        let count = candidates(req, workers).count();
+        nth(req, workers, random.random_range(0..count.max(1))).map(|worker| worker.key)
+    }
+}
+
+impl Placement for RoundRobin {
+    fn place(
+        &mut self,
+        _now: Stamp,
+        req: &PlacementRequest,
+        workers: &[WorkerView],
+        _random: &mut dyn Rng,
+    ) -> Option<WorkerKey> {
+        let count = candidates(req, workers).count();
+        self.next = self.next.wrapping_add(1);
+        nth(req, workers, self.next % count.max(1)).map(|worker| worker.key)
+    }
+}
+
+impl Placement for LeastOutstanding {
+    fn place(
+        &mut self,
+        _now: Stamp,
+        req: &PlacementRequest,
+        workers: &[WorkerView],
+        _random: &mut dyn Rng,
+    ) -> Option<WorkerKey> {
+        let best =
+            candidates(req, workers).min_by_key(|worker| (worker.outstanding, worker.distance));
+        best.map(|worker| worker.key)
+    }
+}
+
+impl Placement for TwoChoices {
+    fn place(
+        &mut self,
+        _now: Stamp,
+        req: &PlacementRequest,
+        workers: &[WorkerView],
+        random: &mut dyn Rng,
+    ) -> Option<WorkerKey> {
+        let count = candidates(req, workers).count().max(1);
+        let one = nth(req, workers, random.random_range(0..count))?;
+        let other = nth(req, workers, random.random_range(0..count))?;
+        Some(if other.load() < one.load() { other.key } else { one.key })
+    }
+}
+
+impl Placement for PrefixAffinity {
+    fn place(
+        &mut self,
+        _now: Stamp,
+        req: &PlacementRequest,
+        workers: &[WorkerView],
+        random: &mut dyn Rng,
+    ) -> Option<WorkerKey> {
+        let block = affinity_block(&req.prefix).unwrap_or_else(|| random.next_u64());
+        let best =
+            candidates(req, workers).max_by_key(|worker| rendezvous_score(block, worker.identity));
+        best.map(|worker| worker.key)
+    }
+}
+
+/// Returns the engines that a request can go to: open ones, and of those the ones that have not
+/// failed for it while there are any.
+pub(crate) fn candidates<'a>(
+    req: &'a PlacementRequest,
+    workers: &'a [WorkerView],
+) -> impl Iterator<Item = &'a WorkerView> {
+    let fits = |worker: &&WorkerView| worker.open && req.stage.fits(worker.role);
+    let avoidable = workers.iter().filter(fits).any(|worker| !req.avoid.contains(&worker.key));
+    workers.iter().filter(fits).filter(move |worker| !avoidable || !req.avoid.contains(&worker.key))
+}
+
+fn nth<'a>(
+    req: &'a PlacementRequest,
+    workers: &'a [WorkerView],
+    at: usize,
+) -> Option<&'a WorkerView> {
+    candidates(req, workers).nth(at)
+}
--- /dev/null
+++ b/crates/policy/src/placement/mod.rs
@@ -0,0 +1,42 @@
+//! Choice of the engine that a request runs on.
+
+mod baselines;
+mod hints;
+mod options;
+mod predicted;
+mod registry;
+mod rendezvous;
+mod request;
+mod subset;
+mod worker;
+
+use bulrushhall_core::Stamp;
+use rand::Rng;
+
+pub use baselines::{LeastOutstanding, PrefixAffinity, Random, RoundRobin, TwoChoices};
+pub use hints::PrefixHints;
+pub use options::PlacementOptions;
+pub use predicted::Predicted;
+pub use registry::{PlacementDescriptor, PlacementRegistry};
+pub use rendezvous::{affinity_block, rendezvous_score};
+pub use request::{PlacementRequest, Stage};
+pub use subset::subset;
+pub use worker::{LoadReport, WorkerKey, WorkerRole, WorkerView};
+
+/// A `Placement` chooses an engine for a request.
+pub trait Placement: Send {
+    /// Returns the chosen engine; none if no engine takes new work.
+    fn place(
+        &mut self,
+        now: Stamp,
+        req: &PlacementRequest,
+        workers: &[WorkerView],
+        random: &mut dyn Rng,
+    ) -> Option<WorkerKey>;
+
+    /// Notes that an engine's prefix cache took in a block or dropped it.
+    fn note_cache(&mut self, _worker: WorkerKey, _block: u64, _held: bool) {}
+
+    /// Drops everything known about an engine.
+    fn forget(&mut self, _worker: WorkerKey) {}
+}
