Load tool with callers that behave like real ones, and checkers for each promise

Cause: figures and promises were judged by hand-written single calls. Change: open-loop plans for both deployments, callers that keep the list of entries, reconnect with Last-Event-ID and come back after refusals, records of what they saw, percentiles counted from the planned sending, comparison of two reports, seven checkers, bulrush load.

--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -97,6 +97,12 @@
         Caller { endpoint: Endpoint::new(address, options), team: team.into() }
     }
 
+    /// Returns a caller that gives up on an answer that hasn't begun within `silence`.
+    pub fn with_silence(address: SocketAddr, team: impl Into<String>, silence: Duration) -> Caller {
+        let options = EndpointOptions { answer: silence, ..EndpointOptions::default() };
+        Caller { endpoint: Endpoint::new(address, options), team: team.into() }
+    }
+
     /// Sends a request with a JSON body and returns the answer's status and JSON body.
     pub async fn json(
         &self,
@@ -105,7 +111,7 @@
         headers: &[(&str, &str)],
         body: &Value,
     ) -> Result<Value, CallerError> {
-        let answer = self.send(method, path, headers, body).await?;
+        let answer = self.open(method, path, headers, body).await?;
         let body = read_limited(answer.into_body(), ANSWER_LIMIT, BODY_TIMEOUT).await;
         let body = body.map_err(|_| CallerError::Malformed)?;
         serde_json::from_slice(&body).map_err(|_| CallerError::Malformed)
@@ -127,13 +133,14 @@
         });
         let started = Instant::now();
         let headers = [("x-request-class", class)];
-        let answer = self.send(Method::POST, "/v1/chat/completions", &headers, &body).await?;
+        let answer = self.open(Method::POST, "/v1/chat/completions", &headers, &body).await?;
         let mut answered = Answered::default();
         follow(answer, started, &mut answered).await;
         Ok(answered)
     }
 
-    async fn send(
+    /// Sends a request with a JSON body and returns its answer once the headers are there.
+    pub async fn open(
         &self,
         method: Method,
         path: &str,
--- /dev/null
+++ b/crates/bench/src/check/answers.rs
@@ -0,0 +1,77 @@
+//! Promises about answers: accepted requests end, whole and with their own text.
+
+use bulrushhall_standin::engine::expected_answer;
+
+use crate::{
+    check::{Broken, Violation},
+    load::{Kind, Outcome, Record},
+};
+
+/// The code of an accepted request whose deadline passed, which is an end of its own.
+const DEADLINE: &str = "deadline_passed";
+
+/// Checks that each accepted request reached its end.
+pub fn accepted_survives(records: &[Record]) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for record in records.iter().filter(|record| record.accepted) {
+        let expired = record.code.as_deref() == Some(DEADLINE);
+        if record.outcome == Outcome::Finished || expired && record.outcome == Outcome::Failed {
+            continue;
+        }
+        let seen = format!("{:?}, code {:?}", record.outcome, record.code);
+        violations.push(Violation::new(Broken::AcceptedLost, subject(record), seen));
+    }
+    violations
+}
+
+/// Checks that each finished answer of a model is whole and the one to its prompt.
+///
+/// An answer that has not ended must at least be a beginning of the right one.
+pub fn whole_and_own(records: &[Record]) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for record in records.iter().filter(|record| is_model(record)) {
+        if 0 < record.skipped || 0 < record.duplicated {
+            let seen = format!("{} skipped, {} twice", record.skipped, record.duplicated);
+            violations.push(Violation::new(Broken::NotWhole, subject(record), seen));
+        }
+        let expected = expected_answer(&format!("user: {}\n", record.prompt), record.max_tokens);
+        if !expected.starts_with(&record.text) {
+            let seen = format!("read {:?}", head(&record.text));
+            violations.push(Violation::new(Broken::NotOwn, subject(record), seen));
+            continue;
+        }
+        if record.outcome == Outcome::Finished && expected.len() != record.text.len() {
+            let seen = format!("{} of {} bytes", record.text.len(), expected.len());
+            violations.push(Violation::new(Broken::NotWhole, subject(record), seen));
+        }
+    }
+    violations
+}
+
+/// Checks that no stream was cut in a run whose only disturbances were planned stops.
+pub fn planned_stop_cuts_nothing(records: &[Record]) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for record in records.iter().filter(|record| record.accepted) {
+        let unfinished = matches!(record.outcome, Outcome::Cut | Outcome::Failed);
+        if !unfinished && record.reconnects == 0 {
+            continue;
+        }
+        let seen = format!("{:?}, {} reconnects", record.outcome, record.reconnects);
+        violations.push(Violation::new(Broken::CutByStop, subject(record), seen));
+    }
+    violations
+}
+
+/// Returns the words that name a record's request.
+pub fn subject(record: &Record) -> String {
+    let id = record.request.as_deref().or(record.key.as_deref()).unwrap_or("without id");
+    format!("{:?} {} {id}", record.kind, record.number)
+}
+
+fn is_model(record: &Record) -> bool {
+    matches!(record.kind, Kind::Chat | Kind::Patient)
+}
+
+fn head(text: &str) -> String {
+    text.chars().take(40).collect()
+}
--- /dev/null
+++ b/crates/bench/src/load/report.rs
@@ -0,0 +1,184 @@
+//! The figures of a run, by kind and class.
+
+use std::{collections::BTreeMap, fmt, time::Duration};
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+use crate::load::{Kind, Mix, Outcome, Phase, Plan, Record};
+
+/// The highest latency that histograms tell apart, in microseconds.
+const HIGHEST_MICROS: u64 = 600_000_000;
+
+/// A `Report` is what a run yielded.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Report {
+    /// The mix.
+    pub mix: Mix,
+    /// The arrivals in a second.
+    pub rate: f64,
+    /// The seed.
+    pub seed: u64,
+    /// The seconds until the last answer had ended.
+    pub seconds: f64,
+    /// The figures by kind, warm-up left out.
+    pub summaries: BTreeMap<Kind, Summary>,
+    /// What callers saw, warm-up included; left out of the written report.
+    #[serde(skip)]
+    pub records: Vec<Record>,
+}
+
+/// A `Summary` gives the figures of one kind of request.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// The requests that were sent.
+    pub sent: u64,
+    /// Those that were accepted.
+    pub accepted: u64,
+    /// Those whose end was seen.
+    pub finished: u64,
+    /// Those that were refused in the end.
+    pub refused: u64,
+    /// Those that were accepted and failed.
+    pub failed: u64,
+    /// Those that were given up without an end.
+    pub cut: u64,
+    /// Events that came twice.
+    pub duplicated: u64,
+    /// Streams that were taken up again.
+    pub reconnects: u64,
+    /// Requests that were sent anew.
+    pub retries: u64,
+    /// Tokens that were read.
+    pub tokens: u64,
+    /// The time to the first token, from the planned sending on.
+    pub first_token: Latency,
+    /// The time between tokens.
+    pub gap: Latency,
+    /// The time to the end, from the planned sending on.
+    pub total: Latency,
+}
+
+/// A `Latency` gives percentiles, in microseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Latency {
+    /// The number of values.
+    pub count: u64,
+    /// The median.
+    pub p50: u64,
+    /// What 95 in 100 stay below.
+    pub p95: u64,
+    /// What 99 in 100 stay below.
+    pub p99: u64,
+    /// The highest.
+    pub max: u64,
+}
+
+impl Report {
+    /// Returns the report of records.
+    pub fn new(plan: &Plan, length: Duration, records: Vec<Record>) -> Report {
+        let mut by_kind: BTreeMap<Kind, Vec<&Record>> = BTreeMap::new();
+        for record in records.iter().filter(|record| record.phase == Phase::Measured) {
+            by_kind.entry(record.kind).or_default().push(record);
+        }
+        let summaries = by_kind.into_iter().map(|(kind, of_kind)| (kind, summarize(&of_kind)));
+        let summaries = summaries.collect();
+        let seconds = length.as_secs_f64();
+        Report { mix: plan.mix, rate: plan.rate, seed: plan.seed, seconds, summaries, records }
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:<8} {:>6} {:>6} {:>6} {:>6} {:>5} {:>4} {:>9} {:>9} {:>8} {:>8} {:>9}",
+            "kind",
+            "sent",
+            "accept",
+            "finish",
+            "refuse",
+            "fail",
+            "cut",
+            "first p50",
+            "first p95",
+            "gap p50",
+            "gap p95",
+            "total p95",
+        )?;
+        for (kind, summary) in &self.summaries {
+            writeln!(
+                f,
+                "{:<8} {:>6} {:>6} {:>6} {:>6} {:>5} {:>4} {:>9} {:>9} {:>8} {:>8} {:>9}",
+                format!("{kind:?}").to_lowercase(),
+                summary.sent,
+                summary.accepted,
+                summary.finished,
+                summary.refused,
+                summary.failed,
+                summary.cut,
+                millis(summary.first_token.p50),
+                millis(summary.first_token.p95),
+                millis(summary.gap.p50),
+                millis(summary.gap.p95),
+                millis(summary.total.p95),
+            )?;
+        }
+        write!(f, "times in ms, from the planned sending on; {:.1} s in all", self.seconds)
+    }
+}
+
+impl Latency {
+    /// Returns the percentiles of some times.
+    pub fn of(times: impl Iterator<Item = Duration>) -> Latency {
+        let Ok(mut histogram) = Histogram::<u64>::new_with_max(HIGHEST_MICROS, 3) else {
+            return Latency::default();
+        };
+        for time in times {
+            let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+            histogram.saturating_record(micros);
+        }
+        if histogram.is_empty() {
+            return Latency::default();
+        }
+        Latency {
+            count: histogram.len(),
+            p50: histogram.value_at_quantile(0.5),
+            p95: histogram.value_at_quantile(0.95),
+            p99: histogram.value_at_quantile(0.99),
+            max: histogram.max(),
+        }
+    }
+}
+
+// Latency counts from the planned sending: an answer that is late because the sender itself was
+// held up by an earlier slow one counts as late, which is the correction for coordinated omission.
+fn summarize(records: &[&Record]) -> Summary {
+    let count = |outcome| records.iter().filter(|record| record.outcome == outcome).count() as u64;
+    let sum =
+        |field: fn(&Record) -> u32| records.iter().map(|record| u64::from(field(record))).sum();
+    let finished = || records.iter().filter(|record| record.outcome == Outcome::Finished);
+    Summary {
+        sent: records.len() as u64,
+        accepted: records.iter().filter(|record| record.accepted).count() as u64,
+        finished: count(Outcome::Finished),
+        refused: count(Outcome::Refused),
+        failed: count(Outcome::Failed),
+        cut: count(Outcome::Cut),
+        duplicated: sum(|record| record.duplicated),
+        reconnects: sum(|record| record.reconnects),
+        retries: sum(|record| record.retries),
+        tokens: records.iter().map(|record| tokens(record)).sum(),
+        first_token: Latency::of(records.iter().filter_map(|record| record.first_token)),
+        gap: Latency::of(records.iter().flat_map(|record| record.gaps.iter().copied())),
+        total: Latency::of(finished().map(|record| record.ended.saturating_sub(record.planned))),
+    }
+}
+
+fn tokens(record: &Record) -> u64 {
+    if record.first_token.is_none() { 0 } else { record.gaps.len() as u64 + 1 }
+}
+
+fn millis(micros: u64) -> String {
+    format!("{:.1}", micros as f64 / 1e3)
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The operator's and newcomer's command-line tool.
 
 mod demo;
+mod load;
 
 use std::process::ExitCode;
 
@@ -10,6 +11,7 @@
     let matches = command().get_matches();
     match matches.subcommand() {
         Some(("demo", args)) => demo::run(args),
+        Some(("load", args)) => load::run_command(args),
         _ => ExitCode::from(2),
     }
 }
@@ -21,4 +23,5 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(demo::command())
+        .subcommand(load::command())
 }
