--- a/crates/cli/src/commands/drain.rs
+++ b/crates/cli/src/commands/drain.rs
@@ -38,7 +38,8 @@
         let status: NodeStatus = ask(address, Method::POST, "/drain")
             .await
             .map_err(|cause| CliError::Node { address, cause })?;
-        let value = json!({ "node": name, "leaving": status.leaving, "unfinished": status.unfinished });
+        let value =
+            json!({ "node": name, "leaving": status.leaving, "unfinished": status.unfinished });
         let told = format!("{name} takes no new work; {} request(s) to finish", status.unfinished);
         out.print(&value, &told)?;
         return Ok(ExitStatus::Done);
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -44,7 +44,8 @@
         Some(status) => node_row(asked.address, status),
         None => vec!["?".into(), asked.address.to_string(), "unreachable".into()],
     });
-    let header = ["NODE", "ADDRESS", "STATE", "ZONE", "REVISION", "MEMBERS", "RUNNING", "RECOMPUTED"];
+    let header =
+        ["NODE", "ADDRESS", "STATE", "ZONE", "REVISION", "MEMBERS", "RUNNING", "RECOMPUTED"];
     let mut text = table(&header, rows);
     let Some(status) = all.iter().filter_map(|asked| asked.status.as_ref()).max_by_key(by_revision)
     else {
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -86,7 +86,9 @@
     /// Returns what the operator can do next.
     pub fn next_step(&self) -> String {
         match self {
-            CliError::Read { .. } => "check the path, or write - to read from standard input".into(),
+            CliError::Read { .. } => {
+                "check the path, or write - to read from standard input".into()
+            }
             CliError::Write(_) => "check where the output goes".into(),
             CliError::Start(_) => "check the limits of processes and files".into(),
             CliError::Invalid(problems) => {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod error;
 mod exit;
+mod load;
 mod output;
 mod remote;
 
@@ -19,6 +20,7 @@
     let matches = command().get_matches();
     match matches.subcommand() {
         Some(("demo", args)) => demo::run(args),
+        Some(("load", args)) => load::run_command(args),
         Some((name, args)) => commands::run(name, args).into(),
         None => ExitStatus::Usage.into(),
     }
@@ -33,5 +35,6 @@
         .arg_required_else_help(true)
         .after_help(format!("Exit codes:\n{}", codes.join("\n")))
         .subcommand(demo::command())
+        .subcommand(load::command())
         .subcommands(commands::all())
 }
--- a/crates/daemon/src/callers/classify.rs
+++ b/crates/daemon/src/callers/classify.rs
@@ -149,7 +149,8 @@
     Ok((model, cfg))
 }
 
-fn find_class<'a>(
+/// Returns the class that a request names, or the one that its patience asks for.
+pub(crate) fn find_class<'a>(
     deployment: &'a Deployment,
     parts: &Parts,
     patience: Patience,
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -8,6 +8,7 @@
 mod events;
 mod identify;
 mod models;
+mod observe;
 mod relay;
 mod requests;
 mod respond;
--- a/crates/daemon/src/callers/observe.rs
+++ b/crates/daemon/src/callers/observe.rs
@@ -13,7 +13,7 @@
 use http_body_util::BodyExt;
 use hyper::{
     Response, StatusCode,
-    body::{Frame, SizeHint},
+    body::{Body as _, Frame, SizeHint},
     http::request::Parts,
 };
 
--- a/crates/daemon/src/callers/relay.rs
+++ b/crates/daemon/src/callers/relay.rs
@@ -20,6 +20,7 @@
     },
     context::Context,
     dispatcher::{Finished, Start},
+    meters::Metric,
 };
 
 /// The pause before the next attempt when no engine takes work or one has just failed.
@@ -79,6 +80,7 @@
         match ended {
             Ok(usage) => settle::whole(&cx, &answer, usage),
             Err(error) => {
+                cx.meters.count(Metric::FailedAttempts, &[("class", answer.class().as_str())], 1);
                 tracing::info!(event = Event::AttemptFailed.number(), request = %answer.id(), %error);
                 avoid.extend(worker);
                 tokio::time::sleep(RETRY_PAUSE).await;
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -22,6 +22,7 @@
     clock::Clock,
     dispatcher::Dispatcher,
     members::{Member, Members},
+    meters::Meters,
     peers::{PeerClient, Sender},
     settings::Settings,
 };
@@ -53,6 +54,8 @@
     pub dispatcher: Address<Dispatcher>,
     /// The claims of non-repeatable calls.
     pub ledger: Mutex<Ledger>,
+    /// What the node counts and measures.
+    pub meters: Arc<Meters>,
     /// The platform's key-value service, where one is set.
     pub key_value: Option<Arc<dyn KeyValue>>,
     /// The other nodes that are believed to be alive.
--- a/crates/daemon/src/meters/mod.rs
+++ b/crates/daemon/src/meters/mod.rs
@@ -2,8 +2,8 @@
 
 mod catalogue;
 mod key_value;
-mod meters;
+mod recorder;
 
 pub use catalogue::{Kind, Metric};
 pub use key_value::MeteredKeyValue;
-pub use meters::Meters;
+pub use recorder::Meters;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -20,7 +20,6 @@
     clients::HttpKeyValue,
     http::{Endpoint, EndpointOptions, Handler, ServerOptions, serve},
 };
-use bulrushhall_policy::WorkerView;
 use error_stack::{Report, ResultExt};
 use tokio::{
     net::TcpListener,
@@ -37,7 +36,9 @@
     context::{Context, InForce},
     dispatcher::{Dispatcher, SetWorkers, Tick},
     errors::NodeError,
+    loads,
     members::Members,
+    meters::{MeteredKeyValue, Meters},
     operators::OperatorPort,
     peers::{self, PeerClient, PeerPort},
     settings::Settings,
@@ -49,6 +50,8 @@
 const CONFIG_PAUSE: Duration = Duration::from_millis(500);
 /// The pause between two ticks of the dispatcher.
 const TICK_PAUSE: Duration = Duration::from_millis(50);
+/// The pause between two times that recorded times are sorted into their buckets.
+const TIDY_PAUSE: Duration = Duration::from_secs(5);
 /// The pause between two looks at unfinished answers while the node leaves.
 const DRAIN_PAUSE: Duration = Duration::from_millis(20);
 
@@ -69,9 +72,11 @@
 
         let clock = Clock::start();
         let incarnation = new_incarnation();
-        let dispatcher = Dispatcher::new(clock, incarnation.0, settings.limits.answers_per_engine);
+        let dispatcher = Dispatcher::new(clock, incarnation.0);
         let dispatcher = xtra::spawn_tokio(dispatcher, Mailbox::unbounded());
-        let key_value = settings.platform.key_value.map(key_value_client);
+        let meters = Arc::new(Meters::new(&settings.node.name));
+        let key_value =
+            settings.platform.key_value.map(|address| key_value_client(address, &meters));
         let cx = Arc::new(Context {
             settings,
             incarnation,
@@ -81,6 +86,7 @@
             backends: Backends::default(),
             dispatcher,
             ledger: Mutex::new(Ledger::new(LedgerOptions::default())),
+            meters,
             key_value,
             members: Members::default(),
             peers: PeerClient::default(),
@@ -109,8 +115,12 @@
             };
             ports.spawn(serve(listener, handler, options, stopped.clone()));
         }
-        let duties =
-            vec![tokio::spawn(follow_config(Arc::clone(&cx))), tokio::spawn(tick(Arc::clone(&cx)))];
+        let duties = vec![
+            tokio::spawn(follow_config(Arc::clone(&cx))),
+            tokio::spawn(tick(Arc::clone(&cx))),
+            tokio::spawn(tidy_meters(Arc::clone(&cx))),
+            tokio::spawn(loads::follow(Arc::clone(&cx))),
+        ];
         let name = &cx.settings.node.name;
         tracing::info!(event = Event::NodeStarted.number(), node = %name, %incarnation);
         Ok(Node { cx, stop, ports, duties })
@@ -175,8 +185,16 @@
     Incarnation(micros << 12 | u64::from(rand::random::<u16>() & 0xfff))
 }
 
-fn key_value_client(address: SocketAddr) -> Arc<dyn KeyValue> {
-    Arc::new(HttpKeyValue::new(Endpoint::new(address, EndpointOptions::default())))
+fn key_value_client(address: SocketAddr, meters: &Arc<Meters>) -> Arc<dyn KeyValue> {
+    let client = HttpKeyValue::new(Endpoint::new(address, EndpointOptions::default()));
+    Arc::new(MeteredKeyValue::new(Arc::new(client), Arc::clone(meters)))
+}
+
+async fn tidy_meters(cx: Arc<Context>) {
+    loop {
+        tokio::time::sleep(TIDY_PAUSE).await;
+        cx.meters.tidy();
+    }
 }
 
 async fn tick(cx: Arc<Context>) {
@@ -213,25 +231,11 @@
         if cfg.service_type != ServiceType::Model {
             continue;
         }
-        let mut workers = Vec::new();
-        for (key, backend) in cx.backends.of(service) {
-            let near = backend.zone == cx.settings.node.zone;
-            workers.push(WorkerView {
-                key,
-                open: true,
-                distance: if near { Duration::ZERO } else { Duration::from_millis(1) },
-                outstanding: 0,
-                outstanding_tokens: 0,
-                reported_running: 0,
-                reported_waiting: 0,
-                reported_backlog: 0,
-                reported_at: cx.clock.now(),
-                step: Duration::from_millis(20),
-                price: 0,
-                reclaimable: true,
-            });
-        }
-        let set = SetWorkers { service: service.clone(), workers };
+        let slots = u32::try_from(cx.settings.limits.answers_per_engine).unwrap_or(u32::MAX);
+        let workers = cx.backends.views(service, &cx.settings.node.zone, slots);
+        let shares = deployment.teams.iter().map(|(team, cfg)| (team.clone(), cfg.share)).collect();
+        let weights = deployment.weights.clone();
+        let set = SetWorkers { service: service.clone(), workers, shares, weights };
         let _ = cx.dispatcher.send(set).await;
     }
     let deployment = Arc::new(deployment);
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -130,7 +130,7 @@
 }
 
 /// The kinds of sections that a settings file may have.
-const SECTION_KINDS: [&str; 6] = ["node", "platform", "limits", "log", "trace", "tls"];
+pub const SECTION_KINDS: [&str; 6] = ["node", "platform", "limits", "log", "trace", "tls"];
 
 impl Settings {
     /// Returns the settings that an INI text gives; the error holds every problem in it.
