--- a/crates/bench/src/testbed.rs
+++ b/crates/bench/src/testbed.rs
@@ -5,15 +5,13 @@
 use bulrushhall_core::{CoreError, ModelName, NodeName, VmName, ZoneName};
 use bulrushhall_daemon::{
     Node, Settings,
+    config_chain::{self, ApplyError},
     errors::NodeError,
-    node::CONFIG_KEY,
     settings::{NodeSettings, PlatformSettings},
 };
 use bulrushhall_platform::{
-    CallError, KeyValue,
     clients::HttpKeyValue,
     http::{Endpoint, EndpointOptions},
-    kv::Version,
 };
 use bulrushhall_standin::{
     engine::{EngineOptions, EngineServer},
@@ -77,7 +75,7 @@
     /// A port could not be opened.
     Listen(io::Error),
     /// The configuration could not be written.
-    Config(CallError),
+    Config(ApplyError),
     /// A node could not be started.
     Node(Report<NodeError>),
     /// The nodes did not learn the configuration in time.
@@ -120,8 +118,7 @@
 
         let config = config_text(zones, &engines, &services);
         let client = HttpKeyValue::new(Endpoint::new(kv.address(), EndpointOptions::default()));
-        let written = client.put_if(CONFIG_KEY, Version(0), config.clone().into(), None).await;
-        written.map_err(TestbedError::Config)?;
+        config_chain::apply(&client, None, &config).await.map_err(TestbedError::Config)?;
 
         let mut testbed = Testbed { kv, engines, services, ledger, nodes: Vec::new(), config };
         for at in 0..options.nodes {
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -2,6 +2,10 @@
 //!
 //! Nothing here reads a clock, opens a socket or spawns a task, so every run can be replayed.
 
+pub mod chain;
+pub mod head;
 pub mod ledger;
 
+pub use chain::{ChainCall, ChainReply, ChainStep, ChainWriter, Refusal};
+pub use head::{Head, HeadError};
 pub use ledger::{Claim, Ledger, LedgerOptions};
--- /dev/null
+++ b/crates/daemon/src/config_chain.rs
@@ -0,0 +1,170 @@
+//! Adding a configuration and reading the chain, over any key-value service.
+
+use std::{error, fmt};
+
+use bulrushhall_coord::{
+    ChainCall, ChainReply, ChainStep, ChainWriter, Head, Refusal,
+    chain::{HEAD_KEY, HISTORY_PREFIX, history_key},
+};
+use bulrushhall_core::{CoreError, Ran, Revision, config::parse_deployment};
+use bulrushhall_platform::{
+    CallError, CallFault, KeyValue,
+    kv::{CasOutcome, Version},
+};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+/// The earlier revisions that are kept.
+pub const KEPT_REVISIONS: u64 = 128;
+
+/// An `Applied` is a configuration that is accepted, for certain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Applied {
+    /// Its revision.
+    pub revision: Revision,
+}
+
+/// An `ApplyError` tells why a configuration is not accepted, for certain.
+#[derive(Debug)]
+pub enum ApplyError {
+    /// The text is no configuration.
+    Invalid(CoreError),
+    /// The chain did not take it.
+    Refused(Refusal),
+}
+
+/// An `ApplyProgress` tells what takes long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ApplyProgress {
+    /// A call failed before anything was written; it is tried again.
+    Retrying,
+    /// The reply to the write is missing; it is asked for until the outcome is certain.
+    Settling,
+}
+
+/// Checks `text` and adds it on top of revision `expected`, or of whatever is newest.
+///
+/// Once a write may have happened this goes on until the outcome is certain, however long the
+/// service is away. Waiting can be cut short by dropping the future; the outcome is then open.
+pub async fn apply(
+    kv: &dyn KeyValue,
+    expected: Option<Revision>,
+    text: &str,
+) -> Result<Applied, ApplyError> {
+    apply_reporting(kv, expected, text, &mut |progress| {
+        tracing::warn!(?progress, "the key-value service did not answer");
+    })
+    .await
+}
+
+/// Does what [`apply`] does and tells `report` each time a call has to be repeated.
+pub async fn apply_reporting(
+    kv: &dyn KeyValue,
+    expected: Option<Revision>,
+    text: &str,
+    report: &mut (dyn FnMut(ApplyProgress) + Send),
+) -> Result<Applied, ApplyError> {
+    parse_deployment(HEAD_KEY, text).map_err(ApplyError::Invalid)?;
+    let mut random = Pcg64Mcg::seed_from_u64(rand::random());
+    let mut writer = ChainWriter::new(expected, text, rand::random());
+    let mut step = writer.start();
+    loop {
+        let (pause, call) = match step {
+            ChainStep::Call(pause, call) => (pause, call),
+            ChainStep::Accepted(revision) => {
+                forget_old(kv, revision).await;
+                return Ok(Applied { revision });
+            }
+            ChainStep::Refused(refusal) => return Err(ApplyError::Refused(refusal)),
+        };
+        if !pause.is_zero() {
+            let unsettled = writer.is_unsettled();
+            report(if unsettled { ApplyProgress::Settling } else { ApplyProgress::Retrying });
+            tokio::time::sleep(pause).await;
+        }
+        let reply = carry_out(kv, call).await;
+        step = writer.reply(reply, &mut random);
+    }
+}
+
+/// Gets the newest revision; revision 0 where there is none yet.
+pub async fn current(kv: &dyn KeyValue) -> Result<Head, CallError> {
+    let found = kv.get(HEAD_KEY).await?;
+    Head::decode(&found.value).map_err(|_| malformed())
+}
+
+/// Gets the revisions that can be read, oldest first.
+pub async fn history(kv: &dyn KeyValue) -> Result<Vec<Revision>, CallError> {
+    let mut revisions: Vec<Revision> =
+        kv.list(HISTORY_PREFIX).await?.iter().filter_map(|kept| revision_of(&kept.key)).collect();
+    let newest = current(kv).await?.revision;
+    if newest != Revision(0) {
+        revisions.push(newest);
+    }
+    revisions.sort();
+    revisions.dedup();
+    Ok(revisions)
+}
+
+/// Gets one revision; none where it is not kept.
+pub async fn revision(kv: &dyn KeyValue, revision: Revision) -> Result<Option<Head>, CallError> {
+    let newest = current(kv).await?;
+    if newest.revision == revision {
+        return Ok(Some(newest));
+    }
+    let kept = kv.get(&history_key(revision)).await?;
+    if kept.value.is_empty() {
+        return Ok(None);
+    }
+    Head::decode(&kept.value).map(Some).map_err(|_| malformed())
+}
+
+impl fmt::Display for ApplyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ApplyError::Invalid(error) => write!(f, "{error}"),
+            ApplyError::Refused(refusal) => write!(f, "{refusal}"),
+        }
+    }
+}
+
+impl error::Error for ApplyError {}
+
+async fn carry_out(kv: &dyn KeyValue, call: ChainCall) -> ChainReply {
+    let outcome = match call {
+        ChainCall::Read => {
+            return match kv.get(HEAD_KEY).await {
+                Ok(found) => ChainReply::Found(found.version.0, found.value),
+                Err(error) => ChainReply::Failed(error.ran),
+            };
+        }
+        ChainCall::Keep(revision, value) => {
+            kv.put_if(&history_key(revision), Version(0), value, None).await
+        }
+        ChainCall::Swap(version, value) => kv.put_if(HEAD_KEY, Version(version), value, None).await,
+    };
+    match outcome {
+        Ok(CasOutcome::Written(_)) => ChainReply::Written,
+        Ok(CasOutcome::Conflict(found)) => ChainReply::Conflict(found.version.0, found.value),
+        Err(error) => ChainReply::Failed(error.ran),
+    }
+}
+
+// What can't be removed now is removed with a later change; nothing waits for it.
+async fn forget_old(kv: &dyn KeyValue, newest: Revision) {
+    let Some(last) = newest.0.checked_sub(KEPT_REVISIONS) else { return };
+    let key = history_key(Revision(last));
+    let Ok(found) = kv.get(&key).await else { return };
+    if found.version == Version(0) {
+        return;
+    }
+    let _ = kv.remove_if(&key, found.version).await;
+}
+
+fn revision_of(key: &str) -> Option<Revision> {
+    key.strip_prefix(HISTORY_PREFIX)?.parse().ok().map(Revision)
+}
+
+fn malformed() -> CallError {
+    CallError { fault: CallFault::Malformed, ran: Ran::No }
+}
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -7,12 +7,14 @@
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use arc_swap::ArcSwap;
 use bulrushhall_coord::Ledger;
-use bulrushhall_core::{Deployment, Incarnation, RequestId, Revision};
+use bulrushhall_core::{Deployment, Incarnation, RequestId, Revision, Stamp, VmName};
 use bulrushhall_platform::KeyValue;
+use bytes::Bytes;
 use tokio::sync::watch;
 use xtra::Address;
 
@@ -26,6 +28,9 @@
     settings::Settings,
 };
 
+/// How long a node that hears of nobody still names addresses to callers.
+const ISOLATED_AFTER: Duration = Duration::from_secs(6);
+
 /// An `InForce` is the configuration that a node acts on.
 #[derive(Clone, Debug, Default)]
 pub struct InForce {
@@ -61,6 +66,13 @@
     pub peers: PeerClient,
     /// The highest configuration revision that any message told of.
     pub highest_revision: watch::Sender<Revision>,
+    /// The VMs that are known to leave, of nodes and of backend servers; one never comes out.
+    pub leaving_vms: ArcSwap<BTreeSet<VmName>>,
+    pub(crate) document: ArcSwap<Bytes>,
+    pub(crate) config_gate: tokio::sync::Mutex<()>,
+    pub(crate) revision_teller: AtomicU64,
+    pub(crate) last_contact: AtomicU64,
+    pub(crate) has_peers: AtomicBool,
     pub(crate) greetings: Mutex<BTreeSet<SocketAddr>>,
     pub(crate) leaving: AtomicBool,
     pub(crate) sequence: AtomicU64,
@@ -111,15 +123,59 @@
         }
     }
 
-    /// Notes a revision that another node has in force.
-    pub fn note_revision(&self, revision: Revision) {
+    /// Notes a revision that the life `teller` of a node has in force.
+    pub fn note_revision(&self, revision: Revision, teller: Incarnation) {
         self.highest_revision.send_if_modified(|highest| {
             let rises = *highest < revision;
-            *highest = (*highest).max(revision);
+            if rises {
+                *highest = revision;
+                self.revision_teller.store(teller.0, Ordering::Release);
+            }
             rises
         });
     }
 
+    /// Notes that the key-value service or another node has answered or asked.
+    pub fn note_contact(&self) {
+        self.last_contact.store(self.clock.now().0, Ordering::Release);
+    }
+
+    /// Returns whether neither the key-value service nor any other node was heard of for long.
+    ///
+    /// Such a node can't know whether a newer configuration is in force. Callers that it sends to
+    /// itself would be served by an old one, so it names no addresses until it hears again. A
+    /// node that has no others, and never had, goes on: callers have nowhere else to go.
+    pub fn is_isolated(&self) -> bool {
+        if !self.has_peers.load(Ordering::Acquire) {
+            return false;
+        }
+        let last = Stamp(self.last_contact.load(Ordering::Acquire));
+        ISOLATED_AFTER < self.clock.now().since(last)
+    }
+
+    /// Notes that VMs are leaving; returns those that were not known to.
+    pub fn note_leaving(&self, vms: impl IntoIterator<Item = VmName>) -> Vec<VmName> {
+        let known = self.leaving_vms.load_full();
+        let new: Vec<VmName> = vms.into_iter().filter(|vm| !known.contains(vm)).collect();
+        if new.is_empty() {
+            return new;
+        }
+        self.leaving_vms.rcu(|known| {
+            let mut known = BTreeSet::clone(known);
+            known.extend(new.iter().cloned());
+            known
+        });
+        if new.contains(&self.settings.node.vm) {
+            self.leave();
+        }
+        new
+    }
+
+    pub(crate) fn revision_teller(&self) -> Option<Incarnation> {
+        let teller = self.revision_teller.load(Ordering::Acquire);
+        (teller != 0).then_some(Incarnation(teller))
+    }
+
     pub(crate) fn greeted(&self, address: SocketAddr) {
         let mut greetings = self.greetings.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
         greetings.insert(address);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,8 @@
 pub mod backends;
 pub mod callers;
 pub mod clock;
+pub mod config_chain;
+pub mod config_watch;
 pub mod context;
 pub mod dispatcher;
 pub mod errors;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -10,7 +10,7 @@
 };
 
 use arc_swap::ArcSwap;
-use bulrushhall_coord::{Ledger, LedgerOptions};
+use bulrushhall_coord::{Ledger, LedgerOptions, chain::HEAD_KEY};
 use bulrushhall_core::{
     Event, Incarnation, Revision,
     config::{ServiceType, parse_deployment},
@@ -34,6 +34,7 @@
     backends::Backends,
     callers::CallerPort,
     clock::Clock,
+    config_watch,
     context::{Context, InForce},
     dispatcher::{Dispatcher, SetWorkers, Tick},
     errors::NodeError,
@@ -43,10 +44,6 @@
     settings::Settings,
 };
 
-/// The key under which the configuration is found.
-pub const CONFIG_KEY: &str = "config/current";
-/// The pause between two looks at the configuration.
-const CONFIG_PAUSE: Duration = Duration::from_millis(500);
 /// The pause between two ticks of the dispatcher.
 const TICK_PAUSE: Duration = Duration::from_millis(50);
 /// The pause between two looks at unfinished answers while the node leaves.
@@ -85,6 +82,12 @@
             members: Members::default(),
             peers: PeerClient::default(),
             highest_revision: watch::Sender::new(Revision(0)),
+            leaving_vms: ArcSwap::default(),
+            document: ArcSwap::default(),
+            config_gate: tokio::sync::Mutex::default(),
+            revision_teller: AtomicU64::new(0),
+            last_contact: AtomicU64::new(0),
+            has_peers: AtomicBool::new(false),
             greetings: Mutex::default(),
             leaving: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
@@ -92,6 +95,7 @@
 
         let mut peer_port = PeerPort::new(Arc::clone(&cx));
         peers::register_hello(&mut peer_port);
+        config_watch::register(&mut peer_port);
 
         let (stop, stopped) = watch::channel(false);
         let mut ports = JoinSet::new();
@@ -109,8 +113,12 @@
             };
             ports.spawn(serve(listener, handler, options, stopped.clone()));
         }
-        let duties =
-            vec![tokio::spawn(follow_config(Arc::clone(&cx))), tokio::spawn(tick(Arc::clone(&cx)))];
+        let duties = vec![
+            tokio::spawn(config_watch::watch_service(Arc::clone(&cx))),
+            tokio::spawn(config_watch::catch_up(Arc::clone(&cx))),
+            tokio::spawn(peers::greet(Arc::clone(&cx))),
+            tokio::spawn(tick(Arc::clone(&cx))),
+        ];
         let name = &cx.settings.node.name;
         tracing::info!(event = Event::NodeStarted.number(), node = %name, %incarnation);
         Ok(Node { cx, stop, ports, duties })
@@ -186,22 +194,10 @@
     }
 }
 
-async fn follow_config(cx: Arc<Context>) {
-    let Some(key_value) = cx.key_value.clone() else { return };
-    loop {
-        if let Ok(found) = key_value.get(CONFIG_KEY).await {
-            let revision = Revision(found.version.0);
-            if cx.in_force().revision < revision {
-                put_in_force(&cx, revision, &found.value).await;
-            }
-        }
-        tokio::time::sleep(CONFIG_PAUSE).await;
-    }
-}
-
-async fn put_in_force(cx: &Context, revision: Revision, text: &[u8]) {
+/// Makes a checked revision the one that this node acts on.
+pub(crate) async fn put_in_force(cx: &Context, revision: Revision, text: &[u8]) {
     let text = String::from_utf8_lossy(text);
-    let deployment = match parse_deployment(CONFIG_KEY, &text) {
+    let deployment = match parse_deployment(HEAD_KEY, &text) {
         Ok(deployment) => deployment,
         Err(error) => {
             tracing::error!(event = Event::ConfigRejected.number(), ?revision, %error);
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -39,6 +39,9 @@
         if self.cx.is_leaving() {
             return text(StatusCode::SERVICE_UNAVAILABLE, "leaving\n");
         }
+        if self.cx.is_isolated() {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "neither service nor peers reached\n");
+        }
         if self.cx.in_force().revision.0 == 0 {
             return text(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n");
         }
--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, atomic::Ordering},
     time::Duration,
 };
 
@@ -57,7 +57,9 @@
         let reply = reply.map_err(|_| CallError::unknown(CallFault::Closed))?;
         let reply: Envelope<M::Reply> =
             rmp_serde::from_slice(&reply).map_err(|_| CallError::unknown(CallFault::Malformed))?;
-        cx.note_revision(reply.from.revision);
+        cx.note_contact();
+        cx.has_peers.store(true, Ordering::Release);
+        cx.note_revision(reply.from.revision, reply.from.incarnation);
         Ok(reply.body)
     }
 
