--- a/crates/coord/tests/config_chain.rs
+++ b/crates/coord/tests/config_chain.rs
@@ -1,4 +1,5 @@
 //! Adding revisions while replies are lost, writes land late and operators race.
+#![expect(clippy::print_stdout, reason = "tests tell how many schedules they tried")]
 
 use std::{collections::BTreeMap, time::Duration};
 
