--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, Write};
 
-use comfy_table::{Table, presets::NOTHING};
+use comfy_table::{Table, TableStyle};
 use serde::Serialize;
 use serde_json::json;
 
@@ -66,7 +66,7 @@
 /// Returns a table as text.
 pub fn table(header: &[&str], rows: impl IntoIterator<Item = Vec<String>>) -> String {
     let mut table = Table::new();
-    table.load_preset(NOTHING);
+    table.load_style(TableStyle::new());
     table.set_header(header.to_vec());
     for row in rows {
         table.add_row(row);
--- /dev/null
+++ b/crates/cli/tests/operator_commands.rs
@@ -0,0 +1,250 @@
+//! The operator's commands against nodes and a key-value service that run.
+
+use std::{
+    io::Write,
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Command, Output, Stdio},
+};
+
+use bulrushhall_bench::{
+    Testbed, TestbedOptions,
+    testbed::{MODEL, NodeProcess},
+};
+use bulrushhall_standin::switches::Faults;
+use hyper::Method;
+use rstest::rstest;
+use serde_json::{Value, json};
+
+struct Operator {
+    kv: SocketAddr,
+    nodes: Vec<SocketAddr>,
+}
+
+impl Operator {
+    fn of(testbed: &Testbed) -> Operator {
+        let nodes = testbed.nodes.iter().map(|node| node.operators()).collect();
+        Operator { kv: testbed.kv.address(), nodes }
+    }
+
+    fn run(&self, args: &[&str], input: &str) -> Output {
+        let nodes: Vec<String> = self.nodes.iter().map(SocketAddr::to_string).collect();
+        bulrush(
+            args,
+            input,
+            &[("BULRUSH_KEY_VALUE", &self.kv.to_string()), ("BULRUSH_NODES", &nodes.join(","))],
+        )
+    }
+
+    fn json(&self, args: &[&str], input: &str) -> Value {
+        let output = self.run(&[args, &["--json"]].concat(), input);
+        serde_json::from_slice(&output.stdout).unwrap_or_else(|_| panic!("{output:?}"))
+    }
+
+    fn code(&self, args: &[&str], input: &str) -> Option<i32> {
+        self.run(args, input).status.code()
+    }
+}
+
+fn bulrush(args: &[&str], input: &str, environment: &[(&str, &str)]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_bulrush"));
+    command.env_remove("BULRUSH_KEY_VALUE").env_remove("BULRUSH_NODES");
+    command.args(args).envs(environment.iter().copied());
+    let command = command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    let mut child = command.spawn().expect("the tool");
+    let mut stdin = child.stdin.take().expect("its input");
+    let _ = stdin.write_all(input.as_bytes());
+    drop(stdin);
+    child.wait_with_output().expect("its output")
+}
+
+async fn five_nodes() -> Testbed {
+    let options = TestbedOptions { nodes: 5, ..TestbedOptions::default() };
+    Testbed::start(options).await.expect("a testbed")
+}
+
+fn with_priority(config: &str, priority: u8) -> String {
+    let changed = config.replace(
+        "[class patient]\npriority = 5",
+        &format!("[class patient]\npriority = {priority}"),
+    );
+    assert_ne!(changed, config, "{config}");
+    changed
+}
+
+fn priority_of(status: &Value, class: &str) -> Option<u64> {
+    let classes = status["status"]["classes"].as_array()?;
+    let class = classes.iter().find(|known| known["name"] == class)?;
+    class["priority"].as_u64()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn change_everywhere() {
+    let testbed = five_nodes().await;
+    let operator = Operator::of(&testbed);
+    let before = operator.json(&["show"], "")["revision"].as_u64().expect("a revision");
+    let changed = with_priority(&testbed.config, 7);
+
+    let expected = before.to_string();
+    let args = ["apply", "-", "--expect-revision", &expected];
+    let applied = operator.json(&args, &changed);
+    assert_eq!(applied["revision"], before + 1);
+    assert_eq!(applied["in_force_at"].as_array().map(Vec::len), Some(5));
+
+    let statuses = operator.json(&["status"], "");
+    for status in statuses.as_array().expect("a list") {
+        assert_eq!(status["status"]["revision"], before + 1);
+        assert_eq!(priority_of(status, "patient"), Some(7));
+    }
+    let table = operator.run(&["status"], "");
+    let table = String::from_utf8(table.stdout).expect("text");
+    assert!(table.contains("patient"), "{table}");
+    assert!(table.contains("serving"), "{table}");
+}
+
+// Two operators start from the same revision. The later one would undo the change of the earlier
+// one without either of them noticing.
+#[tokio::test(flavor = "multi_thread")]
+async fn racing_operators() {
+    let testbed = five_nodes().await;
+    let operator = Operator::of(&testbed);
+    let before = operator.json(&["show"], "")["revision"].to_string();
+    let args = ["apply", "-", "--expect-revision", &before];
+    assert_eq!(operator.code(&args, &with_priority(&testbed.config, 7)), Some(0));
+
+    let late = operator.run(&args, &with_priority(&testbed.config, 8));
+    assert_eq!(late.status.code(), Some(4));
+    let told = String::from_utf8(late.stderr).expect("text");
+    assert!(told.contains("next: "), "{told}");
+    let shown = operator.json(&["show"], "");
+    assert!(shown["text"].as_str().is_some_and(|text| text.contains("priority = 7")), "{shown}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn dry_run_and_diff() {
+    let testbed = five_nodes().await;
+    let operator = Operator::of(&testbed);
+    let before = operator.json(&["show"], "")["revision"].clone();
+    let changed = with_priority(&testbed.config, 7);
+
+    let told = operator.json(&["apply", "-", "--dry-run"], &changed);
+    let change = json!({
+        "section": "[class patient]", "key": "priority", "before": "5", "after": "7",
+    });
+    assert_eq!(told["changes"], json!([change]));
+    assert_eq!(told["applied"], false);
+    assert_eq!(operator.json(&["show"], "")["revision"], before);
+    assert_eq!(operator.code(&["diff", "-"], &changed), Some(8));
+    assert_eq!(operator.code(&["diff", "-"], &testbed.config), Some(0));
+
+    assert_eq!(operator.code(&["apply", "-"], &changed), Some(0));
+    let history = operator.json(&["show", "--history"], "");
+    assert_eq!(history["revisions"].as_array().map(Vec::len), Some(2), "{history}");
+    let earlier = operator.json(&["show", "--revision", &before.to_string()], "");
+    assert_eq!(earlier["text"], testbed.config.as_str());
+    assert_eq!(operator.code(&["show", "--revision", "99"], ""), Some(7));
+}
+
+// The key-value service is away. An operator who took the failure for a success would wait for a
+// change that never comes; one who took it for an open outcome would not dare to repeat it.
+#[tokio::test(flavor = "multi_thread")]
+async fn service_away() {
+    let testbed = five_nodes().await;
+    let operator = Operator::of(&testbed);
+    testbed.kv.switches().set(Faults { outage: true, ..Faults::default() });
+
+    let shown = operator.run(&["show"], "");
+    assert_eq!(shown.status.code(), Some(5), "{shown:?}");
+    let told = String::from_utf8(shown.stderr).expect("text");
+    assert!(told.contains("next: nodes go on"), "{told}");
+    let statuses = operator.json(&["status"], "");
+    assert_eq!(statuses.as_array().map(Vec::len), Some(5));
+    assert!(statuses[0]["status"]["revision"].as_u64().is_some_and(|revision| 0 < revision));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drained_node() {
+    let testbed = five_nodes().await;
+    let operator = Operator::of(&testbed);
+    let drained = operator.json(&["drain", "entry-2"], "");
+    assert_eq!(drained["leaving"], true);
+    let statuses = operator.json(&["status"], "");
+    let leaving: Vec<&Value> = statuses
+        .as_array()
+        .expect("a list")
+        .iter()
+        .filter(|status| status["status"]["leaving"] == true)
+        .collect();
+    assert_eq!(leaving.len(), 1);
+    assert_eq!(leaving[0]["status"]["node"], "entry-2");
+    assert_eq!(operator.code(&["drain", "entry-9"], ""), Some(7));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn found_request() {
+    let testbed = five_nodes().await;
+    let operator = Operator::of(&testbed);
+    let body = json!({
+        "model": MODEL,
+        "messages": [{ "role": "user", "content": "a secret survey" }],
+        "max_tokens": 8,
+    });
+    let accepted = testbed.caller(3).json(Method::POST, "/v1/requests", &[], &body).await;
+    let id = accepted.expect("an acceptance")["id"].as_str().expect("an id").to_owned();
+
+    let output = operator.run(&["requests", &id, "--json"], "");
+    let text = String::from_utf8(output.stdout).expect("text");
+    assert!(!text.contains("secret"), "{text}");
+    let found: Value = serde_json::from_str(&text).expect("JSON");
+    let holder = found.as_array().expect("a list").iter().find(|at| at["accepted_here"] == true);
+    assert_eq!(holder.expect("the holder")["node"], "entry-3");
+    assert_eq!(operator.code(&["requests", "r-1-1"], ""), Some(7));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn dead_node_in_status() {
+    let testbed = five_nodes().await;
+    let operator = Operator::of(&testbed);
+    let dead: &NodeProcess = &testbed.nodes[4];
+    dead.kill();
+    let statuses = operator.json(&["status"], "");
+    assert_eq!(statuses[4]["status"], Value::Null);
+    assert!(statuses[4]["error"].is_string());
+    assert!(statuses[0]["status"].is_object());
+}
+
+#[rstest]
+#[case::no_command(&[], 2)]
+#[case::unknown_command(&["aply"], 2)]
+#[case::no_key_value(&["show"], 2)]
+#[case::no_nodes(&["status"], 2)]
+#[case::no_file(&["check", "/nonexistent/guild.ini"], 1)]
+#[case::bad_id(&["requests", "x"], 2)]
+#[case::completions(&["completions", "bash"], 0)]
+fn exit_codes(#[case] args: &[&str], #[case] code: i32) {
+    assert_eq!(bulrush(args, "", &[]).status.code(), Some(code), "{args:?}");
+}
+
+#[test]
+fn problems_as_json() {
+    let output = bulrush(&["check", "-", "--json"], "[clas urgent]\n[class a]\npriorty = 1\n", &[]);
+    assert_eq!(output.status.code(), Some(3));
+    let told: Value = serde_json::from_slice(&output.stderr).expect("JSON");
+    assert_eq!(told["problems"].as_array().map(Vec::len), Some(2), "{told}");
+    assert_eq!(told["problems"][1]["line"], 3);
+    assert_eq!(told["exit_code"], 3);
+}
+
+#[test]
+fn codes_in_pages() {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATIONS.md");
+    let page = std::fs::read_to_string(path).expect("the page");
+    let help = bulrush(&["--help"], "", &[]);
+    let help = String::from_utf8(help.stdout).expect("text");
+    let codes = help.split("Exit codes:\n").nth(1).expect("the codes");
+    for line in codes.lines().map(str::trim).filter(|line| !line.is_empty()) {
+        let (code, meaning) = line.split_once("  ").expect("a code and its meaning");
+        let row = format!("| {code} | {meaning} |");
+        assert!(page.contains(&row), "docs/OPERATIONS.md misses {row}");
+    }
+}
--- a/crates/daemon/src/operators/status.rs
+++ b/crates/daemon/src/operators/status.rs
@@ -20,6 +20,8 @@
     pub highest_revision: Revision,
     /// Whether it takes no new work any more.
     pub leaving: bool,
+    /// Whether it reaches neither the key-value service nor another node.
+    pub isolated: bool,
     /// The model requests that it has accepted and not finished.
     pub unfinished: usize,
     /// The tokens that were computed again because an engine or a request's place was lost.
@@ -98,6 +100,7 @@
             revision: in_force.revision,
             highest_revision: (*cx.highest_revision.borrow()).max(in_force.revision),
             leaving: cx.is_leaving(),
+            isolated: cx.is_isolated(),
             unfinished: cx.answers.unfinished(),
             recomputed_tokens: cx.meters.total(Metric::RecomputedTokens),
             members,
@@ -111,6 +114,9 @@
         if self.leaving {
             return "leaving";
         }
+        if self.isolated {
+            return "isolated";
+        }
         if self.revision == Revision(0) {
             return "unconfigured";
         }
