--- /dev/null
+++ b/crates/coord/src/ownership/mod.rs
@@ -0,0 +1,13 @@
+//! Who owns an accepted request, who holds its copy, and how ownership passes on.
+
+mod machine;
+mod message;
+mod options;
+mod peers;
+mod receive;
+mod row;
+
+pub use machine::{Action, Copied, Ownership};
+pub use message::{Message, Version};
+pub use options::OwnershipOptions;
+pub use peers::Peer;
--- /dev/null
+++ b/crates/coord/src/ownership/row.rs
@@ -0,0 +1,100 @@
+//! What a node knows of one request.
+
+use bulrushhall_core::{Incarnation, Stamp};
+use bytes::Bytes;
+
+use super::message::Version;
+
+/// A `Row` is what a node knows of one request.
+#[derive(Debug)]
+pub(super) enum Row {
+    /// This node owns it.
+    Owned(Owned),
+    /// This node holds a copy.
+    Held(Held),
+    /// It went elsewhere, or ended.
+    Gone(Gone),
+}
+
+/// An `Owned` request is run by this node.
+#[derive(Debug)]
+pub(super) struct Owned {
+    pub(super) version: Version,
+    pub(super) body: Bytes,
+    pub(super) tokens: Vec<String>,
+    pub(super) end: Option<Bytes>,
+    pub(super) released: usize,
+    pub(super) stage: Stage,
+    pub(super) holder: Option<Holder>,
+    pub(super) failed: Vec<Incarnation>,
+    pub(super) since: Stamp,
+    pub(super) handing: Option<Handing>,
+    /// Whom the request came from, when it was offered or taken over.
+    pub(super) before: Option<Incarnation>,
+    pub(super) claims: u8,
+    pub(super) claimed_at: Stamp,
+}
+
+/// A `Stage` tells whether an owned request has been copied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// A first copy is awaited.
+    Copying,
+    /// A peer has it, or no peer is there to have it.
+    Settled,
+}
+
+/// A `Holder` is the peer that has or gets the copy of an owned request.
+#[derive(Debug)]
+pub(super) struct Holder {
+    pub(super) peer: Incarnation,
+    pub(super) has: bool,
+    pub(super) acked: usize,
+    pub(super) in_flight: Option<Stamp>,
+    /// Since when an answer has been awaited.
+    pub(super) silent: Option<Stamp>,
+    pub(super) last_sent: Stamp,
+}
+
+/// A `Handing` is an owned request that has been offered to a peer.
+#[derive(Debug)]
+pub(super) struct Handing {
+    pub(super) version: Version,
+    pub(super) first: Stamp,
+    pub(super) sent: Stamp,
+}
+
+/// A `Held` request is copied here.
+#[derive(Debug)]
+pub(super) struct Held {
+    pub(super) version: Version,
+    pub(super) body: Bytes,
+    pub(super) tokens: Vec<String>,
+    pub(super) heard: Stamp,
+    pub(super) missing_since: Option<Stamp>,
+}
+
+/// A `Gone` request is neither owned nor held here any more.
+#[derive(Debug)]
+pub(super) struct Gone {
+    pub(super) version: Version,
+    /// The number of tokens of the ended answer, where it ended.
+    pub(super) ended: Option<usize>,
+    pub(super) at: Stamp,
+}
+
+impl Row {
+    pub(super) fn version(&self) -> Version {
+        match self {
+            Row::Owned(owned) => owned.version,
+            Row::Held(held) => held.version,
+            Row::Gone(gone) => gone.version,
+        }
+    }
+}
+
+impl Holder {
+    pub(super) fn new(peer: Incarnation) -> Holder {
+        Holder { peer, has: false, acked: 0, in_flight: None, silent: None, last_sent: Stamp(0) }
+    }
+}
