Accepted requests are copied, taken over, handed over and read at any node

Cause: an accepted request died with the node that had accepted it, and only that node answered for it. Change: the ownership machine in coord decides copies, checkpoints, takeovers and handovers; the daemon's keeper carries them out. Tokens are shown once the holder has them. Event ids carry a check over the text so far. Reads and cancels find the owner from any node.

--- a/crates/coord/src/ownership/machine.rs
+++ b/crates/coord/src/ownership/machine.rs
@@ -86,36 +86,23 @@
         out
     }
 
-    /// Adds a token that was produced under `version`.
-    pub fn token(
-        &mut self,
-        now: Stamp,
-        id: RequestId,
-        version: Version,
-        token: String,
-    ) -> Vec<Action> {
-        let mut out = Vec::new();
-        let Some(owned) = self.running(id, version) else { return out };
+    /// Adds a token that was produced under `version`; returns false once that run is over.
+    ///
+    /// The token goes out with the next [`Ownership::tick`], so that requests share messages.
+    pub fn token(&mut self, id: RequestId, version: Version, token: String) -> bool {
+        let Some(owned) = self.running(id, version) else { return false };
         owned.tokens.push(token);
         self.dirty.insert(id);
-        self.flush(now, id, &mut out);
-        out
+        true
     }
 
-    /// Notes how the answer ended that was produced under `version`.
-    pub fn finish(
-        &mut self,
-        now: Stamp,
-        id: RequestId,
-        version: Version,
-        end: Bytes,
-    ) -> Vec<Action> {
-        let mut out = Vec::new();
-        let Some(owned) = self.running(id, version) else { return out };
+    /// Notes how the answer ended that was produced under `version`; returns false once that run
+    /// is over.
+    pub fn finish(&mut self, id: RequestId, version: Version, end: Bytes) -> bool {
+        let Some(owned) = self.running(id, version) else { return false };
         owned.end = Some(end);
         self.dirty.insert(id);
-        self.flush(now, id, &mut out);
-        out
+        true
     }
 
     /// Puts new members in place of the present ones.
@@ -134,7 +121,10 @@
     /// Where no peer is there to take it, the request stays and goes on.
     pub fn hand_over(&mut self, now: Stamp, id: RequestId) -> Vec<Action> {
         let mut out = Vec::new();
-        self.offer(now, id, &mut out);
+        let offered = matches!(self.rows.get(&id), Some(Row::Owned(it)) if it.handing.is_some());
+        if !offered {
+            self.offer(now, id, &mut out);
+        }
         out
     }
 
@@ -182,6 +172,18 @@
         owned.map(|(id, _)| *id).collect()
     }
 
+    /// Returns the body of a request that another node owns and that is copied here.
+    pub fn held_body(&self, id: RequestId) -> Option<&Bytes> {
+        let Some(Row::Held(held)) = self.rows.get(&id) else { return None };
+        Some(&held.body)
+    }
+
+    /// Returns the node that a request went to from here.
+    pub fn went_to(&self, id: RequestId) -> Option<Incarnation> {
+        let Some(Row::Gone(gone)) = self.rows.get(&id) else { return None };
+        Some(gone.version.owner)
+    }
+
     /// Returns the version under which this node owns a request.
     pub fn version(&self, id: RequestId) -> Option<Version> {
         let Some(Row::Owned(owned)) = self.rows.get(&id) else { return None };
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -17,6 +17,12 @@
     RequestRefused,
     /// An attempt of a request at an engine failed and the request goes on elsewhere.
     AttemptFailed,
+    /// A request that this node owned is owned by another node now.
+    RequestMoved,
+    /// A request that another node owned is owned by this node now.
+    RequestTaken,
+    /// A copy of a request could not be read.
+    HandoffFailed,
 }
 
 impl Event {
@@ -29,6 +35,9 @@
         Event::ConfigRejected,
         Event::RequestRefused,
         Event::AttemptFailed,
+        Event::RequestMoved,
+        Event::RequestTaken,
+        Event::HandoffFailed,
     ];
 
     /// Returns the number that the log line carries.
@@ -41,6 +50,9 @@
             Event::ConfigRejected => 120,
             Event::RequestRefused => 200,
             Event::AttemptFailed => 201,
+            Event::RequestMoved => 210,
+            Event::RequestTaken => 211,
+            Event::HandoffFailed => 212,
         }
     }
 }
--- a/crates/daemon/src/answers/registry.rs
+++ b/crates/daemon/src/answers/registry.rs
@@ -14,6 +14,8 @@
 const KEPT_FOR: Duration = Duration::from_secs(300);
 /// The most finished answers that are kept.
 const KEPT: usize = 20_000;
+/// The most bytes of finished answers that are kept.
+const KEPT_BYTES: usize = 16 << 20;
 
 /// `Answers` are the answers that a node holds, by request.
 #[derive(Default)]
@@ -24,7 +26,8 @@
 #[derive(Default)]
 struct State {
     by_id: HashMap<RequestId, Arc<Answer>>,
-    finished: VecDeque<(Stamp, RequestId)>,
+    finished: VecDeque<(Stamp, RequestId, usize)>,
+    bytes: usize,
 }
 
 impl Answers {
@@ -41,16 +44,35 @@
     /// Notes that an answer has ended and lets go of the oldest ended ones.
     pub fn finished(&self, now: Stamp, id: RequestId) {
         let mut state = self.lock();
-        state.finished.push_back((now, id));
-        while let Some(&(at, oldest)) = state.finished.front() {
-            if now.since(at) < KEPT_FOR && state.finished.len() <= KEPT {
+        let Some(answer) = state.by_id.get(&id) else { return };
+        let bytes = answer.tokens().iter().map(String::len).sum();
+        state.bytes += bytes;
+        state.finished.push_back((now, id, bytes));
+        while let Some(&(at, oldest, bytes)) = state.finished.front() {
+            let fits = state.finished.len() <= KEPT && state.bytes <= KEPT_BYTES;
+            if now.since(at) < KEPT_FOR && fits {
                 break;
             }
             state.finished.pop_front();
-            state.by_id.remove(&oldest);
+            state.bytes -= bytes;
+            // The request may have come back in the meantime and run again.
+            if state.by_id.get(&oldest).is_some_and(|answer| answer.ended().is_some()) {
+                state.by_id.remove(&oldest);
+            }
         }
     }
 
+    /// Returns the answers that have not ended.
+    pub fn open(&self) -> Vec<Arc<Answer>> {
+        let state = self.lock();
+        state.by_id.values().filter(|answer| answer.ended().is_none()).cloned().collect()
+    }
+
+    /// Lets go of an answer.
+    pub fn remove(&self, id: RequestId) {
+        self.lock().by_id.remove(&id);
+    }
+
     /// Returns how many answers have not ended.
     pub fn unfinished(&self) -> usize {
         self.lock().by_id.values().filter(|answer| answer.ended().is_none()).count()
--- a/crates/daemon/src/callers/admit.rs
+++ b/crates/daemon/src/callers/admit.rs
@@ -2,25 +2,23 @@
 
 use std::sync::Arc;
 
+use bulrushhall_coord::{Copied, Version};
 use bulrushhall_core::{Ran, TeamName};
 use bulrushhall_policy::{PlacementRequest, Ticket, Wait, WorkerKey};
 use tokio::sync::oneshot;
 
 use crate::{
     answers::Answer,
-    callers::{ApiCode, ApiError, classify::Classified, relay},
+    callers::{
+        ApiCode, ApiError,
+        classify::Classified,
+        relay::{self, Run},
+    },
     context::Context,
     dispatcher::{Start, Submit, Verdict},
+    handoff::{Accept, Cause, Portable},
 };
 
-/// An `Accepted` is a request that the node has taken on.
-pub struct Accepted {
-    /// What it asks for.
-    pub request: Classified,
-    /// Its answer, which fills as the engine writes.
-    pub answer: Arc<Answer>,
-}
-
 /// Accepts a request and starts its run, or refuses it.
 pub async fn admit(
     cx: &Arc<Context>,
@@ -31,12 +29,32 @@
         return Err(ApiError::not_run(ApiCode::Leaving, "the node takes no new work"));
     }
     let pending = ask(cx, &team, &request, Standing::New, &[]).await?;
-    let (model, class) = (request.model.clone(), request.class.clone());
-    let answer = Arc::new(Answer::new(cx.next_request(), team, model, class));
+    let id = cx.next_request();
+    let portable = Portable { team, request };
+    let answer = portable.answer(id);
+    let malformed = |_| ApiError::not_run(ApiCode::InvalidValue, "the request cannot be encoded");
+    let body = portable.encode().map_err(malformed)?;
     cx.answers.insert(Arc::clone(&answer));
 
-    let accepted = Accepted { request, answer: Arc::clone(&answer) };
-    tokio::spawn(relay::run(Arc::clone(cx), accepted, pending));
+    let (copied_tx, copied) = oneshot::channel();
+    let accept = Accept { id, body, copied: copied_tx };
+    let stopping = |_| ApiError::not_run(ApiCode::Leaving, "the node is stopping");
+    cx.keeper.send(accept).await.map_err(stopping)?;
+    let version = Version { epoch: 1, generation: 0, owner: cx.incarnation };
+    let emitted = Vec::new();
+    let run = Run { portable, answer: Arc::clone(&answer), version, emitted, cause: Cause::Engine };
+    tokio::spawn(relay::run(Arc::clone(cx), run, Some(pending)));
+
+    // The caller is told nothing before a peer has a copy: what it is told is accepted must
+    // outlive this node. The run starts meanwhile, so the copy costs no time to the first token.
+    let stopped = |_| {
+        let error = ApiError::not_run(ApiCode::Leaving, "the node is stopping");
+        error.ran(Ran::Unknown)
+    };
+    if copied.await.map_err(stopped)? == Copied::Nowhere {
+        answer.set_uncopied();
+        metrics::counter!("bulrush_accepted_uncopied_total").increment(1);
+    }
     Ok(answer)
 }
 
--- a/crates/daemon/src/callers/classify.rs
+++ b/crates/daemon/src/callers/classify.rs
@@ -5,7 +5,7 @@
 use bulrushhall_core::{ClassName, Deployment, ModelName, ServiceName, token};
 use bytes::Bytes;
 use hyper::http::request::Parts;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use crate::callers::{ApiCode, ApiError};
 
@@ -15,7 +15,7 @@
 const DEFAULT_TOKENS: u32 = 256;
 
 /// A `Classified` is a model request as the rest of the pipeline sees it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Classified {
     /// The model.
     pub model: ModelName,
@@ -40,7 +40,7 @@
 }
 
 /// A `Delivery` is how an answer is to be sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Delivery {
     /// As a whole.
     Whole,
--- a/crates/daemon/src/callers/error.rs
+++ b/crates/daemon/src/callers/error.rs
@@ -69,6 +69,8 @@
     Cancelled,
     /// A value in the request is outside of what is allowed.
     InvalidValue,
+    /// What the reader saw of an answer is not the beginning of the answer that goes on.
+    StreamDiverged,
 }
 
 #[derive(Serialize)]
@@ -117,9 +119,10 @@
             | ApiCode::RequestNotFound => StatusCode::NOT_FOUND,
             ApiCode::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
             ApiCode::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
-            ApiCode::KeyInProgress | ApiCode::StaleTicket | ApiCode::Cancelled => {
-                StatusCode::CONFLICT
-            }
+            ApiCode::KeyInProgress
+            | ApiCode::StaleTicket
+            | ApiCode::Cancelled
+            | ApiCode::StreamDiverged => StatusCode::CONFLICT,
             ApiCode::Overloaded => StatusCode::TOO_MANY_REQUESTS,
             ApiCode::Leaving | ApiCode::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
             ApiCode::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/daemon/src/callers/events.rs
+++ b/crates/daemon/src/callers/events.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bulrushhall_core::ids::StreamPosition;
+use bulrushhall_core::{Ran, ids::StreamPosition};
 use bulrushhall_platform::{
     engine::Usage,
     http::{Body, streamed},
@@ -18,12 +18,17 @@
 
 use crate::{
     answers::{Answer, AnswerEnd, Part, Reader},
-    callers::{ApiError, classify::Delivery, respond},
+    callers::{ApiCode, ApiError, classify::Delivery, respond},
 };
 
 /// The header that carries the id of an accepted request.
 pub const REQUEST_HEADER: HeaderName = HeaderName::from_static("x-request-id");
 
+/// The header that tells that no other node has a copy of an accepted request.
+pub const COPIES_HEADER: HeaderName = HeaderName::from_static("x-copies");
+/// When a caller whose answer went on elsewhere may ask for it there.
+const MOVED_RETRY: std::time::Duration = std::time::Duration::from_secs(1);
+
 /// The seconds since 1970 that answers carry.
 pub fn created() -> u64 {
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
@@ -39,6 +44,8 @@
             match part {
                 Part::Token(_, token) => text.push_str(&token),
                 Part::End(AnswerEnd::Failed(error)) => return Err(error),
+                Part::Diverged => return Err(diverged()),
+                Part::End(AnswerEnd::Moved(address)) => return Err(moved_on(answer, address)),
                 Part::End(AnswerEnd::Whole(usage)) => {
                     let mut res = respond::json(&completion(answer, &text, usage));
                     set_request(&mut res, answer);
@@ -51,7 +58,12 @@
 
 /// Returns the answer as server-sent events from token number `next` on, as they come.
 pub fn stream_from(answer: &Arc<Answer>, next: usize, delivery: Delivery) -> Response<Body> {
-    let reader = answer.read_from(next);
+    stream(answer.read_from(next), next, delivery)
+}
+
+/// Returns what `reader` gets as server-sent events; it starts at token number `next`.
+pub fn stream(reader: Reader, next: usize, delivery: Delivery) -> Response<Body> {
+    let answer = &Arc::clone(reader.answer());
     let chunks = stream::unfold((reader, next == 0), move |(mut reader, first)| async move {
         let parts = reader.next().await;
         if parts.is_empty() {
@@ -81,6 +93,9 @@
     if let Ok(id) = HeaderValue::from_str(&answer.id().to_string()) {
         res.headers_mut().insert(REQUEST_HEADER, id);
     }
+    if answer.is_uncopied() {
+        res.headers_mut().insert(COPIES_HEADER, HeaderValue::from_static("none"));
+    }
 }
 
 /// Returns the whole answer in the form of the public chat convention.
@@ -102,10 +117,19 @@
 fn put_part(buf: &mut BytesMut, reader: &Reader, part: Part, delivery: Delivery) {
     let answer = reader.answer();
     match part {
-        Part::Token(number, token) => {
-            let position = StreamPosition { request: answer.id(), number: number as u64 };
+        Part::Token(place, token) => {
+            let position = StreamPosition { request: answer.id(), number: place.number as u64 };
             let delta = json!({ "content": token });
-            put_event(buf, Some(position), &chunk(answer, delta, None, None));
+            let id = format!("{position}:{:x}", place.check);
+            put_event(buf, Some(&id), &chunk(answer, delta, None, None));
+        }
+        Part::Diverged => put_error(buf, &diverged()),
+        Part::End(AnswerEnd::Moved(address)) => {
+            let path = format!("/v1/requests/{}/stream", answer.id());
+            let moved = json!({ "request": answer.id(), "address": address, "path": path });
+            buf.put_slice(b"event: moved\ndata: ");
+            buf.put_slice(moved.to_string().as_bytes());
+            buf.put_slice(b"\n\n");
         }
         Part::End(AnswerEnd::Whole(usage)) => {
             let reason = Some(finish_reason(usage));
@@ -117,17 +141,30 @@
             }
             buf.put_slice(b"data: [DONE]\n\n");
         }
-        Part::End(AnswerEnd::Failed(error)) => {
-            buf.put_slice(b"event: error\ndata: ");
-            buf.put_slice(&error.to_json());
-            buf.put_slice(b"\n\n");
-        }
+        Part::End(AnswerEnd::Failed(error)) => put_error(buf, &error),
     }
 }
 
-fn put_event(buf: &mut BytesMut, position: Option<StreamPosition>, value: &impl Serialize) {
-    if let Some(position) = position {
-        buf.put_slice(format!("id: {position}\n").as_bytes());
+fn put_error(buf: &mut BytesMut, error: &ApiError) {
+    buf.put_slice(b"event: error\ndata: ");
+    buf.put_slice(&error.to_json());
+    buf.put_slice(b"\n\n");
+}
+
+fn diverged() -> ApiError {
+    let message = "the answer was written anew with other words; read it from its beginning";
+    ApiError::not_run(ApiCode::StreamDiverged, message).ran(Ran::Yes)
+}
+
+fn moved_on(answer: &Answer, address: std::net::SocketAddr) -> ApiError {
+    let message = format!("the answer {} goes on at {address}", answer.id());
+    let error = ApiError::not_run(ApiCode::Leaving, message);
+    error.ran(Ran::Unknown).retry_after(MOVED_RETRY)
+}
+
+fn put_event(buf: &mut BytesMut, id: Option<&str>, value: &impl Serialize) {
+    if let Some(id) = id {
+        buf.put_slice(format!("id: {id}\n").as_bytes());
     }
     buf.put_slice(b"data: ");
     let bytes = Bytes::from(serde_json::to_vec(value).unwrap_or_default());
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -2,13 +2,13 @@
 
 mod admit;
 mod chat;
-mod classify;
+pub mod classify;
 mod entries;
 mod error;
 mod events;
 mod identify;
 mod models;
-mod relay;
+pub(crate) mod relay;
 mod requests;
 mod respond;
 mod router;
--- a/crates/daemon/src/callers/relay.rs
+++ b/crates/daemon/src/callers/relay.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bulrushhall_coord::Version;
 use bulrushhall_core::{Event, Fence};
 use bulrushhall_platform::{
     CallError, CallFault,
@@ -15,32 +16,50 @@
     backends::BackendClient,
     callers::{
         ApiCode, ApiError,
-        admit::{self, Accepted, Pending, Standing},
+        admit::{self, Pending, Standing},
+        classify::Classified,
         settle,
     },
     context::Context,
     dispatcher::{Finished, Start},
+    handoff::{Cause, Portable, Produced},
 };
 
 /// The pause before the next attempt when no engine takes work or one has just failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// The attempts that are counted for one epoch of ownership, so that a later owner's are higher.
+const ATTEMPTS_PER_EPOCH: u32 = 1_000;
 
-/// Runs a request to its end.
-pub async fn run(cx: Arc<Context>, accepted: Accepted, pending: Pending) {
-    let Accepted { request, answer } = accepted;
-    let deadline = cx.clock.now() + request.deadline;
-    let mut pending = Some(pending);
+/// A `Run` is an owned request that is to be run to its end.
+pub struct Run {
+    /// What it asks for.
+    pub portable: Portable,
+    /// Its answer, which fills as tokens are copied.
+    pub answer: Arc<Answer>,
+    /// The version under which the node owns it.
+    pub version: Version,
+    /// The tokens that an earlier owner has produced.
+    pub emitted: Vec<String>,
+    /// Why an earlier owner's run goes on here.
+    pub cause: Cause,
+}
+
+/// Runs a request to its end, or until the node doesn't own it any more.
+pub async fn run(cx: Arc<Context>, mut run: Run, mut pending: Option<Pending>) {
+    let answer = Arc::clone(&run.answer);
+    let deadline = cx.clock.now() + run.portable.request.deadline;
     let mut avoid = Vec::new();
     let mut attempt = 0;
 
-    while answer.ended().is_none() {
+    while answer.ended().is_none() && !answer.is_halted() {
         if deadline <= cx.clock.now() {
-            settle::fail(&cx, &answer, expired(&answer));
+            settle::fail(&cx, &answer, expired(&answer)).await;
             return;
         }
+        let request = &run.portable.request;
         let asked = match pending.take() {
             Some(pending) => Ok(pending),
-            None => admit::ask(&cx, answer.team(), &request, Standing::Accepted, &avoid).await,
+            None => admit::ask(&cx, answer.team(), request, Standing::Accepted, &avoid).await,
         };
         let Ok(asked) = asked else {
             tokio::time::sleep(RETRY_PAUSE).await;
@@ -51,35 +70,36 @@
             Start::On(key) => Some(key),
             Start::Nowhere => None,
             Start::Expired => {
-                settle::fail(&cx, &answer, expired(&answer));
+                settle::fail(&cx, &answer, expired(&answer)).await;
                 return;
             }
         };
 
+        let service = request.service.clone();
         let ended = match worker {
-            Some(key) => {
-                let generate = Generate {
-                    request: answer.id(),
-                    attempt,
-                    model: request.model.clone(),
-                    prompt: request.prompt.clone(),
-                    emitted: answer.tokens(),
-                    max_tokens: request.max_tokens,
-                    priority: request.priority,
-                    fence: Fence(u64::from(attempt)),
-                };
+            Some(key) if !answer.is_halted() => {
+                let generate = generate(&run, attempt);
                 attempt += 1;
-                one_attempt(&cx, &answer, key, generate).await
+                tokio::select! {
+                    ended = one_attempt(&cx, &mut run, key, generate) => ended,
+                    () = answer.halted() => Err(CallError::unknown(CallFault::Closed)),
+                }
             }
-            None => Err(CallError::not_done(CallFault::Connect)),
+            _ => Err(CallError::not_done(CallFault::Connect)),
         };
-        let finished = Finished { service: request.service.clone(), ticket: asked.ticket, worker };
+        let finished = Finished { service, ticket: asked.ticket, worker };
         let _ = cx.dispatcher.send(finished).await;
 
         match ended {
-            Ok(usage) => settle::whole(&cx, &answer, usage),
+            Ok(usage) => {
+                cx.recomputed.add(run.cause, usage.recomputed_tokens);
+                settle::whole(&cx, &answer, usage).await;
+                return;
+            }
+            Err(_) if answer.is_halted() => cancel_at(&cx, &answer, worker).await,
             Err(error) => {
                 tracing::info!(event = Event::AttemptFailed.number(), request = %answer.id(), %error);
+                run.cause = Cause::Engine;
                 avoid.extend(worker);
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
@@ -87,25 +107,57 @@
     }
 }
 
+fn generate(run: &Run, attempt: u32) -> Generate {
+    let Classified { model, prompt, .. } = &run.portable.request;
+    let Classified { max_tokens, priority, .. } = run.portable.request;
+    let attempt = run.version.epoch.saturating_sub(1) * ATTEMPTS_PER_EPOCH + attempt;
+    Generate {
+        request: run.answer.id(),
+        attempt,
+        model: model.clone(),
+        prompt: prompt.clone(),
+        emitted: run.emitted.clone(),
+        max_tokens,
+        priority,
+        fence: Fence(u64::from(attempt)),
+    }
+}
+
 async fn one_attempt(
     cx: &Context,
-    answer: &Answer,
+    run: &mut Run,
     key: WorkerKey,
     generate: Generate,
 ) -> Result<Usage, CallError> {
     let gone = || CallError::not_done(CallFault::Connect);
     let backend = cx.backends.get(key).ok_or_else(gone)?;
     let BackendClient::Engine(engine) = backend.client else { return Err(gone()) };
+    run.answer.set_started();
     let mut frames = engine.generate(generate).await?;
     while let Some(frame) = frames.next().await {
         match frame? {
-            Frame::Token(token) => answer.push(token),
+            Frame::Token(token) => {
+                run.emitted.push(token.clone());
+                let produced = Produced { id: run.answer.id(), version: run.version, token };
+                if !cx.keeper.send(produced).await.unwrap_or(false) {
+                    run.answer.halt();
+                    return Err(CallError::unknown(CallFault::Closed));
+                }
+            }
             Frame::Done(usage) => return Ok(usage),
         }
     }
     Err(CallError::unknown(CallFault::Closed))
 }
 
+// The engine stops when its reader goes; one whose connection has gone silent does not notice
+// that, and is told.
+async fn cancel_at(cx: &Context, answer: &Answer, worker: Option<WorkerKey>) {
+    let Some(backend) = worker.and_then(|key| cx.backends.get(key)) else { return };
+    let BackendClient::Engine(engine) = backend.client else { return };
+    let _ = engine.cancel(answer.id()).await;
+}
+
 fn expired(answer: &Answer) -> AnswerEnd {
     let error = ApiError::not_run(ApiCode::DeadlinePassed, "the deadline has passed");
     AnswerEnd::Failed(error.ran(answer.ran()))
--- a/crates/daemon/src/callers/requests.rs
+++ b/crates/daemon/src/callers/requests.rs
@@ -1,6 +1,6 @@
 //! `/v1/requests`: patient work that is submitted now and read later.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bulrushhall_core::{Ran, RequestId, ids::StreamPosition};
 use bulrushhall_platform::http::Body;
@@ -9,19 +9,22 @@
 use serde_json::json;
 
 use crate::{
-    answers::{Answer, AnswerEnd},
+    answers::{Answer, AnswerEnd, Place},
     callers::{
         ApiCode, ApiError, admit,
         classify::{Delivery, Patience, classify},
         events,
         identify::identify,
-        respond, settle,
+        respond,
     },
     context::Context,
+    handoff,
 };
 
 /// The header in which a reader names the last event that it saw.
 const LAST_EVENT_HEADER: &str = "last-event-id";
+/// How long a cancelling caller waits for the end to show.
+const CANCEL_WAIT: Duration = Duration::from_secs(2);
 
 /// Accepts a request and returns its id at once.
 pub async fn submit(
@@ -45,10 +48,9 @@
     parts: &Parts,
     id: &str,
 ) -> Result<Response<Body>, ApiError> {
-    let answer = find(cx, parts, id)?;
+    let answer = find(cx, parts, id).await?;
     if parts.method == Method::DELETE {
-        let error = ApiError::not_run(ApiCode::Cancelled, "the caller cancelled the request");
-        settle::fail(cx, &answer, AnswerEnd::Failed(error.ran(Ran::Unknown)));
+        cancel(cx, &answer).await?;
     }
     let mut res = respond::json(&describe(&answer));
     events::set_request(&mut res, &answer);
@@ -61,32 +63,57 @@
     parts: &Parts,
     id: &str,
 ) -> Result<Response<Body>, ApiError> {
-    let answer = find(cx, parts, id)?;
-    let next = match parts.headers.get(LAST_EVENT_HEADER) {
-        None => 0,
-        Some(last) => {
-            let position: Option<StreamPosition> =
-                last.to_str().ok().and_then(|last| last.parse().ok());
-            match position {
-                Some(position) if position.request == answer.id() => position.number + 1,
-                _ => {
-                    let message = "Last-Event-ID is not an event of this request";
-                    return Err(ApiError::not_run(ApiCode::InvalidValue, message));
-                }
-            }
-        }
+    let answer = find(cx, parts, id).await?;
+    let Some(last) = parts.headers.get(LAST_EVENT_HEADER) else {
+        return Ok(events::stream_from(&answer, 0, Delivery::StreamedWithUsage));
+    };
+    let malformed = || {
+        let message = "Last-Event-ID is not an event of this request";
+        ApiError::not_run(ApiCode::InvalidValue, message)
+    };
+    let last = last.to_str().map_err(|_| malformed())?;
+    let (number, seen) = position(answer.id(), last).ok_or_else(malformed)?;
+    let reader = answer.read_from(number + 1).after(seen);
+    Ok(events::stream(reader, number + 1, Delivery::StreamedWithUsage))
+}
+
+// Returns the number of an event and, where its id carries a check, the place that it stands for.
+fn position(id: RequestId, text: &str) -> Option<(usize, Option<Place>)> {
+    let (position, check) = match text.match_indices(':').nth(1) {
+        Some((at, _)) => (&text[..at], Some(&text[at + 1..])),
+        None => (text, None),
     };
-    let next = usize::try_from(next).unwrap_or(usize::MAX);
-    Ok(events::stream_from(&answer, next, Delivery::StreamedWithUsage))
+    let position: StreamPosition = position.parse().ok()?;
+    if position.request != id {
+        return None;
+    }
+    let number = usize::try_from(position.number).ok().filter(|number| *number < usize::MAX)?;
+    let Some(check) = check else { return Some((number, None)) };
+    let check = u32::from_str_radix(check, 16).ok()?;
+    Some((number, Some(Place { number, check })))
 }
 
-fn find(cx: &Context, parts: &Parts, id: &str) -> Result<Arc<Answer>, ApiError> {
+async fn cancel(cx: &Arc<Context>, answer: &Arc<Answer>) -> Result<(), ApiError> {
+    if answer.ended().is_some() {
+        return Ok(());
+    }
+    if !handoff::cancel(cx, answer).await && answer.ended().is_none() {
+        let message = "the owner of the request could not be reached";
+        return Err(ApiError::not_run(ApiCode::Unavailable, message).ran(Ran::Unknown));
+    }
+    // The end is shown once the holder of the copy has it too.
+    let mut reader = answer.read_from(usize::MAX);
+    let _ = tokio::time::timeout(CANCEL_WAIT, reader.next()).await;
+    Ok(())
+}
+
+async fn find(cx: &Arc<Context>, parts: &Parts, id: &str) -> Result<Arc<Answer>, ApiError> {
     let in_force = cx.in_force();
     let team = identify(&in_force.deployment, parts)?;
     let unknown = || ApiError::not_run(ApiCode::RequestNotFound, "no request has this id");
     let id: RequestId = id.parse().map_err(|_| unknown())?;
     // Another team's request is answered like one that does not exist.
-    cx.answers.get(id).filter(|answer| *answer.team() == team).ok_or_else(unknown)
+    handoff::find(cx, &team, id).await.ok_or_else(unknown)
 }
 
 fn describe(answer: &Answer) -> serde_json::Value {
@@ -97,9 +124,14 @@
         "model": answer.model(),
         "class": answer.class(),
         "tokens": tokens.len(),
+        "copies": if answer.is_uncopied() { 0 } else { 1 },
     });
     match answer.ended() {
         None => value["status"] = json!(if tokens.is_empty() { "queued" } else { "running" }),
+        Some(AnswerEnd::Moved(address)) => {
+            value["status"] = json!("moved");
+            value["address"] = json!(address);
+        }
         Some(AnswerEnd::Whole(usage)) => {
             value["status"] = json!("finished");
             value["completion"] = events::completion(answer, &tokens.concat(), usage);
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -21,6 +21,7 @@
     backends::Backends,
     clock::Clock,
     dispatcher::Dispatcher,
+    handoff::{Keeper, Recomputed},
     members::{Member, Members},
     peers::{PeerClient, Sender},
     settings::Settings,
@@ -51,6 +52,10 @@
     pub backends: Backends,
     /// The actor that queues and places.
     pub dispatcher: Address<Dispatcher>,
+    /// The actor that knows which requests the node owns.
+    pub keeper: Address<Keeper>,
+    /// The tokens that were computed a second time, by cause.
+    pub recomputed: Recomputed,
     /// The claims of non-repeatable calls.
     pub ledger: Mutex<Ledger>,
     /// The platform's key-value service, where one is set.
--- /dev/null
+++ b/crates/daemon/src/handoff/mod.rs
@@ -0,0 +1,19 @@
+//! Ownership of accepted requests over the nodes: copies, takeovers, handovers and reading from
+//! any node.
+
+mod drain;
+mod find;
+mod keeper;
+mod messages;
+mod portable;
+mod recomputed;
+
+pub use drain::{drain, empty, pass_time};
+pub use find::{cancel, find, follow};
+pub use keeper::{
+    Accept, Ended, HandOver, Keeper, Produced, Receive, SetMembers, Standing, StandingOf, Sweep,
+    Tick, Undelivered,
+};
+pub use messages::{Batch, Cancel, Read, ReadReply, register};
+pub use portable::Portable;
+pub use recomputed::{Cause, Recomputed};
--- /dev/null
+++ b/crates/daemon/src/handoff/recomputed.rs
@@ -0,0 +1,48 @@
+//! Tokens that were computed a second time, by cause.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// A `Cause` tells why an answer had to be resumed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The engine failed or its VM went.
+    Engine,
+    /// The owner handed the request over.
+    Handover,
+    /// The owner died and its holder took over.
+    Takeover,
+}
+
+/// `Recomputed` counts the tokens that were computed a second time, by cause.
+#[derive(Debug, Default)]
+pub struct Recomputed {
+    counts: [AtomicU64; 3],
+}
+
+impl Cause {
+    /// Every cause.
+    pub const ALL: [Cause; 3] = [Cause::Engine, Cause::Handover, Cause::Takeover];
+
+    /// Returns the word used in metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            Cause::Engine => "engine",
+            Cause::Handover => "handover",
+            Cause::Takeover => "takeover",
+        }
+    }
+}
+
+impl Recomputed {
+    /// Adds tokens.
+    pub fn add(&self, cause: Cause, tokens: u32) {
+        self.counts[cause as usize].fetch_add(u64::from(tokens), Ordering::Relaxed);
+        let counter = metrics::counter!("bulrush_recomputed_tokens_total", "cause" => cause.word());
+        counter.increment(u64::from(tokens));
+    }
+
+    /// Returns the tokens of a cause.
+    pub fn of(&self, cause: Cause) -> u64 {
+        self.counts[cause as usize].load(Ordering::Relaxed)
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod context;
 pub mod dispatcher;
 pub mod errors;
+pub mod handoff;
 pub mod members;
 pub mod node;
 pub mod operators;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -37,6 +37,7 @@
     context::{Context, InForce},
     dispatcher::{Dispatcher, SetWorkers, Tick},
     errors::NodeError,
+    handoff::{self, Keeper, Recomputed},
     members::Members,
     operators::OperatorPort,
     peers::{self, PeerClient, PeerPort},
@@ -71,6 +72,7 @@
         let incarnation = new_incarnation();
         let dispatcher = Dispatcher::new(clock, incarnation.0, settings.limits.answers_per_engine);
         let dispatcher = xtra::spawn_tokio(dispatcher, Mailbox::unbounded());
+        let (keeper, mailbox) = Mailbox::unbounded();
         let key_value = settings.platform.key_value.map(key_value_client);
         let cx = Arc::new(Context {
             settings,
@@ -80,6 +82,8 @@
             answers: Answers::default(),
             backends: Backends::default(),
             dispatcher,
+            keeper,
+            recomputed: Recomputed::default(),
             ledger: Mutex::new(Ledger::new(LedgerOptions::default())),
             key_value,
             members: Members::default(),
@@ -92,6 +96,7 @@
 
         let mut peer_port = PeerPort::new(Arc::clone(&cx));
         peers::register_hello(&mut peer_port);
+        handoff::register(&mut peer_port);
 
         let (stop, stopped) = watch::channel(false);
         let mut ports = JoinSet::new();
@@ -109,8 +114,14 @@
             };
             ports.spawn(serve(listener, handler, options, stopped.clone()));
         }
-        let duties =
-            vec![tokio::spawn(follow_config(Arc::clone(&cx))), tokio::spawn(tick(Arc::clone(&cx)))];
+        let duties = vec![
+            tokio::spawn(follow_config(Arc::clone(&cx))),
+            tokio::spawn(tick(Arc::clone(&cx))),
+            tokio::spawn(peers::greet(Arc::clone(&cx))),
+            tokio::spawn(xtra::run(mailbox, Keeper::new(Arc::clone(&cx)))),
+            tokio::spawn(handoff::pass_time(Arc::clone(&cx))),
+            tokio::spawn(handoff::drain(Arc::clone(&cx))),
+        ];
         let name = &cx.settings.node.name;
         tracing::info!(event = Event::NodeStarted.number(), node = %name, %incarnation);
         Ok(Node { cx, stop, ports, duties })
@@ -142,6 +153,7 @@
             }
         };
         let _ = tokio::time::timeout(drain, emptied).await;
+        handoff::empty(&self.cx);
         self.stop.send_replace(true);
         while self.ports.join_next().await.is_some() {}
         self.end_duties();
