--- a/crates/bench/src/testbed/mod.rs
+++ b/crates/bench/src/testbed/mod.rs
@@ -9,13 +9,11 @@
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use bulrushhall_core::{ModelName, NodeName, ServiceName, VmName, ZoneName};
-use bulrushhall_daemon::{Settings, node::CONFIG_KEY, settings::NodeSettings};
+use bulrushhall_daemon::{Settings, config_chain, settings::NodeSettings};
 use bulrushhall_platform::{
-    KeyValue,
     clients::HttpKeyValue,
     cloud::{Market, Offer},
     http::{Endpoint, EndpointOptions},
-    kv::Version,
 };
 use bulrushhall_standin::{
     cloud::CloudServer,
@@ -195,9 +193,8 @@
         self.config = config::text(&self.options.zones, &self.engines, &self.services);
         let client =
             HttpKeyValue::new(Endpoint::new(self.kv.address(), EndpointOptions::default()));
-        let text = self.config.clone().into();
-        let written = client.put_if(CONFIG_KEY, Version(0), text, None).await;
-        written.map(drop).map_err(TestbedError::Config)
+        let applied = config_chain::apply(&client, None, &self.config).await;
+        applied.map(drop).map_err(TestbedError::Config)
     }
 
     fn adopt(&self, vm: &VmName, zone: &ZoneName, price: u64) {
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -2,8 +2,12 @@
 //!
 //! Nothing here reads a clock, opens a socket or spawns a task, so every run can be replayed.
 
+pub mod chain;
+pub mod head;
 pub mod ledger;
 pub mod ownership;
 
+pub use chain::{ChainCall, ChainReply, ChainStep, ChainWriter, Refusal};
+pub use head::{Head, HeadError};
 pub use ledger::{Claim, Ledger, LedgerOptions};
 pub use ownership::{Action, Copied, Message, Ownership, OwnershipOptions, Peer, Version};
