--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -5,7 +5,9 @@
 pub mod chain;
 pub mod head;
 pub mod ledger;
+pub mod ownership;
 
 pub use chain::{ChainCall, ChainReply, ChainStep, ChainWriter, Refusal};
 pub use head::{Head, HeadError};
 pub use ledger::{Claim, Ledger, LedgerOptions};
+pub use ownership::{Action, Copied, Message, Ownership, OwnershipOptions, Peer, Version};
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -23,6 +23,7 @@
     backends::Backends,
     clock::Clock,
     dispatcher::Dispatcher,
+    handoff::{Keeper, Recomputed},
     members::{Member, Members},
     meters::Meters,
     peers::{PeerClient, Sender},
@@ -57,6 +58,10 @@
     pub backends: Backends,
     /// The actor that queues and places.
     pub dispatcher: Address<Dispatcher>,
+    /// The actor that knows which requests the node owns.
+    pub keeper: Address<Keeper>,
+    /// The tokens that were computed a second time, by cause.
+    pub recomputed: Recomputed,
     /// The claims of non-repeatable calls.
     pub ledger: Mutex<Ledger>,
     /// What the node counts and measures.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod context;
 pub mod dispatcher;
 pub mod errors;
+pub mod handoff;
 pub mod loads;
 pub mod members;
 pub mod meters;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -37,6 +37,7 @@
     context::{Context, InForce},
     dispatcher::{Dispatcher, SetWorkers, Tick},
     errors::NodeError,
+    handoff::{self, Keeper, Recomputed},
     loads,
     members::Members,
     meters::{MeteredKeyValue, Meters},
@@ -74,6 +75,7 @@
         let meters = Arc::new(Meters::new(&settings.node.name));
         let key_value =
             settings.platform.key_value.map(|address| key_value_client(address, &meters));
+        let (keeper, mailbox) = Mailbox::unbounded();
         let cx = Arc::new(Context {
             settings,
             incarnation,
@@ -82,6 +84,8 @@
             answers: Answers::default(),
             backends: Backends::default(),
             dispatcher,
+            keeper,
+            recomputed: Recomputed::default(),
             ledger: Mutex::new(Ledger::new(LedgerOptions::default())),
             meters,
             key_value,
@@ -101,6 +105,7 @@
 
         let mut peer_port = PeerPort::new(Arc::clone(&cx));
         peers::register_hello(&mut peer_port);
+        handoff::register(&mut peer_port);
         config_watch::register(&mut peer_port);
 
         let (stop, stopped) = watch::channel(false);
@@ -120,6 +125,9 @@
             ports.spawn(serve(listener, handler, options, stopped.clone()));
         }
         let duties = vec![
+            tokio::spawn(xtra::run(mailbox, Keeper::new(Arc::clone(&cx)))),
+            tokio::spawn(handoff::pass_time(Arc::clone(&cx))),
+            tokio::spawn(handoff::drain(Arc::clone(&cx))),
             tokio::spawn(config_watch::watch_service(Arc::clone(&cx))),
             tokio::spawn(config_watch::catch_up(Arc::clone(&cx))),
             tokio::spawn(peers::greet(Arc::clone(&cx))),
@@ -158,6 +166,7 @@
             }
         };
         let _ = tokio::time::timeout(drain, emptied).await;
+        handoff::empty(&self.cx);
         self.stop.send_replace(true);
         while self.ports.join_next().await.is_some() {}
         self.end_duties();
--- a/crates/daemon/src/operators/request_status.rs
+++ b/crates/daemon/src/operators/request_status.rs
@@ -21,6 +21,8 @@
     Finished,
     /// It failed.
     Failed,
+    /// Another node owns it now.
+    Moved,
 }
 
 /// A `RequestStatus` tells how far a request is at one node; it holds no prompt and no answer.
@@ -56,6 +58,7 @@
             RequestState::Running => "running",
             RequestState::Finished => "finished",
             RequestState::Failed => "failed",
+            RequestState::Moved => "moved",
         }
     }
 }
@@ -67,6 +70,7 @@
         let (state, failure) = match answer.ended() {
             Some(AnswerEnd::Whole(_)) => (RequestState::Finished, None),
             Some(AnswerEnd::Failed(error)) => (RequestState::Failed, Some(error.code)),
+            Some(AnswerEnd::Moved(_)) => (RequestState::Moved, None),
             None if tokens == 0 => (RequestState::Waiting, None),
             None => (RequestState::Running, None),
         };
