Membership by zones, leaving VMs, entry addresses, leases and call budgets

Every node greeted every other, which costs bytes with the square of their number, and nothing fed the members of a started node. Heartbeats now stay inside a domain (a zone, or all nodes up to 12), relays pass on summaries. Notices and the VM list are read by two nodes a zone and told at once; callers get addresses by weighted rendezvous hashing. Leases count their right from before the call; each purpose has a budget of calls.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -2,10 +2,25 @@
 //!
 //! Nothing here reads a clock, opens a socket or spawns a task, so every run can be replayed.
 
+pub mod budget;
 pub mod chain;
+pub mod entries;
+pub mod gossip;
 pub mod head;
+pub mod lease;
 pub mod ledger;
+pub mod membership;
+pub mod membership_options;
+pub mod notices;
+mod roster;
 
+pub use budget::{CallBudget, Outcomes, Purpose};
 pub use chain::{ChainCall, ChainReply, ChainStep, ChainWriter, Refusal};
+pub use entries::{Candidate, Headroom};
+pub use gossip::{Beat, Condition, Gossip, Record, ZoneSummary};
 pub use head::{Head, HeadError};
+pub use lease::{Hold, Lease, LeaseCall, LeaseOptions, LeaseReply, Wanted};
 pub use ledger::{Claim, Ledger, LedgerOptions};
+pub use membership::{Membership, Send, View};
+pub use membership_options::MembershipOptions;
+pub use notices::{Departure, Notices, Source};
--- /dev/null
+++ b/crates/daemon/src/budgeted.rs
@@ -0,0 +1,108 @@
+//! A key-value service whose calls are limited and counted for one purpose.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bulrushhall_coord::{CallBudget, Purpose};
+use bulrushhall_core::Ran;
+use bulrushhall_platform::{
+    Call, CallError, CallFault, KeyValue,
+    kv::{CasOutcome, Change, LeaseId, Version, Versioned},
+};
+use bytes::Bytes;
+
+use crate::clock::Clock;
+
+/// The metric that counts calls by purpose and outcome.
+const CALLS_METRIC: &str = "bulrushhall_key_value_calls_total";
+
+/// A `Budgeted` passes calls on while the budget of its purpose lasts.
+pub struct Budgeted {
+    inner: Arc<dyn KeyValue>,
+    budget: Arc<Mutex<CallBudget>>,
+    clock: Clock,
+    purpose: Purpose,
+}
+
+impl Budgeted {
+    /// Returns the service as one purpose may use it.
+    pub fn new(
+        inner: Arc<dyn KeyValue>,
+        budget: Arc<Mutex<CallBudget>>,
+        clock: Clock,
+        purpose: Purpose,
+    ) -> Budgeted {
+        Budgeted { inner, budget, clock, purpose }
+    }
+
+    async fn counted<T>(&self, call: Call<'_, T>) -> Result<T, CallError> {
+        let now = self.clock.now();
+        let taken = self.lock(|budget| budget.take(now, self.purpose));
+        if taken.is_err() {
+            self.count("held_back");
+            return Err(CallError::not_done(CallFault::Budget));
+        }
+        let outcome = call.await;
+        let ran = outcome.as_ref().map_or_else(|error| error.ran, |_| Ran::Yes);
+        self.lock(|budget| budget.note(self.purpose, ran));
+        self.count(match ran {
+            Ran::Yes => "done",
+            Ran::No => "not_done",
+            Ran::Unknown => "unknown",
+        });
+        outcome
+    }
+
+    fn lock<T>(&self, act: impl FnOnce(&mut CallBudget) -> T) -> T {
+        let mut budget = self.budget.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        act(&mut budget)
+    }
+
+    fn count(&self, outcome: &'static str) {
+        metrics::counter!(CALLS_METRIC, "purpose" => self.purpose.word(), "outcome" => outcome)
+            .increment(1);
+    }
+}
+
+impl KeyValue for Budgeted {
+    fn get<'a>(&'a self, key: &'a str) -> Call<'a, Versioned> {
+        Box::pin(self.counted(self.inner.get(key)))
+    }
+
+    fn put_if<'a>(
+        &'a self,
+        key: &'a str,
+        expected: Version,
+        value: Bytes,
+        lease: Option<LeaseId>,
+    ) -> Call<'a, CasOutcome> {
+        Box::pin(self.counted(self.inner.put_if(key, expected, value, lease)))
+    }
+
+    fn remove_if<'a>(&'a self, key: &'a str, expected: Version) -> Call<'a, CasOutcome> {
+        Box::pin(self.counted(self.inner.remove_if(key, expected)))
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> Call<'a, Vec<Change>> {
+        Box::pin(self.counted(self.inner.list(prefix)))
+    }
+
+    fn grant(&self, ttl: Duration) -> Call<'_, LeaseId> {
+        Box::pin(self.counted(self.inner.grant(ttl)))
+    }
+
+    fn renew(&self, lease: LeaseId) -> Call<'_, ()> {
+        Box::pin(self.counted(self.inner.renew(lease)))
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Version,
+        wait: Duration,
+    ) -> Call<'a, Vec<Change>> {
+        Box::pin(self.counted(self.inner.watch(prefix, after, wait)))
+    }
+}
--- a/crates/daemon/src/callers/router.rs
+++ b/crates/daemon/src/callers/router.rs
@@ -34,7 +34,7 @@
         match segments.as_slice() {
             ["v1", "entries"] => {
                 only(&parts, &[Method::GET])?;
-                entries::list(cx)
+                entries::list(cx, &parts)
             }
             ["v1", "models"] => {
                 only(&parts, &[Method::GET])?;
--- a/crates/daemon/src/config_watch.rs
+++ b/crates/daemon/src/config_watch.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bulrushhall_coord::{Head, chain::HEAD_KEY};
+use bulrushhall_coord::{Head, Purpose, chain::HEAD_KEY};
 use bulrushhall_core::Revision;
 use bulrushhall_platform::{KeyValue, kv::Version};
 use bytes::Bytes;
@@ -50,7 +50,7 @@
 
 /// Watches the service while this node is one of its zone's watchers.
 pub async fn watch_service(cx: Arc<Context>) {
-    let Some(kv) = cx.key_value.clone() else { return };
+    let Some(kv) = cx.key_value_for(Purpose::Config) else { return };
     let mut failures = 0;
     // Each node looks once at its start: it may be the first, or its peers may be behind too.
     let mut seen = read_service(&cx, kv.as_ref()).await;
@@ -101,7 +101,7 @@
         if ask_peers(&cx).await {
             continue;
         }
-        if let Some(kv) = &cx.key_value {
+        if let Some(kv) = cx.key_value_for(Purpose::Config) {
             read_service(&cx, kv.as_ref()).await;
         }
         failures += 1;
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -2,25 +2,25 @@
 
 use std::{
     collections::BTreeSet,
-    net::SocketAddr,
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
 
 use arc_swap::ArcSwap;
-use bulrushhall_coord::Ledger;
+use bulrushhall_coord::{CallBudget, Ledger, Notices, Purpose, Source};
 use bulrushhall_core::{Deployment, Incarnation, RequestId, Revision, Stamp, VmName};
 use bulrushhall_platform::KeyValue;
 use bytes::Bytes;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use xtra::Address;
 
 use crate::{
     answers::Answers,
     backends::Backends,
+    budgeted::Budgeted,
     clock::Clock,
     dispatcher::Dispatcher,
     members::{Member, Members},
@@ -31,6 +31,9 @@
 /// How long a node that hears of nobody still names addresses to callers.
 const ISOLATED_AFTER: Duration = Duration::from_secs(6);
 
+/// The capacity that a node tells of itself before it has weighed its load.
+const OWN_CAPACITY: u32 = 8;
+
 /// An `InForce` is the configuration that a node acts on.
 #[derive(Clone, Debug, Default)]
 pub struct InForce {
@@ -68,12 +71,14 @@
     pub highest_revision: watch::Sender<Revision>,
     /// The VMs that are known to leave, of nodes and of backend servers; one never comes out.
     pub leaving_vms: ArcSwap<BTreeSet<VmName>>,
+    pub(crate) notices: Mutex<Notices>,
+    pub(crate) leaving_news: mpsc::UnboundedSender<Vec<VmName>>,
+    pub(crate) budget: Arc<Mutex<CallBudget>>,
     pub(crate) document: ArcSwap<Bytes>,
     pub(crate) config_gate: tokio::sync::Mutex<()>,
     pub(crate) revision_teller: AtomicU64,
     pub(crate) last_contact: AtomicU64,
     pub(crate) has_peers: AtomicBool,
-    pub(crate) greetings: Mutex<BTreeSet<SocketAddr>>,
     pub(crate) leaving: AtomicBool,
     pub(crate) sequence: AtomicU64,
 }
@@ -120,6 +125,8 @@
             callers: node.callers,
             peers: node.peers,
             leaving: self.is_leaving(),
+            capacity: OWN_CAPACITY,
+            suspected: false,
         }
     }
 
@@ -154,35 +161,48 @@
     }
 
     /// Notes that VMs are leaving; returns those that were not known to.
-    pub fn note_leaving(&self, vms: impl IntoIterator<Item = VmName>) -> Vec<VmName> {
-        let known = self.leaving_vms.load_full();
-        let new: Vec<VmName> = vms.into_iter().filter(|vm| !known.contains(vm)).collect();
+    pub fn note_leaving(
+        &self,
+        source: Source,
+        vms: impl IntoIterator<Item = VmName>,
+    ) -> Vec<VmName> {
+        let mut notices = self.lock_notices();
+        let new = notices.take(self.clock.now(), source, vms);
         if new.is_empty() {
             return new;
         }
-        self.leaving_vms.rcu(|known| {
-            let mut known = BTreeSet::clone(known);
-            known.extend(new.iter().cloned());
-            known
-        });
+        self.leaving_vms.store(Arc::new(notices.leaving().cloned().collect()));
+        drop(notices);
         if new.contains(&self.settings.node.vm) {
             self.leave();
         }
         new
     }
 
-    pub(crate) fn revision_teller(&self) -> Option<Incarnation> {
-        let teller = self.revision_teller.load(Ordering::Acquire);
-        (teller != 0).then_some(Incarnation(teller))
+    /// Returns the key-value service as one purpose may use it, where one is set.
+    pub fn key_value_for(&self, purpose: Purpose) -> Option<Arc<dyn KeyValue>> {
+        let inner = self.key_value.clone()?;
+        let budget = Arc::clone(&self.budget);
+        Some(Arc::new(Budgeted::new(inner, budget, self.clock, purpose)))
+    }
+
+    /// Returns a hash of the VMs that are known to leave.
+    pub(crate) fn leaving_hash(&self) -> u64 {
+        self.lock_notices().hash()
+    }
+
+    /// Returns the VMs that are known to leave, but for those in `told`.
+    pub(crate) fn known_leaving(&self, told: &[VmName]) -> Vec<VmName> {
+        let notices = self.lock_notices();
+        notices.leaving().filter(|vm| !told.contains(vm)).cloned().collect()
     }
 
-    pub(crate) fn greeted(&self, address: SocketAddr) {
-        let mut greetings = self.greetings.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-        greetings.insert(address);
+    fn lock_notices(&self) -> MutexGuard<'_, Notices> {
+        self.notices.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
-    pub(crate) fn take_greetings(&self) -> BTreeSet<SocketAddr> {
-        let mut greetings = self.greetings.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-        std::mem::take(&mut greetings)
+    pub(crate) fn revision_teller(&self) -> Option<Incarnation> {
+        let teller = self.revision_teller.load(Ordering::Acquire);
+        (teller != 0).then_some(Incarnation(teller))
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,16 +2,20 @@
 
 pub mod answers;
 pub mod backends;
+pub mod budgeted;
 pub mod callers;
 pub mod clock;
 pub mod config_chain;
 pub mod config_watch;
 pub mod context;
 pub mod dispatcher;
+pub mod duty;
 pub mod errors;
 pub mod loads;
 pub mod members;
+pub mod membership_actor;
 pub mod node;
+pub mod notices;
 pub mod operators;
 pub mod peers;
 pub mod settings;
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -24,6 +24,12 @@
     pub peers: SocketAddr,
     /// Whether it takes no new work; once set for a life, never cleared.
     pub leaving: bool,
+    /// Its free capacity in relation to other nodes', for the order of callers' addresses.
+    #[serde(default)]
+    pub capacity: u32,
+    /// Whether this node has not heard of it for a while.
+    #[serde(skip)]
+    pub suspected: bool,
 }
 
 /// `Members` are the lives of other nodes that are believed to be alive, leaving ones included.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -10,7 +10,7 @@
 };
 
 use arc_swap::ArcSwap;
-use bulrushhall_coord::{Ledger, LedgerOptions, chain::HEAD_KEY};
+use bulrushhall_coord::{CallBudget, Ledger, LedgerOptions, chain::HEAD_KEY};
 use bulrushhall_core::{
     Event, Incarnation, Revision,
     config::{ServiceType, parse_deployment},
@@ -23,7 +23,7 @@
 use error_stack::{Report, ResultExt};
 use tokio::{
     net::TcpListener,
-    sync::watch,
+    sync::{mpsc, watch},
     task::{JoinHandle, JoinSet},
 };
 use xtra::Mailbox;
@@ -39,8 +39,10 @@
     errors::NodeError,
     loads,
     members::Members,
+    membership_actor::{self, MembershipActor},
+    notices,
     operators::OperatorPort,
-    peers::{self, PeerClient, PeerPort},
+    peers::{PeerClient, PeerPort},
     settings::Settings,
 };
 
@@ -69,6 +71,7 @@
         let dispatcher = Dispatcher::new(clock, incarnation.0);
         let dispatcher = xtra::spawn_tokio(dispatcher, Mailbox::unbounded());
         let key_value = settings.platform.key_value.map(key_value_client);
+        let (leaving_news, news) = mpsc::unbounded_channel();
         let cx = Arc::new(Context {
             settings,
             incarnation,
@@ -83,18 +86,23 @@
             peers: PeerClient::default(),
             highest_revision: watch::Sender::new(Revision(0)),
             leaving_vms: ArcSwap::default(),
+            notices: Mutex::default(),
+            leaving_news,
+            budget: Arc::new(Mutex::new(CallBudget::new(clock.now()))),
             document: ArcSwap::default(),
             config_gate: tokio::sync::Mutex::default(),
             revision_teller: AtomicU64::new(0),
             last_contact: AtomicU64::new(0),
             has_peers: AtomicBool::new(false),
-            greetings: Mutex::default(),
             leaving: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
         });
 
         let mut peer_port = PeerPort::new(Arc::clone(&cx));
-        peers::register_hello(&mut peer_port);
+        let membership = MembershipActor::new(Arc::clone(&cx));
+        let membership = xtra::spawn_tokio(membership, Mailbox::unbounded());
+        membership_actor::register(&mut peer_port, membership.clone());
+        notices::register(&mut peer_port);
         config_watch::register(&mut peer_port);
 
         let (stop, stopped) = watch::channel(false);
@@ -116,7 +124,10 @@
         let duties = vec![
             tokio::spawn(config_watch::watch_service(Arc::clone(&cx))),
             tokio::spawn(config_watch::catch_up(Arc::clone(&cx))),
-            tokio::spawn(peers::greet(Arc::clone(&cx))),
+            tokio::spawn(membership_actor::pass(membership)),
+            tokio::spawn(notices::poll(Arc::clone(&cx))),
+            tokio::spawn(notices::spread(Arc::clone(&cx), news)),
+            tokio::spawn(notices::compare(Arc::clone(&cx))),
             tokio::spawn(tick(Arc::clone(&cx))),
             tokio::spawn(loads::follow(Arc::clone(&cx))),
         ];
--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     context::Context,
-    peers::{Envelope, MESSAGE_LIMIT, PeerMessage},
+    peers::{Envelope, MESSAGE_LIMIT, PeerMessage, Sender},
 };
 
 /// The longest time that a reply may take.
@@ -43,6 +43,17 @@
         to: Option<Incarnation>,
         body: M,
     ) -> Result<M::Reply, CallError> {
+        self.ask(cx, address, to, body).await.map(|(_, reply)| reply)
+    }
+
+    /// Does what [`PeerClient::send`] does and returns who replied, too.
+    pub async fn ask<M: PeerMessage>(
+        &self,
+        cx: &Context,
+        address: SocketAddr,
+        to: Option<Incarnation>,
+        body: M,
+    ) -> Result<(Sender, M::Reply), CallError> {
         let envelope = Envelope { from: cx.sender(), to, body };
         let malformed = || CallError::not_done(CallFault::Malformed);
         let bytes = rmp_serde::to_vec_named(&envelope).map_err(|_| malformed())?;
@@ -60,7 +71,7 @@
         cx.note_contact();
         cx.has_peers.store(true, Ordering::Release);
         cx.note_revision(reply.from.revision, reply.from.incarnation);
-        Ok(reply.body)
+        Ok((reply.from, reply.body))
     }
 
     /// Lets go of the connections to an address.
--- /dev/null
+++ b/crates/daemon/tests/shared_knowledge.rs
@@ -0,0 +1,148 @@
+//! What nodes learn from the service and from each other, and what they do without it.
+
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+
+use bulrushhall_bench::{Testbed, TestbedOptions};
+use bulrushhall_coord::Purpose;
+use bulrushhall_core::Revision;
+use bulrushhall_daemon::config_chain::{self, ApplyError};
+use bulrushhall_platform::{
+    clients::HttpKeyValue,
+    http::{Endpoint, EndpointOptions},
+};
+use bulrushhall_standin::switches::Faults;
+use hyper::Method;
+use serde_json::Value;
+
+/// Far longer than anything here takes, so that a busy machine doesn't fail a test.
+const LONGEST: Duration = Duration::from_secs(20);
+
+async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !holds() {
+        assert!(started.elapsed() < LONGEST, "waited too long until {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn five_nodes() -> Testbed {
+    let options = TestbedOptions { nodes: 5, ..TestbedOptions::default() };
+    let testbed = Testbed::start(options).await.expect("a testbed");
+    until("all know each other", || {
+        testbed.nodes.iter().all(|node| node.context().members.current().len() == 4)
+    })
+    .await;
+    testbed
+}
+
+fn client(testbed: &Testbed) -> HttpKeyValue {
+    HttpKeyValue::new(Endpoint::new(testbed.kv.address(), EndpointOptions::default()))
+}
+
+fn revisions(testbed: &Testbed) -> Vec<u64> {
+    testbed.nodes.iter().map(|node| node.context().in_force().revision.0).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn change_reaches_all() {
+    let testbed = five_nodes().await;
+    let kv = client(&testbed);
+    let text = format!("{}\n[team furnace]\nshare = 2\n", testbed.config);
+    let applied = config_chain::apply(&kv, Some(Revision(1)), &text).await.expect("accepted");
+    assert_eq!(applied.revision, Revision(2));
+    until("all have revision 2", || revisions(&testbed).iter().all(|found| *found == 2)).await;
+
+    let racing = config_chain::apply(&kv, Some(Revision(1)), &testbed.config).await;
+    let Err(ApplyError::Refused(refusal)) = racing else { panic!("accepted") };
+    assert!(refusal.to_string().contains("revision 2 is the newest"), "{refusal}");
+    assert_eq!(config_chain::history(&kv).await.expect("history"), [Revision(1), Revision(2)]);
+    let first = config_chain::revision(&kv, Revision(1)).await.expect("a reply");
+    assert_eq!(first.expect("revision 1").text, testbed.config);
+}
+
+// A node is replaced while the key-value service is down. Callers that are sent to it would be
+// refused for the whole outage if it could get the configuration from the service alone.
+#[tokio::test(flavor = "multi_thread")]
+async fn start_in_outage() {
+    let mut testbed = five_nodes().await;
+    testbed.kv.switches().set(Faults { outage: true, ..Faults::default() });
+    let settings = Default::default();
+    testbed.add_node(5, "suva-b", &settings).await.expect("a node");
+    let late = testbed.nodes[5].clone();
+    until("the new node has revision 1", || late.context().in_force().revision == Revision(1))
+        .await;
+    let answered = testbed.caller(5).chat("motif-7b", "urgent", "which kiln", 8).await;
+    assert!(answered.expect("an answer").whole);
+}
+
+// The cloud announces that a VM is taken back. A caller that is still sent to its node loses its
+// request, so every node must stop naming the address within seconds.
+#[tokio::test(flavor = "multi_thread")]
+async fn notice_reaches_all() {
+    let testbed = five_nodes().await;
+    let vm = testbed.nodes[2].context().settings.node.vm.clone();
+    testbed.cloud.reclaim(&vm, Duration::from_secs(60));
+    until("all know that the VM is leaving", || {
+        testbed.nodes.iter().all(|node| node.context().leaving_vms.load().contains(&vm))
+    })
+    .await;
+    assert!(testbed.nodes[2].context().is_leaving());
+    until("no node names its address", || {
+        let others = testbed.nodes.iter().filter(|node| node.name().as_str() != "entry-2");
+        others.into_iter().all(|node| {
+            let members = node.context().members.current();
+            members.iter().filter(|member| member.vm == vm).all(|member| member.leaving)
+        })
+    })
+    .await;
+    let path = "/v1/entries";
+    let listed = testbed.caller(0).json(Method::GET, path, &[], &Value::Null).await;
+    let listed = listed.expect("a list");
+    let entries = listed["entries"].as_array().expect("entries");
+    let zones: BTreeSet<&str> = entries.iter().filter_map(|entry| entry["zone"].as_str()).collect();
+    assert!(2 <= zones.len(), "{listed}");
+    assert!(entries.iter().all(|entry| entry["node"] != "entry-2"), "{listed}");
+}
+
+// A process dies without a word. Its address must leave the list although nobody announced it.
+#[tokio::test(flavor = "multi_thread")]
+async fn dead_node_removed() {
+    let testbed = five_nodes().await;
+    let name = testbed.nodes[1].name().clone();
+    testbed.nodes[1].kill();
+    until("the dead node is no member", || {
+        let alive = testbed.nodes.iter().filter(|node| node.is_alive());
+        alive
+            .into_iter()
+            .all(|node| node.context().members.current().iter().all(|member| member.node != name))
+    })
+    .await;
+}
+
+// The key-value service is down. Members, addresses and answers go on as before.
+#[tokio::test(flavor = "multi_thread")]
+async fn outage_goes_on() {
+    let testbed = five_nodes().await;
+    testbed.kv.switches().set(Faults { outage: true, ..Faults::default() });
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for at in 0..5 {
+        let answered = testbed.caller(at).chat("motif-7b", "urgent", "which kiln", 8).await;
+        assert!(answered.expect("an answer").whole);
+    }
+    let counts = testbed.kv.counts();
+    let started = Instant::now();
+    testbed.kv.switches().set(Faults::default());
+    let text = format!("{}\n[team furnace]\nshare = 2\n", testbed.config);
+    config_chain::apply(&client(&testbed), None, &text).await.expect("accepted");
+    until("all have revision 2", || revisions(&testbed).iter().all(|found| *found == 2)).await;
+    // Each node's reads stay within its budget, so the service is not met by a rush of calls.
+    let after = testbed.kv.counts();
+    let seconds = started.elapsed().as_secs_f64();
+    let allowed =
+        5.0 * (Purpose::Config.rate().burst + Purpose::Config.rate().per_second * seconds);
+    let reads = after.reads - counts.reads;
+    assert!((reads as f64) < allowed, "{reads} reads in {seconds} s");
+}
--- a/crates/platform/src/http/server.rs
+++ b/crates/platform/src/http/server.rs
@@ -76,7 +76,7 @@
             Some(_) = connections.join_next() => continue,
             _ = stop.wait_for(|stop| *stop) => break,
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, remote)) = accepted else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
@@ -92,7 +92,8 @@
         stream.set_write_timeout(Some(options.write_timeout));
         let stream = Box::pin(stream);
         let handler = Arc::clone(&handler);
-        let service = service_fn(move |req| {
+        let service = service_fn(move |mut req: Request<Incoming>| {
+            req.extensions_mut().insert(remote);
             let answer = Arc::clone(&handler).handle(req);
             async move { Ok::<_, Infallible>(answer.await) }
         });
