--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod membership;
 pub mod membership_options;
 pub mod notices;
+pub mod ownership;
 mod roster;
 
 pub use budget::{CallBudget, Outcomes, Purpose};
@@ -24,3 +25,4 @@
 pub use membership::{Membership, Send, View};
 pub use membership_options::MembershipOptions;
 pub use notices::{Departure, Notices, Source};
+pub use ownership::{Action, Copied, Message, Ownership, OwnershipOptions, Peer, Version};
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod dispatcher;
 pub mod duty;
 pub mod errors;
+pub mod handoff;
 pub mod loads;
 pub mod members;
 pub mod membership_actor;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -37,6 +37,7 @@
     context::{Context, InForce},
     dispatcher::{Dispatcher, SetWorkers, Tick},
     errors::NodeError,
+    handoff::{self, Keeper, Recomputed},
     loads,
     members::Members,
     membership_actor::{self, MembershipActor},
@@ -70,6 +71,7 @@
         let incarnation = new_incarnation();
         let dispatcher = Dispatcher::new(clock, incarnation.0);
         let dispatcher = xtra::spawn_tokio(dispatcher, Mailbox::unbounded());
+        let (keeper, mailbox) = Mailbox::unbounded();
         let key_value = settings.platform.key_value.map(key_value_client);
         let (leaving_news, news) = mpsc::unbounded_channel();
         let cx = Arc::new(Context {
@@ -80,6 +82,8 @@
             answers: Answers::default(),
             backends: Backends::default(),
             dispatcher,
+            keeper,
+            recomputed: Recomputed::default(),
             ledger: Mutex::new(Ledger::new(LedgerOptions::default())),
             key_value,
             members: Members::default(),
@@ -103,6 +107,7 @@
         let membership = xtra::spawn_tokio(membership, Mailbox::unbounded());
         membership_actor::register(&mut peer_port, membership.clone());
         notices::register(&mut peer_port);
+        handoff::register(&mut peer_port);
         config_watch::register(&mut peer_port);
 
         let (stop, stopped) = watch::channel(false);
@@ -122,6 +127,9 @@
             ports.spawn(serve(listener, handler, options, stopped.clone()));
         }
         let duties = vec![
+            tokio::spawn(xtra::run(mailbox, Keeper::new(Arc::clone(&cx)))),
+            tokio::spawn(handoff::pass_time(Arc::clone(&cx))),
+            tokio::spawn(handoff::drain(Arc::clone(&cx))),
             tokio::spawn(config_watch::watch_service(Arc::clone(&cx))),
             tokio::spawn(config_watch::catch_up(Arc::clone(&cx))),
             tokio::spawn(membership_actor::pass(membership)),
@@ -162,6 +170,7 @@
             }
         };
         let _ = tokio::time::timeout(drain, emptied).await;
+        handoff::empty(&self.cx);
         self.stop.send_replace(true);
         while self.ports.join_next().await.is_some() {}
         self.end_duties();
