--- a/crates/daemon/src/callers/events.rs
+++ b/crates/daemon/src/callers/events.rs
@@ -1,13 +1,13 @@
 //! Answers as the public chat convention has them, whole and as server-sent events.
 
-use std::{fmt::Write, sync::Arc};
+use std::sync::Arc;
 
-use bulrushhall_core::{ModelName, RequestId, ids::StreamPosition};
+use bulrushhall_core::{Ran, ids::StreamPosition};
 use bulrushhall_platform::{
     engine::Usage,
     http::{Body, streamed},
 };
-use bytes::{BufMut, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 use futures_util::stream;
 use hyper::{
     Response,
@@ -17,15 +17,17 @@
 use serde_json::json;
 
 use crate::{
-    answers::{Answer, AnswerEnd, Part},
-    callers::{ApiError, classify::Delivery, respond},
+    answers::{Answer, AnswerEnd, Part, Reader},
+    callers::{ApiCode, ApiError, classify::Delivery, respond},
 };
 
 /// The header that carries the id of an accepted request.
 pub const REQUEST_HEADER: HeaderName = HeaderName::from_static("x-request-id");
 
-/// The bytes that one event takes, for sizing buffers.
-const EVENT_BYTES: usize = 256;
+/// The header that tells that no other node has a copy of an accepted request.
+pub const COPIES_HEADER: HeaderName = HeaderName::from_static("x-copies");
+/// When a caller whose answer went on elsewhere may ask for it there.
+const MOVED_RETRY: std::time::Duration = std::time::Duration::from_secs(1);
 
 /// The seconds since 1970 that answers carry.
 pub fn created() -> u64 {
@@ -42,6 +44,8 @@
             match part {
                 Part::Token(_, token) => text.push_str(&token),
                 Part::End(AnswerEnd::Failed(error)) => return Err(error),
+                Part::Diverged => return Err(diverged()),
+                Part::End(AnswerEnd::Moved(address)) => return Err(moved_on(answer, address)),
                 Part::End(AnswerEnd::Whole(usage)) => {
                     let mut res = respond::json(&completion(answer, &text, usage));
                     set_request(&mut res, answer);
@@ -54,25 +58,26 @@
 
 /// Returns the answer as server-sent events from token number `next` on, as they come.
 pub fn stream_from(answer: &Arc<Answer>, next: usize, delivery: Delivery) -> Response<Body> {
-    let reader = answer.read_from(next);
-    let heading = Heading::of(answer);
-    let chunks = stream::unfold((reader, next == 0), move |(mut reader, first)| {
-        let heading = heading.clone();
-        async move {
-            let parts = reader.next().await;
-            if parts.is_empty() {
-                return None;
-            }
-            let mut buf = BytesMut::with_capacity(EVENT_BYTES * (parts.len() + 1));
-            if first {
-                let role = Delta { role: Some("assistant"), content: Some("") };
-                put_event(&mut buf, None, &heading.chunk(role, None));
-            }
-            for part in parts {
-                put_part(&mut buf, &heading, part, delivery);
-            }
-            Some((buf.freeze(), (reader, false)))
+    stream(answer.read_from(next), next, delivery)
+}
+
+/// Returns what `reader` gets as server-sent events; it starts at token number `next`.
+pub fn stream(reader: Reader, next: usize, delivery: Delivery) -> Response<Body> {
+    let answer = &Arc::clone(reader.answer());
+    let chunks = stream::unfold((reader, next == 0), move |(mut reader, first)| async move {
+        let parts = reader.next().await;
+        if parts.is_empty() {
+            return None;
+        }
+        let mut buf = BytesMut::new();
+        if first {
+            let role = json!({ "role": "assistant", "content": "" });
+            put_event(&mut buf, None, &chunk(reader.answer(), role, None, None));
         }
+        for part in parts {
+            put_part(&mut buf, &reader, part, delivery);
+        }
+        Some((buf.freeze(), (reader, false)))
     });
 
     let mut res = Response::new(streamed(chunks));
@@ -88,6 +93,9 @@
     if let Ok(id) = HeaderValue::from_str(&answer.id().to_string()) {
         res.headers_mut().insert(REQUEST_HEADER, id);
     }
+    if answer.is_uncopied() {
+        res.headers_mut().insert(COPIES_HEADER, HeaderValue::from_static("none"));
+    }
 }
 
 /// Returns the whole answer in the form of the public chat convention.
@@ -106,109 +114,83 @@
     })
 }
 
-/// What all events of one stream have in common.
-#[derive(Clone)]
-struct Heading {
-    request: RequestId,
-    id: Arc<str>,
-    created: u64,
-    model: ModelName,
-}
-
-#[derive(Serialize)]
-struct Chunk<'a> {
-    id: &'a str,
-    object: &'static str,
-    created: u64,
-    model: &'a ModelName,
-    choices: &'a [Choice<'a>],
-    #[serde(skip_serializing_if = "Option::is_none")]
-    usage: Option<serde_json::Value>,
-}
-
-#[derive(Serialize)]
-struct Choice<'a> {
-    index: u32,
-    delta: Delta<'a>,
-    finish_reason: Option<&'static str>,
-}
-
-#[derive(Default, Serialize)]
-struct Delta<'a> {
-    #[serde(skip_serializing_if = "Option::is_none")]
-    role: Option<&'static str>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    content: Option<&'a str>,
-}
-
-/// The pieces of a chunk with one choice, held together while it is written.
-struct OneChoice<'a> {
-    heading: &'a Heading,
-    choice: [Choice<'a>; 1],
-}
-
-impl Heading {
-    fn of(answer: &Answer) -> Heading {
-        Heading {
-            request: answer.id(),
-            id: answer.id().to_string().into(),
-            created: created(),
-            model: answer.model().clone(),
-        }
-    }
-
-    fn chunk<'a>(&'a self, delta: Delta<'a>, reason: Option<&'static str>) -> OneChoice<'a> {
-        OneChoice { heading: self, choice: [Choice { index: 0, delta, finish_reason: reason }] }
-    }
-
-    fn write(&self, choices: &[Choice<'_>], usage: Option<serde_json::Value>, buf: &mut BytesMut) {
-        let chunk = Chunk {
-            id: &self.id,
-            object: "chat.completion.chunk",
-            created: self.created,
-            model: &self.model,
-            choices,
-            usage,
-        };
-        // A chunk holds only text and numbers and the buffer grows, so this cannot fail.
-        let _ = serde_json::to_writer(buf.writer(), &chunk);
-    }
-}
-
-fn put_part(buf: &mut BytesMut, heading: &Heading, part: Part, delivery: Delivery) {
+fn put_part(buf: &mut BytesMut, reader: &Reader, part: Part, delivery: Delivery) {
+    let answer = reader.answer();
     match part {
-        Part::Token(number, token) => {
-            let position = StreamPosition { request: heading.request, number: number as u64 };
-            let delta = Delta { content: Some(&token), ..Delta::default() };
-            put_event(buf, Some(position), &heading.chunk(delta, None));
+        Part::Token(place, token) => {
+            let position = StreamPosition { request: answer.id(), number: place.number as u64 };
+            let delta = json!({ "content": token });
+            let id = format!("{position}:{:x}", place.check);
+            put_event(buf, Some(&id), &chunk(answer, delta, None, None));
+        }
+        Part::Diverged => put_error(buf, &diverged()),
+        Part::End(AnswerEnd::Moved(address)) => {
+            let path = format!("/v1/requests/{}/stream", answer.id());
+            let moved = json!({ "request": answer.id(), "address": address, "path": path });
+            buf.put_slice(b"event: moved\ndata: ");
+            buf.put_slice(moved.to_string().as_bytes());
+            buf.put_slice(b"\n\n");
         }
         Part::End(AnswerEnd::Whole(usage)) => {
             let reason = Some(finish_reason(usage));
-            put_event(buf, None, &heading.chunk(Delta::default(), reason));
+            put_event(buf, None, &chunk(answer, json!({}), reason, None));
             if delivery == Delivery::StreamedWithUsage {
-                buf.put_slice(b"data: ");
-                heading.write(&[], Some(usage_figures(usage)), buf);
-                buf.put_slice(b"\n\n");
+                let mut last = chunk(answer, json!({}), None, Some(usage));
+                last["choices"] = json!([]);
+                put_event(buf, None, &last);
             }
             buf.put_slice(b"data: [DONE]\n\n");
         }
-        Part::End(AnswerEnd::Failed(error)) => {
-            buf.put_slice(b"event: error\ndata: ");
-            buf.put_slice(&error.to_json());
-            buf.put_slice(b"\n\n");
-        }
+        Part::End(AnswerEnd::Failed(error)) => put_error(buf, &error),
     }
 }
 
-fn put_event(buf: &mut BytesMut, position: Option<StreamPosition>, event: &OneChoice<'_>) {
-    if let Some(position) = position {
-        let _ = writeln!(buf, "id: {position}");
+fn put_error(buf: &mut BytesMut, error: &ApiError) {
+    buf.put_slice(b"event: error\ndata: ");
+    buf.put_slice(&error.to_json());
+    buf.put_slice(b"\n\n");
+}
+
+fn diverged() -> ApiError {
+    let message = "the answer was written anew with other words; read it from its beginning";
+    ApiError::not_run(ApiCode::StreamDiverged, message).ran(Ran::Yes)
+}
+
+fn moved_on(answer: &Answer, address: std::net::SocketAddr) -> ApiError {
+    let message = format!("the answer {} goes on at {address}", answer.id());
+    let error = ApiError::not_run(ApiCode::Leaving, message);
+    error.ran(Ran::Unknown).retry_after(MOVED_RETRY)
+}
+
+fn put_event(buf: &mut BytesMut, id: Option<&str>, value: &impl Serialize) {
+    if let Some(id) = id {
+        buf.put_slice(format!("id: {id}\n").as_bytes());
     }
     buf.put_slice(b"data: ");
-    event.heading.write(&event.choice, None, buf);
+    let bytes = Bytes::from(serde_json::to_vec(value).unwrap_or_default());
+    buf.put_slice(&bytes);
     buf.put_slice(b"\n\n");
 }
 
+fn chunk(
+    answer: &Answer,
+    delta: serde_json::Value,
+    reason: Option<&str>,
+    usage: Option<Usage>,
+) -> serde_json::Value {
+    let mut value = json!({
+        "id": answer.id().to_string(),
+        "object": "chat.completion.chunk",
+        "created": created(),
+        "model": answer.model(),
+        "choices": [{ "index": 0, "delta": delta, "finish_reason": reason }],
+    });
+    if let Some(usage) = usage {
+        value["usage"] = usage_figures(usage);
+    }
+    value
+}
+
 fn finish_reason(usage: Usage) -> &'static str {
     if usage.truncated { "length" } else { "stop" }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -10,7 +10,7 @@
 };
 
 use arc_swap::ArcSwap;
-use bulrushhall_coord::{Ledger, LedgerOptions};
+use bulrushhall_coord::{CallBudget, Ledger, LedgerOptions, chain::HEAD_KEY};
 use bulrushhall_core::{
     Event, Incarnation, Revision,
     config::{ServiceType, parse_deployment},
@@ -20,11 +20,10 @@
     clients::HttpKeyValue,
     http::{Endpoint, EndpointOptions, Handler, ServerOptions, listen, serve},
 };
-use bulrushhall_policy::WorkerView;
 use error_stack::{Report, ResultExt};
 use tokio::{
     net::TcpListener,
-    sync::watch,
+    sync::{mpsc, watch},
     task::{JoinHandle, JoinSet},
 };
 use xtra::Mailbox;
@@ -34,21 +33,25 @@
     backends::Backends,
     callers::CallerPort,
     clock::Clock,
+    config_watch,
     context::{Context, InForce},
     dispatcher::{Dispatcher, SetWorkers, Tick},
     errors::NodeError,
+    handoff::{self, Keeper, Recomputed},
+    loads,
     members::Members,
+    membership_actor::{self, MembershipActor},
+    meters::{MeteredKeyValue, Meters},
+    notices,
     operators::OperatorPort,
-    peers::{self, PeerClient, PeerPort},
+    peers::{PeerClient, PeerPort},
     settings::Settings,
 };
 
-/// The key under which the configuration is found.
-pub const CONFIG_KEY: &str = "config/current";
-/// The pause between two looks at the configuration.
-const CONFIG_PAUSE: Duration = Duration::from_millis(500);
 /// The pause between two ticks of the dispatcher.
 const TICK_PAUSE: Duration = Duration::from_millis(50);
+/// The pause between two times that recorded times are sorted into their buckets.
+const TIDY_PAUSE: Duration = Duration::from_secs(5);
 /// The pause between two looks at unfinished answers while the node leaves.
 const DRAIN_PAUSE: Duration = Duration::from_millis(20);
 
@@ -69,9 +72,13 @@
 
         let clock = Clock::start();
         let incarnation = new_incarnation();
-        let dispatcher = Dispatcher::new(clock, incarnation.0, settings.limits.answers_per_engine);
+        let dispatcher = Dispatcher::new(clock, incarnation.0);
         let dispatcher = xtra::spawn_tokio(dispatcher, Mailbox::unbounded());
-        let key_value = settings.platform.key_value.map(key_value_client);
+        let meters = Arc::new(Meters::new(&settings.node.name));
+        let key_value =
+            settings.platform.key_value.map(|address| key_value_client(address, &meters));
+        let (keeper, mailbox) = Mailbox::unbounded();
+        let (leaving_news, news) = mpsc::unbounded_channel();
         let cx = Arc::new(Context {
             settings,
             incarnation,
@@ -80,18 +87,34 @@
             answers: Answers::default(),
             backends: Backends::default(),
             dispatcher,
+            keeper,
+            recomputed: Recomputed::default(),
             ledger: Mutex::new(Ledger::new(LedgerOptions::default())),
+            meters,
             key_value,
             members: Members::default(),
             peers: PeerClient::default(),
             highest_revision: watch::Sender::new(Revision(0)),
-            greetings: Mutex::default(),
+            leaving_vms: ArcSwap::default(),
+            notices: Mutex::default(),
+            leaving_news,
+            budget: Arc::new(Mutex::new(CallBudget::new(clock.now()))),
+            document: ArcSwap::default(),
+            config_gate: tokio::sync::Mutex::default(),
+            revision_teller: AtomicU64::new(0),
+            last_contact: AtomicU64::new(0),
+            has_peers: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
         });
 
         let mut peer_port = PeerPort::new(Arc::clone(&cx));
-        peers::register_hello(&mut peer_port);
+        let membership = MembershipActor::new(Arc::clone(&cx));
+        let membership = xtra::spawn_tokio(membership, Mailbox::unbounded());
+        membership_actor::register(&mut peer_port, membership.clone());
+        notices::register(&mut peer_port);
+        handoff::register(&mut peer_port);
+        config_watch::register(&mut peer_port);
 
         let (stop, stopped) = watch::channel(false);
         let mut ports = JoinSet::new();
@@ -109,8 +132,20 @@
             };
             ports.spawn(serve(listener, handler, options, stopped.clone()));
         }
-        let duties =
-            vec![tokio::spawn(follow_config(Arc::clone(&cx))), tokio::spawn(tick(Arc::clone(&cx)))];
+        let duties = vec![
+            tokio::spawn(xtra::run(mailbox, Keeper::new(Arc::clone(&cx)))),
+            tokio::spawn(handoff::pass_time(Arc::clone(&cx))),
+            tokio::spawn(handoff::drain(Arc::clone(&cx))),
+            tokio::spawn(config_watch::watch_service(Arc::clone(&cx))),
+            tokio::spawn(config_watch::catch_up(Arc::clone(&cx))),
+            tokio::spawn(membership_actor::pass(membership)),
+            tokio::spawn(notices::poll(Arc::clone(&cx))),
+            tokio::spawn(notices::spread(Arc::clone(&cx), news)),
+            tokio::spawn(notices::compare(Arc::clone(&cx))),
+            tokio::spawn(tick(Arc::clone(&cx))),
+            tokio::spawn(tidy_meters(Arc::clone(&cx))),
+            tokio::spawn(loads::follow(Arc::clone(&cx))),
+        ];
         let name = &cx.settings.node.name;
         tracing::info!(event = Event::NodeStarted.number(), node = %name, %incarnation);
         Ok(Node { cx, stop, ports, duties })
@@ -142,6 +177,7 @@
             }
         };
         let _ = tokio::time::timeout(drain, emptied).await;
+        handoff::empty(&self.cx);
         self.stop.send_replace(true);
         while self.ports.join_next().await.is_some() {}
         self.end_duties();
@@ -175,33 +211,29 @@
     Incarnation(micros << 12 | u64::from(rand::random::<u16>() & 0xfff))
 }
 
-fn key_value_client(address: SocketAddr) -> Arc<dyn KeyValue> {
-    Arc::new(HttpKeyValue::new(Endpoint::new(address, EndpointOptions::default())))
+fn key_value_client(address: SocketAddr, meters: &Arc<Meters>) -> Arc<dyn KeyValue> {
+    let client = HttpKeyValue::new(Endpoint::new(address, EndpointOptions::default()));
+    Arc::new(MeteredKeyValue::new(Arc::new(client), Arc::clone(meters)))
 }
 
-async fn tick(cx: Arc<Context>) {
+async fn tidy_meters(cx: Arc<Context>) {
     loop {
-        tokio::time::sleep(TICK_PAUSE).await;
-        let _ = cx.dispatcher.send(Tick).await;
+        tokio::time::sleep(TIDY_PAUSE).await;
+        cx.meters.tidy();
     }
 }
 
-async fn follow_config(cx: Arc<Context>) {
-    let Some(key_value) = cx.key_value.clone() else { return };
+async fn tick(cx: Arc<Context>) {
     loop {
-        if let Ok(found) = key_value.get(CONFIG_KEY).await {
-            let revision = Revision(found.version.0);
-            if cx.in_force().revision < revision {
-                put_in_force(&cx, revision, &found.value).await;
-            }
-        }
-        tokio::time::sleep(CONFIG_PAUSE).await;
+        tokio::time::sleep(TICK_PAUSE).await;
+        let _ = cx.dispatcher.send(Tick).await;
     }
 }
 
-async fn put_in_force(cx: &Context, revision: Revision, text: &[u8]) {
+/// Makes a checked revision the one that this node acts on.
+pub(crate) async fn put_in_force(cx: &Context, revision: Revision, text: &[u8]) {
     let text = String::from_utf8_lossy(text);
-    let deployment = match parse_deployment(CONFIG_KEY, &text) {
+    let deployment = match parse_deployment(HEAD_KEY, &text) {
         Ok(deployment) => deployment,
         Err(error) => {
             tracing::error!(event = Event::ConfigRejected.number(), ?revision, %error);
@@ -213,25 +245,11 @@
         if cfg.service_type != ServiceType::Model {
             continue;
         }
-        let mut workers = Vec::new();
-        for (key, backend) in cx.backends.of(service) {
-            let near = backend.zone == cx.settings.node.zone;
-            workers.push(WorkerView {
-                key,
-                open: true,
-                distance: if near { Duration::ZERO } else { Duration::from_millis(1) },
-                outstanding: 0,
-                outstanding_tokens: 0,
-                reported_running: 0,
-                reported_waiting: 0,
-                reported_backlog: 0,
-                reported_at: cx.clock.now(),
-                step: Duration::from_millis(20),
-                price: 0,
-                reclaimable: true,
-            });
-        }
-        let set = SetWorkers { service: service.clone(), workers };
+        let slots = u32::try_from(cx.settings.limits.answers_per_engine).unwrap_or(u32::MAX);
+        let workers = cx.backends.views(service, &cx.settings.node.zone, slots);
+        let shares = deployment.teams.iter().map(|(team, cfg)| (team.clone(), cfg.share)).collect();
+        let weights = deployment.weights.clone();
+        let set = SetWorkers { service: service.clone(), workers, shares, weights };
         let _ = cx.dispatcher.send(set).await;
     }
     let deployment = Arc::new(deployment);
