--- a/crates/facade/src/lib.rs
+++ b/crates/facade/src/lib.rs
@@ -4,3 +4,13 @@
 pub use bulrushhall_core as core;
 pub use bulrushhall_platform as platform;
 pub use bulrushhall_policy as policy;
+
+/// The settings structs that describe a deployment, with the text that stands for one.
+pub mod settings {
+    pub use bulrushhall_core::config::{
+        AdapterConfig, BackendAddress, ClassConfig, Deployment, EnginesConfig, Fencing,
+        HourlyPrice, KeyHash, ModelConfig, Problem, Rate, RolloutConfig, ServiceConfig,
+        ServiceType, TeamConfig, VersionConfig, VmClassConfig, Weights, ZoneConfig,
+        parse_deployment, render,
+    };
+}
