Bought engines are found, engines on leaving VMs take no new work

Cause: nodes knew only the backend servers with fixed addresses, so a bought VM never got work, and nobody told the dispatcher that a VM was leaving.

A gate keeps an older configuration's workers from being put back.

Conclusion: the fleet can change under running nodes.

--- a/crates/daemon/src/backends.rs
+++ b/crates/daemon/src/backends.rs
@@ -14,6 +14,7 @@
     Engine, PlainService,
     clients::{HttpEngine, HttpService},
     http::{Endpoint, EndpointOptions},
+    vm_list::ListedVm,
 };
 use bulrushhall_policy::{WorkerKey, WorkerView};
 use slotmap::SlotMap;
@@ -57,17 +58,20 @@
     arena: SlotMap<WorkerKey, Backend>,
     by_address: HashMap<String, WorkerKey>,
     leaving: BTreeSet<VmName>,
+    listed: Vec<ListedVm>,
 }
 
 impl Backends {
-    /// Makes the known backend servers those that `deployment` names.
+    /// Makes the known backend servers those that `deployment` names and the list of VMs shows.
     pub fn follow(&self, deployment: &Deployment, limits: &LimitSettings) {
         let mut state = self.lock();
         let mut named = HashMap::new();
         for (service, cfg) in &deployment.services {
-            for address in &cfg.backends {
+            let listed = state.listed.iter().filter(|vm| vm.service.as_ref() == Some(service));
+            let listed: Vec<BackendAddress> = listed.map(address_of).collect();
+            for address in cfg.backends.iter().chain(&listed) {
                 let id = format!("{service} {address}");
-                let known = state.by_address.get(&id).copied();
+                let known = named.get(&id).or_else(|| state.by_address.get(&id)).copied();
                 let key = known.unwrap_or_else(|| {
                     let client = client(cfg.service_type, address, limits, cfg.timeout.into());
                     state.arena.insert(Backend {
@@ -85,6 +89,19 @@
         state.by_address = named;
     }
 
+    /// Takes a new list of VMs; returns whether it differs from the last one.
+    pub fn set_listed(&self, listed: Vec<ListedVm>) -> bool {
+        let mut state = self.lock();
+        let differs = state.listed != listed;
+        state.listed = listed;
+        differs
+    }
+
+    /// Returns the last list of VMs.
+    pub fn listed(&self) -> Vec<ListedVm> {
+        self.lock().listed.clone()
+    }
+
     /// Gets a backend server.
     pub fn get(&self, key: WorkerKey) -> Option<Backend> {
         self.lock().arena.get(key).cloned()
@@ -132,6 +149,10 @@
     }
 }
 
+fn address_of(listed: &ListedVm) -> BackendAddress {
+    BackendAddress { vm: listed.vm.clone(), zone: listed.zone.clone(), address: listed.address }
+}
+
 fn client(
     service_type: ServiceType,
     address: &BackendAddress,
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -82,6 +82,7 @@
     pub(crate) notices: Mutex<Notices>,
     pub(crate) leaving_news: mpsc::UnboundedSender<Vec<VmName>>,
     pub(crate) budget: Arc<Mutex<CallBudget>>,
+    pub(crate) workers_gate: tokio::sync::Mutex<()>,
     pub(crate) document: ArcSwap<Bytes>,
     pub(crate) config_gate: tokio::sync::Mutex<()>,
     pub(crate) revision_teller: AtomicU64,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -12,7 +12,7 @@
 use arc_swap::ArcSwap;
 use bulrushhall_coord::{CallBudget, Ledger, LedgerOptions, chain::HEAD_KEY};
 use bulrushhall_core::{
-    Event, Incarnation, Revision,
+    Deployment, Event, Incarnation, Revision,
     config::{ServiceType, parse_deployment},
 };
 use bulrushhall_platform::{
@@ -35,6 +35,7 @@
     clock::Clock,
     config_watch,
     context::{Context, InForce},
+    discovery,
     dispatcher::{Dispatcher, SetWorkers, Tick},
     errors::NodeError,
     handoff::{self, Keeper, Recomputed},
@@ -99,6 +100,7 @@
             notices: Mutex::default(),
             leaving_news,
             budget: Arc::new(Mutex::new(CallBudget::new(clock.now()))),
+            workers_gate: tokio::sync::Mutex::default(),
             document: ArcSwap::default(),
             config_gate: tokio::sync::Mutex::default(),
             revision_teller: AtomicU64::new(0),
@@ -115,6 +117,7 @@
         notices::register(&mut peer_port);
         handoff::register(&mut peer_port);
         config_watch::register(&mut peer_port);
+        discovery::register(&mut peer_port);
 
         let (stop, stopped) = watch::channel(false);
         let mut ports = JoinSet::new();
@@ -145,6 +148,8 @@
             tokio::spawn(tick(Arc::clone(&cx))),
             tokio::spawn(tidy_meters(Arc::clone(&cx))),
             tokio::spawn(loads::follow(Arc::clone(&cx))),
+            tokio::spawn(discovery::follow(Arc::clone(&cx))),
+            tokio::spawn(discovery::close_leaving(Arc::clone(&cx))),
         ];
         let name = &cx.settings.node.name;
         tracing::info!(event = Event::NodeStarted.number(), node = %name, %incarnation);
@@ -240,7 +245,22 @@
             return;
         }
     };
-    cx.backends.follow(&deployment, &cx.settings.limits);
+    let _gate = cx.workers_gate.lock().await;
+    put_workers(cx, &deployment).await;
+    let deployment = Arc::new(deployment);
+    cx.config.store(Arc::new(InForce { revision, deployment }));
+}
+
+/// Makes the backend servers known that the list of VMs shows besides those of the configuration.
+pub(crate) async fn refresh_workers(cx: &Context) {
+    let _gate = cx.workers_gate.lock().await;
+    put_workers(cx, &cx.in_force().deployment).await;
+}
+
+// Called with the gate held: a new configuration and a new list of VMs may come at the same time,
+// and the workers of the older configuration must not be put back by the slower of the two.
+async fn put_workers(cx: &Context, deployment: &Deployment) {
+    cx.backends.follow(deployment, &cx.settings.limits);
     for (service, cfg) in &deployment.services {
         if cfg.service_type != ServiceType::Model {
             continue;
@@ -252,6 +272,4 @@
         let set = SetWorkers { service: service.clone(), workers, shares, weights };
         let _ = cx.dispatcher.send(set).await;
     }
-    let deployment = Arc::new(deployment);
-    cx.config.store(Arc::new(InForce { revision, deployment }));
 }
