--- a/crates/coord/src/ownership/machine.rs
+++ b/crates/coord/src/ownership/machine.rs
@@ -228,6 +228,8 @@
             stage: Stage::Copying,
             holder: None,
             failed: Vec::new(),
+            alone: None,
+            unprotected: false,
             since: now,
             handing: None,
             before,
@@ -250,15 +252,31 @@
         let peer = self.peers.holder_for(id, &owned.failed);
         let peer = peer.filter(|_| owned.stage == Stage::Settled || !waited);
         let Some(peer) = peer else {
-            self.settle_stage(now, id, out);
-            self.release_all(now, id, out);
+            self.go_alone(now, id, out);
             return;
         };
         owned.holder = Some(Holder::new(peer));
+        owned.alone = None;
+        owned.unprotected = false;
         self.dirty.insert(id);
         self.flush(now, id, out);
     }
 
+    // An owner that wakes from a long pause sees no members at first, while its holder has taken
+    // the request over. Were it to show tokens at once, a reader would get words that the new
+    // owner writes differently. The members come back, and with them the news, in a moment.
+    fn go_alone(&mut self, now: Stamp, id: RequestId, out: &mut Vec<Action>) {
+        let Some(Row::Owned(owned)) = self.rows.get_mut(&id) else { return };
+        let since = *owned.alone.get_or_insert(now);
+        let had_copy = owned.stage == Stage::Settled || owned.before.is_some();
+        if had_copy && now.since(since) < self.options.holder_timeout {
+            return;
+        }
+        owned.unprotected = true;
+        self.settle_stage(now, id, out);
+        self.release_all(now, id, out);
+    }
+
     pub(super) fn settle_stage(&mut self, now: Stamp, id: RequestId, out: &mut Vec<Action>) {
         let Some(Row::Owned(owned)) = self.rows.get_mut(&id) else { return };
         if owned.stage == Stage::Settled {
@@ -297,7 +315,7 @@
             return;
         }
         let Some(holder) = &mut owned.holder else {
-            if owned.stage == Stage::Settled {
+            if owned.unprotected {
                 self.release_all(now, id, out);
             }
             return;
@@ -422,9 +440,8 @@
             return;
         }
         // A peer that failed once may be well again; without a copy any peer is worth a try.
-        let alone = owned.holder.is_none() && !owned.failed.is_empty();
-        if alone && self.options.holder_timeout <= now.since(owned.since) {
-            owned.since = now;
+        let alone = owned.holder.is_none().then_some(owned.alone).flatten();
+        if alone.is_some_and(|since| self.options.holder_timeout <= now.since(since)) {
             owned.failed.clear();
             self.choose_holder(now, id, out);
         }
--- a/crates/coord/src/ownership/receive.rs
+++ b/crates/coord/src/ownership/receive.rs
@@ -202,7 +202,12 @@
         version: Version,
         out: &mut Vec<Action>,
     ) {
-        let Some(row) = self.rows.get(&id) else { return };
+        let Some(row) = self.rows.get(&id) else {
+            // The old owner may yet ask for a copy to be held here; it must learn of the new one.
+            let gone = Gone { version, ended: None, at: now };
+            self.rows.insert(id, Row::Gone(gone));
+            return;
+        };
         let known = row.version();
         match row {
             Row::Owned(owned) => {
--- a/crates/coord/src/ownership/row.rs
+++ b/crates/coord/src/ownership/row.rs
@@ -27,6 +27,10 @@
     pub(super) stage: Stage,
     pub(super) holder: Option<Holder>,
     pub(super) failed: Vec<Incarnation>,
+    /// Since when no holder could be had; none while there is one.
+    pub(super) alone: Option<Stamp>,
+    /// Whether readers are shown tokens that no other node has.
+    pub(super) unprotected: bool,
     pub(super) since: Stamp,
     pub(super) handing: Option<Handing>,
     /// Whom the request came from, when it was offered or taken over.
