Each idempotency key has one home, by ticket or by a claim in the key-value service

Cause: keys were claimed in the memory of whichever node a call reached, so a retry at another node ran the call a second time. Change: a key's home is the life that its ticket names, or the one that a group-committed claim in the key-value service names; calls are passed on there, and its ledger alone decides. A claim says only where a call may run, so one that takes effect late does no harm. What is told as ran is derived in Attempts. Service answers below 500 are passed on with their status.

--- /dev/null
+++ b/crates/coord/src/claims/machine.rs
@@ -0,0 +1,239 @@
+//! Group commit of claims: keys that wait share one compare-and-swap.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use bulrushhall_core::{Incarnation, Stamp};
+use bytes::Bytes;
+
+use super::{
+    options::ClaimsOptions,
+    record::{Home, KeyHash, Record, decode, encode},
+};
+
+/// A `Shard` is the number of one record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Shard(pub u16);
+
+/// A `ClaimsAction` is what the node around [`Claims`] has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimsAction {
+    /// Read a record and report it to [`Claims::read`].
+    Read(Shard),
+    /// Write a record where it has the given version and report to [`Claims::swapped`].
+    Write(Shard, u64, Bytes),
+    /// A key has this home.
+    Bound(KeyHash, Incarnation),
+    /// It could not be learnt which home a key has.
+    Refused(KeyHash, ClaimRefusal),
+}
+
+/// A `ClaimRefusal` tells why a key's home could not be learnt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClaimRefusal {
+    /// The key-value service did not answer in time.
+    Outage,
+    /// The record holds as many claims as it may, none of which may be forgotten yet.
+    Full,
+}
+
+/// A `Swapped` is how a compare-and-swap ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Swapped {
+    /// The record was written and has this version now.
+    Written(u64),
+    /// The record had this version and value.
+    Conflict(u64, Bytes),
+    /// It was not written, or may have been or may yet be.
+    Failed,
+}
+
+/// `Claims` learn the homes of keys, and claim keys that have none for their own node.
+///
+/// A claim only says where a key's call may run, so a claim that was given up on and takes effect
+/// later does no harm: the home's own ledger still decides about the run.
+#[derive(Debug)]
+pub struct Claims {
+    options: ClaimsOptions,
+    own: Incarnation,
+    shards: BTreeMap<Shard, State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// The version and content of the record when it was last seen.
+    seen: Option<(u64, Record)>,
+    waiting: BTreeMap<KeyHash, Stamp>,
+    call: Call,
+    resume_at: Stamp,
+}
+
+#[derive(Debug, Default)]
+enum Call {
+    #[default]
+    None,
+    Reading,
+    Writing(Record, BTreeSet<KeyHash>),
+}
+
+/// The present time: on the node's own clock and on the wall.
+#[derive(Clone, Copy, Debug)]
+struct Now {
+    stamp: Stamp,
+    wall: u64,
+}
+
+impl Claims {
+    /// Returns the claims of the node `own`.
+    pub fn new(own: Incarnation, options: ClaimsOptions) -> Claims {
+        Claims { options, own, shards: BTreeMap::new() }
+    }
+
+    /// Asks for the home of a key; `wall` is the time in milliseconds since 1970.
+    pub fn bind(&mut self, now: Stamp, wall: u64, key: KeyHash) -> Vec<ClaimsAction> {
+        let shard = Shard((key.0 % u128::from(self.options.shards.max(1))) as u16);
+        let deadline = now + self.options.timeout;
+        let kept = self.kept();
+        let state = self.shards.entry(shard).or_default();
+        let home = state.seen.as_ref().and_then(|(_, record)| record.get(&key));
+        // A claim is never changed before it expires, so an old view of one is as good as new.
+        if let Some(home) = home.filter(|home| wall < home.at.saturating_add(kept)) {
+            return vec![ClaimsAction::Bound(key, home.incarnation)];
+        }
+        state.waiting.insert(key, deadline);
+        let mut out = Vec::new();
+        self.go_on(Now { stamp: now, wall }, shard, &mut out);
+        out
+    }
+
+    /// Takes in a record that was read, or that reading it failed.
+    pub fn read(
+        &mut self,
+        now: Stamp,
+        wall: u64,
+        shard: Shard,
+        found: Option<(u64, Bytes)>,
+    ) -> Vec<ClaimsAction> {
+        let mut out = Vec::new();
+        let Some(state) = self.shards.get_mut(&shard) else { return out };
+        state.call = Call::None;
+        match found.and_then(|(version, bytes)| Some((version, decode(bytes)?))) {
+            Some(seen) => state.see(seen, &mut out),
+            None => state.resume_at = now + self.options.pause,
+        }
+        self.go_on(Now { stamp: now, wall }, shard, &mut out);
+        out
+    }
+
+    /// Takes in how a write ended.
+    ///
+    /// A failed write may still take effect, and reading the record without the claim in it does
+    /// not prove the contrary. The key is claimed once it is seen in the record, or once a later
+    /// compare-and-swap has won: the record's version has moved on then, and the earlier write
+    /// can take effect no more.
+    pub fn swapped(
+        &mut self,
+        now: Stamp,
+        wall: u64,
+        shard: Shard,
+        swapped: Swapped,
+    ) -> Vec<ClaimsAction> {
+        let mut out = Vec::new();
+        let own = self.own;
+        let Some(state) = self.shards.get_mut(&shard) else { return out };
+        let Call::Writing(record, batch) = std::mem::take(&mut state.call) else { return out };
+        match swapped {
+            Swapped::Written(version) => {
+                state.seen = Some((version, record));
+                for key in batch {
+                    if state.waiting.remove(&key).is_some() {
+                        out.push(ClaimsAction::Bound(key, own));
+                    }
+                }
+            }
+            Swapped::Conflict(version, bytes) => match decode(bytes) {
+                Some(record) => state.see((version, record), &mut out),
+                None => state.resume_at = now + self.options.pause,
+            },
+            Swapped::Failed => {
+                state.seen = None;
+                state.resume_at = now + self.options.pause;
+            }
+        }
+        self.go_on(Now { stamp: now, wall }, shard, &mut out);
+        out
+    }
+
+    /// Lets time pass: ends waits and tries again after failures.
+    pub fn tick(&mut self, now: Stamp, wall: u64) -> Vec<ClaimsAction> {
+        let mut out = Vec::new();
+        let shards: Vec<Shard> = self.shards.keys().copied().collect();
+        for shard in shards {
+            let Some(state) = self.shards.get_mut(&shard) else { continue };
+            let late: Vec<KeyHash> = state.late(now);
+            for key in late {
+                state.waiting.remove(&key);
+                out.push(ClaimsAction::Refused(key, ClaimRefusal::Outage));
+            }
+            self.go_on(Now { stamp: now, wall }, shard, &mut out);
+        }
+        out
+    }
+
+    fn go_on(&mut self, now: Now, shard: Shard, out: &mut Vec<ClaimsAction>) {
+        let (kept, entries, own) = (self.kept(), self.options.entries, self.own);
+        let Some(state) = self.shards.get_mut(&shard) else { return };
+        let idle = matches!(state.call, Call::None);
+        if !idle || state.waiting.is_empty() || now.stamp < state.resume_at {
+            return;
+        }
+        let Some((version, record)) = &state.seen else {
+            state.call = Call::Reading;
+            out.push(ClaimsAction::Read(shard));
+            return;
+        };
+        let mut record = record.clone();
+        record.retain(|_, home| now.wall < home.at.saturating_add(kept));
+        let room = entries.saturating_sub(record.len());
+        let batch: BTreeSet<KeyHash> = state.waiting.keys().copied().take(room).collect();
+        let left: Vec<KeyHash> = state.waiting.keys().copied().skip(room).collect();
+        for key in left {
+            state.waiting.remove(&key);
+            out.push(ClaimsAction::Refused(key, ClaimRefusal::Full));
+        }
+        if batch.is_empty() {
+            return;
+        }
+        for key in &batch {
+            record.insert(*key, Home { incarnation: own, at: now.wall });
+        }
+        out.push(ClaimsAction::Write(shard, *version, encode(&record)));
+        state.call = Call::Writing(record, batch);
+    }
+
+    fn kept(&self) -> u64 {
+        millis(self.options.window + self.options.skew)
+    }
+}
+
+impl State {
+    fn see(&mut self, seen: (u64, Record), out: &mut Vec<ClaimsAction>) {
+        for (key, home) in &seen.1 {
+            if self.waiting.remove(key).is_some() {
+                out.push(ClaimsAction::Bound(*key, home.incarnation));
+            }
+        }
+        self.seen = Some(seen);
+    }
+
+    fn late(&self, now: Stamp) -> Vec<KeyHash> {
+        let late = self.waiting.iter().filter(|(_, deadline)| **deadline <= now);
+        late.map(|(key, _)| *key).collect()
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/coord/src/ledger.rs
+++ b/crates/coord/src/ledger.rs
@@ -1,6 +1,9 @@
 //! The ledger of non-repeatable calls that one node has claimed.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 
 use bulrushhall_core::{Ran, Stamp, TeamName};
 use bytes::Bytes;
@@ -12,11 +15,13 @@
     pub window: Duration,
     /// The most claims that are remembered.
     pub claims: usize,
+    /// The most bytes of stored answers; of the oldest ones only the outcome is remembered then.
+    pub bytes: usize,
 }
 
 impl Default for LedgerOptions {
     fn default() -> Self {
-        LedgerOptions { window: Duration::from_secs(24 * 3600), claims: 100_000 }
+        LedgerOptions { window: Duration::from_secs(24 * 3600), claims: 100_000, bytes: 16 << 20 }
     }
 }
 
@@ -40,6 +45,8 @@
 pub struct Ledger {
     options: LedgerOptions,
     claims: HashMap<(TeamName, Bytes), Entry>,
+    stored: VecDeque<(TeamName, Bytes)>,
+    bytes: usize,
 }
 
 #[derive(Debug)]
@@ -51,20 +58,14 @@
 impl Ledger {
     /// Returns an empty ledger.
     pub fn new(options: LedgerOptions) -> Ledger {
-        Ledger { options, claims: HashMap::new() }
+        Ledger { options, ..Ledger::default() }
     }
 
     /// Claims a key for a call whose body hashes to `body`.
     pub fn claim(&mut self, now: Stamp, team: &TeamName, key: &Bytes, body: u64) -> Claim {
         let name = (team.clone(), key.clone());
-        if let Some(entry) = self.claims.get(&name) {
-            if entry.body != body {
-                return Claim::OtherBody;
-            }
-            return match &entry.settled {
-                None => Claim::Running,
-                Some((_, ran, answer)) => Claim::Settled(*ran, answer.clone()),
-            };
+        if let Some(known) = self.look(team, key, body) {
+            return known;
         }
         if self.options.claims <= self.claims.len() {
             self.forget(now);
@@ -91,7 +92,35 @@
             return;
         }
         let Some(entry) = self.claims.get_mut(&name) else { return };
+        if entry.settled.is_some() {
+            return;
+        }
+        let bytes = answer.as_ref().map_or(0, Bytes::len);
         entry.settled = Some((now, ran, answer));
+        self.bytes += bytes;
+        self.stored.push_back(name);
+        self.bound_bytes();
+    }
+
+    /// Returns what is known of a key without claiming it; none if it is new.
+    pub fn look(&self, team: &TeamName, key: &Bytes, body: u64) -> Option<Claim> {
+        let entry = self.claims.get(&(team.clone(), key.clone()))?;
+        if entry.body != body {
+            return Some(Claim::OtherBody);
+        }
+        Some(match &entry.settled {
+            None => Claim::Running,
+            Some((_, ran, answer)) => Claim::Settled(*ran, answer.clone()),
+        })
+    }
+
+    fn bound_bytes(&mut self) {
+        while self.options.bytes < self.bytes {
+            let Some(oldest) = self.stored.pop_front() else { return };
+            let entry = self.claims.get_mut(&oldest);
+            let Some((_, _, answer)) = entry.and_then(|it| it.settled.as_mut()) else { continue };
+            self.bytes -= answer.take().map_or(0, |answer| answer.len());
+        }
     }
 
     fn forget(&mut self, now: Stamp) {
@@ -100,5 +129,9 @@
             None => true,
             Some((at, _, _)) => now.since(*at) < window,
         });
+        let claims = &self.claims;
+        self.stored.retain(|name| claims.contains_key(name));
+        let stored = claims.values().filter_map(|entry| entry.settled.as_ref()?.2.as_ref());
+        self.bytes = stored.map(Bytes::len).sum();
     }
 }
--- a/crates/coord/tests/handoff_schedules.rs
+++ b/crates/coord/tests/handoff_schedules.rs
@@ -2,7 +2,7 @@
 
 mod cluster;
 
-use std::thread;
+use std::{io::Write, thread};
 
 use cluster::{Event, Fault, Mutant, Plan, World, check};
 use rstest::rstest;
@@ -67,11 +67,11 @@
     }
     all.broken.sort();
     let Outcome { broken, resumed, replaced, diverged } = all;
-    println!(
+    tell(format!(
         "{SCHEDULES} schedules of the handoff: {} broken, {resumed} resumed elsewhere, \
          {replaced} with another holder, {diverged} with a reader sent back",
         broken.len(),
-    );
+    ));
     assert!(broken.is_empty(), "{:?}", &broken[..broken.len().min(20)]);
     assert!(SCHEDULES / 10 < resumed && 0 < replaced);
 }
@@ -86,6 +86,11 @@
     let caught = (0..MUTANT_SCHEDULES)
         .filter(|seed| broken(*seed, Some(mutant)).contains(&expected))
         .count();
-    println!("{mutant:?}: {caught} of {MUTANT_SCHEDULES} schedules show {expected:?}");
+    tell(format!("{mutant:?}: {caught} of {MUTANT_SCHEDULES} schedules show {expected:?}"));
     assert!(0 < caught);
 }
+
+// Written past the test harness, so that counts are seen in every run.
+fn tell(line: impl AsRef<str>) {
+    let _ = writeln!(std::io::stdout(), "{}", line.as_ref());
+}
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -12,7 +12,7 @@
 mod requests;
 mod respond;
 mod router;
-mod services;
+pub(crate) mod services;
 mod settle;
 
 pub use error::{ApiCode, ApiError};
--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -1,10 +1,10 @@
 //! `/v1/services/{service}/{path}`: calls that are passed to plain services.
 
-use std::sync::{Arc, MutexGuard};
+use std::sync::Arc;
 
-use bulrushhall_coord::{Claim, Ledger};
+use bulrushhall_coord::Attempts;
 use bulrushhall_core::{
-    Ran, ServiceName, TeamName,
+    Incarnation, Ran, ServiceName, TeamName,
     config::{ServiceConfig, ServiceType},
 };
 use bulrushhall_platform::{
@@ -14,16 +14,18 @@
 };
 use bytes::Bytes;
 use hyper::{HeaderMap, Response, header::CONTENT_TYPE, http::request::Parts};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     backends::{Backend, BackendClient},
-    callers::{ApiCode, ApiError, identify::identify, respond},
+    callers::{ApiCode, ApiError, identify::identify},
     context::Context,
+    keyed::{self, KeyedCall, Stored},
 };
 
 /// The header that carries a caller's idempotency key.
 const KEY_HEADER: &str = "idempotency-key";
+/// The header that carries the ticket under which a key was first used.
+const TICKET_HEADER: &str = "x-ticket";
 /// The headers that are passed on to a plain service.
 const PASSED_HEADERS: [&str; 4] = ["content-type", "accept", KEY_HEADER, "traceparent"];
 /// The longest idempotency key, in bytes.
@@ -49,14 +51,14 @@
     if cfg.service_type != ServiceType::Plain {
         return Err(unknown());
     }
+    let call = passed_on(parts, service, body);
+    if !is_repeatable(cfg, &call) {
+        return at_most_once(cx, parts, team, &name, call).await;
+    }
     if cx.is_leaving() {
         return Err(ApiError::not_run(ApiCode::Leaving, "the node takes no new work"));
     }
-    let call = passed_on(parts, service, body);
-    if is_repeatable(cfg, &call) {
-        return repeatable(cx, &name, call).await;
-    }
-    at_most_once(cx, team, &name, call).await
+    repeatable(cx, &name, call).await
 }
 
 async fn repeatable(
@@ -64,70 +66,51 @@
     service: &ServiceName,
     call: ServiceCall,
 ) -> Result<Response<Body>, ApiError> {
-    let mut last = unavailable(Ran::No);
+    let mut attempts = Attempts::default();
+    let mut last = unavailable();
     for backend in by_distance(cx, service) {
+        attempts.begin();
         match pass(&backend, call.clone()).await {
             Ok(answer) => return Ok(to_response(answer)),
-            Err(error) => last = failed(&error),
+            Err(error) => {
+                attempts.end(error.ran);
+                last = failed(&error);
+            }
         }
     }
-    Err(last)
+    Err(last.ran(attempts.ran()))
 }
 
 async fn at_most_once(
-    cx: &Context,
+    cx: &Arc<Context>,
+    parts: &Parts,
     team: TeamName,
     service: &ServiceName,
     call: ServiceCall,
 ) -> Result<Response<Body>, ApiError> {
     let key = key_of(&call)?;
-    let hash = xxh3_64(&[call.path.as_bytes(), b"\n", &call.body].concat());
-    let claim = ledger(cx).claim(cx.clock.now(), &team, &key, hash);
-    match claim {
-        Claim::Run => {}
-        Claim::Running => {
-            let message = "a call with this key still runs";
-            return Err(ApiError::not_run(ApiCode::KeyInProgress, message).ran(Ran::Unknown));
-        }
-        Claim::Settled(_, Some(stored)) => return Ok(respond::json_bytes(stored)),
-        Claim::Settled(ran, None) => {
-            let message = "an earlier call with this key ended without an answer";
-            return Err(ApiError::not_run(ApiCode::BackendFailed, message).ran(ran));
-        }
-        Claim::OtherBody => {
-            let message = "the key was used for another call";
-            return Err(ApiError::not_run(ApiCode::KeyReused, message));
-        }
-        Claim::Full => {
-            let message = "no more keys can be remembered now";
-            return Err(ApiError::not_run(ApiCode::Overloaded, message));
-        }
-    }
+    let call = KeyedCall {
+        team,
+        service: service.clone(),
+        key,
+        ticket: ticket_of(parts)?,
+        method: call.method.to_string(),
+        path: call.path,
+        headers: keyed::portable_headers(&call.headers),
+        body: call.body,
+    };
+    keyed::call(cx, call).await.map(Stored::into_response)
+}
 
-    // Only an attempt that certainly wrote nothing may be followed by another one.
-    let mut last = unavailable(Ran::No);
-    for backend in by_distance(cx, service) {
-        match pass(&backend, call.clone()).await {
-            Ok(answer) if answer.status.is_success() => {
-                let stored = Some(answer.body.clone());
-                ledger(cx).settle(cx.clock.now(), &team, &key, Ran::Yes, stored);
-                return Ok(to_response(answer));
-            }
-            Ok(answer) => {
-                let status = answer.status.as_u16();
-                last = failed(&CallError::unknown(CallFault::Refused { status }));
-            }
-            Err(error) => last = failed(&error),
-        }
-        if last.ran != Ran::No {
-            break;
-        }
-    }
-    ledger(cx).settle(cx.clock.now(), &team, &key, last.ran, None);
-    Err(last)
+fn ticket_of(parts: &Parts) -> Result<Option<Incarnation>, ApiError> {
+    let Some(ticket) = parts.headers.get(TICKET_HEADER) else { return Ok(None) };
+    let malformed = || ApiError::not_run(ApiCode::InvalidValue, "x-ticket is not a ticket");
+    let ticket = ticket.to_str().ok().and_then(|ticket| ticket.strip_prefix("t-"));
+    ticket.ok_or_else(malformed)?.parse().map(Some).map_err(|_| malformed())
 }
 
-async fn pass(backend: &Backend, call: ServiceCall) -> Result<ServiceAnswer, CallError> {
+/// Passes a call to one backend server.
+pub(crate) async fn pass(backend: &Backend, call: ServiceCall) -> Result<ServiceAnswer, CallError> {
     match &backend.client {
         BackendClient::Plain(service) => service.call(call).await,
         BackendClient::Engine(_) => Err(CallError::not_done(CallFault::Identity)),
@@ -167,7 +150,8 @@
     Ok(Bytes::copy_from_slice(key))
 }
 
-fn by_distance(cx: &Context, service: &ServiceName) -> Vec<Backend> {
+/// Returns the backend servers of a service, near ones first.
+pub(crate) fn by_distance(cx: &Context, service: &ServiceName) -> Vec<Backend> {
     let zone = &cx.settings.node.zone;
     let mut backends: Vec<Backend> =
         cx.backends.of(service).into_iter().map(|(_, backend)| backend).collect();
@@ -175,12 +159,8 @@
     backends
 }
 
-fn ledger(cx: &Context) -> MutexGuard<'_, Ledger> {
-    cx.ledger.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-}
-
-fn unavailable(ran: Ran) -> ApiError {
-    ApiError::not_run(ApiCode::Unavailable, "no backend server could be reached").ran(ran)
+fn unavailable() -> ApiError {
+    ApiError::not_run(ApiCode::Unavailable, "no backend server could be reached")
 }
 
 fn failed(error: &CallError) -> ApiError {
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -24,6 +24,7 @@
     clock::Clock,
     dispatcher::Dispatcher,
     handoff::{Keeper, Recomputed},
+    keyed::Claimer,
     members::{Member, Members},
     peers::{PeerClient, Sender},
     settings::Settings,
@@ -59,6 +60,8 @@
     pub dispatcher: Address<Dispatcher>,
     /// The actor that knows which requests the node owns.
     pub keeper: Address<Keeper>,
+    /// The actor that learns the homes of idempotency keys.
+    pub claimer: Address<Claimer>,
     /// The tokens that were computed a second time, by cause.
     pub recomputed: Recomputed,
     /// The claims of non-repeatable calls.
--- /dev/null
+++ b/crates/daemon/src/keyed/home.rs
@@ -0,0 +1,259 @@
+//! Running a call at its key's home, or passing it on there.
+
+use std::{
+    sync::{Arc, MutexGuard},
+    time::Duration,
+};
+
+use bulrushhall_coord::{Attempts, Claim, ClaimRefusal, KeyHash, Ledger};
+use bulrushhall_core::{
+    Fence, Incarnation, Ran,
+    config::{Fencing, ServiceConfig},
+};
+use bulrushhall_platform::{
+    CallError, CallFault,
+    service::{ServiceAnswer, ServiceCall},
+};
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, StatusCode, header::HeaderName, header::HeaderValue};
+use tokio::{
+    sync::oneshot,
+    time::{Instant, sleep},
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    callers::{ApiCode, ApiError, services},
+    context::Context,
+    keyed::{Bind, KeyedCall, KeyedReply, Stored},
+    members::Member,
+};
+
+/// A `Keyed` call ends with the service's answer or a typed error.
+pub type Keyed = Result<Stored, ApiError>;
+
+/// The pause between two looks at a call that runs.
+const LOOK_PAUSE: Duration = Duration::from_millis(10);
+/// How long a node that passed a call on is kept waiting before it has to ask again.
+const REPLY_WAIT: Duration = Duration::from_millis(800);
+/// What a call may take beyond the service's own time-out.
+const GRACE: Duration = Duration::from_secs(2);
+/// When a caller may come back that was refused because of an outage.
+const OUTAGE_RETRY: Duration = Duration::from_secs(2);
+
+/// Runs a call with a key at most once, wherever the key's home is.
+pub async fn call(cx: &Arc<Context>, call: KeyedCall) -> Keyed {
+    let until = Instant::now() + timeout_of(cx, &call) + GRACE;
+    loop {
+        match once(cx, &call).await {
+            KeyedReply::Answered(stored) => return Ok(stored),
+            KeyedReply::Failed(error) => return Err(error),
+            KeyedReply::Running if until <= Instant::now() => {
+                let message = "a call with this key still runs";
+                return Err(ApiError::not_run(ApiCode::KeyInProgress, message).ran(Ran::Unknown));
+            }
+            KeyedReply::Running => sleep(LOOK_PAUSE).await,
+        }
+    }
+}
+
+/// Takes a call that another node passed on.
+pub(super) async fn passed_on(cx: &Arc<Context>, call: KeyedCall) -> KeyedReply {
+    match call.ticket {
+        Some(_) => at_home(cx, &call).await,
+        None if cx.is_leaving() => KeyedReply::Failed(leaving(Ran::Unknown)),
+        None => once(cx, &call).await,
+    }
+}
+
+async fn once(cx: &Arc<Context>, call: &KeyedCall) -> KeyedReply {
+    let home = match call.ticket {
+        Some(home) => home,
+        None if cx.is_leaving() => match successor(cx) {
+            Some(member) => return pass_on(cx, call, member).await,
+            None => return KeyedReply::Failed(leaving(Ran::Unknown)),
+        },
+        None => match bind(cx, call).await {
+            Ok(home) => home,
+            Err(error) => return KeyedReply::Failed(error),
+        },
+    };
+    if home == cx.incarnation {
+        return at_home(cx, call).await;
+    }
+    match cx.members.find(home) {
+        Some(member) => {
+            let call = KeyedCall { ticket: Some(home), ..call.clone() };
+            pass_on(cx, &call, member).await
+        }
+        None => KeyedReply::Failed(home_gone(home)),
+    }
+}
+
+async fn bind(cx: &Context, call: &KeyedCall) -> Result<Incarnation, ApiError> {
+    let (tx, home) = oneshot::channel();
+    let bind = Bind { key: KeyHash::new(&call.team, &call.key), home: tx };
+    let sent = cx.claimer.send(bind).await.is_ok();
+    let bound = if sent { home.await.ok() } else { None };
+    // An earlier try with this key may have run elsewhere, so that nobody can say here that the
+    // call was not run.
+    let refused = |code, message| ApiError::not_run(code, message).ran(Ran::Unknown);
+    match bound {
+        Some(Ok(home)) => Ok(home),
+        Some(Err(ClaimRefusal::Full)) => {
+            let message = "no more keys can be remembered now; use a ticket";
+            Err(refused(ApiCode::Overloaded, message).retry_after(OUTAGE_RETRY))
+        }
+        Some(Err(ClaimRefusal::Outage)) | None => {
+            let message = "the key could not be claimed now; use a ticket";
+            Err(refused(ApiCode::Unavailable, message).retry_after(OUTAGE_RETRY))
+        }
+    }
+}
+
+async fn pass_on(cx: &Context, call: &KeyedCall, to: Member) -> KeyedReply {
+    let reply = cx.peers.send(cx, to.peers, Some(to.incarnation), call.clone()).await;
+    reply.unwrap_or_else(|error| match error.fault {
+        CallFault::Timeout => KeyedReply::Running,
+        _ => KeyedReply::Failed(home_gone(to.incarnation)),
+    })
+}
+
+// The ledger of this life decides alone; it is the only place that runs the key's call.
+async fn at_home(cx: &Arc<Context>, call: &KeyedCall) -> KeyedReply {
+    if call.ticket.is_some_and(|home| home != cx.incarnation) {
+        return KeyedReply::Failed(home_gone(cx.incarnation));
+    }
+    let text = [call.service.as_str().as_bytes(), call.method.as_bytes(), call.path.as_bytes()];
+    let hash = xxh3_64(&[&text.join(&b'\n')[..], b"\n", &call.body].concat());
+    let known = ledger(cx).look(&call.team, &call.key, hash);
+    if known.is_none() && cx.is_leaving() {
+        return KeyedReply::Failed(leaving(Ran::No));
+    }
+    let claim = ledger(cx).claim(cx.clock.now(), &call.team, &call.key, hash);
+    if claim == Claim::Run {
+        // The caller may go away at any time. The run goes on in a task of its own, so that its
+        // outcome is noted all the same and a retry learns it.
+        tokio::spawn(run(Arc::clone(cx), call.clone()));
+    }
+    let until = Instant::now() + REPLY_WAIT;
+    loop {
+        let known = ledger(cx).look(&call.team, &call.key, hash);
+        if let Some(reply) = settled(cx, known.as_ref(), &claim) {
+            return reply;
+        }
+        if until <= Instant::now() {
+            return KeyedReply::Running;
+        }
+        sleep(LOOK_PAUSE).await;
+    }
+}
+
+fn settled(cx: &Context, known: Option<&Claim>, claim: &Claim) -> Option<KeyedReply> {
+    let failed = |code, message: &str, ran| {
+        Some(KeyedReply::Failed(ApiError::not_run(code, message).ran(ran)))
+    };
+    if *claim == Claim::Full {
+        return failed(ApiCode::Overloaded, "no more keys can be remembered now", Ran::No);
+    }
+    match known {
+        Some(Claim::Running | Claim::Run) => None,
+        Some(Claim::Settled(ran, stored)) => {
+            let stored = stored.as_ref().and_then(|bytes| Stored::decode(bytes));
+            match stored {
+                Some(stored) => Some(KeyedReply::Answered(stored)),
+                None => failed(ApiCode::BackendFailed, "the call ended without an answer", *ran),
+            }
+        }
+        Some(Claim::OtherBody) => {
+            // Another call may have run under the key; this one has not.
+            failed(ApiCode::KeyReused, "the key was used for another call", Ran::No)
+        }
+        Some(Claim::Full) => None,
+        // The call was certainly not run, so that its key is free again.
+        None if cx.is_leaving() => Some(KeyedReply::Failed(leaving(Ran::No))),
+        None => failed(ApiCode::Unavailable, "no backend server could be reached", Ran::No),
+    }
+}
+
+async fn run(cx: Arc<Context>, call: KeyedCall) {
+    let in_force = cx.in_force();
+    let cfg = in_force.deployment.services.get(&call.service);
+    let fence = cfg.filter(|cfg| cfg.fencing == Fencing::Checked);
+    let fence = fence.map(|_| Fence(in_force.revision.0));
+    let mut attempts = Attempts::default();
+    let mut stored = None;
+
+    // Only an attempt that certainly wrote nothing may be followed by another one.
+    if let Some(request) = service_call(&call, fence) {
+        for backend in services::by_distance(&cx, &call.service) {
+            attempts.begin();
+            let ended = services::pass(&backend, request.clone()).await;
+            attempts.end(judge(cfg, &ended));
+            if let Ok(answer) = ended
+                && attempts.ran() == Ran::Yes
+            {
+                stored = Some(Stored::of(&answer).encode());
+            }
+            if !attempts.may_try_again() {
+                break;
+            }
+        }
+    }
+    let now = cx.clock.now();
+    ledger(&cx).settle(now, &call.team, &call.key, attempts.ran(), stored);
+}
+
+fn judge(cfg: Option<&ServiceConfig>, ended: &Result<ServiceAnswer, CallError>) -> Ran {
+    let fenced = cfg.is_some_and(|cfg| cfg.fencing == Fencing::Checked);
+    match ended {
+        Err(error) => error.ran,
+        // A backend server that compares fencing numbers has refused before it ran anything.
+        Ok(answer) if fenced && answer.status == StatusCode::PRECONDITION_FAILED => Ran::No,
+        Ok(answer) if answer.status.is_server_error() => Ran::Unknown,
+        Ok(_) => Ran::Yes,
+    }
+}
+
+fn service_call(call: &KeyedCall, fence: Option<Fence>) -> Option<ServiceCall> {
+    let mut headers = HeaderMap::new();
+    for (name, value) in &call.headers {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        headers.insert(name, HeaderValue::from_bytes(value).ok()?);
+    }
+    let method = Method::from_bytes(call.method.as_bytes()).ok()?;
+    let (path, body) = (call.path.clone(), call.body.clone());
+    Some(ServiceCall { method, path, headers, body, fence })
+}
+
+fn timeout_of(cx: &Context, call: &KeyedCall) -> Duration {
+    let in_force = cx.in_force();
+    let cfg = in_force.deployment.services.get(&call.service);
+    cfg.map_or(Duration::ZERO, |cfg| cfg.timeout.into())
+}
+
+fn successor(cx: &Context) -> Option<Member> {
+    cx.members.current().iter().find(|member| !member.leaving).cloned()
+}
+
+fn leaving(ran: Ran) -> ApiError {
+    let error = ApiError::not_run(ApiCode::Leaving, "the node takes no new work");
+    error.ran(ran).retry_after(Duration::from_secs(1))
+}
+
+fn home_gone(home: Incarnation) -> ApiError {
+    let message = format!("the node's life {home} that alone may run this key can't be reached");
+    ApiError::not_run(ApiCode::StaleTicket, message).ran(Ran::Unknown)
+}
+
+fn ledger(cx: &Context) -> MutexGuard<'_, Ledger> {
+    cx.ledger.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+/// Returns the headers of a call in the form in which they go from node to node.
+pub(crate) fn portable_headers(headers: &HeaderMap) -> Vec<(String, Bytes)> {
+    let pairs = headers.iter();
+    pairs
+        .map(|(name, value)| (name.to_string(), Bytes::copy_from_slice(value.as_bytes())))
+        .collect()
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod dispatcher;
 pub mod errors;
 pub mod handoff;
+pub mod keyed;
 pub mod loads;
 pub mod members;
 pub mod node;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -38,6 +38,7 @@
     dispatcher::{Dispatcher, SetWorkers, Tick},
     errors::NodeError,
     handoff::{self, Keeper, Recomputed},
+    keyed::{self, Claimer},
     loads,
     members::Members,
     operators::OperatorPort,
@@ -71,6 +72,8 @@
         let dispatcher = xtra::spawn_tokio(dispatcher, Mailbox::unbounded());
         let (keeper, mailbox) = Mailbox::unbounded();
         let key_value = settings.platform.key_value.map(key_value_client);
+        let claimer = Claimer::new(clock, incarnation, key_value.clone());
+        let claimer = xtra::spawn_tokio(claimer, Mailbox::unbounded());
         let cx = Arc::new(Context {
             settings,
             incarnation,
@@ -80,6 +83,7 @@
             backends: Backends::default(),
             dispatcher,
             keeper,
+            claimer: claimer.clone(),
             recomputed: Recomputed::default(),
             ledger: Mutex::new(Ledger::new(LedgerOptions::default())),
             key_value,
@@ -100,6 +104,7 @@
         let mut peer_port = PeerPort::new(Arc::clone(&cx));
         peers::register_hello(&mut peer_port);
         handoff::register(&mut peer_port);
+        keyed::register(&mut peer_port);
         config_watch::register(&mut peer_port);
 
         let (stop, stopped) = watch::channel(false);
@@ -121,6 +126,7 @@
         let duties = vec![
             tokio::spawn(xtra::run(mailbox, Keeper::new(Arc::clone(&cx)))),
             tokio::spawn(handoff::pass_time(Arc::clone(&cx))),
+            tokio::spawn(keyed::pass_time(claimer)),
             tokio::spawn(handoff::drain(Arc::clone(&cx))),
             tokio::spawn(config_watch::watch_service(Arc::clone(&cx))),
             tokio::spawn(config_watch::catch_up(Arc::clone(&cx))),
