--- a/crates/daemon/src/keyed/claimer.rs
+++ b/crates/daemon/src/keyed/claimer.rs
@@ -7,7 +7,7 @@
 };
 
 use bulrushhall_coord::{
-    ClaimRefusal, Claims, ClaimsAction, ClaimsOptions, KeyHash, Shard, Swapped,
+    ClaimRefusal, Claims, ClaimsAction, ClaimsOptions, KeyHash, Shard, Swapped, budget::Purpose,
 };
 use bulrushhall_core::Incarnation;
 use bulrushhall_platform::{
@@ -53,10 +53,11 @@
 pub struct ClaimerTick;
 
 impl Claimer {
-    /// Returns the claimer of the node `own`.
-    pub fn new(clock: Clock, own: Incarnation, key_value: Option<Arc<dyn KeyValue>>) -> Claimer {
-        let machine = Claims::new(own, ClaimsOptions::default());
-        Claimer { clock, machine, key_value, waiting: HashMap::new() }
+    /// Returns the claimer of a node.
+    pub fn new(cx: &crate::context::Context) -> Claimer {
+        let machine = Claims::new(cx.incarnation, ClaimsOptions::default());
+        let key_value = cx.key_value_for(Purpose::Claim);
+        Claimer { clock: cx.clock, machine, key_value, waiting: HashMap::new() }
     }
 
     fn carry_out(&mut self, actions: Vec<ClaimsAction>, cx: &Context<Self>) {
