--- a/crates/daemon/src/callers/relay.rs
+++ b/crates/daemon/src/callers/relay.rs
@@ -23,6 +23,7 @@
     context::Context,
     dispatcher::{Finished, Start},
     handoff::{Cause, Portable, Produced},
+    meters::Metric,
 };
 
 /// The pause before the next attempt when no engine takes work or one has just failed.
@@ -93,11 +94,15 @@
         match ended {
             Ok(usage) => {
                 cx.recomputed.add(run.cause, usage.recomputed_tokens);
+                let labels = [("cause", run.cause.word())];
+                let tokens = u64::from(usage.recomputed_tokens);
+                cx.meters.count(Metric::RecomputedTokens, &labels, tokens);
                 settle::whole(&cx, &answer, usage).await;
                 return;
             }
             Err(_) if answer.is_halted() => cancel_at(&cx, &answer, worker).await,
             Err(error) => {
+                cx.meters.count(Metric::FailedAttempts, &[("class", answer.class().as_str())], 1);
                 tracing::info!(event = Event::AttemptFailed.number(), request = %answer.id(), %error);
                 run.cause = Cause::Engine;
                 avoid.extend(worker);
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -26,6 +26,7 @@
     handoff::{Keeper, Recomputed},
     keyed::Claimer,
     members::{Member, Members},
+    meters::Meters,
     peers::{PeerClient, Sender},
     settings::Settings,
 };
@@ -69,6 +70,8 @@
     pub recomputed: Recomputed,
     /// The claims of non-repeatable calls.
     pub ledger: Mutex<Ledger>,
+    /// What the node counts and measures.
+    pub meters: Arc<Meters>,
     /// The platform's key-value service, where one is set.
     pub key_value: Option<Arc<dyn KeyValue>>,
     /// The other nodes that are believed to be alive.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod loads;
 pub mod members;
 pub mod membership_actor;
+pub mod meters;
 pub mod node;
 pub mod notices;
 pub mod operators;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -42,6 +42,7 @@
     loads,
     members::Members,
     membership_actor::{self, MembershipActor},
+    meters::{MeteredKeyValue, Meters},
     notices,
     operators::OperatorPort,
     peers::{PeerClient, PeerPort},
@@ -50,6 +51,8 @@
 
 /// The pause between two ticks of the dispatcher.
 const TICK_PAUSE: Duration = Duration::from_millis(50);
+/// The pause between two times that recorded times are sorted into their buckets.
+const TIDY_PAUSE: Duration = Duration::from_secs(5);
 /// The pause between two looks at unfinished answers while the node leaves.
 const DRAIN_PAUSE: Duration = Duration::from_millis(20);
 
@@ -72,8 +75,10 @@
         let incarnation = new_incarnation();
         let dispatcher = Dispatcher::new(clock, incarnation.0);
         let dispatcher = xtra::spawn_tokio(dispatcher, Mailbox::unbounded());
+        let meters = Arc::new(Meters::new(&settings.node.name));
+        let key_value =
+            settings.platform.key_value.map(|address| key_value_client(address, &meters));
         let (keeper, mailbox) = Mailbox::unbounded();
-        let key_value = settings.platform.key_value.map(key_value_client);
         let (claimer, claimer_mailbox) = Mailbox::unbounded();
         let (leaving_news, news) = mpsc::unbounded_channel();
         let cx = Arc::new(Context {
@@ -88,6 +93,7 @@
             claimer: claimer.clone(),
             recomputed: Recomputed::default(),
             ledger: Mutex::new(Ledger::new(LedgerOptions::default())),
+            meters,
             key_value,
             members: Members::default(),
             peers: PeerClient::default(),
@@ -143,6 +149,7 @@
             tokio::spawn(notices::spread(Arc::clone(&cx), news)),
             tokio::spawn(notices::compare(Arc::clone(&cx))),
             tokio::spawn(tick(Arc::clone(&cx))),
+            tokio::spawn(tidy_meters(Arc::clone(&cx))),
             tokio::spawn(loads::follow(Arc::clone(&cx))),
         ];
         let name = &cx.settings.node.name;
@@ -210,8 +217,16 @@
     Incarnation(micros << 12 | u64::from(rand::random::<u16>() & 0xfff))
 }
 
-fn key_value_client(address: SocketAddr) -> Arc<dyn KeyValue> {
-    Arc::new(HttpKeyValue::new(Endpoint::new(address, EndpointOptions::default())))
+fn key_value_client(address: SocketAddr, meters: &Arc<Meters>) -> Arc<dyn KeyValue> {
+    let client = HttpKeyValue::new(Endpoint::new(address, EndpointOptions::default()));
+    Arc::new(MeteredKeyValue::new(Arc::new(client), Arc::clone(meters)))
+}
+
+async fn tidy_meters(cx: Arc<Context>) {
+    loop {
+        tokio::time::sleep(TIDY_PAUSE).await;
+        cx.meters.tidy();
+    }
 }
 
 async fn tick(cx: Arc<Context>) {
--- /dev/null
+++ b/crates/daemon/tests/metrics_page.rs
@@ -0,0 +1,71 @@
+//! The page of metrics, the catalogue and the alert rules say the same.
+
+use std::{collections::BTreeMap, fs, path::Path};
+
+use bulrushhall_daemon::meters::{Kind, Metric};
+
+fn read(path: &str) -> String {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    fs::read_to_string(root.join(path)).expect("the page")
+}
+
+fn rows() -> BTreeMap<String, (String, String)> {
+    let mut rows = BTreeMap::new();
+    for line in read("docs/METRICS.md").lines() {
+        let cells: Vec<&str> = line.split('|').map(str::trim).collect();
+        let ["", name, kind, labels, meaning, ""] = cells.as_slice() else { continue };
+        let name = name.trim_matches('`');
+        if !name.starts_with("bulrush_") {
+            continue;
+        }
+        assert!(!meaning.is_empty(), "{name} has no meaning");
+        let row = ((*kind).to_owned(), (*labels).to_owned());
+        assert!(rows.insert(name.to_owned(), row).is_none(), "{name} stands twice");
+    }
+    rows
+}
+
+#[test]
+fn page_and_catalogue() {
+    let rows = rows();
+    for metric in Metric::ALL {
+        let kind = match metric.kind() {
+            Kind::Counter => "counter",
+            Kind::Gauge => "gauge",
+            Kind::Histogram => "histogram",
+        };
+        let row = rows.get(metric.name());
+        let (told_kind, labels) =
+            row.unwrap_or_else(|| panic!("{} is missing in docs/METRICS.md", metric.name()));
+        assert_eq!(told_kind, kind, "{}", metric.name());
+        assert_eq!(*labels, metric.labels().join(", "), "{}", metric.name());
+    }
+    for name in rows.keys() {
+        let known = Metric::ALL.iter().any(|metric| metric.name() == name);
+        assert!(known, "{name} stands on the page only");
+    }
+}
+
+#[test]
+fn order_of_catalogue() {
+    for (at, metric) in Metric::ALL.into_iter().enumerate() {
+        assert_eq!(metric as usize, at, "{metric:?}");
+    }
+}
+
+// An alert on a metric that does not exist never fires, and nobody notices until it is needed.
+#[test]
+fn alert_rules() {
+    let rules = read("docs/operations/alerts.yml");
+    let mut named = 0;
+    let separator = |c: char| !c.is_ascii_alphanumeric() && c != '_';
+    for word in rules.split(separator).filter(|word| word.starts_with("bulrush_")) {
+        let known = Metric::ALL.iter().any(|metric| match metric.kind() {
+            Kind::Histogram => word == format!("{}_bucket", metric.name()),
+            Kind::Counter | Kind::Gauge => word == metric.name(),
+        });
+        assert!(known, "{word} is no metric");
+        named += 1;
+    }
+    assert!(5 <= named, "only {named} metrics are named");
+}
