--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! Nothing here reads a clock, opens a socket or spawns a task, so every run can be replayed.
 
+pub mod attempts;
 pub mod budget;
 pub mod chain;
+pub mod claims;
 pub mod entries;
 pub mod gossip;
 pub mod head;
@@ -15,8 +17,10 @@
 pub mod ownership;
 mod roster;
 
+pub use attempts::Attempts;
 pub use budget::{CallBudget, Outcomes, Purpose};
 pub use chain::{ChainCall, ChainReply, ChainStep, ChainWriter, Refusal};
+pub use claims::{ClaimRefusal, Claims, ClaimsAction, ClaimsOptions, KeyHash, Shard, Swapped};
 pub use entries::{Candidate, Headroom};
 pub use gossip::{Beat, Condition, Gossip, Record, ZoneSummary};
 pub use head::{Head, HeadError};
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod duty;
 pub mod errors;
 pub mod handoff;
+pub mod keyed;
 pub mod loads;
 pub mod members;
 pub mod membership_actor;
