Demo of five nodes through two overlapping reclaims, with fault switches

Cause: the demo showed one node and one answer; nothing showed a reclaim.

Change: `bulrush demo` starts five nodes, twelve engines and four backend servers of a plain service in four zones, sends the Guild's mix, takes two zones back in overlap (nodes included), replaces them, puts a new configuration in force and stops a node as planned; callers' records, the ledger, engines' counts and nodes' revisions are judged by the checkers. `--serve` prints the addresses of entries, operators and fault switches.

--- a/crates/bench/src/testbed/machines.rs
+++ b/crates/bench/src/testbed/machines.rs
@@ -35,6 +35,7 @@
     list: VmListServer,
     model: ModelName,
     service: ServiceName,
+    plain: ServiceName,
     engine: EngineOptions,
     boot: Duration,
 }
@@ -50,11 +51,12 @@
     pub fn new(
         list: VmListServer,
         service: ServiceName,
+        plain: ServiceName,
         model: ModelName,
         engine: EngineOptions,
         boot: Duration,
     ) -> Machines {
-        Machines { state: Mutex::default(), list, model, service, engine, boot }
+        Machines { state: Mutex::default(), list, model, service, plain, engine, boot }
     }
 
     /// Returns the list of VMs that nodes ask.
@@ -62,16 +64,16 @@
         &self.list
     }
 
-    /// Notes what runs on a VM and, for an engine, puts it on the list.
+    /// Notes what runs on a VM and puts backend servers on the list.
     pub fn run(&self, vm: VmName, zone: ZoneName, machine: Machine) {
-        if let Machine::Engine(engine) = &machine {
-            self.list.put(ListedVm {
-                vm: vm.clone(),
-                zone,
-                service: Some(self.service.clone()),
-                address: engine.address(),
-                leaving: false,
-            });
+        let listed = match &machine {
+            Machine::Engine(engine) => Some((&self.service, engine.address())),
+            Machine::Service(service) => Some((&self.plain, service.address())),
+            Machine::Node(_) => None,
+        };
+        if let Some((service, address)) = listed {
+            let service = Some(service.clone());
+            self.list.put(ListedVm { vm: vm.clone(), zone, service, address, leaving: false });
         }
         self.lock().running.insert(vm, machine);
     }
@@ -119,6 +121,21 @@
         engines.collect()
     }
 
+    /// Returns the nodes that run.
+    pub fn nodes(&self) -> Vec<Arc<NodeProcess>> {
+        let state = self.lock();
+        let nodes = state.running.values().filter_map(|machine| match machine {
+            Machine::Node(node) if node.is_alive() => Some(Arc::clone(node)),
+            Machine::Node(_) | Machine::Engine(_) | Machine::Service(_) => None,
+        });
+        nodes.collect()
+    }
+
+    /// Gets what runs on a VM.
+    pub fn get(&self, vm: &VmName) -> Option<Machine> {
+        self.lock().running.get(vm).cloned()
+    }
+
     async fn boot(&self, vm: VmName, purchase: Purchase) {
         sleep(self.boot).await;
         let started =
--- a/crates/bench/src/testbed/mod.rs
+++ b/crates/bench/src/testbed/mod.rs
@@ -1,6 +1,7 @@
 //! A whole deployment in one process: stand-ins, configuration, VMs and nodes.
 
 mod config;
+mod control;
 mod error;
 mod machines;
 mod options;
@@ -31,6 +32,7 @@
 use crate::Caller;
 
 pub use config::{LEDGER, MODEL, SERVICE};
+pub use control::ControlPort;
 pub use error::TestbedError;
 pub use machines::{Machine, Machines};
 pub use options::TestbedOptions;
@@ -76,7 +78,9 @@
         let list = VmListServer::start(options.list_lag).await?;
         let service = ServiceName::new(SERVICE)?;
         let model = ModelName::new(MODEL)?;
-        let machines = Machines::new(list, service, model, options.engine.clone(), options.boot);
+        let plain = ServiceName::new(LEDGER)?;
+        let engine = options.engine.clone();
+        let machines = Machines::new(list, service, plain, model, engine, options.boot);
         let machines = Arc::new(machines);
         let follower = tokio::spawn(machines::follow(Arc::clone(&machines), events));
 
@@ -111,8 +115,7 @@
 
     /// Returns the addresses for callers of the nodes that live.
     pub fn entries(&self) -> Vec<SocketAddr> {
-        let alive = self.nodes.iter().filter(|node| node.is_alive());
-        alive.map(|node| node.callers()).collect()
+        self.machines.nodes().iter().map(|node| node.callers()).collect()
     }
 
     /// Returns the zone of the thing that was started as number `at` of its kind.
@@ -128,13 +131,46 @@
         settings: &Settings,
     ) -> Result<(), TestbedError> {
         let vm = VmName::new(format!("vm-entry-{at}"))?;
+        let node = self.start_node(vm, at, zone, settings).await?;
+        self.nodes.push(node);
+        Ok(())
+    }
+
+    /// Starts life number `life` of everything that the testbed started with in a zone, on new
+    /// VMs; the cloud does so for VMs that it has taken back once it has machines again.
+    pub async fn replace_zone(&self, zone: &str, life: usize) -> Result<(), TestbedError> {
+        for at in (0..self.options.services).filter(|at| self.zone_of(*at) == zone) {
+            self.start_service(VmName::new(format!("vm-ledger-{at}-{life}"))?, zone).await?;
+        }
+        for at in (0..self.options.engines).filter(|at| self.zone_of(*at) == zone) {
+            self.start_engine(VmName::new(format!("vm-engine-{at}-{life}"))?, zone).await?;
+        }
+        for at in (0..self.options.nodes).filter(|at| self.zone_of(*at) == zone) {
+            self.replace_node(at, life).await?;
+        }
+        Ok(())
+    }
+
+    /// Starts life number `life` of a node on a new VM.
+    pub async fn replace_node(&self, at: usize, life: usize) -> Result<(), TestbedError> {
+        let vm = VmName::new(format!("vm-entry-{at}-{life}"))?;
+        self.start_node(vm, at, self.zone_of(at), &self.options.settings).await.map(drop)
+    }
+
+    async fn start_node(
+        &self,
+        vm: VmName,
+        at: usize,
+        zone: &str,
+        settings: &Settings,
+    ) -> Result<Arc<NodeProcess>, TestbedError> {
         let zone = ZoneName::new(zone)?;
-        let alive = self.nodes.iter().filter(|node| node.is_alive());
+        let alive = self.machines.nodes();
         let node = NodeSettings {
             name: NodeName::new(format!("entry-{at}"))?,
             vm: vm.clone(),
             zone: zone.clone(),
-            seeds: alive.map(|node| node.context().settings.node.peers).collect(),
+            seeds: alive.iter().map(|node| node.context().settings.node.peers).collect(),
             ..settings.node.clone()
         };
         let mut settings = Settings { node, ..settings.clone() };
@@ -146,8 +182,35 @@
         let node = Arc::new(NodeProcess::start(settings).await?);
         self.adopt(&vm, &zone, self.options.price / SMALL_DIVISOR);
         self.machines.run(vm, zone, Machine::Node(Arc::clone(&node)));
-        self.nodes.push(node);
-        Ok(())
+        Ok(node)
+    }
+
+    async fn start_engine(
+        &self,
+        vm: VmName,
+        zone: &str,
+    ) -> Result<Arc<EngineServer>, TestbedError> {
+        let zone = ZoneName::new(zone)?;
+        let model = ModelName::new(MODEL)?;
+        let engine = EngineServer::start(vm.clone(), model, self.options.engine.clone());
+        let engine = Arc::new(engine.await?);
+        self.adopt(&vm, &zone, self.options.price);
+        self.machines.run(vm, zone, Machine::Engine(Arc::clone(&engine)));
+        Ok(engine)
+    }
+
+    async fn start_service(
+        &self,
+        vm: VmName,
+        zone: &str,
+    ) -> Result<Arc<ServiceServer>, TestbedError> {
+        let zone = ZoneName::new(zone)?;
+        let ledger = Arc::clone(&self.ledger);
+        let service = ServiceServer::start(vm.clone(), ledger, self.options.service.clone());
+        let service = Arc::new(service.await?);
+        self.adopt(&vm, &zone, self.options.price / SMALL_DIVISOR);
+        self.machines.run(vm, zone, Machine::Service(Arc::clone(&service)));
+        Ok(service)
     }
 
     /// Announces that all reclaimable VMs of a zone are taken back after `notice`.
@@ -168,22 +231,12 @@
     async fn start_backends(&mut self) -> Result<(), TestbedError> {
         for at in 0..self.options.engines {
             let vm = VmName::new(format!("vm-engine-{at}"))?;
-            let zone = ZoneName::new(self.zone_of(at))?;
-            let model = ModelName::new(MODEL)?;
-            let engine = EngineServer::start(vm.clone(), model, self.options.engine.clone());
-            let engine = Arc::new(engine.await?);
-            self.adopt(&vm, &zone, self.options.price);
-            self.machines.run(vm, zone, Machine::Engine(Arc::clone(&engine)));
+            let engine = self.start_engine(vm, self.zone_of(at)).await?;
             self.engines.push(engine);
         }
         for at in 0..self.options.services {
             let vm = VmName::new(format!("vm-ledger-{at}"))?;
-            let zone = ZoneName::new(self.zone_of(at))?;
-            let ledger = Arc::clone(&self.ledger);
-            let service = ServiceServer::start(vm.clone(), ledger, self.options.service.clone());
-            let service = Arc::new(service.await?);
-            self.adopt(&vm, &zone, self.options.price / SMALL_DIVISOR);
-            self.machines.run(vm, zone, Machine::Service(Arc::clone(&service)));
+            let service = self.start_service(vm, self.zone_of(at)).await?;
             self.services.push(service);
         }
         Ok(())
--- /dev/null
+++ b/crates/cli/src/demo/serve.rs
@@ -0,0 +1,45 @@
+//! `bulrush demo --serve`: the deployment stays up for others to use.
+
+use std::{
+    io::{self, Write},
+    sync::Arc,
+    time::Duration,
+};
+
+use bulrushhall_bench::{Testbed, testbed::ControlPort};
+use bulrushhall_standin::running::Running;
+use serde_json::json;
+
+use crate::demo::{error::DemoError, options::DemoOptions};
+
+/// Starts the deployment, tells its addresses in one line and stays until SIGINT.
+pub async fn serve(options: &DemoOptions) -> Result<(), DemoError> {
+    let testbed = Arc::new(Testbed::start(options.testbed()).await?);
+    let control = Running::start(Arc::new(ControlPort::new(Arc::clone(&testbed)))).await?;
+    announce(&testbed, &control)?;
+
+    let stay = options.length.unwrap_or(Duration::MAX);
+    tokio::select! {
+        _ = tokio::signal::ctrl_c() => {}
+        () = tokio::time::sleep(stay) => {}
+    }
+    for node in testbed.machines.nodes() {
+        node.stop().await;
+    }
+    Ok(())
+}
+
+fn announce(testbed: &Testbed, control: &Running) -> io::Result<()> {
+    let nodes = testbed.machines.nodes();
+    let operators: Vec<_> = nodes.iter().map(|node| node.operators()).collect();
+    let ready = json!({
+        "entries": testbed.entries(),
+        "operators": operators,
+        "key_value": testbed.kv.address(),
+        "cloud": testbed.cloud.address(),
+        "faults": control.address(),
+    });
+    let mut out = io::stdout().lock();
+    writeln!(out, "ready {ready}")?;
+    out.flush()
+}
