--- /dev/null
+++ b/crates/bench/src/bin/capacity.rs
@@ -0,0 +1,40 @@
+//! Measures slopes and fills in the tables of `docs/CAPACITY.md`.
+
+use std::{
+    error, fs,
+    io::{self, Write},
+    path::PathBuf,
+};
+
+use bulrushhall_bench::capacity::{Slopes, Target, fill, measure, serve_node, tables};
+use clap::{Arg, ArgAction, Command};
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn error::Error + Send + Sync>> {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    if serve_node(&args).await? {
+        return Ok(());
+    }
+    let matches = Command::new("capacity")
+        .about("Measures slopes and works out docs/CAPACITY.md from them")
+        .arg(
+            Arg::new("tables-only")
+                .long("tables-only")
+                .help("Works the tables out from the recorded slopes")
+                .action(ArgAction::SetTrue),
+        )
+        .get_matches();
+
+    let docs = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../docs");
+    let recorded = docs.join("capacity/slopes.json");
+    if !matches.get_flag("tables-only") {
+        let slopes = measure::all(|line| drop(writeln!(io::stdout(), "{line}"))).await?;
+        fs::create_dir_all(docs.join("capacity"))?;
+        fs::write(&recorded, serde_json::to_string_pretty(&slopes)? + "\n")?;
+    }
+    let slopes: Slopes = serde_json::from_str(&fs::read_to_string(&recorded)?)?;
+    let page = docs.join("CAPACITY.md");
+    let filled = fill(&fs::read_to_string(&page)?, &tables(&slopes, &Target::default()))?;
+    fs::write(&page, filled)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/bench/src/capacity/measure/decision.rs
@@ -0,0 +1,67 @@
+//! What one decision of where to run a request costs.
+
+use std::{
+    hint::black_box,
+    time::{Duration, Instant},
+};
+
+use bulrushhall_core::Stamp;
+use bulrushhall_policy::{
+    Placement, PlacementRequest, WorkerKey, WorkerView, placement::LeastOutstanding,
+};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use slotmap::SlotMap;
+
+use crate::capacity::{Point, Slope, measure::Named};
+
+/// The numbers of workers.
+const WORKERS: [usize; 6] = [4, 16, 64, 215, 430, 860];
+/// How long each number is measured.
+const LENGTH: Duration = Duration::from_millis(150);
+
+/// Measures microseconds for one decision against the workers that it chooses from.
+pub fn measure() -> Vec<Named> {
+    let mut points = Vec::new();
+    for count in WORKERS {
+        let mut keys: SlotMap<WorkerKey, ()> = SlotMap::with_key();
+        let mut workers: Vec<WorkerView> = (0..count).map(|_| view(keys.insert(()))).collect();
+        let mut random = Pcg64Mcg::seed_from_u64(1);
+        let mut placement = LeastOutstanding;
+        let req = PlacementRequest {
+            prefix: (0..32).collect(),
+            prompt_tokens: 512,
+            answer_tokens: 300,
+            ..PlacementRequest::default()
+        };
+        let started = Instant::now();
+        let mut rounds = 0_u32;
+        while started.elapsed() < LENGTH {
+            let now = Stamp::from_millis(u64::from(rounds));
+            let key = black_box(placement.place(now, &req, &workers, &mut random));
+            let at = usize::try_from(rounds).unwrap_or(0) % count;
+            workers[at].outstanding = u32::from(key.is_some()) + rounds % 7;
+            rounds += 1;
+        }
+        let micros = started.elapsed().as_secs_f64() * 1e6 / f64::from(rounds);
+        points.push(Point { size: count as f64, value: micros });
+    }
+    vec![("decision_cost", Slope::through("µs for one placement", "workers", points))]
+}
+
+fn view(key: WorkerKey) -> WorkerView {
+    WorkerView {
+        key,
+        open: true,
+        distance: Duration::from_millis(1),
+        outstanding: 0,
+        outstanding_tokens: 0,
+        reported_running: 0,
+        reported_waiting: 0,
+        reported_backlog: 0,
+        reported_at: Stamp(0),
+        step: Duration::from_millis(20),
+        price: 90_000,
+        reclaimable: true,
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Load, experiments and benches.
 
 pub mod caller;
+pub mod capacity;
 pub mod check;
 pub mod compare;
 pub mod load;
