Capacity page worked out from measured slopes; load callers follow moved streams

Cause: nothing said what a node needs at 340 nodes and 860 workers. Callers go on where a stopping node tells them to.

--- a/crates/bench/src/bin/capacity.rs
+++ b/crates/bench/src/bin/capacity.rs
@@ -23,12 +23,28 @@
                 .help("Works the tables out from the recorded slopes")
                 .action(ArgAction::SetTrue),
         )
+        .arg(
+            Arg::new("only")
+                .long("only")
+                .help("Takes the measurements of one group anew and keeps the others")
+                .value_parser(measure::GROUPS),
+        )
         .get_matches();
 
     let docs = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../docs");
     let recorded = docs.join("capacity/slopes.json");
     if !matches.get_flag("tables-only") {
-        let slopes = measure::all(|line| drop(writeln!(io::stdout(), "{line}"))).await?;
+        let only = matches.get_one::<String>("only").map(String::as_str);
+        let mut slopes = match only {
+            Some(_) => serde_json::from_str(&fs::read_to_string(&recorded)?)?,
+            None => Slopes::default(),
+        };
+        slopes.processors = std::thread::available_parallelism()?.get();
+        for name in measure::GROUPS {
+            if only.is_none_or(|only| only == name) {
+                take(&mut slopes, measure::group(name).await?)?;
+            }
+        }
         fs::create_dir_all(docs.join("capacity"))?;
         fs::write(&recorded, serde_json::to_string_pretty(&slopes)? + "\n")?;
     }
@@ -38,3 +54,14 @@
     fs::write(&page, filled)?;
     Ok(())
 }
+
+fn take(slopes: &mut Slopes, measured: Vec<measure::Named>) -> io::Result<()> {
+    for (name, slope) in measured {
+        let (each, fixed, fit) = (slope.each, slope.fixed, slope.fit);
+        let (value, size) = (&slope.value, &slope.size);
+        let mut out = io::stdout();
+        writeln!(out, "{name}: {each} each, {fixed} fixed, fit {fit} ({value} by {size})")?;
+        slopes.slopes.insert(name.to_owned(), slope);
+    }
+    Ok(())
+}
--- a/crates/bench/src/capacity/measure/codec.rs
+++ b/crates/bench/src/capacity/measure/codec.rs
@@ -5,8 +5,13 @@
     time::{Duration, Instant},
 };
 
-use bulrushhall_core::{Incarnation, NodeName, Revision};
-use bulrushhall_daemon::peers::{Envelope, Sender};
+use bulrushhall_coord::{Message, Version};
+use bulrushhall_core::{Incarnation, NodeName, RequestId, Revision};
+use bulrushhall_daemon::{
+    handoff::Batch,
+    peers::{Envelope, Sender},
+};
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::capacity::{
@@ -16,6 +21,8 @@
 
 /// The bytes of text that messages carry.
 const SIZES: [usize; 5] = [64, 512, 2_048, 8_192, 32_768];
+/// The numbers of streams whose new tokens share a message.
+const SHARED: [usize; 4] = [1, 4, 16, 64];
 /// How long each size is measured.
 const LENGTH: Duration = Duration::from_millis(200);
 
@@ -28,11 +35,7 @@
 
 /// Measures microseconds for one message, written and read once, against the bytes it carries.
 pub fn measure() -> Measured<Vec<Named>> {
-    let from = Sender {
-        node: NodeName::new("entry-1")?,
-        incarnation: Incarnation(1 << 50),
-        revision: Revision(7),
-    };
+    let from = sender()?;
     let mut costs = Vec::new();
     let mut overheads = Vec::new();
     for size in SIZES {
@@ -52,8 +55,48 @@
         costs.push(Point { size: size as f64, value: micros });
         overheads.push(Point { size: size as f64, value: bytes as f64 });
     }
+    let copies = SIZES.map(|size| batch(&from, vec![copy(size)]).map(|bytes| point(size, bytes)));
+    let tokens =
+        SHARED.map(|count| batch(&from, vec![progress(); count]).map(|bytes| point(count, bytes)));
+    let copies = copies.into_iter().collect::<Measured<Vec<Point>>>()?;
+    let tokens = tokens.into_iter().collect::<Measured<Vec<Point>>>()?;
     Ok(vec![
+        ("copy_bytes", Slope::through("bytes of a first copy", "bytes of the request", copies)),
+        ("token_bytes", Slope::through("bytes of a message", "streams with a new token", tokens)),
         ("message_cost", Slope::through("µs to write and read a message", "bytes carried", costs)),
         ("message_bytes", Slope::through("bytes of a message", "bytes carried", overheads)),
     ])
 }
+
+fn sender() -> Measured<Sender> {
+    let node = NodeName::new("entry-1")?;
+    Ok(Sender { node, incarnation: Incarnation(1 << 62), revision: Revision(1_000) })
+}
+
+fn batch(from: &Sender, messages: Vec<Message>) -> Measured<usize> {
+    let to = Some(from.incarnation);
+    let envelope = Envelope { from: from.clone(), to, body: Batch { messages } };
+    Ok(rmp_serde::to_vec_named(&envelope)?.len())
+}
+
+fn point(size: usize, bytes: usize) -> Point {
+    Point { size: size as f64, value: bytes as f64 }
+}
+
+fn version() -> Version {
+    Version { epoch: 0, generation: 1, owner: Incarnation(1 << 62) }
+}
+
+fn id() -> RequestId {
+    RequestId { origin: Incarnation(1 << 62), sequence: 1 << 20 }
+}
+
+fn copy(size: usize) -> Message {
+    let body = Bytes::from(vec![b'x'; size]);
+    Message::Copy { id: id(), version: version(), body, tokens: Vec::new(), end: None }
+}
+
+fn progress() -> Message {
+    let tokens = vec!["cobalt7 ".to_owned()];
+    Message::Progress { id: id(), version: version(), from: 150, tokens, end: None }
+}
--- a/crates/bench/src/capacity/measure/decision.rs
+++ b/crates/bench/src/capacity/measure/decision.rs
@@ -7,7 +7,7 @@
 
 use bulrushhall_core::Stamp;
 use bulrushhall_policy::{
-    Placement, PlacementRequest, WorkerKey, WorkerView, placement::LeastOutstanding,
+    PlacementOptions, PlacementRegistry, PlacementRequest, WorkerKey, WorkerView,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -17,6 +17,8 @@
 
 /// The numbers of workers.
 const WORKERS: [usize; 6] = [4, 16, 64, 215, 430, 860];
+/// The placement that nodes use.
+const PLACEMENT: &str = "predicted";
 /// How long each number is measured.
 const LENGTH: Duration = Duration::from_millis(150);
 
@@ -27,7 +29,8 @@
         let mut keys: SlotMap<WorkerKey, ()> = SlotMap::with_key();
         let mut workers: Vec<WorkerView> = (0..count).map(|_| view(keys.insert(()))).collect();
         let mut random = Pcg64Mcg::seed_from_u64(1);
-        let mut placement = LeastOutstanding;
+        let made = PlacementRegistry::default().make(PLACEMENT, &PlacementOptions::default());
+        let Some(mut placement) = made else { continue };
         let req = PlacementRequest {
             prefix: (0..32).collect(),
             prompt_tokens: 512,
@@ -50,18 +53,6 @@
 }
 
 fn view(key: WorkerKey) -> WorkerView {
-    WorkerView {
-        key,
-        open: true,
-        distance: Duration::from_millis(1),
-        outstanding: 0,
-        outstanding_tokens: 0,
-        reported_running: 0,
-        reported_waiting: 0,
-        reported_backlog: 0,
-        reported_at: Stamp(0),
-        step: Duration::from_millis(20),
-        price: 90_000,
-        reclaimable: true,
-    }
+    let price = 90_000;
+    WorkerView { key, price, distance: Duration::from_millis(1), ..WorkerView::default() }
 }
--- a/crates/bench/src/capacity/measure/mod.rs
+++ b/crates/bench/src/capacity/measure/mod.rs
@@ -9,7 +9,7 @@
 
 use std::error;
 
-use crate::capacity::{Slope, Slopes};
+use crate::capacity::Slope;
 
 /// The result of a measurement; its errors end the program.
 pub type Measured<T> = Result<T, Box<dyn error::Error + Send + Sync>>;
@@ -17,25 +17,24 @@
 /// A named slope.
 pub type Named = (&'static str, Slope);
 
-/// Takes all measurements, one after the other.
-pub async fn all(mut progress: impl FnMut(&str)) -> Measured<Slopes> {
-    let processors = std::thread::available_parallelism().map_or(1, |count| count.get());
-    let mut slopes = Slopes { processors, ..Slopes::default() };
-    let mut take = |measured: Vec<Named>| {
-        for (name, slope) in measured {
-            progress(&format!(
-                "{name}: {:.4} each, {:.4} fixed, fit {:.3} ({} by {})",
-                slope.each, slope.fixed, slope.fit, slope.value, slope.size
-            ));
-            slopes.slopes.insert(name.to_owned(), slope);
+/// The groups of measurements, in the order in which they are taken.
+pub const GROUPS: [&str; 7] =
+    ["codec", "decision", "orders", "requests", "streams", "kept", "control"];
+
+/// Takes the measurements of a group, one after the other.
+pub async fn group(name: &str) -> Measured<Vec<Named>> {
+    match name {
+        "codec" => codec::measure(),
+        "decision" => Ok(decision::measure()),
+        "orders" => orders::measure().await,
+        "requests" => relay::requests().await,
+        "streams" => relay::streams().await,
+        "kept" => relay::kept_answers().await,
+        "control" => {
+            let mut measured = control::engines().await?;
+            measured.extend(control::measure().await?);
+            Ok(measured)
         }
-    };
-    take(codec::measure()?);
-    take(decision::measure());
-    take(orders::measure().await?);
-    take(relay::requests().await?);
-    take(relay::streams().await?);
-    take(relay::kept_answers().await?);
-    take(control::measure().await?);
-    Ok(slopes)
+        _ => Ok(Vec::new()),
+    }
 }
--- a/crates/bench/src/capacity/measure/relay.rs
+++ b/crates/bench/src/capacity/measure/relay.rs
@@ -19,7 +19,7 @@
 use crate::{
     Caller, TestbedOptions,
     capacity::{
-        Point, Slope,
+        NodeChild, Point, Slope, Usage,
         measure::{Measured, Named, bed::Bed},
     },
     testbed::MODEL,
@@ -31,6 +31,8 @@
 const STREAMS_PER_ENGINE: usize = 32;
 /// The tokens that a stream may have; enough that none ends while it is measured.
 const LONG: u32 = 4_000;
+/// The time in which nodes get to know each other.
+const SETTLE: Duration = Duration::from_millis(1_500);
 /// How long streams are measured.
 const WINDOW: Duration = Duration::from_secs(4);
 /// The numbers of short requests.
@@ -44,39 +46,75 @@
 /// The time between tokens.
 const GAP: Duration = Duration::from_millis(25);
 
-/// Measures a node's processor time against tokens relayed, and its memory against open streams.
+struct Run {
+    owner_processor: Point,
+    holder_processor: Point,
+    owner_memory: Point,
+    holder_memory: Point,
+}
+
+/// Measures against tokens relayed and open streams what the owner spends, what the holder of the
+/// copies spends, and what an owner without any peer to copy to spends.
 pub async fn streams() -> Measured<Vec<Named>> {
-    let (mut processor, mut memory) = (Vec::new(), Vec::new());
+    let mut alone = Vec::new();
     for streams in STREAMS {
-        let engines = streams.div_ceil(STREAMS_PER_ENGINE);
-        let bed = Bed::start(1, options(engines, 1.0)).await?;
-        let idle = bed.nodes[0].usage();
-        let tokens = Arc::new(AtomicU64::new(0));
-        let mut open = JoinSet::new();
-        for number in 0..streams {
-            let caller = Caller::new(bed.nodes[0].callers(), "workshop");
-            open.spawn(count(caller, number, Arc::clone(&tokens)));
-        }
-        while tokens.load(Ordering::Relaxed) < streams as u64 * 4 {
-            sleep(Duration::from_millis(50)).await;
-        }
-        let (started, first) = (Instant::now(), tokens.load(Ordering::Relaxed));
-        let before = bed.nodes[0].usage();
-        sleep(WINDOW).await;
-        let after = bed.nodes[0].usage();
-        let seconds = started.elapsed().as_secs_f64();
-        let rate = (tokens.load(Ordering::Relaxed) - first) as f64 / seconds;
-        let used = (after.processor - before.processor).as_secs_f64() * 1e6 / seconds;
-        processor.push(Point { size: rate, value: used });
-        memory.push(Point { size: streams as f64, value: after.resident - idle.resident });
-        open.shutdown().await;
+        alone.push(run(1, streams).await?);
+    }
+    let mut copied = Vec::new();
+    for streams in STREAMS {
+        copied.push(run(2, streams).await?);
     }
+    let line = |runs: &[Run], value: &str, of: fn(&Run) -> Point| {
+        let size = if value.starts_with("kB") { "open streams" } else { "tokens/s" };
+        Slope::through(value, size, runs.iter().map(of).collect())
+    };
+    let (processor, memory) = ("µs of processor a second", "kB resident above idle");
     Ok(vec![
-        ("relay_processor", Slope::through("µs of processor a second", "tokens/s", processor)),
-        ("stream_memory", Slope::through("kB resident above idle", "open streams", memory)),
+        ("alone_processor", line(&alone, processor, |run| run.owner_processor)),
+        ("relay_processor", line(&copied, processor, |run| run.owner_processor)),
+        ("holder_processor", line(&copied, processor, |run| run.holder_processor)),
+        ("stream_memory", line(&copied, memory, |run| run.owner_memory)),
+        ("holder_memory", line(&copied, memory, |run| run.holder_memory)),
     ])
 }
 
+async fn run(nodes: usize, streams: usize) -> Measured<Run> {
+    let engines = streams.div_ceil(STREAMS_PER_ENGINE);
+    let bed = Bed::start(nodes, options(engines, 1.0)).await?;
+    sleep(SETTLE).await;
+    let (owner, holder) = (0, nodes - 1);
+    let idle: Vec<Usage> = bed.nodes.iter().map(NodeChild::usage).collect();
+    let tokens = Arc::new(AtomicU64::new(0));
+    let mut open = JoinSet::new();
+    for number in 0..streams {
+        let caller = Caller::new(bed.nodes[owner].callers(), "workshop");
+        open.spawn(count(caller, number, Arc::clone(&tokens)));
+    }
+    while tokens.load(Ordering::Relaxed) < streams as u64 * 4 {
+        sleep(Duration::from_millis(50)).await;
+    }
+    let (started, first) = (Instant::now(), tokens.load(Ordering::Relaxed));
+    let before: Vec<Usage> = bed.nodes.iter().map(NodeChild::usage).collect();
+    sleep(WINDOW).await;
+    let after: Vec<Usage> = bed.nodes.iter().map(NodeChild::usage).collect();
+    let seconds = started.elapsed().as_secs_f64();
+    let rate = (tokens.load(Ordering::Relaxed) - first) as f64 / seconds;
+    open.shutdown().await;
+
+    let processor = |at: usize| {
+        let used = after[at].processor.saturating_sub(before[at].processor);
+        Point { size: rate, value: used.as_secs_f64() * 1e6 / seconds }
+    };
+    let memory =
+        |at: usize| Point { size: streams as f64, value: after[at].resident - idle[at].resident };
+    Ok(Run {
+        owner_processor: processor(owner),
+        holder_processor: processor(holder),
+        owner_memory: memory(owner),
+        holder_memory: memory(holder),
+    })
+}
+
 /// Measures a node's processor time against whole short requests.
 pub async fn requests() -> Measured<Vec<Named>> {
     let bed = Bed::start(1, options(2, 20.0)).await?;
--- a/crates/bench/src/load/follow.rs
+++ b/crates/bench/src/load/follow.rs
@@ -1,6 +1,9 @@
 //! A caller's reading of a stream: event numbers are checked, times are taken.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use bulrushhall_core::{Ran, ids::StreamPosition};
 use eventsource_stream::Eventsource;
@@ -44,10 +47,17 @@
         /// Whether the request may have run.
         ran: Ran,
     },
+    /// The answer goes on at another entry, as the node that is stopping says.
+    Moved(SocketAddr),
     /// The connection ended, or went silent, before the end of the answer.
     Cut,
 }
 
+#[derive(Deserialize)]
+struct MovedEvent {
+    address: SocketAddr,
+}
+
 #[derive(Deserialize)]
 struct ErrorEvent {
     error: ErrorInner,
@@ -69,6 +79,10 @@
             if event.data == "[DONE]" {
                 return Followed::Whole;
             }
+            if event.event == "moved" {
+                let moved = serde_json::from_str::<MovedEvent>(&event.data);
+                return moved.map_or(Followed::Cut, |moved| Followed::Moved(moved.address));
+            }
             if event.event == "error" {
                 return match serde_json::from_str::<ErrorEvent>(&event.data) {
                     Ok(ErrorEvent { error }) => {
--- a/crates/bench/src/load/person.rs
+++ b/crates/bench/src/load/person.rs
@@ -1,6 +1,7 @@
 //! A caller that plays planned requests to their end, as a real one would.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -40,6 +41,8 @@
 enum Step {
     /// Send it again, to this many entries further on, after a pause.
     Again(usize, Duration),
+    /// Go on at this entry.
+    At(SocketAddr),
     /// Nothing more.
     End(Outcome),
 }
@@ -68,10 +71,11 @@
 
     async fn ask(&self, record: &mut Record) {
         let mut following = Following::default();
-        let mut turn = 0;
+        let (mut turn, mut told) = (0, None);
         while !self.is_late(record) {
             let entries = self.addresses.current().await;
-            let caller = self.addresses.caller(entries[turn % entries.len()]);
+            let address = told.take().unwrap_or(entries[turn % entries.len()]);
+            let caller = self.addresses.caller(address);
             let sent = match &record.request {
                 None => self.submit(&caller, record).await,
                 Some(request) => {
@@ -90,6 +94,7 @@
                     turn += further;
                     sleep(pause).await;
                 }
+                Step::At(address) => told = Some(address),
                 Step::End(outcome) => {
                     record.outcome = outcome;
                     break;
@@ -143,6 +148,11 @@
                 (record.code, record.ran) = (Some(code), ran);
                 Step::End(Outcome::Failed)
             }
+            Followed::Moved(address) => {
+                record.moves += 1;
+                self.addresses.forget();
+                Step::At(address)
+            }
             Followed::Cut => {
                 record.reconnects += 1;
                 self.addresses.forget();
@@ -220,6 +230,7 @@
                     turn += further;
                     sleep(pause).await;
                 }
+                Step::At(_) => {}
                 Step::End(outcome) => {
                     record.outcome = outcome;
                     return;
@@ -260,6 +271,7 @@
             duplicated: 0,
             skipped: 0,
             reconnects: 0,
+            moves: 0,
             refusals: 0,
             retries: 0,
             key,
--- a/crates/bench/src/load/record.rs
+++ b/crates/bench/src/load/record.rs
@@ -93,6 +93,8 @@
     pub skipped: u32,
     /// How often the stream was cut and taken up again.
     pub reconnects: u32,
+    /// How often a node that was stopping told where the stream goes on.
+    pub moves: u32,
     /// How often the system refused the request.
     pub refusals: u32,
     /// How often the request was sent anew.
--- a/crates/bench/tests/planted_faults.rs
+++ b/crates/bench/tests/planted_faults.rs
@@ -35,6 +35,7 @@
         duplicated: 0,
         skipped: 0,
         reconnects: 0,
+        moves: 0,
         refusals: 0,
         retries: 0,
         key: None,
