--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -11,6 +11,10 @@
     NodeStopped,
     /// A connection was closed because of an error on it.
     ConnectionFailed,
+    /// The certificates were read anew and are used for new connections.
+    CertificatesChanged,
+    /// The certificates could not be read anew; those in use stay.
+    CertificatesRejected,
     /// A configuration was read that cannot be used; the one in force stays.
     ConfigRejected,
     /// A caller's request was refused.
@@ -32,6 +36,8 @@
         Event::NodeLeaving,
         Event::NodeStopped,
         Event::ConnectionFailed,
+        Event::CertificatesChanged,
+        Event::CertificatesRejected,
         Event::ConfigRejected,
         Event::RequestRefused,
         Event::AttemptFailed,
@@ -47,6 +53,8 @@
             Event::NodeLeaving => 101,
             Event::NodeStopped => 102,
             Event::ConnectionFailed => 110,
+            Event::CertificatesChanged => 111,
+            Event::CertificatesRejected => 112,
             Event::ConfigRejected => 120,
             Event::RequestRefused => 200,
             Event::AttemptFailed => 201,
--- a/crates/daemon/src/errors.rs
+++ b/crates/daemon/src/errors.rs
@@ -7,6 +7,8 @@
 pub enum NodeError {
     /// The settings could not be read.
     Settings,
+    /// The certificates could not be used.
+    Certificates,
     /// A port could not be opened.
     Listen,
     /// The actors could not be started.
@@ -17,6 +19,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             NodeError::Settings => "the settings could not be read",
+            NodeError::Certificates => "the certificates could not be used",
             NodeError::Listen => "a port could not be opened",
             NodeError::Start => "the node could not be started",
         })
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod backends;
 pub mod budgeted;
 pub mod callers;
+mod certificates;
 pub mod clock;
 pub mod config_chain;
 pub mod config_watch;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -18,7 +18,7 @@
 use bulrushhall_platform::{
     KeyValue,
     clients::HttpKeyValue,
-    http::{Endpoint, EndpointOptions, Handler, ServerOptions, serve},
+    http::{Clients, Endpoint, EndpointOptions, Handler, ServerOptions, serve},
 };
 use error_stack::{Report, ResultExt};
 use tokio::{
@@ -32,6 +32,7 @@
     answers::Answers,
     backends::Backends,
     callers::CallerPort,
+    certificates,
     clock::Clock,
     config_watch,
     context::{Context, InForce},
@@ -66,6 +67,7 @@
 impl Node {
     /// Opens the ports and starts the actors.
     pub async fn start(mut settings: Settings) -> Result<Node, Report<NodeError>> {
+        let tls = certificates::load(&settings.tls)?;
         let callers = listen(&mut settings.node.callers).await?;
         let peer_listener = listen(&mut settings.node.peers).await?;
         let operators = listen(&mut settings.node.operators).await?;
@@ -93,7 +95,7 @@
             meters,
             key_value,
             members: Members::default(),
-            peers: PeerClient::default(),
+            peers: PeerClient::new(tls.clone()),
             highest_revision: watch::Sender::new(Revision(0)),
             leaving_vms: ArcSwap::default(),
             notices: Mutex::default(),
@@ -118,16 +120,17 @@
 
         let (stop, stopped) = watch::channel(false);
         let mut ports = JoinSet::new();
-        let handlers: [(TcpListener, Arc<dyn Handler>); 3] = [
-            (callers, Arc::new(CallerPort::new(Arc::clone(&cx)))),
-            (peer_listener, Arc::new(peer_port)),
-            (operators, Arc::new(OperatorPort::new(Arc::clone(&cx)))),
+        let handlers: [(TcpListener, Arc<dyn Handler>, Clients); 3] = [
+            (callers, Arc::new(CallerPort::new(Arc::clone(&cx))), Clients::All),
+            (peer_listener, Arc::new(peer_port), Clients::Signed),
+            (operators, Arc::new(OperatorPort::new(Arc::clone(&cx))), Clients::Signed),
         ];
-        for (listener, handler) in handlers {
+        for (listener, handler, clients) in handlers {
             let limits = &cx.settings.limits;
             let options = ServerOptions {
                 header_timeout: limits.header_timeout.into(),
                 drain: limits.drain.into(),
+                tls: tls.clone().map(|tls| (tls, clients)),
                 ..ServerOptions::default()
             };
             ports.spawn(serve(listener, handler, options, stopped.clone()));
@@ -144,6 +147,7 @@
             tokio::spawn(notices::compare(Arc::clone(&cx))),
             tokio::spawn(tick(Arc::clone(&cx))),
             tokio::spawn(tidy_meters(Arc::clone(&cx))),
+            tokio::spawn(certificates::follow(tls)),
             tokio::spawn(loads::follow(Arc::clone(&cx))),
         ];
         let name = &cx.settings.node.name;
--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -10,7 +10,7 @@
 use bulrushhall_core::Incarnation;
 use bulrushhall_platform::{
     CallError, CallFault,
-    http::{Endpoint, EndpointOptions, read_limited},
+    http::{Endpoint, EndpointOptions, Tls, read_limited},
 };
 use bytes::Bytes;
 use http_body_util::Full;
@@ -30,9 +30,15 @@
 #[derive(Default)]
 pub struct PeerClient {
     endpoints: Mutex<HashMap<SocketAddr, Arc<Endpoint>>>,
+    tls: Option<Arc<Tls>>,
 }
 
 impl PeerClient {
+    /// Returns a client whose connections are protected where `tls` is given.
+    pub fn new(tls: Option<Arc<Tls>>) -> PeerClient {
+        PeerClient { endpoints: Mutex::default(), tls }
+    }
+
     /// Sends a message to the node at `address`, to one life of it where `to` is given.
     ///
     /// The error says whether the peer may have acted on the message.
@@ -86,6 +92,7 @@
             let options = EndpointOptions {
                 connect: CONNECT_TIMEOUT,
                 answer: REPLY_TIMEOUT,
+                tls: self.tls.clone(),
                 ..EndpointOptions::default()
             };
             Arc::new(Endpoint::new(address, options))
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -145,11 +145,13 @@
             trace: read(file, &sections, "trace", &mut problems),
             tls: read(file, &sections, "tls", &mut problems),
         };
-        if settings.tls.certificate.is_some() != settings.tls.key.is_some() {
+        let tls = &settings.tls;
+        let set = [&tls.certificate, &tls.key, &tls.authority].map(Option::is_some);
+        if set.contains(&true) && set.contains(&false) {
             let section = sections.iter().find(|section| section.kind == "tls");
             let line = section.map_or(1, |section| section.line);
-            let message = "[tls] needs both certificate and key";
-            problems.push(Problem::new(file, line, message).hint("set the other one too"));
+            let message = "[tls] needs certificate, key and authority";
+            problems.push(Problem::new(file, line, message).hint("set all three"));
         }
         if problems.is_empty() {
             return Ok(settings);
--- a/crates/platform/src/http/endpoint.rs
+++ b/crates/platform/src/http/endpoint.rs
@@ -1,6 +1,10 @@
 //! The client side: one server at one address, with its open connections.
 
-use std::{net::SocketAddr, sync::Mutex, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use bulrushhall_core::{Ran, VmName};
 use bytes::Bytes;
@@ -15,7 +19,7 @@
 
 use crate::{
     errors::{CallError, CallFault},
-    http::read_limited,
+    http::{Connection, Tls, read_limited},
 };
 
 /// The path under which a backend server tells who it is.
@@ -41,6 +45,8 @@
     pub idle: usize,
     /// The VM that must answer on each new connection, where that is known.
     pub vm: Option<VmName>,
+    /// How connections are protected, if they are.
+    pub tls: Option<Arc<Tls>>,
 }
 
 impl Default for EndpointOptions {
@@ -50,6 +56,7 @@
             answer: Duration::from_secs(10),
             idle: 64,
             vm: None,
+            tls: None,
         }
     }
 }
@@ -128,12 +135,20 @@
         let opened = timeout(self.options.connect, TcpStream::connect(self.address)).await;
         let stream = opened.map_err(|_| connect())?.map_err(|_| connect())?;
         let _ = stream.set_nodelay(true);
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|_| connect())?;
+        let (sender, connection) = http1::handshake(TokioIo::new(self.protect(stream).await?))
+            .await
+            .map_err(|_| connect())?;
         tokio::spawn(connection);
         self.check_identity(sender).await
     }
 
+    async fn protect(&self, stream: TcpStream) -> Result<Box<dyn Connection>, CallError> {
+        let Some(tls) = &self.options.tls else { return Ok(Box::new(stream)) };
+        let unfit = || CallError::not_done(CallFault::Identity);
+        let protected = timeout(self.options.connect, tls.connect(stream)).await;
+        protected.map_err(|_| unfit())?.map_err(|_| unfit())
+    }
+
     // IP numbers are used again: a new VM may answer at an old one's address. Asking who answers
     // on each new connection keeps a request from reaching a server it was not meant for.
     async fn check_identity(&self, mut sender: Sender) -> Result<Sender, CallError> {
--- a/crates/platform/src/http/mod.rs
+++ b/crates/platform/src/http/mod.rs
@@ -3,7 +3,9 @@
 mod body;
 mod endpoint;
 mod server;
+mod tls;
 
 pub use body::{Body, BodyError, empty, full, read_limited, streamed};
 pub use endpoint::{Endpoint, EndpointOptions, Identity};
 pub use server::{Handler, ServerOptions, serve};
+pub use tls::{Clients, Connection, NODE_NAME, Tls, TlsError, TlsFiles};
--- a/crates/platform/src/http/server.rs
+++ b/crates/platform/src/http/server.rs
@@ -1,6 +1,6 @@
 //! The server side of HTTP connections.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{convert::Infallible, io, sync::Arc, time::Duration};
 
 use bulrushhall_core::Event;
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
@@ -11,7 +11,10 @@
 use tokio::{net::TcpListener, sync::watch, task::JoinSet};
 use tokio_io_timeout::TimeoutStream;
 
-use crate::{BoxFuture, http::Body};
+use crate::{
+    BoxFuture,
+    http::{Body, Clients, Connection, Tls},
+};
 
 /// The pause after a failed accept, so that a lack of file handles does not become a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -37,6 +40,8 @@
     pub connections: usize,
     /// How long open answers may go on after the stop.
     pub drain: Duration,
+    /// How connections are protected and which clients are taken, if they are protected.
+    pub tls: Option<(Arc<Tls>, Clients)>,
 }
 
 impl Default for ServerOptions {
@@ -48,6 +53,7 @@
             write_timeout: Duration::from_secs(30),
             connections: 16_384,
             drain: Duration::from_secs(30),
+            tls: None,
         }
     }
 }
@@ -97,8 +103,19 @@
             let answer = Arc::clone(&handler).handle(req);
             async move { Ok::<_, Infallible>(answer.await) }
         });
-        let connection = graceful.watch(builder.serve_connection(TokioIo::new(stream), service));
+        let watcher = graceful.watcher();
+        let (builder, tls) = (builder.clone(), options.tls.clone());
         connections.spawn(async move {
+            // The handshake is part of the connection's own task: a client that never ends it must
+            // not keep others from connecting.
+            let stream = match protect(stream, tls).await {
+                Ok(stream) => TokioIo::new(stream),
+                Err(error) => {
+                    tracing::debug!(event = Event::ConnectionFailed.number(), %error);
+                    return;
+                }
+            };
+            let connection = watcher.watch(builder.serve_connection(stream, service));
             if let Err(error) = connection.await {
                 tracing::debug!(event = Event::ConnectionFailed.number(), %error);
             }
@@ -108,3 +125,13 @@
     drop(listener);
     let _ = tokio::time::timeout(options.drain, graceful.shutdown()).await;
 }
+
+async fn protect(
+    stream: impl Connection,
+    tls: Option<(Arc<Tls>, Clients)>,
+) -> io::Result<Box<dyn Connection>> {
+    match tls {
+        Some((tls, clients)) => tls.accept(stream, clients).await,
+        None => Ok(Box::new(stream)),
+    }
+}
