--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod check;
 pub mod compare;
+pub mod cpu;
 pub mod load;
 pub mod probe;
 pub mod testbed;
