--- /dev/null
+++ b/crates/coord/tests/orders/store.rs
@@ -0,0 +1,29 @@
+//! One record a shard, with compare-and-swap.
+
+use std::collections::BTreeMap;
+
+use bulrushhall_coord::{Shard, Swapped};
+use bytes::Bytes;
+
+/// A `Store` holds versioned records.
+#[derive(Debug, Default)]
+pub struct Store {
+    records: BTreeMap<Shard, (u64, Bytes)>,
+    version: u64,
+}
+
+impl Store {
+    pub fn get(&self, shard: Shard) -> (u64, Bytes) {
+        self.records.get(&shard).cloned().unwrap_or_default()
+    }
+
+    pub fn swap(&mut self, shard: Shard, expected: u64, value: Bytes) -> Swapped {
+        let (version, found) = self.get(shard);
+        if version != expected {
+            return Swapped::Conflict(version, found);
+        }
+        self.version += 1;
+        self.records.insert(shard, (self.version, value));
+        Swapped::Written(self.version)
+    }
+}
--- /dev/null
+++ b/crates/coord/tests/orders/world.rs
@@ -0,0 +1,385 @@
+//! The simulation of one schedule of orders.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    time::Duration,
+};
+
+use bulrushhall_coord::{
+    Attempts, Claim, Claims, ClaimsAction, ClaimsOptions, KeyHash, Ledger, LedgerOptions, Shard,
+    Swapped,
+};
+use bulrushhall_core::{Incarnation, Ran, Stamp, TeamName};
+use bytes::Bytes;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::{check::Event, store::Store};
+
+const NODES: usize = 3;
+const KEYS: u8 = 3;
+const TRIES: usize = 10;
+const TICK: Duration = Duration::from_millis(60);
+const TROUBLED: Duration = Duration::from_secs(3);
+const END: Duration = Duration::from_secs(8);
+/// The key that is ordered once everything works again.
+const LAST_KEY: u8 = 7;
+
+/// A `Plan` tells what goes wrong in one schedule.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    pub seed: u64,
+    pub mutant: Option<Mutant>,
+}
+
+/// A `Mutant` is a planted fault that a checker has to notice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mutant {
+    /// A write without an answer is taken for done.
+    TrustsSilence,
+    /// Each node runs what reaches it, without asking for the key's home.
+    IgnoresHomes,
+    /// A call whose answer is lost is told as not run.
+    CallsLostNotRun,
+    /// The record is never read again after a failed call.
+    NeverRetries,
+}
+
+pub struct World {
+    plan: Plan,
+    random: Pcg64Mcg,
+    now: Stamp,
+    queue: BinaryHeap<Reverse<(Stamp, u64, Step)>>,
+    steps: u64,
+    store: Store,
+    nodes: Vec<Node>,
+    trouble: Trouble,
+    trace: Vec<Event>,
+}
+
+struct Node {
+    incarnation: Incarnation,
+    alive: bool,
+    awake_at: Stamp,
+    claims: Claims,
+    ledger: Ledger,
+    waiting: BTreeMap<KeyHash, Vec<u8>>,
+    attempts: BTreeMap<u8, Attempts>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Trouble {
+    lost: f64,
+    late: f64,
+    down: f64,
+    lost_answer: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Step {
+    Order(usize, u8),
+    Read(usize, Incarnation, u16),
+    Found(usize, Incarnation, u16, Option<(u64, Bytes)>),
+    Write(usize, Incarnation, u16, u64, Bytes),
+    LateWrite(u16, u64, Bytes),
+    Swap(usize, Incarnation, u16, Reply),
+    Execute(usize, Incarnation, u8),
+    Executed(usize, Incarnation, u8, Ran),
+    Crash(usize),
+    Pause(usize, u64),
+    Tick(usize),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Reply {
+    Written(u64),
+    Conflict(u64, Bytes),
+    Failed,
+}
+
+impl World {
+    /// Plays a schedule through and returns what happened.
+    pub fn play(plan: Plan) -> Vec<Event> {
+        let mut random = Pcg64Mcg::seed_from_u64(plan.seed);
+        let mut share = || [0.0, 0.1, 0.4][random.random_range(0..3)];
+        let trouble = Trouble { lost: share(), late: share(), down: share(), lost_answer: share() };
+        let mut world = World {
+            plan,
+            random,
+            now: Stamp::from_millis(1),
+            queue: BinaryHeap::new(),
+            steps: 0,
+            store: Store::default(),
+            nodes: (0..NODES).map(|at| node(Incarnation(at as u64 + 1))).collect(),
+            trouble,
+            trace: Vec::new(),
+        };
+        world.run();
+        world.trace
+    }
+
+    fn run(&mut self) {
+        for at in 0..NODES {
+            self.after(TICK, Step::Tick(at));
+        }
+        for _ in 0..TRIES {
+            let (node, key) =
+                (self.random.random_range(0..NODES), self.random.random_range(0..KEYS));
+            let at = Duration::from_millis(self.random.random_range(0..2_500));
+            self.after(at, Step::Order(node, key));
+        }
+        if self.random.random_bool(0.4) {
+            let node = self.random.random_range(0..NODES);
+            let at = Duration::from_millis(self.random.random_range(0..2_500));
+            self.after(at, Step::Crash(node));
+        }
+        if self.random.random_bool(0.4) {
+            let node = self.random.random_range(0..NODES);
+            let at = Duration::from_millis(self.random.random_range(0..2_500));
+            let time = self.random.random_range(100..2_000);
+            self.after(at, Step::Pause(node, time));
+        }
+        self.after(Duration::from_secs(6), Step::Order(1, LAST_KEY));
+        let end = self.now + END;
+        while let Some(Reverse((at, _, step))) = self.queue.pop() {
+            if end < at {
+                break;
+            }
+            self.now = at;
+            if TROUBLED < at.since(Stamp(0)) {
+                self.trouble = Trouble { lost: 0.0, late: 0.0, down: 0.0, lost_answer: 0.0 };
+            }
+            self.step(step);
+        }
+        let answered = self.trace.contains(&Event::Answered { key: LAST_KEY });
+        self.trace.push(Event::Works { key: LAST_KEY, answered });
+    }
+
+    fn step(&mut self, step: Step) {
+        if let Some(at) = step.node()
+            && self.now < self.nodes[at].awake_at
+        {
+            let wakes = self.nodes[at].awake_at;
+            self.push(wakes, step);
+            return;
+        }
+        let (now, wall) = (self.now, self.now.0 / 1_000);
+        match step {
+            Step::Order(at, key) => self.order(at, key),
+            Step::Read(at, life, shard) => {
+                let down = self.random.random_bool(self.trouble.down);
+                let found = (!down).then(|| self.store.get(Shard(shard)));
+                let time = self.latency();
+                self.after(time, Step::Found(at, life, shard, found));
+            }
+            Step::Found(at, life, shard, found) => {
+                if self.nodes[at].incarnation != life {
+                    return;
+                }
+                if found.is_none() && self.plan.mutant == Some(Mutant::NeverRetries) {
+                    return;
+                }
+                let actions = self.nodes[at].claims.read(now, wall, Shard(shard), found);
+                self.carry_out(at, actions);
+            }
+            Step::Write(at, life, shard, version, record) => {
+                self.write(at, life, shard, version, record);
+            }
+            Step::LateWrite(shard, version, record) => {
+                self.store.swap(Shard(shard), version, record);
+            }
+            Step::Swap(at, life, shard, reply) => {
+                if self.nodes[at].incarnation != life {
+                    return;
+                }
+                let swapped = match reply {
+                    Reply::Written(version) => Swapped::Written(version),
+                    Reply::Conflict(version, bytes) => Swapped::Conflict(version, bytes),
+                    Reply::Failed if self.plan.mutant == Some(Mutant::TrustsSilence) => {
+                        Swapped::Written(u64::MAX)
+                    }
+                    Reply::Failed => Swapped::Failed,
+                };
+                let actions = self.nodes[at].claims.swapped(now, wall, Shard(shard), swapped);
+                self.carry_out(at, actions);
+            }
+            Step::Execute(at, life, key) => self.execute(at, life, key),
+            Step::Executed(at, life, key, ran) => self.executed(at, life, key, ran),
+            Step::Crash(at) => self.crash(at),
+            Step::Pause(at, time) => self.nodes[at].awake_at = now + Duration::from_millis(time),
+            Step::Tick(at) => {
+                self.after(TICK, Step::Tick(at));
+                let actions = self.nodes[at].claims.tick(now, wall);
+                self.carry_out(at, actions);
+            }
+        }
+    }
+
+    // The VM is replaced by a new life that knows nothing of the old one's memory.
+    fn crash(&mut self, at: usize) {
+        let next = Incarnation(self.nodes[at].incarnation.0 + 10);
+        self.nodes[at] = node(next);
+    }
+
+    fn order(&mut self, at: usize, key: u8) {
+        if self.plan.mutant == Some(Mutant::IgnoresHomes) {
+            self.at_home(at, key);
+            return;
+        }
+        let hash = KeyHash::new(&team(), &[key]);
+        self.nodes[at].waiting.entry(hash).or_default().push(key);
+        let actions = self.nodes[at].claims.bind(self.now, self.now.0 / 1_000, hash);
+        self.carry_out(at, actions);
+    }
+
+    fn write(&mut self, at: usize, life: Incarnation, shard: u16, version: u64, record: Bytes) {
+        let time = self.latency();
+        if self.random.random_bool(self.trouble.down) {
+            self.after(time, Step::Swap(at, life, shard, Reply::Failed));
+            return;
+        }
+        if self.random.random_bool(self.trouble.late) {
+            let late = Duration::from_millis(self.random.random_range(1..1_500));
+            self.after(late, Step::LateWrite(shard, version, record));
+            self.after(time, Step::Swap(at, life, shard, Reply::Failed));
+            return;
+        }
+        let reply = match self.store.swap(Shard(shard), version, record) {
+            Swapped::Written(version) => Reply::Written(version),
+            Swapped::Conflict(version, bytes) => Reply::Conflict(version, bytes),
+            Swapped::Failed => Reply::Failed,
+        };
+        let lost = self.random.random_bool(self.trouble.lost);
+        self.after(time, Step::Swap(at, life, shard, if lost { Reply::Failed } else { reply }));
+    }
+
+    fn carry_out(&mut self, at: usize, actions: Vec<ClaimsAction>) {
+        let life = self.nodes[at].incarnation;
+        for action in actions {
+            let time = self.latency();
+            match action {
+                ClaimsAction::Read(shard) => self.after(time, Step::Read(at, life, shard.0)),
+                ClaimsAction::Write(shard, version, record) => {
+                    self.after(time, Step::Write(at, life, shard.0, version, record));
+                }
+                ClaimsAction::Bound(key, home) => {
+                    let waiting = self.nodes[at].waiting.remove(&key).unwrap_or_default();
+                    for key in waiting {
+                        self.pass_on(home, key);
+                    }
+                }
+                ClaimsAction::Refused(key, _) => {
+                    for key in self.nodes[at].waiting.remove(&key).unwrap_or_default() {
+                        self.trace.push(Event::Told { key, ran: Ran::Unknown });
+                    }
+                }
+            }
+        }
+    }
+
+    fn pass_on(&mut self, home: Incarnation, key: u8) {
+        match self.nodes.iter().position(|node| node.incarnation == home && node.alive) {
+            Some(at) => self.at_home(at, key),
+            None => self.trace.push(Event::Told { key, ran: Ran::Unknown }),
+        }
+    }
+
+    fn at_home(&mut self, at: usize, key: u8) {
+        let now = self.now;
+        let node = &mut self.nodes[at];
+        match node.ledger.claim(now, &team(), &Bytes::copy_from_slice(&[key]), 1) {
+            Claim::Run => {
+                node.attempts.entry(key).or_default().begin();
+                let life = node.incarnation;
+                let time = self.latency();
+                self.after(time, Step::Execute(at, life, key));
+            }
+            Claim::Settled(_, Some(_)) => self.trace.push(Event::Answered { key }),
+            Claim::Settled(ran, None) => self.trace.push(Event::Told { key, ran }),
+            Claim::Running | Claim::OtherBody | Claim::Full => {
+                self.trace.push(Event::Told { key, ran: Ran::Unknown });
+            }
+        }
+    }
+
+    fn execute(&mut self, at: usize, life: Incarnation, key: u8) {
+        let time = self.latency();
+        // A connection that cannot be opened has carried nothing.
+        let ended = if self.random.random_bool(self.trouble.down) {
+            Ran::No
+        } else {
+            self.trace.push(Event::Executed { key });
+            let lost = self.random.random_bool(self.trouble.lost_answer);
+            if lost { Ran::Unknown } else { Ran::Yes }
+        };
+        self.after(time, Step::Executed(at, life, key, ended));
+    }
+
+    fn executed(&mut self, at: usize, life: Incarnation, key: u8, ran: Ran) {
+        let now = self.now;
+        let node = &mut self.nodes[at];
+        if node.incarnation != life {
+            return;
+        }
+        let lies = self.plan.mutant == Some(Mutant::CallsLostNotRun) && ran == Ran::Unknown;
+        let attempts = node.attempts.entry(key).or_default();
+        attempts.end(if lies { Ran::No } else { ran });
+        let ran = attempts.ran();
+        let stored = (ran == Ran::Yes).then(|| Bytes::from_static(b"answer"));
+        node.ledger.settle(now, &team(), &Bytes::copy_from_slice(&[key]), ran, stored);
+        self.trace.push(match ran {
+            Ran::Yes => Event::Answered { key },
+            ran => Event::Told { key, ran },
+        });
+    }
+
+    fn latency(&mut self) -> Duration {
+        Duration::from_micros(self.random.random_range(300..15_000))
+    }
+
+    fn after(&mut self, time: Duration, step: Step) {
+        self.push(self.now + time, step);
+    }
+
+    fn push(&mut self, at: Stamp, step: Step) {
+        self.steps += 1;
+        self.queue.push(Reverse((at, self.steps, step)));
+    }
+}
+
+impl Step {
+    // Returns the node that has to be awake for the step.
+    fn node(&self) -> Option<usize> {
+        match self {
+            Step::Order(at, _)
+            | Step::Found(at, ..)
+            | Step::Swap(at, ..)
+            | Step::Executed(at, ..)
+            | Step::Tick(at) => Some(*at),
+            Step::Read(..)
+            | Step::Write(..)
+            | Step::LateWrite(..)
+            | Step::Execute(..)
+            | Step::Crash(_)
+            | Step::Pause(..) => None,
+        }
+    }
+}
+
+fn node(incarnation: Incarnation) -> Node {
+    let options = ClaimsOptions { shards: 1, ..ClaimsOptions::default() };
+    Node {
+        incarnation,
+        alive: true,
+        awake_at: Stamp(0),
+        claims: Claims::new(incarnation, options),
+        ledger: Ledger::new(LedgerOptions::default()),
+        waiting: BTreeMap::new(),
+        attempts: BTreeMap::new(),
+    }
+}
+
+fn team() -> TeamName {
+    TeamName::new("workshop").expect("a name")
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -39,6 +39,7 @@
     dispatcher::{Dispatcher, SetWorkers, Tick},
     errors::NodeError,
     handoff::{self, Keeper, Recomputed},
+    keyed::{self, Claimer},
     loads,
     members::Members,
     membership_actor::{self, MembershipActor},
@@ -80,6 +81,7 @@
         let key_value =
             settings.platform.key_value.map(|address| key_value_client(address, &meters));
         let (keeper, mailbox) = Mailbox::unbounded();
+        let (claimer, claimer_mailbox) = Mailbox::unbounded();
         let (leaving_news, news) = mpsc::unbounded_channel();
         let cx = Arc::new(Context {
             settings,
@@ -90,6 +92,7 @@
             backends: Backends::default(),
             dispatcher,
             keeper,
+            claimer: claimer.clone(),
             recomputed: Recomputed::default(),
             ledger: Mutex::new(Ledger::new(LedgerOptions::default())),
             meters,
@@ -116,6 +119,7 @@
         membership_actor::register(&mut peer_port, membership.clone());
         notices::register(&mut peer_port);
         handoff::register(&mut peer_port);
+        keyed::register(&mut peer_port);
         config_watch::register(&mut peer_port);
 
         let (stop, stopped) = watch::channel(false);
@@ -137,7 +141,9 @@
         }
         let duties = vec![
             tokio::spawn(xtra::run(mailbox, Keeper::new(Arc::clone(&cx)))),
+            tokio::spawn(xtra::run(claimer_mailbox, Claimer::new(&cx))),
             tokio::spawn(handoff::pass_time(Arc::clone(&cx))),
+            tokio::spawn(keyed::pass_time(claimer)),
             tokio::spawn(handoff::drain(Arc::clone(&cx))),
             tokio::spawn(config_watch::watch_service(Arc::clone(&cx))),
             tokio::spawn(config_watch::catch_up(Arc::clone(&cx))),
