--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod capacity;
 pub mod check;
 pub mod compare;
+pub mod cpu;
 pub mod load;
 pub mod probe;
 pub mod testbed;
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -8,11 +8,12 @@
 mod events;
 mod identify;
 mod models;
+mod observe;
 pub(crate) mod relay;
 mod requests;
 mod respond;
 mod router;
-mod services;
+pub(crate) mod services;
 mod settle;
 
 pub use error::{ApiCode, ApiError};
--- /dev/null
+++ b/crates/daemon/tests/settings_page.rs
@@ -0,0 +1,101 @@
+//! The page of settings names every key with its default, and no others.
+
+use std::{collections::BTreeMap, fs, path::Path};
+
+use bulrushhall_core::{
+    CoreError,
+    config::{
+        AdapterConfig, ClassConfig, EnginesConfig, ModelConfig, RolloutConfig, SECTION_KINDS,
+        ServiceConfig, TeamConfig, VersionConfig, VmClassConfig, Weights, ZoneConfig, fields_of,
+        pairs_of,
+    },
+};
+use bulrushhall_daemon::{
+    Settings,
+    settings::{
+        LimitSettings, LogSettings, NodeSettings, PlatformSettings, SECTION_KINDS as NODE_KINDS,
+        TlsSettings, TraceSettings,
+    },
+};
+use rstest::rstest;
+use serde::{Serialize, de::DeserializeOwned};
+
+type Page = BTreeMap<String, BTreeMap<String, String>>;
+
+fn page() -> Page {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/SETTINGS.md");
+    let text = fs::read_to_string(path).expect("the page");
+    let mut page = Page::new();
+    let mut section = String::new();
+    for line in text.lines() {
+        if let Some(header) = line.strip_prefix("### [") {
+            let kind = header.split([' ', ']']).next().expect("a kind");
+            section = kind.to_owned();
+            assert!(page.insert(section.clone(), BTreeMap::new()).is_none(), "{section} twice");
+            continue;
+        }
+        let cells: Vec<&str> = line.split('|').map(str::trim).collect();
+        let ["", key, default, meaning, ""] = cells.as_slice() else { continue };
+        let Some(key) = key.strip_prefix('`').and_then(|key| key.strip_suffix('`')) else {
+            continue;
+        };
+        assert!(!meaning.is_empty(), "{section} {key} has no meaning");
+        let default = default.trim_matches('`').to_owned();
+        let keys = page.get_mut(&section).expect("a section before its keys");
+        assert!(keys.insert(key.to_owned(), default).is_none(), "{section} {key} twice");
+    }
+    page
+}
+
+fn keys_of<T: Default + Serialize + DeserializeOwned>() -> BTreeMap<String, String> {
+    let mut keys = BTreeMap::new();
+    for (key, default) in pairs_of(&T::default()) {
+        let default = default.filter(|default| !default.is_empty());
+        keys.insert(key, default.unwrap_or_else(|| "-".to_owned()));
+    }
+    let mut fields = fields_of::<T>().to_vec();
+    fields.sort_unstable();
+    assert!(keys.keys().eq(fields.iter()), "{fields:?}");
+    keys
+}
+
+#[rstest]
+#[case("service", keys_of::<ServiceConfig>())]
+#[case("engines", keys_of::<EnginesConfig>())]
+#[case("model", keys_of::<ModelConfig>())]
+#[case("version", keys_of::<VersionConfig>())]
+#[case("adapter", keys_of::<AdapterConfig>())]
+#[case("rollout", keys_of::<RolloutConfig>())]
+#[case("class", keys_of::<ClassConfig>())]
+#[case("team", keys_of::<TeamConfig>())]
+#[case("zone", keys_of::<ZoneConfig>())]
+#[case("vm-class", keys_of::<VmClassConfig>())]
+#[case("weights", keys_of::<Weights>())]
+#[case("node", keys_of::<NodeSettings>())]
+#[case("platform", keys_of::<PlatformSettings>())]
+#[case("limits", keys_of::<LimitSettings>())]
+#[case("log", keys_of::<LogSettings>())]
+#[case("trace", keys_of::<TraceSettings>())]
+#[case("tls", keys_of::<TlsSettings>())]
+fn keys_and_defaults(#[case] kind: &str, #[case] keys: BTreeMap<String, String>) {
+    assert_eq!(page().get(kind), Some(&keys), "docs/SETTINGS.md, [{kind}]");
+}
+
+#[test]
+fn sections() {
+    let mut known: Vec<&str> = SECTION_KINDS.into_iter().chain(NODE_KINDS).collect();
+    known.sort_unstable();
+    assert!(page().keys().eq(known.iter()), "{known:?}");
+}
+
+#[test]
+fn all_problems_at_once() {
+    let text =
+        "[node]\nnme = entry-1\ncallers = 10.0.0.1\n\n[limits]\nbody = 2\n\n[tls]\nkey = k\n";
+    let Err(CoreError::Config(problems)) = Settings::parse("node.ini", text) else {
+        panic!("the settings were taken");
+    };
+    let lines: Vec<usize> = problems.iter().map(|problem| problem.line).collect();
+    assert_eq!(lines, [2, 3, 6, 8], "{problems:#?}");
+    assert!(problems[0].to_string().contains("did you mean name?"), "{}", problems[0]);
+}
