Traces joined over handoffs, logs for programs, metrics by purpose, and the pages

Cause: a request that moved could not be followed, logs were for people only, key-value calls and uncopied requests were counted where nobody could read them. Change: traceparent in and out, spans for request, peer message, run, attempt and call, sent by OTLP over our own client; a copied request carries its trace; log format and filter by settings, option or environment; all counts go to the node's recorder; README, OPERATIONS, DESIGN, GLOSSARY and CONTRIBUTING, whose commands and links a test runs. Conclusion: one trace leads from the caller over both owners to the engines.

--- /dev/null
+++ b/crates/cli/tests/page_commands.rs
@@ -0,0 +1,160 @@
+//! Every command and link on the pages works.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    process::{Command, Output},
+};
+
+use bulrushhall_bench::{Testbed, TestbedOptions};
+use rstest::rstest;
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn read(path: &str) -> String {
+    fs::read_to_string(root().join(path)).unwrap_or_else(|error| panic!("{path}: {error}"))
+}
+
+// The commands stand on lines that are indented by four spaces, outside of fenced blocks.
+fn commands(page: &str) -> Vec<String> {
+    let text = read(page);
+    let mut commands = Vec::new();
+    let mut fenced = false;
+    for line in text.lines() {
+        if line.starts_with("```") {
+            fenced = !fenced;
+        }
+        if fenced {
+            continue;
+        }
+        if let Some(command) = line.strip_prefix("    ") {
+            commands.push(command.trim().to_owned());
+        }
+    }
+    commands
+}
+
+fn shell(command: &str, directory: &Path, environment: &[(&str, String)]) -> Output {
+    let tool = Path::new(env!("CARGO_BIN_EXE_bulrush"));
+    let tools = tool.parent().expect("a directory").display().to_string();
+    let path = format!("{tools}:{}", std::env::var("PATH").unwrap_or_default());
+    let mut shell = Command::new("sh");
+    shell.arg("-ec").arg(command).current_dir(directory).env("PATH", path);
+    shell.envs(environment.iter().map(|(key, value)| (*key, value.clone())));
+    shell.output().expect("a shell")
+}
+
+#[rstest]
+#[case("README.md")]
+#[case("CONTRIBUTING.md")]
+#[case("docs/OPERATIONS.md")]
+#[case("docs/DESIGN.md")]
+#[case("docs/GLOSSARY.md")]
+#[case("docs/SETTINGS.md")]
+#[case("docs/EVENTS.md")]
+#[case("docs/METRICS.md")]
+#[case("operators/python/README.md")]
+fn links(#[case] page: &str) {
+    let text = read(page);
+    let directory = root().join(page).parent().expect("a directory").to_owned();
+    for link in text.split("](").skip(1) {
+        let target = link.split(')').next().unwrap_or_default();
+        if target.starts_with("http") {
+            continue;
+        }
+        let (path, anchor) = target.split_once('#').unwrap_or((target, ""));
+        let file = if path.is_empty() { root().join(page) } else { directory.join(path) };
+        assert!(file.exists(), "{page} links {target}");
+        if anchor.is_empty() {
+            continue;
+        }
+        let text = fs::read_to_string(&file).expect("a page");
+        let anchors = text.lines().filter(|line| line.starts_with('#'));
+        let mut anchors = anchors.map(|line| {
+            let words = line.trim_start_matches('#').trim().to_lowercase();
+            words.replace(' ', "-").replace([',', '.', '\''], "")
+        });
+        assert!(anchors.any(|known| known == anchor), "{page} links {target}");
+    }
+}
+
+// The commands of the two main jobs are run by `.ci/run` and by the tests of the tool; building
+// them anew within a test would take minutes.
+#[test]
+fn readme() {
+    let commands = commands("README.md");
+    let expected = [
+        "cargo run --release --bin bulrush -- demo",
+        "cargo test --workspace",
+        "PYTHONPATH=operators/python python3 operators/python/examples/guild.py > guild.ini",
+        "cargo run --release --bin bulrush -- check guild.ini",
+    ];
+    assert_eq!(commands, expected);
+    let ci = read(".ci/run");
+    assert!(ci.contains("cargo test --workspace"), "the tests");
+    assert!(ci.contains("--bin bulrush -- demo"), "the main job");
+
+    let directory = std::env::temp_dir().join(format!("bulrush-readme-{}", std::process::id()));
+    fs::create_dir_all(&directory).expect("a directory");
+    let library = root().join("operators/python");
+    let library = library.canonicalize().expect("the library").display().to_string();
+    let described = commands[2].replace("operators/python", &library);
+    let checked = commands[3].replace("cargo run --release --bin bulrush --", "bulrush");
+    for command in [described, checked] {
+        let environment = [("PYTHONDONTWRITEBYTECODE", "1".to_owned())];
+        let output = shell(&command, &directory, &environment);
+        assert!(output.status.success(), "{command}: {output:?}");
+    }
+    let _ = fs::remove_dir_all(&directory);
+}
+
+// The commands of the page run in its order against nodes that run. What the page has as examples,
+// addresses and ids, is replaced by the real ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn operations() {
+    let options = TestbedOptions { nodes: 2, ..TestbedOptions::default() };
+    let testbed = Testbed::start(options).await.expect("a testbed");
+    let directory = std::env::temp_dir().join(format!("bulrush-pages-{}", std::process::id()));
+    fs::create_dir_all(&directory).expect("a directory");
+    let page = read("docs/OPERATIONS.md");
+    let settings = page.split("```ini\n").nth(1).and_then(|rest| rest.split("```").next());
+    fs::write(directory.join("node.ini"), settings.expect("the settings")).expect("a file");
+    fs::write(directory.join("guild.ini"), &testbed.config).expect("a file");
+
+    let nodes: Vec<String> =
+        testbed.nodes.iter().map(|node| node.operators().to_string()).collect();
+    let environment = [
+        ("BULRUSH_KEY_VALUE", testbed.kv.address().to_string()),
+        ("BULRUSH_NODES", nodes.join(",")),
+    ];
+    let body = serde_json::json!({
+        "model": bulrushhall_bench::testbed::MODEL,
+        "messages": [{ "role": "user", "content": "a survey" }],
+        "max_tokens": 4,
+    });
+    let path = "/v1/requests";
+    let accepted = testbed.caller(0).json(hyper::Method::POST, path, &[], &body).await;
+    let id = accepted.expect("an acceptance")["id"].as_str().expect("an id").to_owned();
+    let mut revision = 1;
+
+    for command in commands("docs/OPERATIONS.md") {
+        // The daemon runs until it is stopped; tests of its own start it as a process.
+        if command.starts_with("bulrushd ") || command.starts_with("export ") {
+            continue;
+        }
+        let command = command
+            .replace("--expect-revision 7", &format!("--expect-revision {revision}"))
+            .replace("--revision 6", "--revision 1")
+            .replace("r-5f1c9a00b3d7e-1f", &id)
+            .replace("drain entry-1", &format!("drain {}", testbed.nodes[0].name()));
+        let output = shell(&command, &directory, &environment);
+        assert!(output.status.success(), "{command}: {output:?}");
+        if command.starts_with("bulrush apply") && !command.contains("--dry-run") {
+            revision += 1;
+        }
+    }
+    assert_eq!(revision, 2, "the page applies a configuration");
+    let _ = fs::remove_dir_all(&directory);
+}
--- a/crates/daemon/src/bin/bulrushd.rs
+++ b/crates/daemon/src/bin/bulrushd.rs
@@ -2,14 +2,15 @@
 
 use std::{io::Write, path::PathBuf, process::ExitCode};
 
-use bulrushhall_daemon::{Node, Settings, errors::NodeError};
-use clap::{Arg, Command, value_parser};
+use bulrushhall_daemon::{
+    Node, Settings, errors::NodeError, settings::LogFormat, telemetry::Telemetry,
+};
+use clap::{Arg, ArgMatches, Command, value_parser};
 use error_stack::{Report, ResultExt};
 use tokio::signal::unix::{SignalKind, signal};
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_writer(std::io::stderr).init();
     let matches = Command::new("bulrushd")
         .about("Serves callers from an entry VM")
         .version(clap::crate_version!())
@@ -21,21 +22,45 @@
                 .required(true)
                 .value_parser(value_parser!(PathBuf)),
         )
+        .arg(
+            Arg::new("log-format")
+                .long("log-format")
+                .value_name("FORMAT")
+                .help("For whom log lines are written, instead of what the settings say")
+                .value_parser(["human", "json"]),
+        )
+        .arg(
+            Arg::new("log-filter")
+                .long("log-filter")
+                .value_name("FILTER")
+                .env("BULRUSHD_LOG")
+                .help("Which events are logged, instead of what the settings say"),
+        )
         .get_matches();
     let Some(path) = matches.get_one::<PathBuf>("settings") else { return ExitCode::from(2) };
-    match run(path).await {
+    match run(path, &matches).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            tracing::error!("{report:?}");
+            // Logs may not be set up yet, so the failure goes where they would go.
+            let _ = writeln!(std::io::stderr(), "{report:?}");
             ExitCode::from(2)
         }
     }
 }
 
-async fn run(path: &PathBuf) -> Result<(), Report<NodeError>> {
+async fn run(path: &PathBuf, matches: &ArgMatches) -> Result<(), Report<NodeError>> {
     let text = std::fs::read_to_string(path).change_context(NodeError::Settings)?;
     let settings = Settings::parse(&path.display().to_string(), &text);
-    let settings = settings.change_context(NodeError::Settings)?;
+    let mut settings = settings.change_context(NodeError::Settings)?;
+    match matches.get_one::<String>("log-format").map(String::as_str) {
+        Some("json") => settings.log.format = LogFormat::Json,
+        Some(_) => settings.log.format = LogFormat::Human,
+        None => {}
+    }
+    if let Some(filter) = matches.get_one::<String>("log-filter") {
+        settings.log.filter.clone_from(filter);
+    }
+    let telemetry = Telemetry::start(&settings.log, &settings.trace)?;
     let mut term = signal(SignalKind::terminate()).change_context(NodeError::Start)?;
     let mut interrupt = signal(SignalKind::interrupt()).change_context(NodeError::Start)?;
     let node = Node::start(settings).await?;
@@ -45,6 +70,7 @@
         _ = interrupt.recv() => {}
     }
     node.stop().await;
+    telemetry.stop().await;
     Ok(())
 }
 
--- a/crates/daemon/src/budgeted.rs
+++ b/crates/daemon/src/budgeted.rs
@@ -13,10 +13,10 @@
 };
 use bytes::Bytes;
 
-use crate::clock::Clock;
-
-/// The metric that counts calls by purpose and outcome.
-const CALLS_METRIC: &str = "bulrushhall_key_value_calls_total";
+use crate::{
+    clock::Clock,
+    meters::{Meters, Metric},
+};
 
 /// A `Budgeted` passes calls on while the budget of its purpose lasts.
 pub struct Budgeted {
@@ -24,6 +24,7 @@
     budget: Arc<Mutex<CallBudget>>,
     clock: Clock,
     purpose: Purpose,
+    meters: Arc<Meters>,
 }
 
 impl Budgeted {
@@ -33,8 +34,9 @@
         budget: Arc<Mutex<CallBudget>>,
         clock: Clock,
         purpose: Purpose,
+        meters: Arc<Meters>,
     ) -> Budgeted {
-        Budgeted { inner, budget, clock, purpose }
+        Budgeted { inner, budget, clock, purpose, meters }
     }
 
     async fn counted<T>(&self, call: Call<'_, T>) -> Result<T, CallError> {
@@ -45,6 +47,8 @@
             return Err(CallError::not_done(CallFault::Budget));
         }
         let outcome = call.await;
+        let time = self.clock.now().since(now);
+        self.meters.time(Metric::KeyValueSeconds, &[("purpose", self.purpose.word())], time);
         let ran = outcome.as_ref().map_or_else(|error| error.ran, |_| Ran::Yes);
         self.lock(|budget| budget.note(self.purpose, ran));
         self.count(match ran {
@@ -61,8 +65,8 @@
     }
 
     fn count(&self, outcome: &'static str) {
-        metrics::counter!(CALLS_METRIC, "purpose" => self.purpose.word(), "outcome" => outcome)
-            .increment(1);
+        let labels = [("purpose", self.purpose.word()), ("outcome", outcome)];
+        self.meters.count(Metric::KeyValueCalls, &labels, 1);
     }
 }
 
--- a/crates/daemon/src/callers/admit.rs
+++ b/crates/daemon/src/callers/admit.rs
@@ -17,6 +17,8 @@
     context::Context,
     dispatcher::{Start, Submit, Verdict},
     handoff::{Accept, Cause, Portable},
+    meters::Metric,
+    telemetry::trace_parent,
 };
 
 /// Accepts a request and starts its run, or refuses it.
@@ -30,7 +32,7 @@
     }
     let pending = ask(cx, &team, &request, Standing::New, &[]).await?;
     let id = cx.next_request();
-    let portable = Portable { team, request };
+    let portable = Portable { team, request, trace_parent: trace_parent() };
     let answer = portable.answer(id);
     let malformed = |_| ApiError::not_run(ApiCode::InvalidValue, "the request cannot be encoded");
     let body = portable.encode().map_err(malformed)?;
@@ -43,7 +45,7 @@
     let version = Version { epoch: 1, generation: 0, owner: cx.incarnation };
     let emitted = Vec::new();
     let run = Run { portable, answer: Arc::clone(&answer), version, emitted, cause: Cause::Engine };
-    tokio::spawn(relay::run(Arc::clone(cx), run, Some(pending)));
+    tokio::spawn(relay::traced(Arc::clone(cx), run, Some(pending)));
 
     // The caller is told nothing before a peer has a copy: what it is told is accepted must
     // outlive this node. The run starts meanwhile, so the copy costs no time to the first token.
@@ -53,7 +55,7 @@
     };
     if copied.await.map_err(stopped)? == Copied::Nowhere {
         answer.set_uncopied();
-        metrics::counter!("bulrush_accepted_uncopied_total").increment(1);
+        cx.meters.count(Metric::Uncopied, &[], 1);
     }
     Ok(answer)
 }
--- a/crates/daemon/src/callers/observe.rs
+++ b/crates/daemon/src/callers/observe.rs
@@ -16,6 +16,7 @@
     body::{Body as _, Frame, SizeHint},
     http::request::Parts,
 };
+use tracing::Span;
 
 use crate::{
     callers::{
@@ -24,6 +25,7 @@
     },
     context::Context,
     meters::Metric,
+    telemetry::hop,
 };
 
 /// What stands for a team or class that a request does not have.
@@ -62,6 +64,20 @@
         Observation { cx: Arc::clone(cx), team, class, started: Instant::now(), answered: None }
     }
 
+    /// Returns the span of the request at this node, a child of the caller's own where it has one.
+    pub fn span(&self, parts: &Parts) -> Span {
+        let span = tracing::info_span!(
+            "request",
+            otel.kind = "server",
+            node = %self.cx.settings.node.name,
+            method = %parts.method,
+            path = parts.uri.path(),
+            team = self.team(),
+            class = self.class(),
+        );
+        hop(span, &parts.headers)
+    }
+
     /// Goes on with the answer; it is over once the body has been sent or dropped.
     pub fn follow(mut self, answer: Response<Body>) -> Response<Body> {
         self.answered = Some(outcome_of(answer.status()));
--- a/crates/daemon/src/callers/relay.rs
+++ b/crates/daemon/src/callers/relay.rs
@@ -10,6 +10,7 @@
 };
 use bulrushhall_policy::WorkerKey;
 use futures_util::StreamExt;
+use tracing::Instrument;
 
 use crate::{
     answers::{Answer, AnswerEnd},
@@ -24,6 +25,7 @@
     dispatcher::{Finished, Start},
     handoff::{Cause, Portable, Produced},
     meters::Metric,
+    telemetry::resume,
 };
 
 /// The pause before the next attempt when no engine takes work or one has just failed.
@@ -45,6 +47,14 @@
     pub cause: Cause,
 }
 
+/// Does what [`run`] does, in a span that belongs to the request's trace at each of its owners.
+pub async fn traced(cx: Arc<Context>, run: Run, pending: Option<Pending>) {
+    let (node, cause) = (&cx.settings.node.name, run.cause.word());
+    let span = tracing::info_span!("run", %node, request = %run.answer.id(), cause);
+    let span = resume(span, run.portable.trace_parent.as_deref());
+    self::run(cx, run, pending).instrument(span).await;
+}
+
 /// Runs a request to its end, or until the node doesn't own it any more.
 pub async fn run(cx: Arc<Context>, mut run: Run, mut pending: Option<Pending>) {
     let answer = Arc::clone(&run.answer);
@@ -80,9 +90,10 @@
         let ended = match worker {
             Some(key) if !answer.is_halted() => {
                 let generate = generate(&run, attempt);
+                let span = tracing::info_span!("attempt", number = attempt);
                 attempt += 1;
                 tokio::select! {
-                    ended = one_attempt(&cx, &mut run, key, generate) => ended,
+                    ended = one_attempt(&cx, &mut run, key, generate).instrument(span) => ended,
                     () = answer.halted() => Err(CallError::unknown(CallFault::Closed)),
                 }
             }
--- a/crates/daemon/src/callers/router.rs
+++ b/crates/daemon/src/callers/router.rs
@@ -9,6 +9,7 @@
 };
 use bytes::Bytes;
 use hyper::{Method, Request, Response, body::Incoming, http::request::Parts};
+use tracing::Instrument;
 
 use crate::{
     callers::{ApiCode, ApiError, chat, entries, models, observe::Observation, requests, services},
@@ -81,7 +82,8 @@
         Box::pin(async move {
             let (parts, body) = req.into_parts();
             let observation = Observation::begin(&self.cx, &parts);
-            let answer = match self.route(parts, body).await {
+            let span = observation.span(&parts);
+            let answer = match self.route(parts, body).instrument(span).await {
                 Ok(answer) => answer,
                 Err(error) => {
                     let code = error.code;
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -195,7 +195,8 @@
     pub fn key_value_for(&self, purpose: Purpose) -> Option<Arc<dyn KeyValue>> {
         let inner = self.key_value.clone()?;
         let budget = Arc::clone(&self.budget);
-        Some(Arc::new(Budgeted::new(inner, budget, self.clock, purpose)))
+        let meters = Arc::clone(&self.meters);
+        Some(Arc::new(Budgeted::new(inner, budget, self.clock, purpose, meters)))
     }
 
     /// Returns a hash of the VMs that are known to leave.
--- a/crates/daemon/src/handoff/keeper.rs
+++ b/crates/daemon/src/handoff/keeper.rs
@@ -193,7 +193,7 @@
         let answer = portable.answer(id);
         self.cx.answers.insert(Arc::clone(&answer));
         let run = relay::Run { portable, answer, version, emitted: tokens, cause };
-        tokio::spawn(relay::run(Arc::clone(&self.cx), run, None));
+        tokio::spawn(relay::traced(Arc::clone(&self.cx), run, None));
     }
 
     fn keep(&self, id: RequestId, body: &[u8], tokens: Vec<String>, end: &[u8]) {
--- a/crates/daemon/src/handoff/portable.rs
+++ b/crates/daemon/src/handoff/portable.rs
@@ -19,6 +19,9 @@
     pub team: TeamName,
     /// What it asks for.
     pub request: Classified,
+    /// The span that it was accepted in, where that is collected.
+    #[serde(default)]
+    pub trace_parent: Option<String>,
 }
 
 impl Portable {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod operators;
 pub mod peers;
 pub mod settings;
+pub mod telemetry;
 
 pub use node::Node;
 pub use settings::Settings;
--- a/crates/daemon/src/meters/catalogue.rs
+++ b/crates/daemon/src/meters/catalogue.rs
@@ -29,6 +29,8 @@
     Unfinished,
     /// Attempts at an engine that failed, after which the request went on elsewhere.
     FailedAttempts,
+    /// Accepted requests that no other node has a copy of.
+    Uncopied,
     /// Tokens that were computed again.
     RecomputedTokens,
     /// Calls to the key-value service.
@@ -49,13 +51,14 @@
 
 impl Metric {
     /// Every metric.
-    pub const ALL: [Metric; 14] = [
+    pub const ALL: [Metric; 15] = [
         Metric::Requests,
         Metric::RequestSeconds,
         Metric::FirstByteSeconds,
         Metric::InFlight,
         Metric::Unfinished,
         Metric::FailedAttempts,
+        Metric::Uncopied,
         Metric::RecomputedTokens,
         Metric::KeyValueCalls,
         Metric::KeyValueSeconds,
@@ -75,6 +78,7 @@
             Metric::InFlight => "bulrush_requests_in_flight",
             Metric::Unfinished => "bulrush_answers_unfinished",
             Metric::FailedAttempts => "bulrush_failed_attempts_total",
+            Metric::Uncopied => "bulrush_accepted_uncopied_total",
             Metric::RecomputedTokens => "bulrush_recomputed_tokens_total",
             Metric::KeyValueCalls => "bulrush_key_value_calls_total",
             Metric::KeyValueSeconds => "bulrush_key_value_seconds",
@@ -91,6 +95,7 @@
         match self {
             Metric::Requests
             | Metric::FailedAttempts
+            | Metric::Uncopied
             | Metric::RecomputedTokens
             | Metric::KeyValueCalls => Kind::Counter,
             Metric::RequestSeconds | Metric::FirstByteSeconds | Metric::KeyValueSeconds => {
@@ -113,10 +118,11 @@
             Metric::RequestSeconds | Metric::FirstByteSeconds => &["team", "class"],
             Metric::FailedAttempts => &["class"],
             Metric::RecomputedTokens => &["cause"],
-            Metric::KeyValueCalls => &["duty", "outcome"],
-            Metric::KeyValueSeconds => &["duty"],
+            Metric::KeyValueCalls => &["purpose", "outcome"],
+            Metric::KeyValueSeconds => &["purpose"],
             Metric::Backends => &["service"],
             Metric::InFlight
+            | Metric::Uncopied
             | Metric::Unfinished
             | Metric::Revision
             | Metric::RevisionLag
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -44,7 +44,7 @@
     loads,
     members::Members,
     membership_actor::{self, MembershipActor},
-    meters::{MeteredKeyValue, Meters},
+    meters::Meters,
     notices,
     operators::OperatorPort,
     peers::{PeerClient, PeerPort},
@@ -79,8 +79,7 @@
         let dispatcher = Dispatcher::new(clock, incarnation.0);
         let dispatcher = xtra::spawn_tokio(dispatcher, Mailbox::unbounded());
         let meters = Arc::new(Meters::new(&settings.node.name));
-        let key_value =
-            settings.platform.key_value.map(|address| key_value_client(address, &meters));
+        let key_value = settings.platform.key_value.map(key_value_client);
         let (keeper, mailbox) = Mailbox::unbounded();
         let (claimer, claimer_mailbox) = Mailbox::unbounded();
         let (leaving_news, news) = mpsc::unbounded_channel();
@@ -226,9 +225,8 @@
     Incarnation(micros << 12 | u64::from(rand::random::<u16>() & 0xfff))
 }
 
-fn key_value_client(address: SocketAddr, meters: &Arc<Meters>) -> Arc<dyn KeyValue> {
-    let client = HttpKeyValue::new(Endpoint::new(address, EndpointOptions::default()));
-    Arc::new(MeteredKeyValue::new(Arc::new(client), Arc::clone(meters)))
+fn key_value_client(address: SocketAddr) -> Arc<dyn KeyValue> {
+    Arc::new(HttpKeyValue::new(Endpoint::new(address, EndpointOptions::default())))
 }
 
 async fn tidy_meters(cx: Arc<Context>) {
--- a/crates/daemon/src/peers/port.rs
+++ b/crates/daemon/src/peers/port.rs
@@ -8,10 +8,12 @@
 };
 use bytes::Bytes;
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use tracing::{Instrument, Span};
 
 use crate::{
     context::Context,
     peers::{Envelope, PeerMessage, Sender},
+    telemetry::{TRACE_PARENT, hop},
 };
 
 /// The largest message between nodes, in bytes.
@@ -98,7 +100,17 @@
 
 impl Handler for PeerPort {
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
-        Box::pin(async move { self.answer(req).await })
+        // A message that belongs to no request is no trace of its own.
+        let span = match req.headers().contains_key(TRACE_PARENT) {
+            true => {
+                let node = &self.cx.settings.node.name;
+                let path = req.uri().path();
+                let span = tracing::info_span!("peer", otel.kind = "server", %node, path);
+                hop(span, req.headers())
+            }
+            false => Span::none(),
+        };
+        Box::pin(async move { self.answer(req).await }.instrument(span))
     }
 }
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -110,11 +110,15 @@
 }
 
 /// `TraceSettings` tell where spans are sent.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct TraceSettings {
     /// The collector, which takes OTLP over HTTP; none means that no spans are sent.
     pub collector: Option<SocketAddr>,
+    /// The share of requests that are traced where the caller does not decide it.
+    #[serde_as(as = "DisplayFromStr")]
+    pub share: f64,
 }
 
 /// `TlsSettings` tell how the ports are protected; without a certificate they are not.
@@ -175,6 +179,12 @@
     settings.unwrap_or_default()
 }
 
+impl Default for TraceSettings {
+    fn default() -> Self {
+        TraceSettings { collector: None, share: 0.01 }
+    }
+}
+
 impl Default for LogSettings {
     fn default() -> Self {
         LogSettings { format: LogFormat::Human, filter: "info".to_owned() }
--- /dev/null
+++ b/crates/daemon/src/telemetry/collector.rs
@@ -0,0 +1,95 @@
+//! Sending of spans to a collector that takes OTLP over HTTP.
+
+use std::{error, fmt, future::Future, net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
+
+use bulrushhall_platform::http::{Endpoint, EndpointOptions, read_limited};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response};
+use opentelemetry_http::{HttpClient, HttpError};
+use opentelemetry_otlp::{Protocol, SpanExporter, WithExportConfig, WithHttpConfig};
+use opentelemetry_sdk::{
+    Resource,
+    trace::{Sampler, SdkTracerProvider},
+};
+use tokio::runtime::Handle;
+
+/// The path under which a collector takes spans.
+const SPANS_PATH: &str = "/v1/traces";
+/// The largest answer of a collector, in bytes.
+const ANSWER_LIMIT: usize = 1 << 20;
+/// The longest time that a collector may take.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A `CollectorError` tells why spans cannot be sent.
+#[derive(Debug)]
+pub struct CollectorError(String);
+
+// Spans are sent from a thread of the library, while the connection belongs to the runtime.
+struct CollectorClient {
+    endpoint: Arc<Endpoint>,
+    runtime: Handle,
+}
+
+/// Returns what collects the given share of traces and sends them to `collector`.
+pub fn provider(collector: SocketAddr, share: f64) -> Result<SdkTracerProvider, CollectorError> {
+    let options = EndpointOptions { answer: ANSWER_TIMEOUT, ..EndpointOptions::default() };
+    let endpoint = Arc::new(Endpoint::new(collector, options));
+    let client = CollectorClient { endpoint, runtime: Handle::current() };
+    let exporter = SpanExporter::builder()
+        .with_http()
+        .with_http_client(client)
+        .with_protocol(Protocol::HttpBinary)
+        .with_endpoint(format!("http://{collector}{SPANS_PATH}"))
+        .with_timeout(ANSWER_TIMEOUT)
+        .build()
+        .map_err(|error| CollectorError(error.to_string()))?;
+    let sampler = Sampler::ParentBased(Box::new(Sampler::TraceIdRatioBased(share)));
+    Ok(SdkTracerProvider::builder()
+        .with_batch_exporter(exporter)
+        .with_sampler(sampler)
+        .with_resource(Resource::builder().with_service_name("bulrushd").build())
+        .build())
+}
+
+impl HttpClient for CollectorClient {
+    fn send_bytes<'a, 'b>(
+        &'a self,
+        request: Request<Bytes>,
+    ) -> Pin<Box<dyn Future<Output = Result<Response<Bytes>, HttpError>> + Send + 'b>>
+    where
+        'a: 'b,
+        Self: 'b,
+    {
+        let endpoint = Arc::clone(&self.endpoint);
+        let sending = self.runtime.spawn(send(endpoint, request));
+        Box::pin(async move { sending.await? })
+    }
+}
+
+impl fmt::Debug for CollectorClient {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("CollectorClient").field(&self.endpoint.address()).finish()
+    }
+}
+
+impl fmt::Display for CollectorError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "spans cannot be sent: {}", self.0)
+    }
+}
+
+impl error::Error for CollectorError {}
+
+async fn send(
+    endpoint: Arc<Endpoint>,
+    request: Request<Bytes>,
+) -> Result<Response<Bytes>, HttpError> {
+    let (mut parts, body) = request.into_parts();
+    // The client addresses one server; the request line holds the path alone.
+    parts.uri = SPANS_PATH.parse()?;
+    let answer = endpoint.send(Request::from_parts(parts, Full::new(body))).await?;
+    let (parts, body) = answer.into_parts();
+    let body = read_limited(body, ANSWER_LIMIT, ANSWER_TIMEOUT).await?;
+    Ok(Response::from_parts(parts, body))
+}
--- /dev/null
+++ b/crates/daemon/src/telemetry/process.rs
@@ -0,0 +1,59 @@
+//! What a process logs and traces, set up once at its start.
+
+use std::io;
+
+use bulrushhall_platform::http::set_trace_injector;
+use error_stack::{Report, ResultExt};
+use opentelemetry::trace::TracerProvider;
+use opentelemetry_sdk::trace::SdkTracerProvider;
+use tracing_subscriber::{
+    EnvFilter, Layer, Registry, filter::LevelFilter, fmt, layer::SubscriberExt,
+    util::SubscriberInitExt,
+};
+
+use crate::{
+    errors::NodeError,
+    settings::{LogFormat, LogSettings, TraceSettings},
+    telemetry::{inject, provider},
+};
+
+/// A `Telemetry` is what a process logs and traces.
+pub struct Telemetry {
+    provider: Option<SdkTracerProvider>,
+}
+
+impl Telemetry {
+    /// Sets up logs and traces for the rest of the process's life.
+    pub fn start(log: &LogSettings, trace: &TraceSettings) -> Result<Telemetry, Report<NodeError>> {
+        let filter = EnvFilter::try_new(&log.filter).change_context(NodeError::Settings)?;
+        let lines: Box<dyn Layer<Registry> + Send + Sync> = match log.format {
+            LogFormat::Human => Box::new(fmt::layer().with_writer(io::stderr).with_filter(filter)),
+            LogFormat::Json => {
+                Box::new(fmt::layer().json().with_writer(io::stderr).with_filter(filter))
+            }
+        };
+        let provider = match trace.collector {
+            Some(collector) => {
+                Some(provider(collector, trace.share).change_context(NodeError::Settings)?)
+            }
+            None => None,
+        };
+        let spans = provider.as_ref().map(|provider| {
+            let tracer = provider.tracer("bulrushd");
+            tracing_opentelemetry::layer().with_tracer(tracer).with_filter(LevelFilter::INFO)
+        });
+        if provider.is_some() {
+            set_trace_injector(inject);
+        }
+        let registry = tracing_subscriber::registry().with(lines).with(spans);
+        registry.try_init().change_context(NodeError::Start)?;
+        Ok(Telemetry { provider })
+    }
+
+    /// Sends what was collected and not sent yet.
+    pub async fn stop(self) {
+        let Some(provider) = self.provider else { return };
+        // The library waits for its own thread, which in turn needs the runtime.
+        let _ = tokio::task::spawn_blocking(move || provider.shutdown()).await;
+    }
+}
--- a/crates/platform/src/http/endpoint.rs
+++ b/crates/platform/src/http/endpoint.rs
@@ -16,10 +16,11 @@
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
 use tokio::{net::TcpStream, time::timeout};
+use tracing::Instrument;
 
 use crate::{
     errors::{CallError, CallFault},
-    http::{Connection, Tls, read_limited},
+    http::{Connection, Tls, read_limited, trace},
 };
 
 /// The path under which a backend server tells who it is.
@@ -88,11 +89,17 @@
     ///
     /// The error says whether the request may have reached the server: a request that hyper
     /// hands back was never written.
-    pub async fn send(
+    pub async fn send(&self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallError> {
+        let span = trace::call_span(self.address, req.uri().path());
+        self.send_traced(req).instrument(span).await
+    }
+
+    async fn send_traced(
         &self,
         mut req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, CallError> {
         req.headers_mut().insert(HOST, self.host.clone());
+        trace::inject(req.headers_mut());
 
         // A kept connection may have been closed by the other side in the meantime. Hyper then
         // hands the unsent request back, and it goes out on another connection.
--- a/crates/platform/src/http/mod.rs
+++ b/crates/platform/src/http/mod.rs
@@ -5,9 +5,11 @@
 mod listen;
 mod server;
 mod tls;
+mod trace;
 
 pub use body::{Body, BodyError, empty, full, read_limited, streamed};
 pub use endpoint::{Endpoint, EndpointOptions, Identity};
 pub use listen::listen;
 pub use server::{Handler, ServerOptions, serve};
 pub use tls::{Clients, Connection, NODE_NAME, Tls, TlsError, TlsFiles};
+pub use trace::set_trace_injector;
