Status shows queues and duties, the tool speaks TLS, open outcomes tested

Cause: operators could not see what waits or who holds a duty, could not reach protected ports with the tool, and no test brought about an outcome that stays open. Conclusion: a lost reply ends with exit code 6, an outage with 5 and an unchanged revision.

--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -16,7 +16,7 @@
     error::CliError,
     exit::ExitStatus,
     output::{Format, Output},
-    remote::{ask, key_value, key_value_arg, nodes_arg},
+    remote::{Nodes, key_value, key_value_arg, nodes_arg, tls_args},
 };
 
 /// The time within which every node is to have a new configuration in force.
@@ -33,6 +33,7 @@
         .arg(file_arg())
         .arg(key_value_arg())
         .arg(nodes_arg().help("A node's operators' port; apply waits until it has the revision"))
+        .args(tls_args())
         .arg(
             Arg::new("expect-revision")
                 .long("expect-revision")
@@ -97,12 +98,11 @@
         Err(_) if unsettled => return Err(CliError::Open),
         Err(_) => return Err(CliError::Unreached),
     };
-    let nodes: Vec<SocketAddr> =
-        args.get_many("node").map(|nodes| nodes.copied().collect()).unwrap_or_default();
+    let nodes = Nodes::named(args)?;
     wait_for(&nodes, revision, &progress).await?;
     progress.finish_and_clear();
-    let value = json!({ "revision": revision, "applied": true, "in_force_at": nodes });
-    let told = match nodes.len() {
+    let value = json!({ "revision": revision, "applied": true, "in_force_at": nodes.addresses });
+    let told = match nodes.addresses.len() {
         0 => format!("revision {revision} is accepted"),
         count => format!("revision {revision} is accepted and in force at {count} node(s)"),
     };
@@ -111,16 +111,16 @@
 }
 
 async fn wait_for(
-    nodes: &[SocketAddr],
+    nodes: &Nodes,
     revision: Revision,
     progress: &ProgressBar,
 ) -> Result<(), CliError> {
     let until = Instant::now() + WAIT;
-    let mut behind = nodes.to_vec();
+    let mut behind: Vec<SocketAddr> = nodes.addresses.clone();
     loop {
         let mut still = Vec::new();
         for address in behind {
-            let status: Result<NodeStatus, _> = ask(address, Method::GET, "/status").await;
+            let status: Result<NodeStatus, _> = nodes.ask(address, Method::GET, "/status").await;
             if status.is_ok_and(|status| revision <= status.revision) {
                 continue;
             }
--- a/crates/cli/src/commands/drain.rs
+++ b/crates/cli/src/commands/drain.rs
@@ -10,7 +10,7 @@
     error::CliError,
     exit::ExitStatus,
     output::Output,
-    remote::{ask, nodes, nodes_arg},
+    remote::{Nodes, nodes_arg, tls_args},
 };
 
 /// Returns the description of the command's arguments.
@@ -25,17 +25,20 @@
                 .value_parser(value_parser!(NodeName)),
         )
         .arg(nodes_arg())
+        .args(tls_args())
 }
 
 /// Finds the node by its name and tells it to leave.
 pub async fn run(args: &ArgMatches, out: &Output) -> Result<ExitStatus, CliError> {
     let Some(name) = args.get_one::<NodeName>("name") else { return Ok(ExitStatus::Usage) };
-    for address in nodes(args)? {
-        let status: Result<NodeStatus, _> = ask(address, Method::GET, "/status").await;
+    let nodes = Nodes::required(args)?;
+    for &address in &nodes.addresses {
+        let status: Result<NodeStatus, _> = nodes.ask(address, Method::GET, "/status").await;
         if !status.is_ok_and(|status| status.node == *name) {
             continue;
         }
-        let status: NodeStatus = ask(address, Method::POST, "/drain")
+        let status: NodeStatus = nodes
+            .ask(address, Method::POST, "/drain")
             .await
             .map_err(|cause| CliError::Node { address, cause })?;
         let value =
--- a/crates/cli/src/commands/requests.rs
+++ b/crates/cli/src/commands/requests.rs
@@ -10,7 +10,7 @@
     error::CliError,
     exit::ExitStatus,
     output::{Output, table},
-    remote::{ask, nodes, nodes_arg},
+    remote::{Nodes, nodes_arg, tls_args},
 };
 
 /// Returns the description of the command's arguments.
@@ -25,6 +25,7 @@
                 .value_parser(value_parser!(RequestId)),
         )
         .arg(nodes_arg())
+        .args(tls_args())
 }
 
 /// Asks every node for the request.
@@ -32,8 +33,9 @@
     let Some(id) = args.get_one::<RequestId>("id") else { return Ok(ExitStatus::Usage) };
     let mut found: Vec<RequestStatus> = Vec::new();
     let mut failed = None;
-    for address in nodes(args)? {
-        match ask(address, Method::GET, &format!("/requests/{id}")).await {
+    let nodes = Nodes::required(args)?;
+    for &address in &nodes.addresses {
+        match nodes.ask(address, Method::GET, &format!("/requests/{id}")).await {
             Ok(status) => found.push(status),
             Err(CallError { fault: CallFault::Refused { status: 404 }, .. }) => continue,
             Err(cause) => failed = Some(CliError::Node { address, cause }),
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -3,7 +3,7 @@
 use std::{error, fmt, io, net::SocketAddr, path::PathBuf};
 
 use bulrushhall_core::{Revision, config::Problem};
-use bulrushhall_platform::CallError;
+use bulrushhall_platform::{CallError, http::TlsError};
 
 use crate::exit::ExitStatus;
 
@@ -21,6 +21,8 @@
     Write(io::Error),
     /// The runtime could not be started.
     Start(io::Error),
+    /// The certificates could not be used.
+    Tls(TlsError),
     /// A text has problems, which have been printed.
     Invalid(Vec<Problem>),
     /// No address of the key-value service was given.
@@ -68,7 +70,9 @@
     /// Returns the exit status.
     pub fn status(&self) -> ExitStatus {
         match self {
-            CliError::Read { .. } | CliError::Write(_) | CliError::Start(_) => ExitStatus::Failed,
+            CliError::Read { .. } | CliError::Write(_) | CliError::Start(_) | CliError::Tls(_) => {
+                ExitStatus::Failed
+            }
             CliError::Refused(_) | CliError::Late { .. } => ExitStatus::Failed,
             CliError::Invalid(_) => ExitStatus::Invalid,
             CliError::NoKeyValue | CliError::NoNodes => ExitStatus::Usage,
@@ -91,6 +95,7 @@
             }
             CliError::Write(_) => "check where the output goes".into(),
             CliError::Start(_) => "check the limits of processes and files".into(),
+            CliError::Tls(_) => "check --certificate, --key and --authority".into(),
             CliError::Invalid(problems) => {
                 format!("mend the {} problem(s) above and run it again", problems.len())
             }
@@ -137,6 +142,7 @@
             }
             CliError::Write(cause) => write!(f, "the result could not be written: {cause}"),
             CliError::Start(cause) => write!(f, "the runtime could not be started: {cause}"),
+            CliError::Tls(cause) => write!(f, "{cause}"),
             CliError::Invalid(problems) => {
                 for problem in problems {
                     writeln!(f, "{problem}")?;
--- a/crates/cli/src/remote.rs
+++ b/crates/cli/src/remote.rs
@@ -1,11 +1,11 @@
 //! The key-value service and the nodes' operators' ports, as commands reach them.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
 use bulrushhall_platform::{
     CallError, CallFault, KeyValue,
     clients::HttpKeyValue,
-    http::{Endpoint, EndpointOptions, read_limited},
+    http::{Endpoint, EndpointOptions, Tls, TlsFiles, read_limited},
 };
 use bytes::Bytes;
 use clap::{Arg, ArgAction, ArgMatches, value_parser};
@@ -48,20 +48,75 @@
     Ok(Arc::new(HttpKeyValue::new(Endpoint::new(*address, EndpointOptions::default()))))
 }
 
-/// Returns the addresses of the nodes that the arguments name.
-pub fn nodes(args: &ArgMatches) -> Result<Vec<SocketAddr>, CliError> {
-    let nodes: Vec<SocketAddr> =
-        args.get_many("node").map(|nodes| nodes.copied().collect()).unwrap_or_default();
-    if nodes.is_empty() { Err(CliError::NoNodes) } else { Ok(nodes) }
+/// Returns the arguments that name the files for TLS.
+pub fn tls_args() -> [Arg; 3] {
+    let file = |name: &'static str, variable: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("FILE")
+            .env(variable)
+            .help(help)
+            .value_parser(value_parser!(PathBuf))
+    };
+    [
+        file("certificate", "BULRUSH_CERTIFICATE", "The operator's certificate, in PEM")
+            .requires("key")
+            .requires("authority"),
+        file("key", "BULRUSH_KEY", "The key of the operator's certificate, in PEM")
+            .requires("certificate"),
+        file("authority", "BULRUSH_AUTHORITY", "The authority that signed the nodes, in PEM")
+            .requires("certificate"),
+    ]
 }
 
-/// Asks the operators' port of a node.
-pub async fn ask<T: DeserializeOwned>(
+/// `Nodes` are the operators' ports that the arguments name.
+pub struct Nodes {
+    /// The addresses.
+    pub addresses: Vec<SocketAddr>,
+    tls: Option<Arc<Tls>>,
+}
+
+impl Nodes {
+    /// Returns the nodes that the arguments name, maybe none.
+    pub fn named(args: &ArgMatches) -> Result<Nodes, CliError> {
+        let addresses = args.get_many("node").map(|nodes| nodes.copied().collect());
+        let file = |name: &str| args.get_one::<PathBuf>(name).cloned();
+        let files = (file("certificate"), file("key"), file("authority"));
+        let tls = match files {
+            (Some(certificate), Some(key), Some(authority)) => {
+                let files = TlsFiles { certificate, key, authority };
+                Some(Arc::new(Tls::load(files).map_err(CliError::Tls)?))
+            }
+            _ => None,
+        };
+        Ok(Nodes { addresses: addresses.unwrap_or_default(), tls })
+    }
+
+    /// Returns the nodes that the arguments name, at least one.
+    pub fn required(args: &ArgMatches) -> Result<Nodes, CliError> {
+        let nodes = Nodes::named(args)?;
+        if nodes.addresses.is_empty() { Err(CliError::NoNodes) } else { Ok(nodes) }
+    }
+
+    /// Asks the operators' port of a node.
+    pub async fn ask<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+    ) -> Result<T, CallError> {
+        let tls = self.tls.clone();
+        ask(address, tls, method, path).await
+    }
+}
+
+async fn ask<T: DeserializeOwned>(
     address: SocketAddr,
+    tls: Option<Arc<Tls>>,
     method: Method,
     path: &str,
 ) -> Result<T, CallError> {
-    let options = EndpointOptions { answer: ANSWER_TIMEOUT, ..EndpointOptions::default() };
+    let options = EndpointOptions { answer: ANSWER_TIMEOUT, tls, ..EndpointOptions::default() };
     let malformed = || CallError::not_done(CallFault::Malformed);
     let req = Request::builder().method(method).uri(path).body(Full::new(Bytes::new()));
     let answer = Endpoint::new(address, options).send(req.map_err(|_| malformed())?).await?;
--- a/crates/cli/tests/operator_commands.rs
+++ b/crates/cli/tests/operator_commands.rs
@@ -5,16 +5,29 @@
     net::SocketAddr,
     path::PathBuf,
     process::{Command, Output, Stdio},
+    sync::Arc,
+    time::Duration,
 };
 
 use bulrushhall_bench::{
     Testbed, TestbedOptions,
-    testbed::{MODEL, NodeProcess},
+    testbed::{MODEL, NodeProcess, SERVICE},
+};
+use bulrushhall_platform::{
+    BoxFuture, KeyValue,
+    clients::HttpKeyValue,
+    http::{Body, Endpoint, EndpointOptions, Handler, ServerOptions, full, read_limited, serve},
+    kv::{CasOutcome, Version},
 };
 use bulrushhall_standin::switches::Faults;
-use hyper::Method;
+use http_body_util::Full;
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use rstest::rstest;
 use serde_json::{Value, json};
+use tokio::{net::TcpListener, sync::watch};
+
+const LIMIT: usize = 4 << 20;
+const WAIT: Duration = Duration::from_secs(5);
 
 struct Operator {
     kv: SocketAddr,
@@ -29,11 +42,12 @@
 
     fn run(&self, args: &[&str], input: &str) -> Output {
         let nodes: Vec<String> = self.nodes.iter().map(SocketAddr::to_string).collect();
-        bulrush(
-            args,
-            input,
-            &[("BULRUSH_KEY_VALUE", &self.kv.to_string()), ("BULRUSH_NODES", &nodes.join(","))],
-        )
+        let (kv, nodes) = (self.kv.to_string(), nodes.join(","));
+        let mut environment = vec![("BULRUSH_KEY_VALUE", kv.as_str())];
+        if !nodes.is_empty() {
+            environment.push(("BULRUSH_NODES", nodes.as_str()));
+        }
+        bulrush(args, input, &environment)
     }
 
     fn json(&self, args: &[&str], input: &str) -> Value {
@@ -91,7 +105,7 @@
     assert_eq!(applied["revision"], before + 1);
     assert_eq!(applied["in_force_at"].as_array().map(Vec::len), Some(5));
 
-    let statuses = operator.json(&["status"], "");
+    let statuses = operator.json(&["status"], "")["nodes"].take();
     for status in statuses.as_array().expect("a list") {
         assert_eq!(status["status"]["revision"], before + 1);
         assert_eq!(priority_of(status, "patient"), Some(7));
@@ -157,18 +171,75 @@
     assert_eq!(shown.status.code(), Some(5), "{shown:?}");
     let told = String::from_utf8(shown.stderr).expect("text");
     assert!(told.contains("next: nodes go on"), "{told}");
-    let statuses = operator.json(&["status"], "");
+    let statuses = operator.json(&["status"], "")["nodes"].take();
     assert_eq!(statuses.as_array().map(Vec::len), Some(5));
     assert!(statuses[0]["status"]["revision"].as_u64().is_some_and(|revision| 0 < revision));
 }
 
+/// A `LosesReplies` passes calls on to the key-value service and answers each write with 504.
+struct LosesReplies {
+    kv: Endpoint,
+}
+
+impl Handler for LosesReplies {
+    fn handle(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
+        Box::pin(async move {
+            let (parts, body) = req.into_parts();
+            let is_write = parts.method == Method::PUT;
+            let body = read_limited(body, LIMIT, WAIT).await.expect("a body");
+            let passed_on = self.kv.send(Request::from_parts(parts, Full::new(body))).await;
+            let (mut parts, body) = passed_on.expect("an answer").into_parts();
+            let body = read_limited(body, LIMIT, WAIT).await.expect("a body");
+            if is_write {
+                parts.status = StatusCode::GATEWAY_TIMEOUT;
+            }
+            Response::from_parts(parts, full(body))
+        })
+    }
+}
+
+// The service takes the change and its answers get lost. An operator who is told that nothing was
+// changed would apply it once more; one who is told that it was, would not look.
+#[tokio::test(flavor = "multi_thread")]
+async fn open_outcome() {
+    let testbed = five_nodes().await;
+    let kv = Endpoint::new(testbed.kv.address(), EndpointOptions::default());
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let between = listener.local_addr().expect("an address");
+    let (_stop, stopped) = watch::channel(false);
+    let handler: Arc<dyn Handler> = Arc::new(LosesReplies { kv });
+    tokio::spawn(serve(listener, handler, ServerOptions::default(), stopped));
+
+    let operator = Operator { kv: between, nodes: Vec::new() };
+    let before = operator.json(&["show"], "")["revision"].as_u64().expect("a revision");
+    let changed = with_priority(&testbed.config, 7);
+    let output = operator.run(&["apply", "-", "--give-up-after", "2s"], &changed);
+    assert_eq!(output.status.code(), Some(6), "{output:?}");
+    let told = String::from_utf8(output.stderr).expect("text");
+    assert!(told.contains("next: run `bulrush show` later"), "{told}");
+    assert_eq!(operator.json(&["show"], "")["revision"], before + 1);
+}
+
+// The service is away from the beginning, so certainly nothing was changed.
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_applied() {
+    let testbed = five_nodes().await;
+    let operator = Operator::of(&testbed);
+    let before = operator.json(&["show"], "")["revision"].clone();
+    testbed.kv.switches().set(Faults { outage: true, ..Faults::default() });
+    let changed = with_priority(&testbed.config, 7);
+    assert_eq!(operator.code(&["apply", "-", "--give-up-after", "1s"], &changed), Some(5));
+    testbed.kv.switches().set(Faults::default());
+    assert_eq!(operator.json(&["show"], "")["revision"], before);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn drained_node() {
     let testbed = five_nodes().await;
     let operator = Operator::of(&testbed);
     let drained = operator.json(&["drain", "entry-2"], "");
     assert_eq!(drained["leaving"], true);
-    let statuses = operator.json(&["status"], "");
+    let statuses = operator.json(&["status"], "")["nodes"].take();
     let leaving: Vec<&Value> = statuses
         .as_array()
         .expect("a list")
@@ -207,12 +278,35 @@
     let operator = Operator::of(&testbed);
     let dead: &NodeProcess = &testbed.nodes[4];
     dead.kill();
-    let statuses = operator.json(&["status"], "");
+    let statuses = operator.json(&["status"], "")["nodes"].take();
     assert_eq!(statuses[4]["status"], Value::Null);
     assert!(statuses[4]["error"].is_string());
     assert!(statuses[0]["status"].is_object());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn duties_and_queues() {
+    let testbed = five_nodes().await;
+    let operator = Operator::of(&testbed);
+    let kv = HttpKeyValue::new(Endpoint::new(testbed.kv.address(), EndpointOptions::default()));
+    let holder = testbed.nodes[2].context().incarnation.to_string();
+    let written = kv.put_if("duty/example/suva-a", Version(0), holder.into(), None).await;
+    assert!(matches!(written, Ok(CasOutcome::Written(_))), "{written:?}");
+
+    let status = operator.json(&["status"], "");
+    let duties = status["duties"].as_array().expect("a list");
+    let example = duties.iter().find(|duty| duty["duty"] == "example/suva-a");
+    assert_eq!(example.expect("the duty")["node"], "entry-2");
+    let queues = status["nodes"][0]["status"]["queues"].as_array().expect("a list");
+    assert!(queues.iter().any(|queue| queue["service"] == SERVICE), "{queues:?}");
+
+    // The service is away: the nodes are still shown.
+    testbed.kv.switches().set(Faults { outage: true, ..Faults::default() });
+    let status = operator.json(&["status"], "");
+    assert!(status["duties_error"].is_string(), "{status}");
+    assert_eq!(status["nodes"].as_array().map(Vec::len), Some(5));
+}
+
 #[rstest]
 #[case::no_command(&[], 2)]
 #[case::unknown_command(&["aply"], 2)]
--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -12,6 +12,7 @@
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 use xtra::{Actor, Context, Handler, Mailbox};
 
@@ -131,6 +132,20 @@
     pub key: WorkerKey,
 }
 
+/// A `Queues` asks how many requests wait and run.
+pub struct Queues;
+
+/// A `QueueDepth` tells how many requests of a service wait and run at one node.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QueueDepth {
+    /// The service.
+    pub service: ServiceName,
+    /// The requests that wait for an engine.
+    pub waiting: usize,
+    /// The requests that run.
+    pub running: usize,
+}
+
 /// A `Tick` lets time pass.
 pub struct Tick;
 
@@ -280,6 +295,20 @@
     }
 }
 
+impl Handler<Queues> for Dispatcher {
+    type Return = Vec<QueueDepth>;
+
+    async fn handle(&mut self, _queues: Queues, _cx: &mut Context<Self>) -> Vec<QueueDepth> {
+        let mut depths = Vec::new();
+        for (service, state) in &self.services {
+            let admission = state.lane.admission();
+            let (waiting, running) = (admission.waiting(), admission.running());
+            depths.push(QueueDepth { service: service.clone(), waiting, running });
+        }
+        depths
+    }
+}
+
 impl Handler<Tick> for Dispatcher {
     type Return = ();
 
--- a/crates/daemon/src/meters/catalogue.rs
+++ b/crates/daemon/src/meters/catalogue.rs
@@ -27,6 +27,10 @@
     InFlight,
     /// Accepted model requests that are not finished.
     Unfinished,
+    /// Model requests that wait for an engine.
+    QueueWaiting,
+    /// Model requests that run on an engine.
+    QueueRunning,
     /// Attempts at an engine that failed, after which the request went on elsewhere.
     FailedAttempts,
     /// Accepted requests that no other node has a copy of.
@@ -51,12 +55,14 @@
 
 impl Metric {
     /// Every metric.
-    pub const ALL: [Metric; 15] = [
+    pub const ALL: [Metric; 17] = [
         Metric::Requests,
         Metric::RequestSeconds,
         Metric::FirstByteSeconds,
         Metric::InFlight,
         Metric::Unfinished,
+        Metric::QueueWaiting,
+        Metric::QueueRunning,
         Metric::FailedAttempts,
         Metric::Uncopied,
         Metric::RecomputedTokens,
@@ -77,6 +83,8 @@
             Metric::FirstByteSeconds => "bulrush_first_byte_seconds",
             Metric::InFlight => "bulrush_requests_in_flight",
             Metric::Unfinished => "bulrush_answers_unfinished",
+            Metric::QueueWaiting => "bulrush_queue_waiting",
+            Metric::QueueRunning => "bulrush_queue_running",
             Metric::FailedAttempts => "bulrush_failed_attempts_total",
             Metric::Uncopied => "bulrush_accepted_uncopied_total",
             Metric::RecomputedTokens => "bulrush_recomputed_tokens_total",
@@ -103,6 +111,8 @@
             }
             Metric::InFlight
             | Metric::Unfinished
+            | Metric::QueueWaiting
+            | Metric::QueueRunning
             | Metric::Revision
             | Metric::RevisionLag
             | Metric::Members
@@ -120,7 +130,7 @@
             Metric::RecomputedTokens => &["cause"],
             Metric::KeyValueCalls => &["purpose", "outcome"],
             Metric::KeyValueSeconds => &["purpose"],
-            Metric::Backends => &["service"],
+            Metric::Backends | Metric::QueueWaiting | Metric::QueueRunning => &["service"],
             Metric::InFlight
             | Metric::Uncopied
             | Metric::Unfinished
--- a/crates/daemon/src/meters/recorder.rs
+++ b/crates/daemon/src/meters/recorder.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     context::Context,
+    dispatcher::Queues,
     meters::{Kind, Metric},
 };
 
@@ -72,7 +73,7 @@
     }
 
     /// Sets the gauges that tell how the node is now.
-    pub fn sample(&self, cx: &Context) {
+    pub async fn sample(&self, cx: &Context) {
         let in_force = cx.in_force();
         let highest = (*cx.highest_revision.borrow()).max(in_force.revision);
         let lag = highest.0 - in_force.revision.0;
@@ -81,6 +82,11 @@
         self.set(Metric::Members, &[], as_value(cx.members.current().len() as u64));
         self.set(Metric::Unfinished, &[], as_value(cx.answers.unfinished() as u64));
         self.set(Metric::Leaving, &[], as_value(u64::from(cx.is_leaving())));
+        for depth in cx.dispatcher.send(Queues).await.unwrap_or_default() {
+            let labels = [("service", depth.service.as_str())];
+            self.set(Metric::QueueWaiting, &labels, as_value(depth.waiting as u64));
+            self.set(Metric::QueueRunning, &labels, as_value(depth.running as u64));
+        }
         for service in in_force.deployment.services.keys() {
             let known = cx.backends.of(service).len() as u64;
             self.set(Metric::Backends, &[("service", service.as_str())], as_value(known));
--- a/crates/daemon/src/operators/port.rs
+++ b/crates/daemon/src/operators/port.rs
@@ -33,17 +33,17 @@
         OperatorPort { cx }
     }
 
-    fn answer(&self, method: &Method, path: &str) -> Response<Body> {
+    async fn answer(&self, method: &Method, path: &str) -> Response<Body> {
         let segments: Vec<&str> = path.split('/').skip(1).collect();
         match (method.as_str(), segments.as_slice()) {
             ("GET", ["healthz"]) => text(StatusCode::OK, "ok\n"),
             ("GET", ["readyz"]) => self.ready(),
-            ("GET", ["metrics"]) => self.metrics(),
-            ("GET", ["status"]) => json(StatusCode::OK, &NodeStatus::of(&self.cx)),
+            ("GET", ["metrics"]) => self.metrics().await,
+            ("GET", ["status"]) => json(StatusCode::OK, &NodeStatus::of(&self.cx).await),
             ("GET", ["requests", id]) => self.request(id),
             ("POST", ["drain"]) => {
                 self.cx.leave();
-                json(StatusCode::ACCEPTED, &NodeStatus::of(&self.cx))
+                json(StatusCode::ACCEPTED, &NodeStatus::of(&self.cx).await)
             }
             _ => text(StatusCode::NOT_FOUND, "not found\n"),
         }
@@ -62,8 +62,8 @@
         text(StatusCode::OK, "ready\n")
     }
 
-    fn metrics(&self) -> Response<Body> {
-        self.cx.meters.sample(&self.cx);
+    async fn metrics(&self) -> Response<Body> {
+        self.cx.meters.sample(&self.cx).await;
         let mut answer = text(StatusCode::OK, &self.cx.meters.render());
         answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(METRICS_TYPE));
         answer
@@ -82,7 +82,7 @@
 
 impl Handler for OperatorPort {
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
-        Box::pin(async move { self.answer(req.method(), req.uri().path()) })
+        Box::pin(async move { self.answer(req.method(), req.uri().path()).await })
     }
 }
 
--- a/crates/daemon/src/operators/status.rs
+++ b/crates/daemon/src/operators/status.rs
@@ -3,7 +3,11 @@
 use bulrushhall_core::{ClassName, NodeName, Revision, ServiceName, VmName, ZoneName};
 use serde::{Deserialize, Serialize};
 
-use crate::{context::Context, meters::Metric};
+use crate::{
+    context::Context,
+    dispatcher::{QueueDepth, Queues},
+    meters::Metric,
+};
 
 /// A `NodeStatus` tells how a node is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,6 +34,8 @@
     pub members: Vec<MemberStatus>,
     /// The backend servers that it knows.
     pub backends: Vec<BackendStatus>,
+    /// The queues of the services that run models.
+    pub queues: Vec<QueueDepth>,
     /// The request classes in force.
     pub classes: Vec<ClassStatus>,
 }
@@ -69,7 +75,9 @@
 
 impl NodeStatus {
     /// Returns how the node is now.
-    pub fn of(cx: &Context) -> NodeStatus {
+    pub async fn of(cx: &Context) -> NodeStatus {
+        // Without the actor the node is about to end and has no queues any more.
+        let queues = cx.dispatcher.send(Queues).await.unwrap_or_default();
         let in_force = cx.in_force();
         let node = &cx.settings.node;
         let mut members = Vec::new();
@@ -105,6 +113,7 @@
             recomputed_tokens: cx.meters.total(Metric::RecomputedTokens),
             members,
             backends,
+            queues,
             classes,
         }
     }
