--- a/crates/cli/tests/operator_commands.rs
+++ b/crates/cli/tests/operator_commands.rs
@@ -13,6 +13,7 @@
     Testbed, TestbedOptions,
     testbed::{MODEL, NodeProcess, SERVICE},
 };
+use bulrushhall_coord::chain::HEAD_KEY;
 use bulrushhall_platform::{
     BoxFuture, KeyValue,
     clients::HttpKeyValue,
@@ -176,7 +177,8 @@
     assert!(statuses[0]["status"]["revision"].as_u64().is_some_and(|revision| 0 < revision));
 }
 
-/// A `LosesReplies` passes calls on to the key-value service and answers each write with 504.
+/// A `LosesReplies` passes calls on to the key-value service and answers each write of the newest
+/// revision with 504.
 struct LosesReplies {
     kv: Endpoint,
 }
@@ -185,7 +187,7 @@
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
         Box::pin(async move {
             let (parts, body) = req.into_parts();
-            let is_write = parts.method == Method::PUT;
+            let is_write = parts.method == Method::PUT && parts.uri.path().ends_with(HEAD_KEY);
             let body = read_limited(body, LIMIT, WAIT).await.expect("a body");
             let passed_on = self.kv.send(Request::from_parts(parts, Full::new(body))).await;
             let (mut parts, body) = passed_on.expect("an answer").into_parts();
