--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cpu;
 pub mod load;
 pub mod probe;
+pub mod scenario;
 pub mod testbed;
 
 pub use caller::{Answered, Caller, CallerError};
--- a/crates/bench/src/load/person.rs
+++ b/crates/bench/src/load/person.rs
@@ -228,6 +228,11 @@
             match step {
                 Step::Again(further, pause) => {
                     turn += further;
+                    // A call that was certainly not run may be sent under another ticket; one that
+                    // may have run must keep the ticket that it was first sent with.
+                    if record.ran == Ran::No {
+                        ticket = None;
+                    }
                     sleep(pause).await;
                 }
                 Step::At(_) => {}
--- /dev/null
+++ b/crates/bench/src/scenario/watch.rs
@@ -0,0 +1,81 @@
+//! A task that notes which revision each node has in force while a scenario runs.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+
+use bulrushhall_core::Revision;
+use tokio::{task::JoinHandle, time::sleep};
+
+use crate::{
+    check::{Observation, Violation, spreads_and_never_reverts},
+    testbed::NodeProcess,
+};
+
+/// The pause between two looks.
+const PAUSE: Duration = Duration::from_millis(25);
+/// The time in which a configuration is to be in force everywhere.
+pub const BOUND: Duration = Duration::from_secs(12);
+
+/// A `RevisionWatch` notes revisions until it is dropped.
+pub struct RevisionWatch {
+    started: Instant,
+    state: Arc<Mutex<State>>,
+    task: JoinHandle<()>,
+}
+
+#[derive(Default)]
+struct State {
+    nodes: Vec<Arc<NodeProcess>>,
+    seen: Vec<Observation>,
+    accepted: Vec<(Revision, Duration)>,
+}
+
+impl RevisionWatch {
+    /// Starts to watch nodes.
+    pub fn start(nodes: &[Arc<NodeProcess>]) -> RevisionWatch {
+        let started = Instant::now();
+        let state = Arc::new(Mutex::new(State { nodes: nodes.to_vec(), ..State::default() }));
+        let task = tokio::spawn(watch(Arc::clone(&state), started));
+        RevisionWatch { started, state, task }
+    }
+
+    /// Watches one more node.
+    pub fn add(&self, node: &Arc<NodeProcess>) {
+        lock(&self.state).nodes.push(Arc::clone(node));
+    }
+
+    /// Notes that a revision was accepted just now.
+    pub fn accepted(&self, revision: Revision) {
+        lock(&self.state).accepted.push((revision, self.started.elapsed()));
+    }
+
+    /// Judges what was seen so far.
+    pub fn judge(&self) -> Vec<Violation> {
+        let state = lock(&self.state);
+        spreads_and_never_reverts(&state.seen, &state.accepted, BOUND)
+    }
+}
+
+impl Drop for RevisionWatch {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn watch(state: Arc<Mutex<State>>, started: Instant) {
+    loop {
+        let nodes = lock(&state).nodes.clone();
+        for node in nodes.iter().filter(|node| node.is_alive()) {
+            let revision = node.context().in_force().revision;
+            let (node, at) = (node.name().clone(), started.elapsed());
+            lock(&state).seen.push(Observation { node, at, revision });
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
