--- a/crates/bench/src/scenario/runner.rs
+++ b/crates/bench/src/scenario/runner.rs
@@ -200,7 +200,7 @@
         seed: number(args, "seed", 1)?,
         warm_up: Duration::ZERO,
         silence: Duration::from_secs(4),
-        patience: Duration::from_secs(60),
+        patience: Duration::from_secs(40),
         retries: number(args, "retries", 20)?,
         ..Plan::default()
     })
