--- a/crates/daemon/src/meters/catalogue.rs
+++ b/crates/daemon/src/meters/catalogue.rs
@@ -27,8 +27,14 @@
     InFlight,
     /// Accepted model requests that are not finished.
     Unfinished,
+    /// Model requests that wait for an engine.
+    QueueWaiting,
+    /// Model requests that run on an engine.
+    QueueRunning,
     /// Attempts at an engine that failed, after which the request went on elsewhere.
     FailedAttempts,
+    /// Accepted requests that no other node has a copy of.
+    Uncopied,
     /// Tokens that were computed again.
     RecomputedTokens,
     /// Calls to the key-value service.
@@ -49,13 +55,16 @@
 
 impl Metric {
     /// Every metric.
-    pub const ALL: [Metric; 14] = [
+    pub const ALL: [Metric; 17] = [
         Metric::Requests,
         Metric::RequestSeconds,
         Metric::FirstByteSeconds,
         Metric::InFlight,
         Metric::Unfinished,
+        Metric::QueueWaiting,
+        Metric::QueueRunning,
         Metric::FailedAttempts,
+        Metric::Uncopied,
         Metric::RecomputedTokens,
         Metric::KeyValueCalls,
         Metric::KeyValueSeconds,
@@ -74,7 +83,10 @@
             Metric::FirstByteSeconds => "bulrush_first_byte_seconds",
             Metric::InFlight => "bulrush_requests_in_flight",
             Metric::Unfinished => "bulrush_answers_unfinished",
+            Metric::QueueWaiting => "bulrush_queue_waiting",
+            Metric::QueueRunning => "bulrush_queue_running",
             Metric::FailedAttempts => "bulrush_failed_attempts_total",
+            Metric::Uncopied => "bulrush_accepted_uncopied_total",
             Metric::RecomputedTokens => "bulrush_recomputed_tokens_total",
             Metric::KeyValueCalls => "bulrush_key_value_calls_total",
             Metric::KeyValueSeconds => "bulrush_key_value_seconds",
@@ -91,6 +103,7 @@
         match self {
             Metric::Requests
             | Metric::FailedAttempts
+            | Metric::Uncopied
             | Metric::RecomputedTokens
             | Metric::KeyValueCalls => Kind::Counter,
             Metric::RequestSeconds | Metric::FirstByteSeconds | Metric::KeyValueSeconds => {
@@ -98,6 +111,8 @@
             }
             Metric::InFlight
             | Metric::Unfinished
+            | Metric::QueueWaiting
+            | Metric::QueueRunning
             | Metric::Revision
             | Metric::RevisionLag
             | Metric::Members
@@ -113,10 +128,11 @@
             Metric::RequestSeconds | Metric::FirstByteSeconds => &["team", "class"],
             Metric::FailedAttempts => &["class"],
             Metric::RecomputedTokens => &["cause"],
-            Metric::KeyValueCalls => &["duty", "outcome"],
-            Metric::KeyValueSeconds => &["duty"],
-            Metric::Backends => &["service"],
+            Metric::KeyValueCalls => &["purpose", "outcome"],
+            Metric::KeyValueSeconds => &["purpose"],
+            Metric::Backends | Metric::QueueWaiting | Metric::QueueRunning => &["service"],
             Metric::InFlight
+            | Metric::Uncopied
             | Metric::Unfinished
             | Metric::Revision
             | Metric::RevisionLag
