A request survives when its holder is taken back and its owner dies

Two ways were found. The holder's VM is taken back and the owner dies without notice before it has copied elsewhere: a leaving holder kept its copy to itself until it was gone. Or the holder dies while the owner's VM is taken back: the owner went on running to the end of the time of a planned stop (20 s) with a notice of 2 s, and offered the request to the dead holder.

Ruled out: the key-value outage, which this path does not use.

Change: a leaving holder passes its copies on and takes no further progress for them; an owner replaces a leaving holder and lets it keep its copy until the new one has its own; two undelivered messages in a row make another holder or taker be chosen; a node whose own VM is taken back hands over at once.

--- a/crates/coord/src/ownership/machine.rs
+++ b/crates/coord/src/ownership/machine.rs
@@ -12,6 +12,9 @@
     row::{Gone, Handing, Held, Holder, Owned, Row, Stage},
 };
 
+/// The messages in a row that a holder may fail to get before another one is chosen.
+const UNDELIVERED_MAX: u8 = 2;
+
 /// An `Action` is what the node around an [`Ownership`] has to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -69,13 +72,16 @@
     pub(super) rows: BTreeMap<RequestId, Row>,
     /// Owned requests that may have something to send.
     pub(super) dirty: BTreeSet<RequestId>,
+    /// Since when this node is leaving.
+    pub(super) leaving: Option<Stamp>,
 }
 
 impl Ownership {
     /// Returns the machine of the node `own` in `zone`, which knows no peer yet.
     pub fn new(own: Incarnation, zone: ZoneName, options: OwnershipOptions) -> Ownership {
         let peers = Peers { zone, present: Vec::new() };
-        Ownership { options, own, peers, rows: BTreeMap::new(), dirty: BTreeSet::new() }
+        let (rows, dirty) = (BTreeMap::new(), BTreeSet::new());
+        Ownership { options, own, peers, rows, dirty, leaving: None }
     }
 
     /// Takes a new request on; [`Action::Accepted`] follows once it is copied.
@@ -116,6 +122,11 @@
         out
     }
 
+    /// Notes that this node is leaving: it passes on the copies that it holds.
+    pub fn leave(&mut self, now: Stamp) {
+        self.leaving.get_or_insert(now);
+    }
+
     /// Offers an owned request to its holder or another peer, to own it from now on.
     ///
     /// Where no peer is there to take it, the request stays and goes on.
@@ -132,11 +143,25 @@
     pub fn undelivered(&mut self, now: Stamp, to: Incarnation, id: RequestId) -> Vec<Action> {
         let mut out = Vec::new();
         let Some(Row::Owned(owned)) = self.rows.get_mut(&id) else { return out };
-        if owned.stage != Stage::Copying || owned.holder.as_ref().is_none_or(|it| it.peer != to) {
+        if let Some(handing) = owned.handing.as_mut().filter(|it| it.version.owner == to) {
+            handing.undelivered += 1;
+            if UNDELIVERED_MAX <= handing.undelivered {
+                self.offer(now, id, &mut out);
+            }
+            return out;
+        }
+        let Some(holder) = owned.holder.as_mut().filter(|holder| holder.peer == to) else {
             return out;
+        };
+        // A first copy is waited for by a caller. Later one failure may be a moment's trouble, but
+        // a holder that fails again is taken for dead before the members say so: should this node
+        // go as well by then, nobody would have the request.
+        holder.undelivered += 1;
+        let failed = owned.stage == Stage::Copying || UNDELIVERED_MAX <= holder.undelivered;
+        if failed && owned.handing.is_none() {
+            owned.failed.push(to);
+            self.choose_holder(now, id, &mut out);
         }
-        owned.failed.push(to);
-        self.choose_holder(now, id, &mut out);
         out
     }
 
@@ -227,6 +252,7 @@
             released: 0,
             stage: Stage::Copying,
             holder: None,
+            former: None,
             failed: Vec::new(),
             alone: None,
             unprotected: false,
@@ -243,13 +269,30 @@
     // The old holder may still be alive and take over later. It is told to drop its copy, and
     // the new one carries a higher generation, so that the later copy wins where both take over.
     pub(super) fn choose_holder(&mut self, now: Stamp, id: RequestId, out: &mut Vec<Action>) {
+        self.replace_holder(now, id, None, out);
+    }
+
+    /// Puts a new holder in place of the present one: `wanted`, if it is able to, or the best.
+    pub(super) fn replace_holder(
+        &mut self,
+        now: Stamp,
+        id: RequestId,
+        wanted: Option<Incarnation>,
+        out: &mut Vec<Action>,
+    ) {
         let Some(Row::Owned(owned)) = self.rows.get_mut(&id) else { return };
         if let Some(before) = owned.holder.take() {
-            out.push(Action::Send(before.peer, Message::Drop { id, version: owned.version }));
+            // A leaving holder keeps its copy until the new one is there.
+            if self.peers.is_leaving(before.peer) {
+                owned.former = Some((before.peer, owned.version));
+            } else {
+                out.push(Action::Send(before.peer, Message::Drop { id, version: owned.version }));
+            }
             owned.version.generation += 1;
         }
         let waited = self.options.accept_timeout <= now.since(owned.since);
-        let peer = self.peers.holder_for(id, &owned.failed);
+        let wanted = wanted.filter(|wanted| self.peers.contains(*wanted));
+        let peer = wanted.or_else(|| self.peers.holder_for(id, &owned.failed));
         let peer = peer.filter(|_| owned.stage == Stage::Settled || !waited);
         let Some(peer) = peer else {
             self.go_alone(now, id, out);
@@ -369,7 +412,8 @@
     pub(super) fn end(&mut self, now: Stamp, id: RequestId, out: &mut Vec<Action>) {
         let Some(Row::Owned(owned)) = self.rows.get_mut(&id) else { return };
         let Some(end) = owned.end.take() else { return };
-        let gone = Gone { version: owned.version, ended: Some(owned.tokens.len()), at: now };
+        let gone =
+            Gone { version: owned.version, ended: Some(owned.tokens.len()), passed: None, at: now };
         self.rows.insert(id, Row::Gone(gone));
         out.push(Action::End(id, end));
     }
@@ -377,7 +421,10 @@
     fn look_at_members(&mut self, now: Stamp, id: RequestId, out: &mut Vec<Action>) {
         match self.rows.get_mut(&id) {
             Some(Row::Owned(owned)) => {
-                let lost = owned.holder.as_ref().is_some_and(|it| !self.peers.contains(it.peer));
+                let others = self.peers.holder_for(id, &[]).is_some();
+                let lost = owned.holder.as_ref().is_some_and(|it| {
+                    !self.peers.contains(it.peer) || others && self.peers.is_leaving(it.peer)
+                });
                 let alone = owned.holder.is_none() && !self.peers.present.is_empty();
                 if owned.handing.is_none() && (lost || alone) {
                     owned.failed.clear();
@@ -403,9 +450,12 @@
                 let ask = Message::Ask { id, version: held.version };
                 out.push(Action::Send(held.version.owner, ask));
             }
+            self.pass_on(now, id, out);
             return;
         };
-        if now.since(since) < self.options.takeover {
+        let passed = held.passed.is_some_and(|(to, _)| self.peers.contains(to));
+        if passed || now.since(since) < self.options.takeover {
+            self.pass_on(now, id, out);
             return;
         }
         let Some(Row::Held(Held { version, body, tokens, .. })) = self.rows.remove(&id) else {
@@ -418,6 +468,26 @@
         self.own_from(now, id, version, body, tokens, Some(before), out);
     }
 
+    // A holder and its owner may go one after the other: the holder is told to leave, and the owner
+    // dies before it has copied the request elsewhere. Nobody would have it then, and its caller
+    // would wait in vain. A leaving holder therefore passes on what owners have left with it.
+    fn pass_on(&mut self, now: Stamp, id: RequestId, out: &mut Vec<Action>) {
+        let Some(since) = self.leaving else { return };
+        if now.since(since) < self.options.pass_on {
+            return;
+        }
+        let Some(Row::Held(held)) = self.rows.get_mut(&id) else { return };
+        if held.passed.is_some_and(|(_, at)| now.since(at) < self.options.retry) {
+            return;
+        }
+        let before = held.passed.map(|(to, _)| to).filter(|to| self.peers.contains(*to));
+        let best = || self.peers.holder_for(id, &[held.version.owner]);
+        let Some(to) = before.or_else(best) else { return };
+        held.passed = Some((to, now));
+        let (version, body, tokens) = (held.version, held.body.clone(), held.tokens.clone());
+        out.push(Action::Send(to, Message::Copy { id, version, body, tokens, end: None }));
+    }
+
     fn sweep_owned(&mut self, now: Stamp, id: RequestId, out: &mut Vec<Action>) {
         let Some(Row::Owned(owned)) = self.rows.get_mut(&id) else { return };
         if let Some(handing) = &owned.handing {
@@ -458,7 +528,8 @@
         let mut first = now;
         let mut not = Vec::new();
         if let Some(handing) = &owned.handing {
-            let stale = self.options.holder_timeout <= now.since(handing.first);
+            let stale = self.options.holder_timeout <= now.since(handing.first)
+                || UNDELIVERED_MAX <= handing.undelivered;
             if stale || !self.peers.contains(handing.version.owner) {
                 // The peer may own the request by now. A higher epoch decides for the next one.
                 not.push(handing.version.owner);
@@ -482,7 +553,9 @@
                 out.push(Action::Stop(id));
             }
         }
-        owned.handing = Some(Handing { version, first, sent: now });
+        let same = owned.handing.as_ref().filter(|it| it.version.owner == version.owner);
+        let undelivered = same.map_or(0, |it| it.undelivered);
+        owned.handing = Some(Handing { version, first, sent: now, undelivered });
         let (body, tokens) = (owned.body.clone(), owned.tokens.clone());
         out.push(Action::Send(version.owner, Message::Offer { id, version, body, tokens }));
     }
--- a/crates/coord/src/ownership/message.rs
+++ b/crates/coord/src/ownership/message.rs
@@ -87,6 +87,15 @@
         /// The version of the copy.
         version: Version,
     },
+    /// A leaving holder has given its copy to another peer and takes no more progress.
+    PassedOn {
+        /// The request.
+        id: RequestId,
+        /// The version of the copy.
+        version: Version,
+        /// The peer that it was given to.
+        to: Incarnation,
+    },
     /// The receiver's copy of this version or an older one is not needed any more.
     Drop {
         /// The request.
@@ -107,6 +116,7 @@
             | Message::Offer { id, .. }
             | Message::Claim { id, .. }
             | Message::Ask { id, .. }
+            | Message::PassedOn { id, .. }
             | Message::Drop { id, .. } => *id,
         }
     }
--- a/crates/coord/src/ownership/options.rs
+++ b/crates/coord/src/ownership/options.rs
@@ -19,6 +19,8 @@
     pub takeover: Duration,
     /// How long a holder hears nothing of a copy before it asks whether it is still needed.
     pub ask: Duration,
+    /// How long a leaving holder waits for owners to copy elsewhere before it does so itself.
+    pub pass_on: Duration,
     /// How long it is remembered where a request went.
     pub keep: Duration,
     /// How many times a new owner announces itself.
@@ -37,6 +39,7 @@
             accept_timeout: Duration::from_millis(900),
             takeover: Duration::from_millis(200),
             ask: Duration::from_secs(10),
+            pass_on: Duration::from_millis(400),
             keep: Duration::from_secs(300),
             claims: 3,
             claimed_to: 8,
--- a/crates/coord/src/ownership/peers.rs
+++ b/crates/coord/src/ownership/peers.rs
@@ -26,6 +26,10 @@
         self.present.iter().any(|peer| peer.incarnation == incarnation)
     }
 
+    pub(super) fn is_leaving(&self, incarnation: Incarnation) -> bool {
+        self.present.iter().any(|peer| peer.incarnation == incarnation && peer.leaving)
+    }
+
     /// Returns the best peer for a copy: another zone first, spread by a hash of the request.
     pub(super) fn holder_for(&self, id: RequestId, not: &[Incarnation]) -> Option<Incarnation> {
         let able = |peer: &&Peer| !peer.leaving && !not.contains(&peer.incarnation);
--- a/crates/coord/src/ownership/receive.rs
+++ b/crates/coord/src/ownership/receive.rs
@@ -29,6 +29,9 @@
                 self.on_offer(now, from, id, version, (body, tokens), &mut out);
             }
             Message::Claim { id, version } => self.on_claim(now, from, id, version, &mut out),
+            Message::PassedOn { id, version, to } => {
+                self.on_passed(now, from, id, version, to, &mut out);
+            }
             Message::Ask { id, version } => self.on_ask(from, id, version, &mut out),
             Message::Drop { id, version } => {
                 if let Some(Row::Held(held)) = self.rows.get(&id)
@@ -50,6 +53,9 @@
         copied: Copied,
         out: &mut Vec<Action>,
     ) {
+        if self.tell_passed(from, id, version, out) {
+            return;
+        }
         match self.rows.get_mut(&id) {
             Some(Row::Gone(gone)) if gone.ended.is_some() && version <= gone.version => {
                 let count = gone.ended.unwrap_or(0);
@@ -77,7 +83,7 @@
             Some(Row::Gone(_) | Row::Held(_)) | None => {}
         }
         let Copied { body, tokens, end } = copied;
-        let held = Held { version, body, tokens, heard: now, missing_since: None };
+        let held = Held { version, body, tokens, heard: now, missing_since: None, passed: None };
         self.rows.insert(id, Row::Held(held));
         self.note_missing(now, id);
         self.held_end(now, id, end, out);
@@ -93,6 +99,9 @@
         added: Added,
         out: &mut Vec<Action>,
     ) {
+        if self.tell_passed(from, id, version, out) {
+            return;
+        }
         match self.rows.get_mut(&id) {
             Some(Row::Held(held)) if held.version == version => {
                 held.heard = now;
@@ -123,6 +132,7 @@
         (count, ended): (usize, bool),
         out: &mut Vec<Action>,
     ) {
+        self.let_go(now, from, id, version);
         let Some(Row::Owned(owned)) = self.rows.get_mut(&id) else { return };
         if owned.version != version {
             return;
@@ -132,6 +142,10 @@
         };
         holder.has = true;
         holder.in_flight = None;
+        holder.undelivered = 0;
+        if let Some((former, version)) = owned.former.take() {
+            out.push(Action::Send(former, Message::Drop { id, version }));
+        }
         holder.acked = holder.acked.max(count.min(owned.tokens.len()));
         let acked = holder.acked;
         let all = acked == owned.tokens.len() && (ended || owned.end.is_none());
@@ -145,6 +159,53 @@
         self.flush(now, id, out);
     }
 
+    // A copy that was passed on is let go of, so that only one of the two takes over.
+    fn let_go(&mut self, now: Stamp, from: Incarnation, id: RequestId, version: Version) {
+        let Some(Row::Held(held)) = self.rows.get(&id) else { return };
+        if held.version != version || held.passed.is_none_or(|(to, _)| to != from) {
+            return;
+        }
+        let gone = Gone { version, ended: None, passed: Some(from), at: now };
+        self.rows.insert(id, Row::Gone(gone));
+    }
+
+    // Were progress taken on after the copy was passed on, the owner would show its readers
+    // tokens that the peer which now has the copy has never seen, and would write differently.
+    fn tell_passed(
+        &self,
+        from: Incarnation,
+        id: RequestId,
+        version: Version,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let (known, to) = match self.rows.get(&id) {
+            Some(Row::Held(held)) => (held.version, held.passed.map(|(to, _)| to)),
+            Some(Row::Gone(gone)) => (gone.version, gone.passed),
+            Some(Row::Owned(_)) | None => return false,
+        };
+        let Some(to) = to.filter(|_| known == version) else { return false };
+        out.push(Action::Send(from, Message::PassedOn { id, version, to }));
+        true
+    }
+
+    fn on_passed(
+        &mut self,
+        now: Stamp,
+        from: Incarnation,
+        id: RequestId,
+        version: Version,
+        to: Incarnation,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(Row::Owned(owned)) = self.rows.get_mut(&id) else { return };
+        let current = owned.version == version && owned.handing.is_none();
+        if !current || owned.holder.as_ref().is_none_or(|holder| holder.peer != from) {
+            return;
+        }
+        owned.failed.push(from);
+        self.replace_holder(now, id, Some(to), out);
+    }
+
     fn on_missing(
         &mut self,
         now: Stamp,
@@ -204,7 +265,7 @@
     ) {
         let Some(row) = self.rows.get(&id) else {
             // The old owner may yet ask for a copy to be held here; it must learn of the new one.
-            let gone = Gone { version, ended: None, at: now };
+            let gone = Gone { version, ended: None, passed: None, at: now };
             self.rows.insert(id, Row::Gone(gone));
             return;
         };
@@ -220,11 +281,11 @@
                 }
             }
             Row::Held(_) if known < version => {
-                let gone = Gone { version, ended: None, at: now };
+                let gone = Gone { version, ended: None, passed: None, at: now };
                 self.rows.insert(id, Row::Gone(gone));
             }
             Row::Gone(gone) if known < version && gone.ended.is_none() => {
-                let gone = Gone { version, ended: None, at: now };
+                let gone = Gone { version, ended: None, passed: None, at: now };
                 self.rows.insert(id, Row::Gone(gone));
             }
             Row::Held(_) | Row::Gone(_) => {}
@@ -233,7 +294,10 @@
 
     fn on_ask(&self, from: Incarnation, id: RequestId, version: Version, out: &mut Vec<Action>) {
         let needed = match self.rows.get(&id) {
-            Some(Row::Owned(owned)) => owned.holder.as_ref().is_some_and(|it| it.peer == from),
+            // The copy of a former holder is needed until the present one has its own.
+            Some(Row::Owned(owned)) => {
+                owned.holder.as_ref().is_none_or(|it| it.peer == from || !it.has)
+            }
             Some(Row::Held(_) | Row::Gone(_)) | None => false,
         };
         if !needed {
@@ -245,7 +309,7 @@
         let Some(end) = end else { return };
         let Some(Row::Held(held)) = self.rows.remove(&id) else { return };
         let Held { version, body, tokens, .. } = held;
-        let gone = Gone { version, ended: Some(tokens.len()), at: now };
+        let gone = Gone { version, ended: Some(tokens.len()), passed: None, at: now };
         self.rows.insert(id, Row::Gone(gone));
         out.push(Action::Keep { id, body, tokens, end });
     }
@@ -283,7 +347,7 @@
             out.push(Action::Send(holder.peer, drop));
         }
         out.push(Action::Moved(id, to.owner));
-        self.rows.insert(id, Row::Gone(Gone { version: to, ended: None, at: now }));
+        self.rows.insert(id, Row::Gone(Gone { version: to, ended: None, passed: None, at: now }));
     }
 
     fn note_missing(&mut self, now: Stamp, id: RequestId) {
--- a/crates/coord/src/ownership/row.rs
+++ b/crates/coord/src/ownership/row.rs
@@ -26,6 +26,8 @@
     pub(super) released: usize,
     pub(super) stage: Stage,
     pub(super) holder: Option<Holder>,
+    /// A leaving holder that keeps its copy of this version until the present one has its own.
+    pub(super) former: Option<(Incarnation, Version)>,
     pub(super) failed: Vec<Incarnation>,
     /// Since when no holder could be had; none while there is one.
     pub(super) alone: Option<Stamp>,
@@ -58,6 +60,8 @@
     /// Since when an answer has been awaited.
     pub(super) silent: Option<Stamp>,
     pub(super) last_sent: Stamp,
+    /// The messages in a row that it did not get.
+    pub(super) undelivered: u8,
 }
 
 /// A `Handing` is an owned request that has been offered to a peer.
@@ -66,6 +70,8 @@
     pub(super) version: Version,
     pub(super) first: Stamp,
     pub(super) sent: Stamp,
+    /// The offers in a row that the peer did not get.
+    pub(super) undelivered: u8,
 }
 
 /// A `Held` request is copied here.
@@ -76,6 +82,8 @@
     pub(super) tokens: Vec<String>,
     pub(super) heard: Stamp,
     pub(super) missing_since: Option<Stamp>,
+    /// The peer that the copy was passed on to, and when.
+    pub(super) passed: Option<(Incarnation, Stamp)>,
 }
 
 /// A `Gone` request is neither owned nor held here any more.
@@ -84,6 +92,8 @@
     pub(super) version: Version,
     /// The number of tokens of the ended answer, where it ended.
     pub(super) ended: Option<usize>,
+    /// The peer that its copy was passed on to, where that is why it is gone.
+    pub(super) passed: Option<Incarnation>,
     pub(super) at: Stamp,
 }
 
@@ -99,6 +109,14 @@
 
 impl Holder {
     pub(super) fn new(peer: Incarnation) -> Holder {
-        Holder { peer, has: false, acked: 0, in_flight: None, silent: None, last_sent: Stamp(0) }
+        Holder {
+            peer,
+            has: false,
+            acked: 0,
+            in_flight: None,
+            silent: None,
+            last_sent: Stamp(0),
+            undelivered: 0,
+        }
     }
 }
--- a/crates/coord/tests/cluster/world.rs
+++ b/crates/coord/tests/cluster/world.rs
@@ -181,6 +181,7 @@
             }
             Step::Trouble(at) => self.trouble(at),
             Step::Leave(at) => {
+                self.nodes[at].machine.leave(self.now);
                 for other in 0..self.nodes.len() {
                     self.tell_members(other, mail);
                 }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -92,6 +92,7 @@
     pub(crate) last_contact: AtomicU64,
     pub(crate) has_peers: AtomicBool,
     pub(crate) leaving: AtomicBool,
+    pub(crate) reclaimed: AtomicBool,
     pub(crate) sequence: AtomicU64,
 }
 
@@ -112,6 +113,11 @@
         self.leaving.store(true, Ordering::Release);
     }
 
+    /// Returns whether the node's own VM is being taken back, within seconds.
+    pub fn is_reclaimed(&self) -> bool {
+        self.reclaimed.load(Ordering::Acquire)
+    }
+
     /// Returns the configuration in force.
     pub fn in_force(&self) -> Arc<InForce> {
         self.config.load_full()
@@ -186,6 +192,7 @@
         self.leaving_vms.store(Arc::new(notices.leaving().cloned().collect()));
         drop(notices);
         if new.contains(&self.settings.node.vm) {
+            self.reclaimed.store(true, Ordering::Release);
             self.leave();
         }
         new
--- a/crates/daemon/src/handoff/drain.rs
+++ b/crates/daemon/src/handoff/drain.rs
@@ -29,9 +29,11 @@
     let drain: Duration = cx.settings.limits.drain.into();
     let over = Instant::now() + drain - (drain / HANDING_SHARE).min(HANDING_MAX);
     loop {
+        // A VM that is taken back is gone in seconds, long before the time of a planned stop.
+        let all = cx.is_reclaimed() || over <= Instant::now();
         let mut ids = Vec::new();
         for answer in cx.answers.open() {
-            if !answer.is_started() || over <= Instant::now() {
+            if all || !answer.is_started() {
                 ids.push(answer.id());
             }
         }
--- a/crates/daemon/src/handoff/keeper.rs
+++ b/crates/daemon/src/handoff/keeper.rs
@@ -337,6 +337,9 @@
     type Return = ();
 
     async fn handle(&mut self, _sweep: Sweep, _cx: &mut xtra::Context<Self>) {
+        if self.cx.is_leaving() {
+            self.machine.leave(self.cx.clock.now());
+        }
         let actions = self.machine.sweep(self.cx.clock.now());
         self.carry_out(actions);
     }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -111,6 +111,7 @@
             last_contact: AtomicU64::new(0),
             has_peers: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
+            reclaimed: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
         });
 
