Teams are held to their limits, each node granting its part

Cause: at_once, requests and tokens of a team could be configured and nothing acted on them: a team whose program loops took the places of all others. Change: a gate as a state machine in the policy crate, a filter before the queue, the code team_limit with Retry-After; what the queue refuses afterwards is given back. Conclusion: a looping team is refused as not run, and other teams are served.

--- a/crates/core/src/config/team.rs
+++ b/crates/core/src/config/team.rs
@@ -17,12 +17,12 @@
     pub key_hash: Option<KeyHash>,
     /// The hash of a second key that is taken too, for the time in which a key is changed.
     pub other_key_hash: Option<KeyHash>,
-    /// The most requests that run or wait at once.
+    /// The most model requests that run or wait at once, over all nodes.
     #[serde_as(as = "Option<DisplayFromStr>")]
     pub at_once: Option<u32>,
-    /// The most requests over time.
+    /// The most model requests over time, over all nodes.
     pub requests: Option<Rate>,
-    /// The most tokens over time, prompts and answers together.
+    /// The most tokens over time, prompts and longest answers together, over all nodes.
     pub tokens: Option<Rate>,
 }
 
--- a/crates/daemon/src/callers/admit.rs
+++ b/crates/daemon/src/callers/admit.rs
@@ -6,12 +6,14 @@
 use bulrushhall_core::{Ran, TeamName};
 use bulrushhall_policy::{PlacementRequest, Ticket, Wait, WorkerKey, prefix::block_hashes};
 use tokio::sync::oneshot;
+use tracing::Instrument;
 
 use crate::{
     answers::Answer,
     callers::{
         ApiCode, ApiError,
         classify::Classified,
+        limit::Place,
         relay::{self, Run},
     },
     context::Context,
@@ -30,6 +32,7 @@
     if cx.is_leaving() {
         return Err(ApiError::not_run(ApiCode::Leaving, "the node takes no new work"));
     }
+    let mut place = Place::take(cx, &team, &request)?;
     let pending = ask(cx, &team, &request, Standing::New, &[]).await?;
     let id = cx.next_request();
     let portable = Portable { team, request, trace_parent: trace_parent() };
@@ -45,7 +48,15 @@
     let version = Version { epoch: 1, generation: 0, owner: cx.incarnation };
     let emitted = Vec::new();
     let run = Run { portable, answer: Arc::clone(&answer), version, emitted, cause: Cause::Engine };
-    tokio::spawn(relay::traced(Arc::clone(cx), run, Some(pending)));
+    place.accept();
+    let running = relay::traced(Arc::clone(cx), run, Some(pending));
+    tokio::spawn(
+        async move {
+            running.await;
+            drop(place);
+        }
+        .in_current_span(),
+    );
 
     // The caller is told nothing before a peer has a copy: what it is told is accepted must
     // outlive this node. The run starts meanwhile, so the copy costs no time to the first token.
--- a/crates/daemon/src/callers/error.rs
+++ b/crates/daemon/src/callers/error.rs
@@ -57,6 +57,8 @@
     RequestNotFound,
     /// The queue has no room for the request.
     Overloaded,
+    /// The team is over one of its limits.
+    TeamLimit,
     /// The node takes no new work.
     Leaving,
     /// The deadline has passed.
@@ -123,7 +125,7 @@
             | ApiCode::StaleTicket
             | ApiCode::Cancelled
             | ApiCode::StreamDiverged => StatusCode::CONFLICT,
-            ApiCode::Overloaded => StatusCode::TOO_MANY_REQUESTS,
+            ApiCode::Overloaded | ApiCode::TeamLimit => StatusCode::TOO_MANY_REQUESTS,
             ApiCode::Leaving | ApiCode::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
             ApiCode::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
             ApiCode::BackendFailed => StatusCode::BAD_GATEWAY,
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -7,6 +7,7 @@
 mod error;
 mod events;
 mod identify;
+mod limit;
 mod models;
 mod observe;
 pub(crate) mod relay;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod lane;
 pub mod placement;
 pub mod prefix;
+pub mod team_limits;
 
 pub use admission::{Admission, AdmissionOptions, Decision, Ticket, Wait};
 pub use lane::{Lane, LaneAction, LaneOptions};
