Owned requests are boxed in their table

Cause: with the new fields an owned request takes 336 bytes, and each row of the table, copies included, took as much.

Change: the owned variant is boxed; a copy's row takes about 120 bytes.

Conclusion: copies, which are as many as owned requests, get smaller rows.

--- a/crates/coord/src/ownership/machine.rs
+++ b/crates/coord/src/ownership/machine.rs
@@ -262,7 +262,7 @@
             claims: if before.is_some() { self.options.claims } else { 0 },
             claimed_at: Stamp(0),
         };
-        self.rows.insert(id, Row::Owned(owned));
+        self.rows.insert(id, Row::Owned(Box::new(owned)));
         self.choose_holder(now, id, out);
     }
 
--- a/crates/coord/src/ownership/row.rs
+++ b/crates/coord/src/ownership/row.rs
@@ -9,7 +9,7 @@
 #[derive(Debug)]
 pub(super) enum Row {
     /// This node owns it.
-    Owned(Owned),
+    Owned(Box<Owned>),
     /// This node holds a copy.
     Held(Held),
     /// It went elsewhere, or ended.
