Answers leave an engine whose VM is taken back, with their KV cache where that is cheaper

Change: Evacuation plans the seconds of a notice, most recompute saved per byte first; the run exports the cache while the engine still writes, and the next engine takes it in.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cpu;
 pub mod load;
 pub mod probe;
+pub mod reclaim;
 pub mod testbed;
 
 pub use caller::{Answered, Caller, CallerError};
--- /dev/null
+++ b/crates/bench/src/reclaim/mod.rs
@@ -0,0 +1,173 @@
+//! What a reclaimed zone costs, in three ways: restart, resume, and moving KV cache.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bulrushhall_coord::{Evacuation, EvacuationOptions, Movable};
+use bulrushhall_core::{Incarnation, ModelName, RequestId, Stamp};
+use bulrushhall_platform::engine::{Frame, Generate};
+use bulrushhall_standin::engine::{EngineModel, EngineOptions};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde::Serialize;
+
+/// A `Way` is what is done with the answers on a reclaimed engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Way {
+    /// Each answer begins anew from its prompt.
+    Restart,
+    /// Each answer is resumed with prompt and emitted tokens.
+    Resume,
+    /// Caches are moved as planned; the rest is resumed.
+    Move,
+}
+
+/// A `ReclaimPlan` sizes the experiment.
+#[derive(Clone, Debug)]
+pub struct ReclaimPlan {
+    /// The seed of prompts and arrivals.
+    pub seed: u64,
+    /// The engines in the zone that is reclaimed, and as many that stay for each.
+    pub engines: usize,
+    /// The answers on each reclaimed engine.
+    pub answers: usize,
+    /// The time from the notice to the end.
+    pub notice: Duration,
+    /// What engines cost.
+    pub engine: EngineOptions,
+}
+
+/// A `ReclaimCost` is what the reclaimed zone cost.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct ReclaimCost {
+    /// The answers that were on the reclaimed engines.
+    pub answers: usize,
+    /// The tokens that were computed a second time, those written anew included.
+    pub recomputed_tokens: u64,
+    /// The emitted tokens that were written anew, one step each.
+    pub rewritten_tokens: u64,
+    /// The bytes of KV cache that were moved.
+    pub moved_bytes: u64,
+    /// The answers whose cache was moved.
+    pub moved: usize,
+}
+
+/// The tokens that a prompt has at least.
+const PROMPT_MIN: u32 = 200;
+/// The tokens that a prompt has at most.
+const PROMPT_MAX: u32 = 2_400;
+/// When the notice comes.
+const NOTICE_AT: Stamp = Stamp::from_millis(5_000);
+
+impl Default for ReclaimPlan {
+    fn default() -> Self {
+        ReclaimPlan {
+            seed: 1,
+            engines: 2,
+            answers: 16,
+            notice: Duration::from_secs(10),
+            engine: EngineOptions::default(),
+        }
+    }
+}
+
+/// Plays a reclaimed zone through in simulated time.
+pub fn play(plan: &ReclaimPlan, way: Way) -> ReclaimCost {
+    let mut cost = ReclaimCost::default();
+    for number in 0..plan.engines {
+        one_engine(plan, number, way, &mut cost);
+    }
+    cost
+}
+
+fn one_engine(plan: &ReclaimPlan, number: usize, way: Way, cost: &mut ReclaimCost) {
+    let mut old = EngineModel::new(plan.engine.clone());
+    let mut new = EngineModel::new(plan.engine.clone());
+    let mut running: BTreeMap<RequestId, Generate> = BTreeMap::new();
+    let mut random = Pcg64Mcg::seed_from_u64(plan.seed + number as u64);
+    for sequence in 0..plan.answers {
+        let req = request(number, sequence, &mut random);
+        running.insert(req.request, req.clone());
+        old.submit(Stamp(0), req);
+    }
+    advance(&mut old, NOTICE_AT, &mut running);
+    cost.answers += running.len();
+
+    let options = EvacuationOptions {
+        bytes_per_token: plan.engine.bytes_per_token,
+        move_per_second: plan.engine.move_per_second,
+        prefill_per_second: plan.engine.prefill_per_second,
+        ..EvacuationOptions::default()
+    };
+    let mut now = NOTICE_AT;
+    if way == Way::Move {
+        let answers: Vec<Movable> = running.values().map(movable).collect();
+        let evacuation = Evacuation::plan(plan.notice, answers, &options);
+        for id in evacuation.moved {
+            let Some(req) = running.get(&id) else { continue };
+            let movable = movable(req);
+            now = now + options.time_to_move(&movable);
+            let blocks = old.export(id);
+            advance(&mut old, now, &mut running);
+            let Some(req) = running.remove(&id) else { continue };
+            old.cancel(id);
+            new.import(&blocks);
+            new.submit(now, Generate { attempt: 1, ..req });
+            cost.moved += 1;
+            cost.moved_bytes += u64::from(movable.tokens) * options.bytes_per_token;
+        }
+    }
+    let end = NOTICE_AT + plan.notice;
+    advance(&mut old, now.max(end - options.margin), &mut running);
+    for req in running.into_values() {
+        old.cancel(req.request);
+        let emitted = match way {
+            Way::Restart => {
+                cost.rewritten_tokens += req.emitted.len() as u64;
+                cost.recomputed_tokens += req.emitted.len() as u64;
+                Vec::new()
+            }
+            Way::Resume | Way::Move => req.emitted,
+        };
+        new.submit(end, Generate { attempt: 1, emitted, ..req });
+    }
+    new.advance(end + Duration::from_secs(600));
+    cost.recomputed_tokens += new.totals().1;
+}
+
+fn advance(engine: &mut EngineModel, until: Stamp, running: &mut BTreeMap<RequestId, Generate>) {
+    for output in engine.advance(until) {
+        match output.frame {
+            Frame::Token(token) => {
+                let Some(req) = running.get_mut(&output.request) else { continue };
+                req.emitted.push(token);
+            }
+            Frame::Done(_) => drop(running.remove(&output.request)),
+        }
+    }
+}
+
+fn movable(req: &Generate) -> Movable {
+    let prompt = req.prompt.split_whitespace().count();
+    let tokens = u32::try_from(prompt + req.emitted.len()).unwrap_or(u32::MAX);
+    Movable { id: req.request, tokens, cached_elsewhere: 0 }
+}
+
+fn request(engine: usize, sequence: usize, random: &mut Pcg64Mcg) -> Generate {
+    let words = random.random_range(PROMPT_MIN..PROMPT_MAX);
+    let mut prompt = String::new();
+    for word in 0..words {
+        prompt.push_str(&format!("w{engine}.{sequence}.{word} "));
+    }
+    let model = ModelName::new("motif-7b").unwrap_or_else(|_| unreachable!("a valid name"));
+    Generate {
+        request: RequestId { origin: Incarnation(engine as u64 + 1), sequence: sequence as u64 },
+        attempt: 0,
+        model,
+        prompt,
+        emitted: Vec::new(),
+        max_tokens: 1_000,
+        priority: 5,
+        fence: Default::default(),
+    }
+}
--- a/crates/daemon/src/answers/answer.rs
+++ b/crates/daemon/src/answers/answer.rs
@@ -10,6 +10,7 @@
 
 use bulrushhall_core::{ClassName, ModelName, Ran, RequestId, TeamName};
 use bulrushhall_platform::engine::Usage;
+use bulrushhall_policy::WorkerKey;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -30,6 +31,22 @@
     readers: AtomicUsize,
     uncopied: AtomicBool,
     started: AtomicBool,
+    attended: AtomicBool,
+    prompt_tokens: AtomicUsize,
+    place: Mutex<Option<WorkerKey>>,
+    evacuation: watch::Sender<Evacuate>,
+}
+
+/// An `Evacuate` tells a run whether it has to leave its engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Evacuate {
+    /// It stays.
+    #[default]
+    Stay,
+    /// Its KV cache is to be moved, and it goes on elsewhere.
+    Move,
+    /// It goes on elsewhere at once.
+    Resume,
 }
 
 /// An `AnswerEnd` is how an answer ended.
@@ -87,6 +104,10 @@
             readers: AtomicUsize::new(0),
             uncopied: AtomicBool::new(false),
             started: AtomicBool::new(false),
+            attended: AtomicBool::new(false),
+            prompt_tokens: AtomicUsize::new(0),
+            place: Mutex::default(),
+            evacuation: watch::Sender::default(),
         }
     }
 
@@ -198,6 +219,47 @@
         self.started.load(Ordering::Relaxed)
     }
 
+    /// Notes that the answer is of use only while somebody reads it.
+    pub fn set_attended(&self) {
+        self.attended.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the answer is of use only while somebody reads it.
+    pub fn is_attended(&self) -> bool {
+        self.attended.load(Ordering::Relaxed)
+    }
+
+    /// Notes the estimated tokens of the prompt.
+    pub fn set_prompt_tokens(&self, tokens: u32) {
+        self.prompt_tokens.store(usize::try_from(tokens).unwrap_or(0), Ordering::Relaxed);
+    }
+
+    /// Returns the estimated tokens of the prompt.
+    pub fn prompt_tokens(&self) -> u32 {
+        u32::try_from(self.prompt_tokens.load(Ordering::Relaxed)).unwrap_or(u32::MAX)
+    }
+
+    /// Notes the engine that the request runs on; an order to leave an earlier one is done.
+    pub fn set_place(&self, place: Option<WorkerKey>) {
+        *self.place.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) = place;
+        self.evacuation.send_replace(Evacuate::Stay);
+    }
+
+    /// Returns the engine that the request runs on.
+    pub fn place(&self) -> Option<WorkerKey> {
+        *self.place.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Tells the run to leave its engine.
+    pub fn evacuate(&self, how: Evacuate) {
+        self.evacuation.send_replace(how);
+    }
+
+    /// Returns a receiver that sees whether the run has to leave its engine.
+    pub fn evacuation(&self) -> watch::Receiver<Evacuate> {
+        self.evacuation.subscribe()
+    }
+
     /// Returns how many readers follow the answer.
     pub fn readers(&self) -> usize {
         self.readers.load(Ordering::Relaxed)
--- a/crates/daemon/src/answers/mod.rs
+++ b/crates/daemon/src/answers/mod.rs
@@ -3,5 +3,5 @@
 mod answer;
 mod registry;
 
-pub use answer::{Answer, AnswerEnd, Part, Place, Reader};
+pub use answer::{Answer, AnswerEnd, Evacuate, Part, Place, Reader};
 pub use registry::Answers;
--- a/crates/daemon/src/backends.rs
+++ b/crates/daemon/src/backends.rs
@@ -97,6 +97,13 @@
         of_service.map(|(key, backend)| (key, backend.clone())).collect()
     }
 
+    /// Returns the backend servers on a VM.
+    pub fn on(&self, vm: &VmName) -> Vec<(WorkerKey, Backend)> {
+        let state = self.lock();
+        let on_vm = state.arena.iter().filter(|(_, backend)| backend.vm == *vm);
+        on_vm.map(|(key, backend)| (key, backend.clone())).collect()
+    }
+
     /// Closes a VM for new work, for the rest of its life; returns its backend servers.
     pub fn close(&self, vm: &VmName) -> Vec<(WorkerKey, Backend)> {
         let mut state = self.lock();
--- a/crates/daemon/src/callers/chat.rs
+++ b/crates/daemon/src/callers/chat.rs
@@ -27,6 +27,7 @@
     let request = classify(&in_force.deployment, parts, &body, Patience::Urgent)?;
     let delivery = request.delivery;
     let answer = admit::admit(cx, team, request).await?;
+    answer.set_attended();
     match delivery {
         Delivery::Whole => events::whole(&answer).await,
         Delivery::Streamed | Delivery::StreamedWithUsage => {
--- a/crates/daemon/src/callers/relay.rs
+++ b/crates/daemon/src/callers/relay.rs
@@ -5,14 +5,15 @@
 use bulrushhall_coord::Version;
 use bulrushhall_core::{Event, Fence};
 use bulrushhall_platform::{
-    CallError, CallFault,
+    CallError, CallFault, Engine,
     engine::{Frame, Generate, Usage},
 };
 use bulrushhall_policy::WorkerKey;
+use bytes::Bytes;
 use futures_util::StreamExt;
 
 use crate::{
-    answers::{Answer, AnswerEnd},
+    answers::{Answer, AnswerEnd, Evacuate},
     backends::BackendClient,
     callers::{
         ApiCode, ApiError,
@@ -51,6 +52,7 @@
     let deadline = cx.clock.now() + run.portable.request.deadline;
     let mut avoid = Vec::new();
     let mut attempt = 0;
+    let mut cache = None;
 
     while answer.ended().is_none() && !answer.is_halted() {
         if deadline <= cx.clock.now() {
@@ -81,18 +83,24 @@
             Some(key) if !answer.is_halted() => {
                 let generate = generate(&run, attempt);
                 attempt += 1;
-                tokio::select! {
-                    ended = one_attempt(&cx, &mut run, key, generate) => ended,
-                    () = answer.halted() => Err(CallError::unknown(CallFault::Closed)),
+                if let Some(cache) = cache.take() {
+                    put_cache(&cx, key, cache).await;
                 }
+                answer.set_place(worker);
+                let ended = tokio::select! {
+                    ended = one_attempt(&cx, &mut run, key, generate) => ended,
+                    () = answer.halted() => AttemptEnd::failed(CallFault::Closed),
+                };
+                answer.set_place(None);
+                ended
             }
-            _ => Err(CallError::not_done(CallFault::Connect)),
+            _ => AttemptEnd::Failed(CallError::not_done(CallFault::Connect)),
         };
         let finished = Finished { service, ticket: asked.ticket, worker };
         let _ = cx.dispatcher.send(finished).await;
 
         match ended {
-            Ok(usage) => {
+            AttemptEnd::Whole(usage) => {
                 cx.recomputed.add(run.cause, usage.recomputed_tokens);
                 let labels = [("cause", run.cause.word())];
                 let tokens = u64::from(usage.recomputed_tokens);
@@ -100,8 +108,13 @@
                 settle::whole(&cx, &answer, usage).await;
                 return;
             }
-            Err(_) if answer.is_halted() => cancel_at(&cx, &answer, worker).await,
-            Err(error) => {
+            _ if answer.is_halted() => cancel_at(&cx, &answer, worker).await,
+            AttemptEnd::Evacuated(exported) => {
+                run.cause = Cause::Reclaim;
+                cache = exported;
+                avoid.extend(worker);
+            }
+            AttemptEnd::Failed(error) => {
                 cx.meters.count(Metric::FailedAttempts, &[("class", answer.class().as_str())], 1);
                 tracing::info!(event = Event::AttemptFailed.number(), request = %answer.id(), %error);
                 run.cause = Cause::Engine;
@@ -128,31 +141,78 @@
     }
 }
 
+enum AttemptEnd {
+    Whole(Usage),
+    Failed(CallError),
+    /// The engine's VM is taken back; its KV cache of the request is here if it could be got.
+    Evacuated(Option<Bytes>),
+}
+
+impl AttemptEnd {
+    fn failed(fault: CallFault) -> AttemptEnd {
+        AttemptEnd::Failed(CallError::unknown(fault))
+    }
+}
+
 async fn one_attempt(
     cx: &Context,
     run: &mut Run,
     key: WorkerKey,
     generate: Generate,
-) -> Result<Usage, CallError> {
-    let gone = || CallError::not_done(CallFault::Connect);
-    let backend = cx.backends.get(key).ok_or_else(gone)?;
-    let BackendClient::Engine(engine) = backend.client else { return Err(gone()) };
+) -> AttemptEnd {
+    let gone = || AttemptEnd::Failed(CallError::not_done(CallFault::Connect));
+    let Some(backend) = cx.backends.get(key) else { return gone() };
+    let BackendClient::Engine(engine) = backend.client else { return gone() };
     run.answer.set_started();
-    let mut frames = engine.generate(generate).await?;
-    while let Some(frame) = frames.next().await {
-        match frame? {
-            Frame::Token(token) => {
+    let mut frames = match engine.generate(generate).await {
+        Ok(frames) => frames,
+        Err(error) => return AttemptEnd::Failed(error),
+    };
+    let answer = Arc::clone(&run.answer);
+    let mut evacuated = std::pin::pin!(exported(&answer, engine.as_ref()));
+    loop {
+        // The engine goes on writing while its cache is being read.
+        let frame = tokio::select! {
+            frame = frames.next() => frame,
+            cache = &mut evacuated => return AttemptEnd::Evacuated(cache),
+        };
+        match frame {
+            Some(Ok(Frame::Token(token))) => {
                 run.emitted.push(token.clone());
-                let produced = Produced { id: run.answer.id(), version: run.version, token };
+                let produced = Produced { id: answer.id(), version: run.version, token };
                 if !cx.keeper.send(produced).await.unwrap_or(false) {
-                    run.answer.halt();
-                    return Err(CallError::unknown(CallFault::Closed));
+                    answer.halt();
+                    return AttemptEnd::failed(CallFault::Closed);
                 }
             }
-            Frame::Done(usage) => return Ok(usage),
+            Some(Ok(Frame::Done(usage))) => return AttemptEnd::Whole(usage),
+            Some(Err(error)) => return AttemptEnd::Failed(error),
+            None => return AttemptEnd::failed(CallFault::Closed),
         }
     }
-    Err(CallError::unknown(CallFault::Closed))
+}
+
+// Waits until the run has to leave its engine, and gets its KV cache if that is to be moved.
+async fn exported(answer: &Answer, engine: &dyn Engine) -> Option<Bytes> {
+    let mut evacuation = answer.evacuation();
+    let how = evacuation.wait_for(|how| *how != Evacuate::Stay).await.map(|how| *how);
+    match how {
+        Ok(Evacuate::Move) => {}
+        Ok(Evacuate::Resume) => return None,
+        Ok(Evacuate::Stay) | Err(_) => return std::future::pending().await,
+    }
+    tokio::select! {
+        cache = engine.export_cache(answer.id()) => cache.ok(),
+        // The notice is over; what has not been read by now never will be.
+        _ = evacuation.wait_for(|how| *how == Evacuate::Resume) => None,
+    }
+}
+
+// Without its cache the request is resumed all the same, at the price of computing it anew.
+async fn put_cache(cx: &Context, key: WorkerKey, cache: Bytes) {
+    let Some(backend) = cx.backends.get(key) else { return };
+    let BackendClient::Engine(engine) = backend.client else { return };
+    let _ = engine.import_cache(cache).await;
 }
 
 // The engine stops when its reader goes; one whose connection has gone silent does not notice
--- a/crates/daemon/src/handoff/portable.rs
+++ b/crates/daemon/src/handoff/portable.rs
@@ -36,7 +36,9 @@
     /// Returns an answer to the request that has no tokens yet.
     pub fn answer(&self, id: RequestId) -> Arc<Answer> {
         let Classified { model, class, .. } = &self.request;
-        Arc::new(Answer::new(id, self.team.clone(), model.clone(), class.clone()))
+        let answer = Answer::new(id, self.team.clone(), model.clone(), class.clone());
+        answer.set_prompt_tokens(self.request.prompt_tokens);
+        Arc::new(answer)
     }
 }
 
--- a/crates/daemon/src/handoff/recomputed.rs
+++ b/crates/daemon/src/handoff/recomputed.rs
@@ -7,6 +7,8 @@
 pub enum Cause {
     /// The engine failed or its VM went.
     Engine,
+    /// The engine's VM was taken back after a notice.
+    Reclaim,
     /// The owner handed the request over.
     Handover,
     /// The owner died and its holder took over.
@@ -16,17 +18,18 @@
 /// `Recomputed` counts the tokens that were computed a second time, by cause.
 #[derive(Debug, Default)]
 pub struct Recomputed {
-    counts: [AtomicU64; 3],
+    counts: [AtomicU64; 4],
 }
 
 impl Cause {
     /// Every cause.
-    pub const ALL: [Cause; 3] = [Cause::Engine, Cause::Handover, Cause::Takeover];
+    pub const ALL: [Cause; 4] = [Cause::Engine, Cause::Reclaim, Cause::Handover, Cause::Takeover];
 
     /// Returns the word used in metrics.
     pub fn word(self) -> &'static str {
         match self {
             Cause::Engine => "engine",
+            Cause::Reclaim => "reclaim",
             Cause::Handover => "handover",
             Cause::Takeover => "takeover",
         }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -142,6 +142,8 @@
             tokio::spawn(handoff::pass_time(Arc::clone(&cx))),
             tokio::spawn(keyed::pass_time(claimer)),
             tokio::spawn(handoff::drain(Arc::clone(&cx))),
+            tokio::spawn(handoff::cancel_abandoned(Arc::clone(&cx))),
+            tokio::spawn(handoff::follow_notices(Arc::clone(&cx))),
             tokio::spawn(config_watch::watch_service(Arc::clone(&cx))),
             tokio::spawn(config_watch::catch_up(Arc::clone(&cx))),
             tokio::spawn(membership_actor::pass(membership)),
--- a/crates/daemon/tests/any_node.rs
+++ b/crates/daemon/tests/any_node.rs
@@ -144,3 +144,47 @@
     let shown = wait_for(&testbed.caller(0), &id, |it| it["status"] == "finished").await;
     assert_eq!(shown["copies"], 0);
 }
+
+// All nodes are restarted one after the other while callers read streams. None of them may be
+// cut: a stream ends whole, or names the address where it goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn rolling_stop() {
+    let testbed = five_nodes().await;
+    let mut streams = tokio::task::JoinSet::new();
+    for number in 0..8 {
+        let caller = testbed.caller(number % 2);
+        let prompt = format!("consult {number}");
+        streams.spawn(async move { (number, caller.chat(MODEL, "urgent", &prompt, 120).await) });
+    }
+    sleep(Duration::from_millis(300)).await;
+    testbed.nodes[0].stop().await;
+    testbed.nodes[1].stop().await;
+    for (number, answered) in streams.join_all().await {
+        let answered = answered.expect("an accepted stream");
+        assert!(answered.whole, "stream {number} was cut");
+        assert_eq!(answered.text, expected_answer(&format!("user: consult {number}\n"), 120));
+    }
+}
+
+// The VM of an engine is taken back with a few seconds' notice while a long survey runs on it. The
+// engine dies at the end of the notice; the craftsman gets the whole text, and little is computed
+// a second time because the KV cache went along.
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_reclaimed() {
+    let options = TestbedOptions { nodes: 2, engines: 4, ..TestbedOptions::default() };
+    let testbed = Testbed::start(options).await.expect("a testbed");
+    sleep(Duration::from_millis(600)).await;
+    let prompt = "tile ".repeat(1_500);
+    let id = submit(&testbed.caller(0), &prompt, 500).await;
+    wait_for(&testbed.caller(0), &id, |it| 20 < it["tokens"].as_u64().unwrap_or(0)).await;
+    let at = testbed.engines.iter().position(|engine| 0 < engine.counts().generates);
+    let vm = testbed.engines[at.expect("an engine that runs it")].vm().clone();
+    testbed.cloud.reclaim(&vm, Duration::from_secs(5));
+    let shown = wait_for(&testbed.caller(1), &id, |it| it["status"] == "finished").await;
+    assert_eq!(text(&shown), expected_answer(&format!("user: {prompt}\n"), 500));
+    let counts: Vec<_> = testbed.engines.iter().map(|engine| engine.counts()).collect();
+    let moved: u64 = counts.iter().map(|it| it.exported_bytes).sum();
+    let recomputed: u64 = counts.iter().map(|it| it.recomputed_tokens).sum();
+    assert!(0 < moved, "{counts:?}");
+    assert!(recomputed < 150, "{recomputed} tokens recomputed");
+}
