--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -12,13 +12,13 @@
 use arc_swap::ArcSwap;
 use bulrushhall_coord::{CallBudget, Ledger, LedgerOptions, chain::HEAD_KEY};
 use bulrushhall_core::{
-    Event, Incarnation, Revision,
+    Deployment, Event, Incarnation, Revision,
     config::{ServiceType, parse_deployment},
 };
 use bulrushhall_platform::{
     KeyValue,
     clients::HttpKeyValue,
-    http::{Endpoint, EndpointOptions, Handler, ServerOptions, listen, serve},
+    http::{Clients, Endpoint, EndpointOptions, Handler, ServerOptions, listen, serve},
 };
 use error_stack::{Report, ResultExt};
 use tokio::{
@@ -32,9 +32,11 @@
     answers::Answers,
     backends::Backends,
     callers::CallerPort,
+    certificates,
     clock::Clock,
     config_watch,
     context::{Context, InForce},
+    discovery,
     dispatcher::{Dispatcher, SetWorkers, Tick},
     errors::NodeError,
     handoff::{self, Keeper, Recomputed},
@@ -67,6 +69,7 @@
 impl Node {
     /// Opens the ports and starts the actors.
     pub async fn start(mut settings: Settings) -> Result<Node, Report<NodeError>> {
+        let tls = certificates::load(&settings.tls)?;
         let callers = open(&mut settings.node.callers)?;
         let peer_listener = open(&mut settings.node.peers)?;
         let operators = open(&mut settings.node.operators)?;
@@ -96,12 +99,13 @@
             meters,
             key_value,
             members: Members::default(),
-            peers: PeerClient::default(),
+            peers: PeerClient::new(tls.clone()),
             highest_revision: watch::Sender::new(Revision(0)),
             leaving_vms: ArcSwap::default(),
             notices: Mutex::default(),
             leaving_news,
             budget: Arc::new(Mutex::new(CallBudget::new(clock.now()))),
+            workers_gate: tokio::sync::Mutex::default(),
             document: ArcSwap::default(),
             config_gate: tokio::sync::Mutex::default(),
             revision_teller: AtomicU64::new(0),
@@ -119,19 +123,21 @@
         handoff::register(&mut peer_port);
         keyed::register(&mut peer_port);
         config_watch::register(&mut peer_port);
+        discovery::register(&mut peer_port);
 
         let (stop, stopped) = watch::channel(false);
         let mut ports = JoinSet::new();
-        let handlers: [(TcpListener, Arc<dyn Handler>); 3] = [
-            (callers, Arc::new(CallerPort::new(Arc::clone(&cx)))),
-            (peer_listener, Arc::new(peer_port)),
-            (operators, Arc::new(OperatorPort::new(Arc::clone(&cx)))),
+        let handlers: [(TcpListener, Arc<dyn Handler>, Clients); 3] = [
+            (callers, Arc::new(CallerPort::new(Arc::clone(&cx))), Clients::All),
+            (peer_listener, Arc::new(peer_port), Clients::Signed),
+            (operators, Arc::new(OperatorPort::new(Arc::clone(&cx))), Clients::Signed),
         ];
-        for (listener, handler) in handlers {
+        for (listener, handler, clients) in handlers {
             let limits = &cx.settings.limits;
             let options = ServerOptions {
                 header_timeout: limits.header_timeout.into(),
                 drain: limits.drain.into(),
+                tls: tls.clone().map(|tls| (tls, clients)),
                 ..ServerOptions::default()
             };
             ports.spawn(serve(listener, handler, options, stopped.clone()));
@@ -152,7 +158,10 @@
             tokio::spawn(notices::compare(Arc::clone(&cx))),
             tokio::spawn(tick(Arc::clone(&cx))),
             tokio::spawn(tidy_meters(Arc::clone(&cx))),
+            tokio::spawn(certificates::follow(tls)),
             tokio::spawn(loads::follow(Arc::clone(&cx))),
+            tokio::spawn(discovery::follow(Arc::clone(&cx))),
+            tokio::spawn(discovery::close_leaving(Arc::clone(&cx))),
         ];
         let name = &cx.settings.node.name;
         tracing::info!(event = Event::NodeStarted.number(), node = %name, %incarnation);
@@ -248,7 +257,22 @@
             return;
         }
     };
-    cx.backends.follow(&deployment, &cx.settings.limits);
+    let _gate = cx.workers_gate.lock().await;
+    put_workers(cx, &deployment).await;
+    let deployment = Arc::new(deployment);
+    cx.config.store(Arc::new(InForce { revision, deployment }));
+}
+
+/// Makes the backend servers known that the list of VMs shows besides those of the configuration.
+pub(crate) async fn refresh_workers(cx: &Context) {
+    let _gate = cx.workers_gate.lock().await;
+    put_workers(cx, &cx.in_force().deployment).await;
+}
+
+// Called with the gate held: a new configuration and a new list of VMs may come at the same time,
+// and the workers of the older configuration must not be put back by the slower of the two.
+async fn put_workers(cx: &Context, deployment: &Deployment) {
+    cx.backends.follow(deployment, &cx.settings.limits);
     for (service, cfg) in &deployment.services {
         if cfg.service_type != ServiceType::Model {
             continue;
@@ -260,6 +284,4 @@
         let set = SetWorkers { service: service.clone(), workers, shares, weights };
         let _ = cx.dispatcher.send(set).await;
     }
-    let deployment = Arc::new(deployment);
-    cx.config.store(Arc::new(InForce { revision, deployment }));
 }
