--- a/crates/daemon/src/callers/relay.rs
+++ b/crates/daemon/src/callers/relay.rs
@@ -11,6 +11,7 @@
 use bulrushhall_policy::WorkerKey;
 use bytes::Bytes;
 use futures_util::StreamExt;
+use tracing::Instrument;
 
 use crate::{
     answers::{Answer, AnswerEnd, Evacuate},
@@ -25,6 +26,7 @@
     dispatcher::{Finished, Start},
     handoff::{Cause, Portable, Produced},
     meters::Metric,
+    telemetry::resume,
 };
 
 /// The pause before the next attempt when no engine takes work or one has just failed.
@@ -46,6 +48,14 @@
     pub cause: Cause,
 }
 
+/// Does what [`run`] does, in a span that belongs to the request's trace at each of its owners.
+pub async fn traced(cx: Arc<Context>, run: Run, pending: Option<Pending>) {
+    let (node, cause) = (&cx.settings.node.name, run.cause.word());
+    let span = tracing::info_span!("run", %node, request = %run.answer.id(), cause);
+    let span = resume(span, run.portable.trace_parent.as_deref());
+    self::run(cx, run, pending).instrument(span).await;
+}
+
 /// Runs a request to its end, or until the node doesn't own it any more.
 pub async fn run(cx: Arc<Context>, mut run: Run, mut pending: Option<Pending>) {
     let answer = Arc::clone(&run.answer);
@@ -82,13 +92,14 @@
         let ended = match worker {
             Some(key) if !answer.is_halted() => {
                 let generate = generate(&run, attempt);
+                let span = tracing::info_span!("attempt", number = attempt);
                 attempt += 1;
                 if let Some(cache) = cache.take() {
                     put_cache(&cx, key, cache).await;
                 }
                 answer.set_place(worker);
                 let ended = tokio::select! {
-                    ended = one_attempt(&cx, &mut run, key, generate) => ended,
+                    ended = one_attempt(&cx, &mut run, key, generate).instrument(span) => ended,
                     () = answer.halted() => AttemptEnd::failed(CallFault::Closed),
                 };
                 answer.set_place(None);
