--- a/crates/coord/src/claims/machine.rs
+++ b/crates/coord/src/claims/machine.rs
@@ -9,14 +9,10 @@
 use bytes::Bytes;
 
 use super::{
-    options::ClaimsOptions,
+    options::{ClaimsOptions, Shard},
     record::{Home, KeyHash, Record, decode, encode},
 };
 
-/// A `Shard` is the number of one record.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Shard(pub u16);
-
 /// A `ClaimsAction` is what the node around [`Claims`] has to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClaimsAction {
@@ -50,14 +46,13 @@
     Failed,
 }
 
-/// `Claims` learn the homes of keys, and claim keys that have none for their own node.
+/// `Claims` learn the homes of keys, and claim keys that have none for the node that asks.
 ///
 /// A claim only says where a key's call may run, so a claim that was given up on and takes effect
 /// later does no harm: the home's own ledger still decides about the run.
 #[derive(Debug)]
 pub struct Claims {
     options: ClaimsOptions,
-    own: Incarnation,
     shards: BTreeMap<Shard, State>,
 }
 
@@ -65,11 +60,17 @@
 struct State {
     /// The version and content of the record when it was last seen.
     seen: Option<(u64, Record)>,
-    waiting: BTreeMap<KeyHash, Stamp>,
+    waiting: BTreeMap<KeyHash, Waiting>,
     call: Call,
     resume_at: Stamp,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    deadline: Stamp,
+    home: Incarnation,
+}
+
 #[derive(Debug, Default)]
 enum Call {
     #[default]
@@ -86,23 +87,33 @@
 }
 
 impl Claims {
-    /// Returns the claims of the node `own`.
-    pub fn new(own: Incarnation, options: ClaimsOptions) -> Claims {
-        Claims { options, own, shards: BTreeMap::new() }
+    /// Returns claims that have seen no record yet.
+    pub fn new(options: ClaimsOptions) -> Claims {
+        Claims { options, shards: BTreeMap::new() }
     }
 
-    /// Asks for the home of a key; `wall` is the time in milliseconds since 1970.
-    pub fn bind(&mut self, now: Stamp, wall: u64, key: KeyHash) -> Vec<ClaimsAction> {
-        let shard = Shard((key.0 % u128::from(self.options.shards.max(1))) as u16);
+    /// Asks for the home of a key, which becomes `home` if it has none; `wall` is the time in
+    /// milliseconds since 1970.
+    pub fn bind(
+        &mut self,
+        now: Stamp,
+        wall: u64,
+        key: KeyHash,
+        home: Incarnation,
+    ) -> Vec<ClaimsAction> {
+        let shard = self.options.shard_of(key);
         let deadline = now + self.options.timeout;
         let kept = self.kept();
         let state = self.shards.entry(shard).or_default();
-        let home = state.seen.as_ref().and_then(|(_, record)| record.get(&key));
+        let known = state.seen.as_ref().and_then(|(_, record)| record.get(&key));
         // A claim is never changed before it expires, so an old view of one is as good as new.
-        if let Some(home) = home.filter(|home| wall < home.at.saturating_add(kept)) {
-            return vec![ClaimsAction::Bound(key, home.incarnation)];
+        if let Some(known) = known.filter(|known| wall < known.at.saturating_add(kept)) {
+            return vec![ClaimsAction::Bound(key, known.incarnation)];
         }
-        state.waiting.insert(key, deadline);
+        // The first who asks gives the home: a later one must not change what a write under way
+        // may make of the key.
+        let waiting = state.waiting.entry(key).or_insert(Waiting { deadline, home });
+        waiting.deadline = deadline;
         let mut out = Vec::new();
         self.go_on(Now { stamp: now, wall }, shard, &mut out);
         out
@@ -141,17 +152,17 @@
         swapped: Swapped,
     ) -> Vec<ClaimsAction> {
         let mut out = Vec::new();
-        let own = self.own;
         let Some(state) = self.shards.get_mut(&shard) else { return out };
         let Call::Writing(record, batch) = std::mem::take(&mut state.call) else { return out };
         match swapped {
             Swapped::Written(version) => {
-                state.seen = Some((version, record));
                 for key in batch {
-                    if state.waiting.remove(&key).is_some() {
-                        out.push(ClaimsAction::Bound(key, own));
+                    let home = record.get(&key).map(|home| home.incarnation);
+                    if let (Some(_), Some(home)) = (state.waiting.remove(&key), home) {
+                        out.push(ClaimsAction::Bound(key, home));
                     }
                 }
+                state.seen = Some((version, record));
             }
             Swapped::Conflict(version, bytes) => match decode(bytes) {
                 Some(record) => state.see((version, record), &mut out),
@@ -183,7 +194,7 @@
     }
 
     fn go_on(&mut self, now: Now, shard: Shard, out: &mut Vec<ClaimsAction>) {
-        let (kept, entries, own) = (self.kept(), self.options.entries, self.own);
+        let (kept, entries) = (self.kept(), self.options.entries);
         let Some(state) = self.shards.get_mut(&shard) else { return };
         let idle = matches!(state.call, Call::None);
         if !idle || state.waiting.is_empty() || now.stamp < state.resume_at {
@@ -207,7 +218,8 @@
             return;
         }
         for key in &batch {
-            record.insert(*key, Home { incarnation: own, at: now.wall });
+            let Some(waiting) = state.waiting.get(key) else { continue };
+            record.insert(*key, Home { incarnation: waiting.home, at: now.wall });
         }
         out.push(ClaimsAction::Write(shard, *version, encode(&record)));
         state.call = Call::Writing(record, batch);
@@ -229,7 +241,7 @@
     }
 
     fn late(&self, now: Stamp) -> Vec<KeyHash> {
-        let late = self.waiting.iter().filter(|(_, deadline)| **deadline <= now);
+        let late = self.waiting.iter().filter(|(_, waiting)| waiting.deadline <= now);
         late.map(|(key, _)| *key).collect()
     }
 }
--- a/crates/coord/src/claims/options.rs
+++ b/crates/coord/src/claims/options.rs
@@ -2,6 +2,12 @@
 
 use std::time::Duration;
 
+use super::record::KeyHash;
+
+/// A `Shard` is the number of one record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Shard(pub u16);
+
 /// `ClaimsOptions` set the sizes and times of claims.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ClaimsOptions {
@@ -31,3 +37,11 @@
         }
     }
 }
+
+impl ClaimsOptions {
+    /// Returns the record that a key's claim lies in.
+    pub fn shard_of(&self, key: KeyHash) -> Shard {
+        let shard = key.0 % u128::from(self.shards.max(1));
+        Shard(u16::try_from(shard).unwrap_or(0))
+    }
+}
--- a/crates/coord/tests/orders/world.rs
+++ b/crates/coord/tests/orders/world.rs
@@ -228,9 +228,13 @@
             return;
         }
         let hash = KeyHash::new(&team(), &[key]);
-        self.nodes[at].waiting.entry(hash).or_default().push(key);
-        let actions = self.nodes[at].claims.bind(self.now, self.now.0 / 1_000, hash);
-        self.carry_out(at, actions);
+        // Nodes write their own claims or have another node write them.
+        let life = self.nodes[at].incarnation;
+        let writer = if self.random.random_bool(0.5) { at } else { 0 };
+        self.nodes[writer].waiting.entry(hash).or_default().push(key);
+        let wall = self.now.0 / 1_000;
+        let actions = self.nodes[writer].claims.bind(self.now, wall, hash, life);
+        self.carry_out(writer, actions);
     }
 
     fn write(&mut self, at: usize, life: Incarnation, shard: u16, version: u64, record: Bytes) {
@@ -373,7 +377,7 @@
         incarnation,
         alive: true,
         awake_at: Stamp(0),
-        claims: Claims::new(incarnation, options),
+        claims: Claims::new(options),
         ledger: Ledger::new(LedgerOptions::default()),
         waiting: BTreeMap::new(),
         attempts: BTreeMap::new(),
--- a/crates/daemon/src/keyed/claimer.rs
+++ b/crates/daemon/src/keyed/claimer.rs
@@ -35,10 +35,12 @@
     waiting: HashMap<KeyHash, Vec<oneshot::Sender<Answer>>>,
 }
 
-/// A `Bind` asks for the home of a key, which is claimed for this node if it has none.
+/// A `Bind` asks for the home of a key, which is claimed if it has none.
 pub struct Bind {
     /// The key.
     pub key: KeyHash,
+    /// The life that becomes its home if it has none.
+    pub wanted: Incarnation,
     /// Gets the home.
     pub home: oneshot::Sender<Answer>,
 }
@@ -55,7 +57,7 @@
 impl Claimer {
     /// Returns the claimer of a node.
     pub fn new(cx: &crate::context::Context) -> Claimer {
-        let machine = Claims::new(cx.incarnation, ClaimsOptions::default());
+        let machine = Claims::new(ClaimsOptions::default());
         let key_value = cx.key_value_for(Purpose::Claim);
         Claimer { clock: cx.clock, machine, key_value, waiting: HashMap::new() }
     }
@@ -109,7 +111,7 @@
             return;
         }
         self.waiting.entry(bind.key).or_default().push(bind.home);
-        let actions = self.machine.bind(self.clock.now(), wall(), bind.key);
+        let actions = self.machine.bind(self.clock.now(), wall(), bind.key, bind.wanted);
         self.carry_out(actions, cx);
     }
 }
--- a/crates/daemon/src/keyed/home.rs
+++ b/crates/daemon/src/keyed/home.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use bulrushhall_coord::{Attempts, Claim, ClaimRefusal, KeyHash, Ledger};
+use bulrushhall_coord::{Attempts, Claim, ClaimRefusal, ClaimsOptions, KeyHash, Ledger};
 use bulrushhall_core::{
     Fence, Incarnation, Ran,
     config::{Fencing, ServiceConfig},
@@ -20,12 +20,12 @@
     sync::oneshot,
     time::{Instant, sleep},
 };
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
     callers::{ApiCode, ApiError, services},
     context::Context,
-    keyed::{Bind, KeyedCall, KeyedReply, Stored},
+    keyed::{Bind, ClaimFor, KeyedCall, KeyedReply, Stored},
     members::Member,
 };
 
@@ -91,10 +91,19 @@
 }
 
 async fn bind(cx: &Context, call: &KeyedCall) -> Result<Incarnation, ApiError> {
-    let (tx, home) = oneshot::channel();
-    let bind = Bind { key: KeyHash::new(&call.team, &call.key), home: tx };
-    let sent = cx.claimer.send(bind).await.is_ok();
-    let bound = if sent { home.await.ok() } else { None };
+    let key = KeyHash::new(&call.team, &call.key);
+    let mut bound = None;
+    // Nodes that write one record at the same time make each other's writes fail. One of them,
+    // on whom all agree most of the time, writes for all; where they disagree or it is gone, the
+    // compare-and-swap still decides.
+    if let Some(writer) = writer_of(cx, key) {
+        let claim = ClaimFor { key: key.0, home: cx.incarnation };
+        bound = cx.peers.send(cx, writer.peers, Some(writer.incarnation), claim).await.ok();
+    }
+    let bound = match bound.flatten() {
+        Some(home) => Some(Ok(home)),
+        None => claim_here(cx, key, cx.incarnation).await,
+    };
     // An earlier try with this key may have run elsewhere, so that nobody can say here that the
     // call was not run.
     let refused = |code, message| ApiError::not_run(code, message).ran(Ran::Unknown);
@@ -111,6 +120,26 @@
     }
 }
 
+/// Claims a key for `home` at this node; returns its home.
+pub(super) async fn claim_here(
+    cx: &Context,
+    key: KeyHash,
+    home: Incarnation,
+) -> Option<Result<Incarnation, ClaimRefusal>> {
+    let (tx, bound) = oneshot::channel();
+    cx.claimer.send(Bind { key, wanted: home, home: tx }).await.ok()?;
+    bound.await.ok()
+}
+
+fn writer_of(cx: &Context, key: KeyHash) -> Option<Member> {
+    let shard = ClaimsOptions::default().shard_of(key);
+    let rank = |node: Incarnation| xxh3_64_with_seed(&node.0.to_le_bytes(), u64::from(shard.0));
+    let members = cx.members.current();
+    let others = members.iter().filter(|member| !member.leaving);
+    let best = others.min_by_key(|member| rank(member.incarnation))?;
+    (rank(best.incarnation) < rank(cx.incarnation)).then(|| best.clone())
+}
+
 async fn pass_on(cx: &Context, call: &KeyedCall, to: Member) -> KeyedReply {
     let reply = cx.peers.send(cx, to.peers, Some(to.incarnation), call.clone()).await;
     reply.unwrap_or_else(|error| match error.fault {
--- a/crates/daemon/src/keyed/messages.rs
+++ b/crates/daemon/src/keyed/messages.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bulrushhall_coord::KeyHash;
 use bulrushhall_core::{Incarnation, ServiceName, TeamName};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -47,6 +48,21 @@
     Running,
 }
 
+/// A `ClaimFor` asks the node that writes a record to claim a key; the reply is the key's home,
+/// none if it could not be learnt.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct ClaimFor {
+    /// The hash of the key.
+    pub key: u128,
+    /// The life that becomes its home if it has none.
+    pub home: Incarnation,
+}
+
+impl PeerMessage for ClaimFor {
+    const PATH: &'static str = "/keyed/claim";
+    type Reply = Option<Incarnation>;
+}
+
 impl PeerMessage for KeyedCall {
     const PATH: &'static str = "/keyed/call";
     type Reply = KeyedReply;
@@ -57,4 +73,7 @@
     port.register(|cx: Arc<Context>, _from, call: KeyedCall| async move {
         home::passed_on(&cx, call).await
     });
+    port.register(|cx: Arc<Context>, _from, claim: ClaimFor| async move {
+        home::claim_here(&cx, KeyHash(claim.key), claim.home).await?.ok()
+    });
 }
--- a/crates/daemon/src/keyed/mod.rs
+++ b/crates/daemon/src/keyed/mod.rs
@@ -8,5 +8,5 @@
 pub use claimer::{Bind, Claimer, ClaimerTick, ReadBack, SwapBack, pass_time};
 pub(crate) use home::portable_headers;
 pub use home::{Keyed, call};
-pub use messages::{KeyedCall, KeyedReply, register};
+pub use messages::{ClaimFor, KeyedCall, KeyedReply, register};
 pub use stored::Stored;
