--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod load;
 pub mod probe;
 pub mod reclaim;
+pub mod scenario;
 pub mod testbed;
 
 pub use caller::{Answered, Caller, CallerError};
