--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -96,14 +96,16 @@
 ) {
     let mut buf = vec![0; CHUNK];
     loop {
+        // Being forgotten is looked at first, so that nothing sent after it is passed on.
         let read = tokio::select! {
-            read = from.read(&mut buf) => read,
+            biased;
             forgotten = is_forgotten(&mut state, born) => {
                 if forgotten {
                     silence(from, to).await;
                 }
                 return;
             }
+            read = from.read(&mut buf) => read,
         };
         let Ok(count) = read else { return };
         if count == 0 {
