--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod compare;
 pub mod load;
 pub mod probe;
+pub mod spread;
 pub mod testbed;
 
 pub use caller::{Answered, Caller, CallerError};
--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -36,6 +36,19 @@
     Release(Fence),
 }
 
+/// A `Holder` is what the key of a held duty says.
+///
+/// The lease belongs to it: a node that lost its right and comes back with a new lease finds its
+/// own name under the old one. Taking that for a success would let the key vanish with the old
+/// lease while the node renews the new one, and a second node would hold the duty too.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// The life that holds the duty.
+    pub life: Incarnation,
+    /// The lease that the key is tied to.
+    pub lease: u64,
+}
+
 /// A `LeaseReply` tells how a [`LeaseCall`] ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaseReply {
@@ -43,8 +56,8 @@
     Granted(u64),
     /// The duty's key was written and has this version.
     Claimed(Fence),
-    /// The duty's key is held, with this version and by this life.
-    Taken(Fence, Incarnation),
+    /// The duty's key is held, with this version and by this holder.
+    Taken(Fence, Holder),
     /// The lease was renewed, or the key removed.
     Done,
     /// The call failed, and may or may not take effect.
@@ -111,6 +124,20 @@
     others.into_iter().filter(|other| rank(*other) < own).count() < candidates
 }
 
+impl Holder {
+    /// Returns the value that the duty's key has.
+    pub fn encode(self) -> String {
+        format!("{} {:x}", self.life, self.lease)
+    }
+
+    /// Reads the value of a duty's key.
+    pub fn decode(value: &str) -> Option<Holder> {
+        let (life, lease) = value.split_once(' ')?;
+        let lease = u64::from_str_radix(lease, 16).ok()?;
+        Some(Holder { life: life.parse().ok()?, lease })
+    }
+}
+
 impl Lease {
     /// Returns a lease that is not held.
     pub fn new(now: Stamp, own: Incarnation, options: LeaseOptions) -> Lease {
@@ -167,7 +194,7 @@
             }
             // The reply to an earlier claim was lost, but the claim took effect.
             (State::Claiming { lease, granted }, LeaseReply::Taken(fence, holder))
-                if holder == self.own =>
+                if holder == (Holder { life: self.own, lease }) =>
             {
                 self.gain(now, lease, granted, fence);
             }
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -20,7 +20,7 @@
 pub use entries::{Candidate, Headroom};
 pub use gossip::{Beat, Condition, Gossip, Record, ZoneSummary};
 pub use head::{Head, HeadError};
-pub use lease::{Hold, Lease, LeaseCall, LeaseOptions, LeaseReply, Wanted};
+pub use lease::{Hold, Holder, Lease, LeaseCall, LeaseOptions, LeaseReply, Wanted};
 pub use ledger::{Claim, Ledger, LedgerOptions};
 pub use membership::{Membership, Send, View};
 pub use membership_options::MembershipOptions;
--- a/crates/coord/src/membership.rs
+++ b/crates/coord/src/membership.rs
@@ -51,6 +51,8 @@
     options: MembershipOptions,
     roster: Roster<V>,
     fresh: BTreeMap<Incarnation, u32>,
+    far_fresh: BTreeSet<Incarnation>,
+    next_far: Stamp,
     differences: BTreeMap<ZoneName, u32>,
     rounds: u64,
     next_round: Stamp,
@@ -61,8 +63,16 @@
     pub fn new(now: Stamp, own: Record<V>, options: MembershipOptions) -> Membership<V> {
         let fresh = BTreeMap::from([(own.incarnation, 0)]);
         let roster = Roster::new(now, own, options.clone());
-        let differences = BTreeMap::new();
-        Membership { options, roster, fresh, differences, rounds: 0, next_round: now }
+        Membership {
+            options,
+            roster,
+            fresh,
+            far_fresh: BTreeSet::new(),
+            next_far: now,
+            differences: BTreeMap::new(),
+            rounds: 0,
+            next_round: now,
+        }
     }
 
     /// Returns this node's record.
@@ -148,8 +158,12 @@
         let mut urgent = Vec::new();
         for record in gossip.records {
             let leaving = record.condition == Condition::Leaving;
-            if self.take(record.clone()) && leaving {
-                urgent.push(record);
+            if self.take(record.clone()) {
+                urgent.extend(leaving.then_some(record));
+            } else if record.condition != Condition::Gone {
+                // Whoever still believes in a life that was removed here has to be told, so that
+                // the author hears of it and can correct it.
+                answer.records.extend(self.roster.removed(record.incarnation).cloned());
             }
         }
         for beat in gossip.beats {
@@ -186,6 +200,7 @@
         let Some(known) = self.roster.known.get_mut(&own) else { return };
         change(&mut known.record);
         known.record.sequence += 1;
+        self.roster.forget_hash(own);
         self.fresh.insert(own, 0);
     }
 
@@ -263,7 +278,15 @@
         for to in self.roster.domain().sample(random, self.options.fanout) {
             sends.push(Send { to: *to, gossip: gossip.clone() });
         }
-        if self.roster.is_flat() || !self.roster.relays_of(&zone).contains(&self.roster.own) {
+        self.far_fresh.extend(records.into_iter().map(|record| record.incarnation));
+        let far_due = self.next_far <= self.roster.now;
+        if !far_due || self.roster.is_flat() {
+            return sends;
+        }
+        self.next_far =
+            self.roster.now + self.roster.far_period().mul_f64(random.random_range(0.9..1.1));
+        let records = self.take_far_fresh();
+        if !self.roster.relays_of(&zone).contains(&self.roster.own) {
             return sends;
         }
         let zones = own_summary.into_iter().collect();
@@ -274,11 +297,12 @@
         sends
     }
 
-    fn own_summary(&self) -> Option<ZoneSummary> {
+    fn own_summary(&mut self) -> Option<ZoneSummary> {
         if self.options.always_flat() {
             return None;
         }
-        Some(self.roster.summary_of(&self.own().zone))
+        let zone = self.own().zone.clone();
+        Some(self.roster.summary_of(&zone))
     }
 
     // News spreads to everyone within some rounds; a record is passed on no longer than that.
@@ -297,6 +321,14 @@
         records
     }
 
+    // Other domains are told of changes in this one alone: each tells all others of its own.
+    fn take_far_fresh(&mut self) -> Vec<Record<V>> {
+        let fresh = std::mem::take(&mut self.far_fresh);
+        let zone = &self.own().zone;
+        let records = fresh.iter().filter_map(|incarnation| self.record(*incarnation));
+        records.filter(|record| record.zone == *zone).take(RECORDS_MAX).cloned().collect()
+    }
+
     fn tell_at_once(&self, urgent: Vec<Record<V>>, random: &mut dyn Rng) -> Vec<Send<V>> {
         if urgent.is_empty() {
             return Vec::new();
--- a/crates/coord/src/membership_options.rs
+++ b/crates/coord/src/membership_options.rs
@@ -11,6 +11,12 @@
     pub longest_period: Duration,
     /// What each member of a domain adds to the time between two rounds.
     pub period_per_member: Duration,
+    /// The shortest time between two messages of a relay to another domain.
+    pub far_shortest: Duration,
+    /// The longest time between two messages of a relay to another domain.
+    pub far_longest: Duration,
+    /// What each domain adds to the time between two messages of a relay to another one.
+    pub far_per_zone: Duration,
     /// The members of the domain that a round is sent to.
     pub fanout: usize,
     /// The members of the domain that a leaving node is told to at once.
@@ -32,17 +38,20 @@
 impl Default for MembershipOptions {
     fn default() -> Self {
         MembershipOptions {
-            shortest_period: Duration::from_millis(200),
+            shortest_period: Duration::from_millis(250),
             longest_period: Duration::from_secs(1),
-            period_per_member: Duration::from_millis(25),
+            period_per_member: Duration::from_millis(50),
+            far_shortest: Duration::from_millis(400),
+            far_longest: Duration::from_secs(2),
+            far_per_zone: Duration::from_millis(150),
             fanout: 2,
-            urgent_fanout: 4,
+            urgent_fanout: 7,
             relays: 2,
             suspect_rounds: 8,
             dead_rounds: 14,
             repeats: 5,
             forget: Duration::from_secs(7_200),
-            flat_max: 12,
+            flat_max: 48,
         }
     }
 }
@@ -55,6 +64,13 @@
         grown.clamp(self.shortest_period, self.longest_period)
     }
 
+    /// Returns the time between two messages of a relay to another of `zones` domains.
+    pub fn far_period(&self, zones: usize) -> Duration {
+        let zones = u32::try_from(zones).unwrap_or(u32::MAX);
+        let grown = self.far_per_zone.saturating_mul(zones);
+        grown.clamp(self.far_shortest, self.far_longest)
+    }
+
     /// Returns whether all nodes form one domain, whatever their number.
     pub fn always_flat(&self) -> bool {
         self.flat_max == usize::MAX
--- a/crates/coord/src/roster.rs
+++ b/crates/coord/src/roster.rs
@@ -24,6 +24,7 @@
     beat: u64,
     heard: Stamp,
     members: usize,
+    hash: Option<u32>,
 }
 
 /// A `BeatNews` tells what a heartbeat shows.
@@ -53,7 +54,7 @@
 impl<V: Clone> Roster<V> {
     pub(crate) fn new(now: Stamp, own: Record<V>, options: MembershipOptions) -> Roster<V> {
         let incarnation = own.incarnation;
-        let zone = Zone { beat: 0, heard: now, members: 1 };
+        let zone = Zone { beat: 0, heard: now, members: 1, hash: None };
         let mut roster = Roster {
             own: incarnation,
             newest: BTreeMap::from([(own.node.clone(), incarnation)]),
@@ -73,6 +74,10 @@
         self.period
     }
 
+    pub(crate) fn far_period(&self) -> Duration {
+        self.options.far_period(self.zones.len())
+    }
+
     pub(crate) fn is_flat(&self) -> bool {
         self.flat
     }
@@ -131,8 +136,8 @@
         self.near(&known.record.zone) || !self.silent_for(known, self.options.dead_rounds)
     }
 
-    // The rounds of a far zone are as long as its size asks for; news of it then takes rounds of
-    // this zone to get here.
+    // A far zone's relays speak once in a far period; what they say then takes rounds of this
+    // zone to get here.
     fn silent_for(&self, known: &Known<V>, rounds: u32) -> bool {
         if known.record.incarnation == self.own {
             return false;
@@ -141,7 +146,7 @@
             return self.period.saturating_mul(rounds) < self.now.since(known.heard);
         }
         let Some(zone) = self.zones.get(&known.record.zone) else { return false };
-        let round = self.period + self.options.period(zone.members);
+        let round = self.period + self.far_period();
         round.saturating_mul(rounds) < self.now.since(zone.heard)
     }
 
@@ -171,6 +176,21 @@
         let Some(known) = self.known.get_mut(&incarnation) else { return };
         known.removed = Some(now);
         known.record.condition = Condition::Gone;
+        self.forget_hash(incarnation);
+    }
+
+    /// Notes that the record of a life has changed.
+    pub(crate) fn forget_hash(&mut self, incarnation: Incarnation) {
+        let Some(known) = self.known.get(&incarnation) else { return };
+        if let Some(zone) = self.zones.get_mut(&known.record.zone) {
+            zone.hash = None;
+        }
+    }
+
+    /// Returns the record of a life that was removed.
+    pub(crate) fn removed(&self, incarnation: Incarnation) -> Option<&Record<V>> {
+        let known = self.known.get(&incarnation)?;
+        known.removed.map(|_| &known.record)
     }
 
     /// Takes another life's record; returns whether it was news.
@@ -192,10 +212,11 @@
             self.newest.insert(record.node.clone(), incarnation);
             self.remove(newest);
         }
-        let new = Zone { beat: 0, heard: self.now, members: 1 };
+        let new = Zone { beat: 0, heard: self.now, members: 1, hash: None };
         self.zones.entry(record.zone.clone()).or_insert(new);
         let removed = gone.then_some(self.now);
         self.known.insert(incarnation, Known { record, beat, heard, removed });
+        self.forget_hash(incarnation);
         true
     }
 
@@ -219,7 +240,7 @@
         let now = self.now;
         let from_zone = self.known.get(&from).map(|known| &known.record.zone);
         let direct = from_zone == Some(&summary.zone);
-        let new = Zone { beat: 0, heard: now, members: 1 };
+        let new = Zone { beat: 0, heard: now, members: 1, hash: None };
         let zone = self.zones.entry(summary.zone.clone()).or_insert(new);
         if direct || zone.beat < summary.beat {
             zone.heard = now;
@@ -280,12 +301,25 @@
         known.map(|known| known.version(0)).collect()
     }
 
-    pub(crate) fn summary_of(&self, zone: &ZoneName) -> ZoneSummary {
+    pub(crate) fn summary_of(&mut self, zone: &ZoneName) -> ZoneSummary {
+        let hash = self.hash_of(zone);
         let beat = self.zones.get(zone).map_or(0, |state| state.beat);
-        ZoneSummary { zone: zone.clone(), beat, hash: self.hash_of(zone) }
+        ZoneSummary { zone: zone.clone(), beat, hash }
+    }
+
+    /// Returns a hash of the versions of a zone's records; it is kept until one changes.
+    pub(crate) fn hash_of(&mut self, zone: &ZoneName) -> u32 {
+        if let Some(hash) = self.zones.get(zone).and_then(|state| state.hash) {
+            return hash;
+        }
+        let hash = self.hash_anew(zone);
+        if let Some(state) = self.zones.get_mut(zone) {
+            state.hash = Some(hash);
+        }
+        hash
     }
 
-    pub(crate) fn hash_of(&self, zone: &ZoneName) -> u32 {
+    fn hash_anew(&self, zone: &ZoneName) -> u32 {
         let mut buf = Vec::new();
         for known in self.known.values() {
             if known.record.zone != *zone || known.removed.is_some() {
--- a/crates/daemon/src/duty.rs
+++ b/crates/daemon/src/duty.rs
@@ -6,7 +6,7 @@
 };
 
 use bulrushhall_coord::{
-    Hold, Lease, LeaseCall, LeaseOptions, LeaseReply, Purpose, Wanted, lease::is_candidate,
+    Hold, Holder, Lease, LeaseCall, LeaseOptions, LeaseReply, Purpose, Wanted, lease::is_candidate,
 };
 use bulrushhall_core::{Fence, Incarnation, ZoneName};
 use bulrushhall_platform::{
@@ -98,9 +98,9 @@
                 removed.map_or_else(failed, |_| LeaseReply::Done)
             }
             LeaseCall::Claim(lease) => {
-                let own = Bytes::from(self.cx.incarnation.to_string());
+                let own = Holder { life: self.cx.incarnation, lease }.encode();
                 let lease = Some(LeaseId(lease));
-                match kv.put_if(&self.key, Version(0), own, lease).await {
+                match kv.put_if(&self.key, Version(0), Bytes::from(own), lease).await {
                     Ok(CasOutcome::Written(version)) => LeaseReply::Claimed(Fence(version.0)),
                     Ok(CasOutcome::Conflict(found)) => {
                         LeaseReply::Taken(Fence(found.version.0), holder_of(&found.value))
@@ -149,8 +149,8 @@
     LeaseReply::Failed(error.ran)
 }
 
-// A value that names no life is nobody's own: the key counts as held until it vanishes.
-fn holder_of(value: &Bytes) -> Incarnation {
-    let text = std::str::from_utf8(value).unwrap_or_default();
-    text.parse().unwrap_or_default()
+// A value that names nobody is nobody's own: the duty counts as held until the key vanishes.
+fn holder_of(value: &Bytes) -> Holder {
+    let held = std::str::from_utf8(value).ok().and_then(Holder::decode);
+    held.unwrap_or(Holder { life: Incarnation(0), lease: 0 })
 }
