--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -24,7 +24,9 @@
     clock::Clock,
     dispatcher::Dispatcher,
     handoff::{Keeper, Recomputed},
+    keyed::Claimer,
     members::{Member, Members},
+    meters::Meters,
     peers::{PeerClient, Sender},
     settings::Settings,
 };
@@ -62,10 +64,14 @@
     pub dispatcher: Address<Dispatcher>,
     /// The actor that knows which requests the node owns.
     pub keeper: Address<Keeper>,
+    /// The actor that learns the homes of idempotency keys.
+    pub claimer: Address<Claimer>,
     /// The tokens that were computed a second time, by cause.
     pub recomputed: Recomputed,
     /// The claims of non-repeatable calls.
     pub ledger: Mutex<Ledger>,
+    /// What the node counts and measures.
+    pub meters: Arc<Meters>,
     /// The platform's key-value service, where one is set.
     pub key_value: Option<Arc<dyn KeyValue>>,
     /// The other nodes that are believed to be alive.
@@ -79,6 +85,7 @@
     pub(crate) notices: Mutex<Notices>,
     pub(crate) leaving_news: mpsc::UnboundedSender<Vec<VmName>>,
     pub(crate) budget: Arc<Mutex<CallBudget>>,
+    pub(crate) workers_gate: tokio::sync::Mutex<()>,
     pub(crate) document: ArcSwap<Bytes>,
     pub(crate) config_gate: tokio::sync::Mutex<()>,
     pub(crate) revision_teller: AtomicU64,
--- a/crates/daemon/src/handoff/recomputed.rs
+++ b/crates/daemon/src/handoff/recomputed.rs
@@ -37,8 +37,6 @@
     /// Adds tokens.
     pub fn add(&self, cause: Cause, tokens: u32) {
         self.counts[cause as usize].fetch_add(u64::from(tokens), Ordering::Relaxed);
-        let counter = metrics::counter!("bulrush_recomputed_tokens_total", "cause" => cause.word());
-        counter.increment(u64::from(tokens));
     }
 
     /// Returns the tokens of a cause.
--- a/crates/platform/src/http/mod.rs
+++ b/crates/platform/src/http/mod.rs
@@ -2,8 +2,12 @@
 
 mod body;
 mod endpoint;
+mod listen;
 mod server;
+mod tls;
 
 pub use body::{Body, BodyError, empty, full, read_limited, streamed};
 pub use endpoint::{Endpoint, EndpointOptions, Identity};
+pub use listen::listen;
 pub use server::{Handler, ServerOptions, serve};
+pub use tls::{Clients, Connection, NODE_NAME, Tls, TlsError, TlsFiles};
