A joining node's answer is not passed on again; nodes that were only asked count as having peers

340 nodes that start at once took nearly a minute to settle, since each passed on again all records of the answer to its greeting: 25 KB/s a node in the 20 s after the first 30 s. A node whose only peer died before it had replied to anything never saw that it was cut off (test cut_off).

--- a/crates/coord/src/membership.rs
+++ b/crates/coord/src/membership.rs
@@ -156,9 +156,15 @@
         self.roster.now = self.roster.now.max(now);
         let mut answer = Gossip::default();
         let mut urgent = Vec::new();
+        // The answer to a node that joins holds everyone. Others know them already: to pass them
+        // on again would fill many rounds and hold up what is new.
+        let bulk = RECORDS_MAX < gossip.records.len();
         for record in gossip.records {
             let leaving = record.condition == Condition::Leaving;
             if self.take(record.clone()) {
+                if bulk {
+                    self.fresh.remove(&record.incarnation);
+                }
                 urgent.extend(leaving.then_some(record));
             } else if record.condition != Condition::Gone {
                 // Whoever still believes in a life that was removed here has to be told, so that
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -154,7 +154,13 @@
         });
     }
 
-    /// Notes that the key-value service or another node has answered or asked.
+    /// Notes that another node has answered or asked.
+    pub fn note_peer(&self) {
+        self.has_peers.store(true, Ordering::Release);
+        self.note_contact();
+    }
+
+    /// Notes that the key-value service has answered.
     pub fn note_contact(&self) {
         self.last_contact.store(self.clock.now().0, Ordering::Release);
     }
--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, atomic::Ordering},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -74,8 +74,7 @@
         let reply = reply.map_err(|_| CallError::unknown(CallFault::Closed))?;
         let reply: Envelope<M::Reply> =
             rmp_serde::from_slice(&reply).map_err(|_| CallError::unknown(CallFault::Malformed))?;
-        cx.note_contact();
-        cx.has_peers.store(true, Ordering::Release);
+        cx.note_peer();
         cx.note_revision(reply.from.revision, reply.from.incarnation);
         Ok((reply.from, reply.body))
     }
--- a/crates/daemon/src/peers/port.rs
+++ b/crates/daemon/src/peers/port.rs
@@ -87,7 +87,7 @@
             if envelope.to.is_some_and(|to| to != self.cx.incarnation) {
                 return Err(StatusCode::GONE);
             }
-            self.cx.note_contact();
+            self.cx.note_peer();
             self.cx.note_revision(envelope.from.revision, envelope.from.incarnation);
             let body = (self.act)(Arc::clone(&self.cx), envelope.from, envelope.body).await;
             let reply = Envelope { from: self.cx.sender(), to: None, body };
--- a/crates/daemon/tests/shared_knowledge.rs
+++ b/crates/daemon/tests/shared_knowledge.rs
@@ -1,4 +1,5 @@
 //! What nodes learn from the service and from each other, and what they do without it.
+#![expect(clippy::print_stdout, reason = "a test tells the calls that it counted")]
 
 use std::{
     collections::BTreeSet,
@@ -6,9 +7,12 @@
 };
 
 use bulrushhall_bench::{Testbed, TestbedOptions};
-use bulrushhall_coord::Purpose;
+use bulrushhall_coord::{LeaseOptions, Purpose};
 use bulrushhall_core::Revision;
-use bulrushhall_daemon::config_chain::{self, ApplyError};
+use bulrushhall_daemon::{
+    config_chain::{self, ApplyError},
+    duty::{Duty, DutyTask},
+};
 use bulrushhall_platform::{
     clients::HttpKeyValue,
     http::{Endpoint, EndpointOptions},
@@ -146,3 +150,68 @@
     let reads = after.reads - counts.reads;
     assert!((reads as f64) < allowed, "{reads} reads in {seconds} s");
 }
+
+// A node hears neither of the service nor of any other node. It can't know whether its
+// configuration is still in force, so callers must be sent elsewhere until it hears again.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_off() {
+    let options = TestbedOptions { nodes: 2, ..TestbedOptions::default() };
+    let testbed = Testbed::start(options).await.expect("a testbed");
+    let left = testbed.nodes[0].clone();
+    until("both know each other", || left.context().members.current().len() == 1).await;
+    testbed.nodes[1].kill();
+    testbed.kv.switches().set(Faults { outage: true, ..Faults::default() });
+    until("it sees that it is cut off", || left.context().is_isolated()).await;
+    let listed = testbed.caller(0).json(Method::GET, "/v1/entries", &[], &Value::Null).await;
+    assert_eq!(listed.expect("a list")["entries"], Value::Array(Vec::new()));
+
+    testbed.kv.switches().set(Faults::default());
+    until("it is back", || !left.context().is_isolated()).await;
+}
+
+// The service's rates grow more slowly than the fleet. Nodes that each ask it again and again
+// would take it from everyone at 340 nodes.
+#[tokio::test(flavor = "multi_thread")]
+async fn few_calls() {
+    let testbed = five_nodes().await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let (before, started) = (testbed.kv.counts(), Instant::now());
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let (after, seconds) = (testbed.kv.counts(), started.elapsed().as_secs_f64());
+    println!("in {seconds:.1} s: before {before:?}, after {after:?}");
+    assert_eq!(after.writes, before.writes);
+    assert_eq!(after.reads, before.reads);
+    // One watch of 3 s after the other at each of the five, with one on either side.
+    let watches = (after.watches - before.watches) as f64;
+    assert!(watches <= 5.0 * (seconds / 3.0 + 2.0), "{watches} watches in {seconds} s");
+}
+
+// A holder of a duty dies. The duty must pass to another node with a higher fencing number, and
+// never be held by both.
+#[tokio::test(flavor = "multi_thread")]
+async fn duty_passes_on() {
+    let testbed = five_nodes().await;
+    let options = LeaseOptions {
+        ttl: Duration::from_millis(1_500),
+        margin: Duration::from_millis(300),
+        pause: Duration::from_millis(400),
+        order_timeout: Duration::from_millis(100),
+    };
+    let tasks: Vec<DutyTask> = testbed
+        .nodes
+        .iter()
+        .map(|node| Duty::start(node.context(), "probe", None, options))
+        .collect();
+    let holders = || -> Vec<usize> {
+        (0..tasks.len()).filter(|at| tasks[*at].duty().hold().is_some()).collect()
+    };
+    until("one node holds the duty", || holders().len() == 1).await;
+    let first = holders()[0];
+    let fence = tasks[first].duty().hold().expect("held").fence;
+    testbed.nodes[first].kill();
+    let mut tasks: Vec<Option<DutyTask>> = tasks.into_iter().map(Some).collect();
+    drop(tasks[first].take());
+    let next = || tasks.iter().flatten().find_map(|task| task.duty().hold());
+    until("another node holds it", || next().is_some()).await;
+    assert!(fence < next().expect("held").fence);
+}
