--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod probe;
 pub mod reclaim;
 pub mod scenario;
+pub mod spread;
 pub mod testbed;
 
 pub use caller::{Answered, Caller, CallerError};
