--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod check;
 pub mod compare;
 pub mod load;
+pub mod policy;
 pub mod probe;
 pub mod testbed;
 
--- a/crates/policy/src/admission/options.rs
+++ b/crates/policy/src/admission/options.rs
@@ -32,7 +32,7 @@
             retry_after: Duration::from_secs(1),
             retry_after_max: Duration::from_secs(30),
             interactive: 0,
-            wait_share: 0.6,
+            wait_share: 0.3,
             reserve: 0.15,
             overdue_share: 0.25,
             overdue_margin: 2.0,
--- a/crates/policy/src/lane.rs
+++ b/crates/policy/src/lane.rs
@@ -76,7 +76,6 @@
 struct Change {
     at: Stamp,
     requests: i32,
-    prompt: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -159,7 +158,7 @@
         random: &mut dyn Rng,
     ) -> Vec<LaneAction> {
         if let Some(run) = self.running.remove(&ticket) {
-            self.change(now, run.worker, -1, 0);
+            self.change(now, run.worker, -1);
             if let Some(worker) = self.worker_mut(run.worker) {
                 worker.outstanding = worker.outstanding.saturating_sub(1);
                 worker.outstanding_tokens = worker.outstanding_tokens.saturating_sub(run.tokens);
@@ -228,8 +227,8 @@
         while recent.front().is_some_and(|change| change.at <= report.taken_at) {
             recent.pop_front();
         }
-        let requests = recent.iter().map(|change| change.requests).sum();
-        let prompt = recent.iter().map(|change| change.prompt).sum();
+        let requests: i32 = recent.iter().map(|change| change.requests).sum();
+        let requests = requests.saturating_mul(self.sharers());
         if let Some(worker) = self.worker_mut(Some(key)) {
             worker.reported_running = report.running;
             worker.reported_waiting = report.waiting;
@@ -237,7 +236,6 @@
             worker.reported_at = report.taken_at;
             worker.step = report.step;
             worker.since_requests = requests;
-            worker.since_prompt = prompt;
             // An engine that is shunned gets no first tokens that could show it to be well again.
             worker.slowness = 1.0 + (worker.slowness - 1.0) * SLOWNESS_KEPT;
         }
@@ -255,17 +253,22 @@
         self.carry_out(now, decisions, random)
     }
 
-    // What other nodes have running there is not free. Each node keeps its part of the whole
-    // even so: a node whose neighbours have filled the engines would otherwise never start.
+    // Reports lag, so all nodes see the same free places for a while. If each took them all, the
+    // engines would get several times what they can hold and first tokens would wait there. A
+    // node takes its part of what is free, and keeps its part of the whole in any case: it would
+    // otherwise never start while its neighbours fill the engines.
     fn resize(&mut self, now: Stamp, random: &mut dyn Rng) -> Vec<LaneAction> {
-        let open = self.workers.iter().filter(|worker| worker.open);
-        let (mut free, mut slots) = (0, 0);
-        for worker in open {
-            free += worker.slots.saturating_sub(worker.others());
-            slots += worker.slots;
+        let (mut load, mut slots, mut own) = (0_usize, 0_usize, 0_usize);
+        for worker in self.workers.iter().filter(|worker| worker.open) {
+            load += worker.load() as usize;
+            slots += worker.slots as usize;
+            own += worker.outstanding as usize;
         }
-        let part = (slots as usize).div_ceil(self.nodes);
-        let decisions = self.admission.set_capacity(now, part.max(free as usize));
+        let part = slots.div_ceil(self.nodes);
+        let free = slots.saturating_sub(load) / self.nodes;
+        let excess = load.saturating_sub(slots).div_ceil(self.nodes);
+        let capacity = part.max((own + free).saturating_sub(excess));
+        let decisions = self.admission.set_capacity(now, capacity);
         self.carry_out(now, decisions, random)
     }
 
@@ -295,28 +298,37 @@
 
     fn place(&mut self, now: Stamp, ticket: Ticket, random: &mut dyn Rng) -> LaneAction {
         let req = self.waiting.remove(&ticket).unwrap_or_default();
-        let worker = self.placement.place(now, &req, &self.workers, random);
+        let placed = self.placement.place(now, &req, &self.workers, random);
+        let worker = placed.map(|placed| placed.worker);
+        let to_compute = placed.map_or(0, |placed| placed.to_compute);
         let tokens = req.prompt_tokens + req.answer_tokens;
         let mut run = Run { worker, tokens, since: now, predicted: Duration::ZERO, wrote: false };
         if let Some(worker) = self.worker_mut(worker) {
-            let prefill = worker.backlog() + req.prompt_tokens;
+            worker.send(now, to_compute);
             let per_second = f64::from(worker.prefill_per_second.max(1));
-            let seconds = f64::from(prefill) / per_second;
+            let seconds = f64::from(worker.backlog(now)) / per_second;
             run.predicted = worker.step + Duration::from_secs_f64(seconds);
             worker.outstanding += 1;
             worker.outstanding_tokens += tokens;
         }
         self.running.insert(ticket, run);
-        self.change(now, worker, 1, req.prompt_tokens);
+        self.change(now, worker, 1);
         worker.map_or(LaneAction::Nowhere(ticket), |key| LaneAction::Start(ticket, key))
     }
 
-    fn change(&mut self, now: Stamp, key: Option<WorkerKey>, requests: i32, prompt: u32) {
+    fn change(&mut self, now: Stamp, key: Option<WorkerKey>, requests: i32) {
+        let unseen = requests.saturating_mul(self.sharers());
         let Some(worker) = self.worker_mut(key) else { return };
-        worker.since_requests += requests;
-        worker.since_prompt += prompt;
+        worker.since_requests += unseen;
         let key = worker.key;
-        self.recent.entry(key).or_default().push_back(Change { at: now, requests, prompt });
+        self.recent.entry(key).or_default().push_back(Change { at: now, requests });
+    }
+
+    // What other nodes do between two reports is not seen. They see the same reports and act by
+    // the same rules, so each change here is taken to happen at every one of them. Without this
+    // the first tokens of a burst waited twice as long, all nodes having chosen the same engines.
+    fn sharers(&self) -> i32 {
+        i32::try_from(self.nodes).unwrap_or(i32::MAX)
     }
 
     fn worker_mut(&mut self, key: Option<WorkerKey>) -> Option<&mut WorkerView> {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,13 +4,19 @@
 //! come in as arguments and decisions go out as values.
 
 pub mod admission;
+pub mod fleet;
 pub mod lane;
 pub mod placement;
 pub mod prefix;
+pub mod reclaim;
+pub mod retry;
 
 pub use admission::{Admission, AdmissionOptions, Decision, Ticket, Wait};
+pub use fleet::{FleetAction, FleetEvent, FleetOptions, FleetPlan, FleetPlanner};
 pub use lane::{Lane, LaneAction, LaneOptions};
 pub use placement::{
     LoadReport, Placement, PlacementOptions, PlacementRegistry, PlacementRequest, WorkerKey,
     WorkerView,
 };
+pub use reclaim::{Fate, MoveOptions, plan_moves};
+pub use retry::{RetryBudget, RetryDecision, RetryOptions};
--- a/crates/policy/src/placement/baselines.rs
+++ b/crates/policy/src/placement/baselines.rs
@@ -4,7 +4,7 @@
 use rand::{Rng, RngExt};
 
 use crate::placement::{
-    Placement, PlacementRequest, WorkerKey, WorkerView, affinity_block, rendezvous_score,
+    Placed, Placement, PlacementRequest, WorkerView, affinity_block, rendezvous_score,
 };
 
 /// `Random` chooses any engine.
@@ -36,9 +36,9 @@
         req: &PlacementRequest,
         workers: &[WorkerView],
         random: &mut dyn Rng,
-    ) -> Option<WorkerKey> {
+    ) -> Option<Placed> {
         let count = candidates(req, workers).count();
-        nth(req, workers, random.random_range(0..count.max(1))).map(|worker| worker.key)
+        nth(req, workers, random.random_range(0..count.max(1))).map(|worker| placed(req, worker))
     }
 }
 
@@ -49,10 +49,10 @@
         req: &PlacementRequest,
         workers: &[WorkerView],
         _random: &mut dyn Rng,
-    ) -> Option<WorkerKey> {
+    ) -> Option<Placed> {
         let count = candidates(req, workers).count();
         self.next = self.next.wrapping_add(1);
-        nth(req, workers, self.next % count.max(1)).map(|worker| worker.key)
+        nth(req, workers, self.next % count.max(1)).map(|worker| placed(req, worker))
     }
 }
 
@@ -63,10 +63,10 @@
         req: &PlacementRequest,
         workers: &[WorkerView],
         _random: &mut dyn Rng,
-    ) -> Option<WorkerKey> {
+    ) -> Option<Placed> {
         let best =
             candidates(req, workers).min_by_key(|worker| (worker.outstanding, worker.distance));
-        best.map(|worker| worker.key)
+        best.map(|worker| placed(req, worker))
     }
 }
 
@@ -77,11 +77,11 @@
         req: &PlacementRequest,
         workers: &[WorkerView],
         random: &mut dyn Rng,
-    ) -> Option<WorkerKey> {
+    ) -> Option<Placed> {
         let count = candidates(req, workers).count().max(1);
         let one = nth(req, workers, random.random_range(0..count))?;
         let other = nth(req, workers, random.random_range(0..count))?;
-        Some(if other.load() < one.load() { other.key } else { one.key })
+        Some(placed(req, if other.load() < one.load() { other } else { one }))
     }
 }
 
@@ -92,11 +92,11 @@
         req: &PlacementRequest,
         workers: &[WorkerView],
         random: &mut dyn Rng,
-    ) -> Option<WorkerKey> {
+    ) -> Option<Placed> {
         let block = affinity_block(&req.prefix).unwrap_or_else(|| random.next_u64());
         let best =
             candidates(req, workers).max_by_key(|worker| rendezvous_score(block, worker.identity));
-        best.map(|worker| worker.key)
+        best.map(|worker| placed(req, worker))
     }
 }
 
@@ -118,3 +118,7 @@
 ) -> Option<&'a WorkerView> {
     candidates(req, workers).nth(at)
 }
+
+fn placed(req: &PlacementRequest, worker: &WorkerView) -> Placed {
+    Placed { worker: worker.key, to_compute: req.prompt_tokens }
+}
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -23,6 +23,15 @@
 pub use subset::subset;
 pub use worker::{LoadReport, WorkerKey, WorkerRole, WorkerView};
 
+/// A `Placed` is a chosen engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Placed {
+    /// The engine.
+    pub worker: WorkerKey,
+    /// The prompt tokens that it is expected to compute.
+    pub to_compute: u32,
+}
+
 /// A `Placement` chooses an engine for a request.
 pub trait Placement: Send {
     /// Returns the chosen engine; none if no engine takes new work.
@@ -32,7 +41,7 @@
         req: &PlacementRequest,
         workers: &[WorkerView],
         random: &mut dyn Rng,
-    ) -> Option<WorkerKey>;
+    ) -> Option<Placed>;
 
     /// Notes that an engine's prefix cache took in a block or dropped it.
     fn note_cache(&mut self, _worker: WorkerKey, _block: u64, _held: bool) {}
--- a/crates/policy/src/placement/options.rs
+++ b/crates/policy/src/placement/options.rs
@@ -17,6 +17,8 @@
     pub finalists: usize,
     /// How much worse than the best a finalist may be.
     pub margin: Duration,
+    /// How much worse than the best a finalist may be, as a part of the best prediction.
+    pub relative_margin: f64,
     /// The time that the dearest engine is behind the cheapest, at a cost weight of 1.
     pub price_penalty: Duration,
     /// The blocks known for one engine at most.
@@ -30,8 +32,9 @@
             recomputed: 1.0,
             home_share: 0.5,
             load_bound: 1.25,
-            finalists: 3,
+            finalists: 6,
             margin: Duration::from_millis(8),
+            relative_margin: 0.3,
             price_penalty: Duration::from_millis(2),
             hinted_blocks: 16_384,
         }
--- a/crates/policy/src/placement/predicted.rs
+++ b/crates/policy/src/placement/predicted.rs
@@ -2,16 +2,18 @@
 
 use bulrushhall_core::Stamp;
 use rand::{Rng, RngExt};
-use slotmap::SecondaryMap;
 
 use crate::{
     placement::{
-        Placement, PlacementOptions, PlacementRequest, PrefixHints, WorkerKey, WorkerView,
-        affinity_block, baselines::candidates, rendezvous_score,
+        Placed, Placement, PlacementOptions, PlacementRequest, PrefixHints, WorkerKey, WorkerView,
+        affinity_block, baselines::candidates, hints::HeldBlocks, rendezvous_score,
     },
     prefix::BLOCK_TOKENS,
 };
 
+/// The part of a batch, as a divisor, that is not counted on under lagging reports.
+const EARLY_FULL: u32 = 6;
+
 /// `Predicted` chooses at random among the few engines where the first token is predicted first.
 ///
 /// The prediction adds up the way there, the wait for a place in the batch, and the prompt tokens
@@ -23,16 +25,18 @@
 #[derive(Debug, Default)]
 pub struct Predicted {
     options: PlacementOptions,
-    hints: SecondaryMap<WorkerKey, PrefixHints>,
+    hints: PrefixHints,
     scored: Vec<(f64, WorkerKey)>,
 }
 
 /// What is the same for all engines in one decision.
 struct Setting {
+    now: Stamp,
     cheapest: u64,
     dearest: u64,
     mean_load: f64,
     home: Option<WorkerKey>,
+    blocks_held: HeldBlocks,
 }
 
 impl Predicted {
@@ -41,7 +45,7 @@
         Predicted { options, ..Predicted::default() }
     }
 
-    fn setting(&self, req: &PlacementRequest, workers: &[WorkerView]) -> Setting {
+    fn setting(&self, now: Stamp, req: &PlacementRequest, workers: &[WorkerView]) -> Setting {
         let (mut count, mut load) = (0, 0);
         let (mut cheapest, mut dearest) = (u64::MAX, 0);
         for worker in candidates(req, workers) {
@@ -51,7 +55,15 @@
             dearest = dearest.max(worker.price);
         }
         let mean_load = f64::from(load) / f64::from(count.max(1));
-        let mut setting = Setting { cheapest, dearest, mean_load, home: None };
+        let mut setting = Setting {
+            now,
+            cheapest,
+            dearest,
+            mean_load,
+            home: None,
+            blocks_held: PrefixHints::scratch(),
+        };
+        self.hints.leading(&req.prefix, &mut setting.blocks_held);
         let Some(block) = affinity_block(&req.prefix) else { return setting };
         // A prefix that many requests share would overload its one home; an engine that is
         // already well above the mean passes the home on to the next one in the order.
@@ -68,9 +80,12 @@
         let to_compute = f64::from(req.prompt_tokens) - cached;
         let per_token = 1.0 / f64::from(worker.prefill_per_second.max(1));
         let step = worker.step.as_secs_f64();
-        let waiting = f64::from((worker.load() + 1).saturating_sub(worker.slots));
+        // What other nodes sent since the last report is not seen, so the batch counts as full a
+        // little early.
+        let full = worker.slots - worker.slots / EARLY_FULL;
+        let waiting = f64::from((worker.load() + 1).saturating_sub(full));
         let place = waiting * step * f64::from(req.answer_tokens) / f64::from(worker.slots.max(1));
-        let prefill = (f64::from(worker.backlog()) + to_compute) * per_token;
+        let prefill = (f64::from(worker.backlog(setting.now)) + to_compute) * per_token;
         let first_token = (place + prefill + step) * f64::from(worker.slowness)
             + 2.0 * worker.distance.as_secs_f64();
 
@@ -80,9 +95,8 @@
     }
 
     fn cached_tokens(&self, req: &PlacementRequest, worker: &WorkerView, setting: &Setting) -> f64 {
-        let hints = self.hints.get(worker.key);
-        let known = hints.map_or(0, |hints| hints.leading(&req.prefix)) * BLOCK_TOKENS;
-        let known = (known as f64).min(f64::from(req.prompt_tokens));
+        let blocks = self.hints.place_of(worker.key).map_or(0, |at| setting.blocks_held[at]);
+        let known = (f64::from(blocks) * BLOCK_TOKENS as f64).min(f64::from(req.prompt_tokens));
         if setting.home != Some(worker.key) {
             return known;
         }
@@ -113,12 +127,12 @@
 impl Placement for Predicted {
     fn place(
         &mut self,
-        _now: Stamp,
+        now: Stamp,
         req: &PlacementRequest,
         workers: &[WorkerView],
         random: &mut dyn Rng,
-    ) -> Option<WorkerKey> {
-        let setting = self.setting(req, workers);
+    ) -> Option<Placed> {
+        let setting = self.setting(now, req, workers);
         let mut scored = std::mem::take(&mut self.scored);
         scored.clear();
         for worker in candidates(req, workers) {
@@ -129,36 +143,34 @@
             scored.select_nth_unstable_by(finalists - 1, |one, other| one.0.total_cmp(&other.0));
         }
         let best = scored.iter().map(|(score, _)| *score).fold(f64::INFINITY, f64::min);
-        let worst = best + self.options.margin.as_secs_f64();
+        let worst =
+            best + self.options.margin.as_secs_f64().max(best * self.options.relative_margin);
         let few = &scored[..finalists.min(scored.len())];
         let count = few.iter().filter(|(score, _)| *score <= worst).count();
         let at = random.random_range(0..count.max(1));
         let chosen = few.iter().filter(|(score, _)| *score <= worst).nth(at).map(|(_, key)| *key);
         self.scored = scored;
 
-        let limit = self.options.hinted_blocks;
-        if let Some(key) = chosen
-            && let Some(entry) = self.hints.entry(key)
-        {
-            let hints = entry.or_default();
-            for &block in &req.prefix {
-                hints.insert(block, limit);
-            }
+        let worker = chosen.and_then(|key| workers.iter().find(|worker| worker.key == key))?;
+        let cached = self.cached_tokens(req, worker, &setting);
+        for &block in &req.prefix {
+            self.hints.insert(worker.key, block, self.options.hinted_blocks);
         }
-        chosen
+        Some(Placed {
+            worker: worker.key,
+            to_compute: req.prompt_tokens.saturating_sub(cached as u32),
+        })
     }
 
     fn note_cache(&mut self, worker: WorkerKey, block: u64, held: bool) {
-        let Some(entry) = self.hints.entry(worker) else { return };
-        let hints = entry.or_default();
         if held {
-            hints.insert(block, self.options.hinted_blocks);
+            self.hints.insert(worker, block, self.options.hinted_blocks);
         } else {
-            hints.remove(block);
+            self.hints.remove(worker, block);
         }
     }
 
     fn forget(&mut self, worker: WorkerKey) {
-        self.hints.remove(worker);
+        self.hints.forget(worker);
     }
 }
--- a/crates/policy/src/placement/worker.rs
+++ b/crates/policy/src/placement/worker.rs
@@ -67,10 +67,13 @@
     pub reported_backlog: u32,
     /// When the last report was taken.
     pub reported_at: Stamp,
-    /// The requests that this node started there since the last report, less those that ended.
+    /// The requests that all nodes are taken to have started there since the last report, less
+    /// those that ended.
     pub since_requests: i32,
-    /// The prompt tokens that this node sent there since the last report.
-    pub since_prompt: u32,
+    /// The prompt tokens of this node that waited there at `pending_at`.
+    pub pending_prompt: u32,
+    /// When they were last worked out.
+    pub pending_at: Stamp,
     /// The time between two tokens there.
     pub step: Duration,
     /// How many times the predicted time first tokens really took; 1 before any was seen.
@@ -100,7 +103,8 @@
             reported_backlog: 0,
             reported_at: Stamp(0),
             since_requests: 0,
-            since_prompt: 0,
+            pending_prompt: 0,
+            pending_at: Stamp(0),
             step: Duration::from_millis(20),
             slowness: 1.0,
             price: 0,
@@ -123,7 +127,26 @@
     }
 
     /// Returns the estimated prompt tokens that wait there now.
-    pub fn backlog(&self) -> u32 {
-        self.reported_backlog + self.since_prompt
+    ///
+    /// A report is old when it comes. What it shows and what this node sent is taken to have been
+    /// computed at the usual rate since; it would otherwise count long after it was done.
+    pub fn backlog(&self, now: Stamp) -> u32 {
+        let reported = self.reported_backlog.saturating_sub(self.computed(now, self.reported_at));
+        reported + self.pending(now)
+    }
+
+    /// Adds prompt tokens that this node sends there now.
+    pub fn send(&mut self, now: Stamp, prompt: u32) {
+        self.pending_prompt = self.pending(now) + prompt;
+        self.pending_at = now;
+    }
+
+    fn pending(&self, now: Stamp) -> u32 {
+        self.pending_prompt.saturating_sub(self.computed(now, self.pending_at))
+    }
+
+    fn computed(&self, now: Stamp, since: Stamp) -> u32 {
+        let tokens = now.since(since).as_secs_f64() * f64::from(self.prefill_per_second);
+        tokens as u32
     }
 }
