--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,8 +1,10 @@
 //! Load, experiments and benches.
 
 pub mod caller;
+pub mod capacity;
 pub mod check;
 pub mod compare;
+pub mod cpu;
 pub mod load;
 pub mod policy;
 pub mod probe;
--- a/crates/bench/src/testbed/error.rs
+++ b/crates/bench/src/testbed/error.rs
@@ -3,8 +3,7 @@
 use std::{error, fmt, io};
 
 use bulrushhall_core::CoreError;
-use bulrushhall_daemon::errors::NodeError;
-use bulrushhall_platform::CallError;
+use bulrushhall_daemon::{config_chain::ApplyError, errors::NodeError};
 use error_stack::Report;
 
 /// A `TestbedError` tells why a testbed could not be started.
@@ -15,7 +14,7 @@
     /// A port could not be opened.
     Listen(io::Error),
     /// The configuration could not be written.
-    Config(CallError),
+    Config(ApplyError),
     /// A node could not be started.
     Node(Report<NodeError>),
     /// The nodes did not learn the configuration in time.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -11,12 +11,22 @@
     NodeStopped,
     /// A connection was closed because of an error on it.
     ConnectionFailed,
+    /// The certificates were read anew and are used for new connections.
+    CertificatesChanged,
+    /// The certificates could not be read anew; those in use stay.
+    CertificatesRejected,
     /// A configuration was read that cannot be used; the one in force stays.
     ConfigRejected,
     /// A caller's request was refused.
     RequestRefused,
     /// An attempt of a request at an engine failed and the request goes on elsewhere.
     AttemptFailed,
+    /// A request that this node owned is owned by another node now.
+    RequestMoved,
+    /// A request that another node owned is owned by this node now.
+    RequestTaken,
+    /// A copy of a request could not be read.
+    HandoffFailed,
 }
 
 impl Event {
@@ -26,9 +36,14 @@
         Event::NodeLeaving,
         Event::NodeStopped,
         Event::ConnectionFailed,
+        Event::CertificatesChanged,
+        Event::CertificatesRejected,
         Event::ConfigRejected,
         Event::RequestRefused,
         Event::AttemptFailed,
+        Event::RequestMoved,
+        Event::RequestTaken,
+        Event::HandoffFailed,
     ];
 
     /// Returns the number that the log line carries.
@@ -38,9 +53,14 @@
             Event::NodeLeaving => 101,
             Event::NodeStopped => 102,
             Event::ConnectionFailed => 110,
+            Event::CertificatesChanged => 111,
+            Event::CertificatesRejected => 112,
             Event::ConfigRejected => 120,
             Event::RequestRefused => 200,
             Event::AttemptFailed => 201,
+            Event::RequestMoved => 210,
+            Event::RequestTaken => 211,
+            Event::HandoffFailed => 212,
         }
     }
 }
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -2,17 +2,18 @@
 
 mod admit;
 mod chat;
-mod classify;
+pub mod classify;
 mod entries;
 mod error;
 mod events;
 mod identify;
 mod models;
-mod relay;
+mod observe;
+pub(crate) mod relay;
 mod requests;
 mod respond;
 mod router;
-mod services;
+pub(crate) mod services;
 mod settle;
 
 pub use error::{ApiCode, ApiError};
--- a/crates/daemon/src/callers/router.rs
+++ b/crates/daemon/src/callers/router.rs
@@ -11,7 +11,7 @@
 use hyper::{Method, Request, Response, body::Incoming, http::request::Parts};
 
 use crate::{
-    callers::{ApiCode, ApiError, chat, entries, models, requests, services},
+    callers::{ApiCode, ApiError, chat, entries, models, observe::Observation, requests, services},
     context::Context,
 };
 
@@ -26,15 +26,14 @@
         CallerPort { cx }
     }
 
-    async fn route(&self, req: Request<Incoming>) -> Result<Response<Body>, ApiError> {
-        let (parts, body) = req.into_parts();
+    async fn route(&self, parts: Parts, body: Incoming) -> Result<Response<Body>, ApiError> {
         let path = parts.uri.path().to_owned();
         let segments: Vec<&str> = path.split('/').skip(1).collect();
         let cx = &self.cx;
         match segments.as_slice() {
             ["v1", "entries"] => {
                 only(&parts, &[Method::GET])?;
-                entries::list(cx)
+                entries::list(cx, &parts)
             }
             ["v1", "models"] => {
                 only(&parts, &[Method::GET])?;
@@ -80,14 +79,17 @@
 impl Handler for CallerPort {
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
         Box::pin(async move {
-            match self.route(req).await {
+            let (parts, body) = req.into_parts();
+            let observation = Observation::begin(&self.cx, &parts);
+            let answer = match self.route(parts, body).await {
                 Ok(answer) => answer,
                 Err(error) => {
                     let code = error.code;
                     tracing::info!(event = Event::RequestRefused.number(), ?code);
                     error.into_response()
                 }
-            }
+            };
+            observation.follow(answer)
         })
     }
 }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -2,30 +2,41 @@
 
 use std::{
     collections::BTreeSet,
-    net::SocketAddr,
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use arc_swap::ArcSwap;
-use bulrushhall_coord::Ledger;
-use bulrushhall_core::{Deployment, Incarnation, RequestId, Revision};
+use bulrushhall_coord::{CallBudget, Ledger, Notices, Purpose, Source};
+use bulrushhall_core::{Deployment, Incarnation, RequestId, Revision, Stamp, VmName};
 use bulrushhall_platform::KeyValue;
-use tokio::sync::watch;
+use bytes::Bytes;
+use tokio::sync::{mpsc, watch};
 use xtra::Address;
 
 use crate::{
     answers::Answers,
     backends::Backends,
+    budgeted::Budgeted,
     clock::Clock,
     dispatcher::Dispatcher,
+    handoff::{Keeper, Recomputed},
+    keyed::Claimer,
     members::{Member, Members},
+    meters::Meters,
     peers::{PeerClient, Sender},
     settings::Settings,
 };
 
+/// How long a node that hears of nobody still names addresses to callers.
+const ISOLATED_AFTER: Duration = Duration::from_secs(6);
+
+/// The capacity that a node tells of itself before it has weighed its load.
+const OWN_CAPACITY: u32 = 8;
+
 /// An `InForce` is the configuration that a node acts on.
 #[derive(Clone, Debug, Default)]
 pub struct InForce {
@@ -51,8 +62,16 @@
     pub backends: Backends,
     /// The actor that queues and places.
     pub dispatcher: Address<Dispatcher>,
+    /// The actor that knows which requests the node owns.
+    pub keeper: Address<Keeper>,
+    /// The actor that learns the homes of idempotency keys.
+    pub claimer: Address<Claimer>,
+    /// The tokens that were computed a second time, by cause.
+    pub recomputed: Recomputed,
     /// The claims of non-repeatable calls.
     pub ledger: Mutex<Ledger>,
+    /// What the node counts and measures.
+    pub meters: Arc<Meters>,
     /// The platform's key-value service, where one is set.
     pub key_value: Option<Arc<dyn KeyValue>>,
     /// The other nodes that are believed to be alive.
@@ -61,7 +80,17 @@
     pub peers: PeerClient,
     /// The highest configuration revision that any message told of.
     pub highest_revision: watch::Sender<Revision>,
-    pub(crate) greetings: Mutex<BTreeSet<SocketAddr>>,
+    /// The VMs that are known to leave, of nodes and of backend servers; one never comes out.
+    pub leaving_vms: ArcSwap<BTreeSet<VmName>>,
+    pub(crate) notices: Mutex<Notices>,
+    pub(crate) leaving_news: mpsc::UnboundedSender<Vec<VmName>>,
+    pub(crate) budget: Arc<Mutex<CallBudget>>,
+    pub(crate) workers_gate: tokio::sync::Mutex<()>,
+    pub(crate) document: ArcSwap<Bytes>,
+    pub(crate) config_gate: tokio::sync::Mutex<()>,
+    pub(crate) revision_teller: AtomicU64,
+    pub(crate) last_contact: AtomicU64,
+    pub(crate) has_peers: AtomicBool,
     pub(crate) leaving: AtomicBool,
     pub(crate) sequence: AtomicU64,
 }
@@ -108,25 +137,84 @@
             callers: node.callers,
             peers: node.peers,
             leaving: self.is_leaving(),
+            capacity: OWN_CAPACITY,
+            suspected: false,
         }
     }
 
-    /// Notes a revision that another node has in force.
-    pub fn note_revision(&self, revision: Revision) {
+    /// Notes a revision that the life `teller` of a node has in force.
+    pub fn note_revision(&self, revision: Revision, teller: Incarnation) {
         self.highest_revision.send_if_modified(|highest| {
             let rises = *highest < revision;
-            *highest = (*highest).max(revision);
+            if rises {
+                *highest = revision;
+                self.revision_teller.store(teller.0, Ordering::Release);
+            }
             rises
         });
     }
 
-    pub(crate) fn greeted(&self, address: SocketAddr) {
-        let mut greetings = self.greetings.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-        greetings.insert(address);
+    /// Notes that the key-value service or another node has answered or asked.
+    pub fn note_contact(&self) {
+        self.last_contact.store(self.clock.now().0, Ordering::Release);
+    }
+
+    /// Returns whether neither the key-value service nor any other node was heard of for long.
+    ///
+    /// Such a node can't know whether a newer configuration is in force. Callers that it sends to
+    /// itself would be served by an old one, so it names no addresses until it hears again. A
+    /// node that has no others, and never had, goes on: callers have nowhere else to go.
+    pub fn is_isolated(&self) -> bool {
+        if !self.has_peers.load(Ordering::Acquire) {
+            return false;
+        }
+        let last = Stamp(self.last_contact.load(Ordering::Acquire));
+        ISOLATED_AFTER < self.clock.now().since(last)
+    }
+
+    /// Notes that VMs are leaving; returns those that were not known to.
+    pub fn note_leaving(
+        &self,
+        source: Source,
+        vms: impl IntoIterator<Item = VmName>,
+    ) -> Vec<VmName> {
+        let mut notices = self.lock_notices();
+        let new = notices.take(self.clock.now(), source, vms);
+        if new.is_empty() {
+            return new;
+        }
+        self.leaving_vms.store(Arc::new(notices.leaving().cloned().collect()));
+        drop(notices);
+        if new.contains(&self.settings.node.vm) {
+            self.leave();
+        }
+        new
+    }
+
+    /// Returns the key-value service as one purpose may use it, where one is set.
+    pub fn key_value_for(&self, purpose: Purpose) -> Option<Arc<dyn KeyValue>> {
+        let inner = self.key_value.clone()?;
+        let budget = Arc::clone(&self.budget);
+        Some(Arc::new(Budgeted::new(inner, budget, self.clock, purpose)))
+    }
+
+    /// Returns a hash of the VMs that are known to leave.
+    pub(crate) fn leaving_hash(&self) -> u64 {
+        self.lock_notices().hash()
+    }
+
+    /// Returns the VMs that are known to leave, but for those in `told`.
+    pub(crate) fn known_leaving(&self, told: &[VmName]) -> Vec<VmName> {
+        let notices = self.lock_notices();
+        notices.leaving().filter(|vm| !told.contains(vm)).cloned().collect()
+    }
+
+    fn lock_notices(&self) -> MutexGuard<'_, Notices> {
+        self.notices.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
-    pub(crate) fn take_greetings(&self) -> BTreeSet<SocketAddr> {
-        let mut greetings = self.greetings.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-        std::mem::take(&mut greetings)
+    pub(crate) fn revision_teller(&self) -> Option<Incarnation> {
+        let teller = self.revision_teller.load(Ordering::Acquire);
+        (teller != 0).then_some(Incarnation(teller))
     }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -10,20 +10,20 @@
 };
 
 use arc_swap::ArcSwap;
-use bulrushhall_coord::{Ledger, LedgerOptions};
+use bulrushhall_coord::{CallBudget, Ledger, LedgerOptions, chain::HEAD_KEY};
 use bulrushhall_core::{
-    Event, Incarnation, Revision,
+    Deployment, Event, Incarnation, Revision,
     config::{ServiceType, parse_deployment},
 };
 use bulrushhall_platform::{
     KeyValue,
     clients::HttpKeyValue,
-    http::{Endpoint, EndpointOptions, Handler, ServerOptions, serve},
+    http::{Clients, Endpoint, EndpointOptions, Handler, ServerOptions, listen, serve},
 };
 use error_stack::{Report, ResultExt};
 use tokio::{
     net::TcpListener,
-    sync::watch,
+    sync::{mpsc, watch},
     task::{JoinHandle, JoinSet},
 };
 use xtra::Mailbox;
@@ -32,23 +32,29 @@
     answers::Answers,
     backends::Backends,
     callers::CallerPort,
+    certificates,
     clock::Clock,
+    config_watch,
     context::{Context, InForce},
+    discovery,
     dispatcher::{Dispatcher, SetWorkers, Tick},
     errors::NodeError,
+    handoff::{self, Keeper, Recomputed},
+    keyed::{self, Claimer},
     loads,
     members::Members,
+    membership_actor::{self, MembershipActor},
+    meters::{MeteredKeyValue, Meters},
+    notices,
     operators::OperatorPort,
-    peers::{self, PeerClient, PeerPort},
+    peers::{PeerClient, PeerPort},
     settings::Settings,
 };
 
-/// The key under which the configuration is found.
-pub const CONFIG_KEY: &str = "config/current";
-/// The pause between two looks at the configuration.
-const CONFIG_PAUSE: Duration = Duration::from_millis(500);
 /// The pause between two ticks of the dispatcher.
 const TICK_PAUSE: Duration = Duration::from_millis(50);
+/// The pause between two times that recorded times are sorted into their buckets.
+const TIDY_PAUSE: Duration = Duration::from_secs(5);
 /// The pause between two looks at unfinished answers while the node leaves.
 const DRAIN_PAUSE: Duration = Duration::from_millis(20);
 
@@ -63,15 +69,21 @@
 impl Node {
     /// Opens the ports and starts the actors.
     pub async fn start(mut settings: Settings) -> Result<Node, Report<NodeError>> {
-        let callers = listen(&mut settings.node.callers).await?;
-        let peer_listener = listen(&mut settings.node.peers).await?;
-        let operators = listen(&mut settings.node.operators).await?;
+        let tls = certificates::load(&settings.tls)?;
+        let callers = open(&mut settings.node.callers)?;
+        let peer_listener = open(&mut settings.node.peers)?;
+        let operators = open(&mut settings.node.operators)?;
 
         let clock = Clock::start();
         let incarnation = new_incarnation();
         let dispatcher = Dispatcher::new(clock, incarnation.0);
         let dispatcher = xtra::spawn_tokio(dispatcher, Mailbox::unbounded());
-        let key_value = settings.platform.key_value.map(key_value_client);
+        let meters = Arc::new(Meters::new(&settings.node.name));
+        let key_value =
+            settings.platform.key_value.map(|address| key_value_client(address, &meters));
+        let (keeper, mailbox) = Mailbox::unbounded();
+        let (claimer, claimer_mailbox) = Mailbox::unbounded();
+        let (leaving_news, news) = mpsc::unbounded_channel();
         let cx = Arc::new(Context {
             settings,
             incarnation,
@@ -80,39 +92,74 @@
             answers: Answers::default(),
             backends: Backends::default(),
             dispatcher,
+            keeper,
+            claimer: claimer.clone(),
+            recomputed: Recomputed::default(),
             ledger: Mutex::new(Ledger::new(LedgerOptions::default())),
+            meters,
             key_value,
             members: Members::default(),
-            peers: PeerClient::default(),
+            peers: PeerClient::new(tls.clone()),
             highest_revision: watch::Sender::new(Revision(0)),
-            greetings: Mutex::default(),
+            leaving_vms: ArcSwap::default(),
+            notices: Mutex::default(),
+            leaving_news,
+            budget: Arc::new(Mutex::new(CallBudget::new(clock.now()))),
+            workers_gate: tokio::sync::Mutex::default(),
+            document: ArcSwap::default(),
+            config_gate: tokio::sync::Mutex::default(),
+            revision_teller: AtomicU64::new(0),
+            last_contact: AtomicU64::new(0),
+            has_peers: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
         });
 
         let mut peer_port = PeerPort::new(Arc::clone(&cx));
-        peers::register_hello(&mut peer_port);
+        let membership = MembershipActor::new(Arc::clone(&cx));
+        let membership = xtra::spawn_tokio(membership, Mailbox::unbounded());
+        membership_actor::register(&mut peer_port, membership.clone());
+        notices::register(&mut peer_port);
+        handoff::register(&mut peer_port);
+        keyed::register(&mut peer_port);
+        config_watch::register(&mut peer_port);
+        discovery::register(&mut peer_port);
 
         let (stop, stopped) = watch::channel(false);
         let mut ports = JoinSet::new();
-        let handlers: [(TcpListener, Arc<dyn Handler>); 3] = [
-            (callers, Arc::new(CallerPort::new(Arc::clone(&cx)))),
-            (peer_listener, Arc::new(peer_port)),
-            (operators, Arc::new(OperatorPort::new(Arc::clone(&cx)))),
+        let handlers: [(TcpListener, Arc<dyn Handler>, Clients); 3] = [
+            (callers, Arc::new(CallerPort::new(Arc::clone(&cx))), Clients::All),
+            (peer_listener, Arc::new(peer_port), Clients::Signed),
+            (operators, Arc::new(OperatorPort::new(Arc::clone(&cx))), Clients::Signed),
         ];
-        for (listener, handler) in handlers {
+        for (listener, handler, clients) in handlers {
             let limits = &cx.settings.limits;
             let options = ServerOptions {
                 header_timeout: limits.header_timeout.into(),
                 drain: limits.drain.into(),
+                tls: tls.clone().map(|tls| (tls, clients)),
                 ..ServerOptions::default()
             };
             ports.spawn(serve(listener, handler, options, stopped.clone()));
         }
         let duties = vec![
-            tokio::spawn(follow_config(Arc::clone(&cx))),
+            tokio::spawn(xtra::run(mailbox, Keeper::new(Arc::clone(&cx)))),
+            tokio::spawn(xtra::run(claimer_mailbox, Claimer::new(&cx))),
+            tokio::spawn(handoff::pass_time(Arc::clone(&cx))),
+            tokio::spawn(keyed::pass_time(claimer)),
+            tokio::spawn(handoff::drain(Arc::clone(&cx))),
+            tokio::spawn(config_watch::watch_service(Arc::clone(&cx))),
+            tokio::spawn(config_watch::catch_up(Arc::clone(&cx))),
+            tokio::spawn(membership_actor::pass(membership)),
+            tokio::spawn(notices::poll(Arc::clone(&cx))),
+            tokio::spawn(notices::spread(Arc::clone(&cx), news)),
+            tokio::spawn(notices::compare(Arc::clone(&cx))),
             tokio::spawn(tick(Arc::clone(&cx))),
+            tokio::spawn(tidy_meters(Arc::clone(&cx))),
+            tokio::spawn(certificates::follow(tls)),
             tokio::spawn(loads::follow(Arc::clone(&cx))),
+            tokio::spawn(discovery::follow(Arc::clone(&cx))),
+            tokio::spawn(discovery::close_leaving(Arc::clone(&cx))),
         ];
         let name = &cx.settings.node.name;
         tracing::info!(event = Event::NodeStarted.number(), node = %name, %incarnation);
@@ -145,6 +192,7 @@
             }
         };
         let _ = tokio::time::timeout(drain, emptied).await;
+        handoff::empty(&self.cx);
         self.stop.send_replace(true);
         while self.ports.join_next().await.is_some() {}
         self.end_duties();
@@ -164,8 +212,8 @@
     }
 }
 
-async fn listen(address: &mut SocketAddr) -> Result<TcpListener, Report<NodeError>> {
-    let listener = TcpListener::bind(*address).await.change_context(NodeError::Listen)?;
+fn open(address: &mut SocketAddr) -> Result<TcpListener, Report<NodeError>> {
+    let listener = listen(*address).change_context(NodeError::Listen)?;
     *address = listener.local_addr().change_context(NodeError::Listen)?;
     Ok(listener)
 }
@@ -178,40 +226,51 @@
     Incarnation(micros << 12 | u64::from(rand::random::<u16>() & 0xfff))
 }
 
-fn key_value_client(address: SocketAddr) -> Arc<dyn KeyValue> {
-    Arc::new(HttpKeyValue::new(Endpoint::new(address, EndpointOptions::default())))
+fn key_value_client(address: SocketAddr, meters: &Arc<Meters>) -> Arc<dyn KeyValue> {
+    let client = HttpKeyValue::new(Endpoint::new(address, EndpointOptions::default()));
+    Arc::new(MeteredKeyValue::new(Arc::new(client), Arc::clone(meters)))
 }
 
-async fn tick(cx: Arc<Context>) {
+async fn tidy_meters(cx: Arc<Context>) {
     loop {
-        tokio::time::sleep(TICK_PAUSE).await;
-        let _ = cx.dispatcher.send(Tick).await;
+        tokio::time::sleep(TIDY_PAUSE).await;
+        cx.meters.tidy();
     }
 }
 
-async fn follow_config(cx: Arc<Context>) {
-    let Some(key_value) = cx.key_value.clone() else { return };
+async fn tick(cx: Arc<Context>) {
     loop {
-        if let Ok(found) = key_value.get(CONFIG_KEY).await {
-            let revision = Revision(found.version.0);
-            if cx.in_force().revision < revision {
-                put_in_force(&cx, revision, &found.value).await;
-            }
-        }
-        tokio::time::sleep(CONFIG_PAUSE).await;
+        tokio::time::sleep(TICK_PAUSE).await;
+        let _ = cx.dispatcher.send(Tick).await;
     }
 }
 
-async fn put_in_force(cx: &Context, revision: Revision, text: &[u8]) {
+/// Makes a checked revision the one that this node acts on.
+pub(crate) async fn put_in_force(cx: &Context, revision: Revision, text: &[u8]) {
     let text = String::from_utf8_lossy(text);
-    let deployment = match parse_deployment(CONFIG_KEY, &text) {
+    let deployment = match parse_deployment(HEAD_KEY, &text) {
         Ok(deployment) => deployment,
         Err(error) => {
             tracing::error!(event = Event::ConfigRejected.number(), ?revision, %error);
             return;
         }
     };
-    cx.backends.follow(&deployment, &cx.settings.limits);
+    let _gate = cx.workers_gate.lock().await;
+    put_workers(cx, &deployment).await;
+    let deployment = Arc::new(deployment);
+    cx.config.store(Arc::new(InForce { revision, deployment }));
+}
+
+/// Makes the backend servers known that the list of VMs shows besides those of the configuration.
+pub(crate) async fn refresh_workers(cx: &Context) {
+    let _gate = cx.workers_gate.lock().await;
+    put_workers(cx, &cx.in_force().deployment).await;
+}
+
+// Called with the gate held: a new configuration and a new list of VMs may come at the same time,
+// and the workers of the older configuration must not be put back by the slower of the two.
+async fn put_workers(cx: &Context, deployment: &Deployment) {
+    cx.backends.follow(deployment, &cx.settings.limits);
     for (service, cfg) in &deployment.services {
         if cfg.service_type != ServiceType::Model {
             continue;
@@ -223,6 +282,4 @@
         let set = SetWorkers { service: service.clone(), workers, shares, weights };
         let _ = cx.dispatcher.send(set).await;
     }
-    let deployment = Arc::new(deployment);
-    cx.config.store(Arc::new(InForce { revision, deployment }));
 }
--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -3,14 +3,14 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, atomic::Ordering},
     time::Duration,
 };
 
 use bulrushhall_core::Incarnation;
 use bulrushhall_platform::{
     CallError, CallFault,
-    http::{Endpoint, EndpointOptions, read_limited},
+    http::{Endpoint, EndpointOptions, Tls, read_limited},
 };
 use bytes::Bytes;
 use http_body_util::Full;
@@ -18,7 +18,7 @@
 
 use crate::{
     context::Context,
-    peers::{Envelope, MESSAGE_LIMIT, PeerMessage},
+    peers::{Envelope, MESSAGE_LIMIT, PeerMessage, Sender},
 };
 
 /// The longest time that a reply may take.
@@ -30,9 +30,15 @@
 #[derive(Default)]
 pub struct PeerClient {
     endpoints: Mutex<HashMap<SocketAddr, Arc<Endpoint>>>,
+    tls: Option<Arc<Tls>>,
 }
 
 impl PeerClient {
+    /// Returns a client whose connections are protected where `tls` is given.
+    pub fn new(tls: Option<Arc<Tls>>) -> PeerClient {
+        PeerClient { endpoints: Mutex::default(), tls }
+    }
+
     /// Sends a message to the node at `address`, to one life of it where `to` is given.
     ///
     /// The error says whether the peer may have acted on the message.
@@ -43,6 +49,17 @@
         to: Option<Incarnation>,
         body: M,
     ) -> Result<M::Reply, CallError> {
+        self.ask(cx, address, to, body).await.map(|(_, reply)| reply)
+    }
+
+    /// Does what [`PeerClient::send`] does and returns who replied, too.
+    pub async fn ask<M: PeerMessage>(
+        &self,
+        cx: &Context,
+        address: SocketAddr,
+        to: Option<Incarnation>,
+        body: M,
+    ) -> Result<(Sender, M::Reply), CallError> {
         let envelope = Envelope { from: cx.sender(), to, body };
         let malformed = || CallError::not_done(CallFault::Malformed);
         let bytes = rmp_serde::to_vec_named(&envelope).map_err(|_| malformed())?;
@@ -57,8 +74,10 @@
         let reply = reply.map_err(|_| CallError::unknown(CallFault::Closed))?;
         let reply: Envelope<M::Reply> =
             rmp_serde::from_slice(&reply).map_err(|_| CallError::unknown(CallFault::Malformed))?;
-        cx.note_revision(reply.from.revision);
-        Ok(reply.body)
+        cx.note_contact();
+        cx.has_peers.store(true, Ordering::Release);
+        cx.note_revision(reply.from.revision, reply.from.incarnation);
+        Ok((reply.from, reply.body))
     }
 
     /// Lets go of the connections to an address.
@@ -73,6 +92,7 @@
             let options = EndpointOptions {
                 connect: CONNECT_TIMEOUT,
                 answer: REPLY_TIMEOUT,
+                tls: self.tls.clone(),
                 ..EndpointOptions::default()
             };
             Arc::new(Endpoint::new(address, options))
