--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, RngExt};
 
 /// The part by which a latency estimate moves with each measurement.
-const ESTIMATE_STEP: f64 = 0.05;
+const ESTIMATE_STEP: f64 = 0.1;
 
 /// `RetryOptions` bound retries and hedges.
 #[derive(Clone, Debug, PartialEq)]
@@ -161,8 +161,9 @@
             true => self.options.hedge_after,
             false => self.options.hedge_after - 1.0,
         };
-        *estimate += ESTIMATE_STEP * towards * took.max(*estimate);
-        *estimate = estimate.max(0.0);
+        // Steps are parts of the estimate, so that one very slow lookup moves it no further than
+        // any other slow one.
+        *estimate *= 1.0 + ESTIMATE_STEP * towards;
     }
 
     /// Returns how long to wait for a lookup before a second one is sent; none before any
