--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -27,6 +27,16 @@
     RequestTaken,
     /// A copy of a request could not be read.
     HandoffFailed,
+    /// A VM was bought.
+    VmBought,
+    /// The purchase of a VM was refused; its place is left alone for a while.
+    PurchaseRefused,
+    /// A VM was given back.
+    VmReleased,
+    /// A VM that no plan of the fleet knows was released.
+    OrphanReleased,
+    /// The plan of the fleet cannot be read; nothing is bought.
+    FleetPlanRejected,
 }
 
 impl Event {
@@ -44,6 +54,11 @@
         Event::RequestMoved,
         Event::RequestTaken,
         Event::HandoffFailed,
+        Event::VmBought,
+        Event::PurchaseRefused,
+        Event::VmReleased,
+        Event::OrphanReleased,
+        Event::FleetPlanRejected,
     ];
 
     /// Returns the number that the log line carries.
@@ -61,6 +76,11 @@
             Event::RequestMoved => 210,
             Event::RequestTaken => 211,
             Event::HandoffFailed => 212,
+            Event::VmBought => 500,
+            Event::PurchaseRefused => 501,
+            Event::VmReleased => 502,
+            Event::OrphanReleased => 503,
+            Event::FleetPlanRejected => 504,
         }
     }
 }
--- a/crates/daemon/src/callers/relay.rs
+++ b/crates/daemon/src/callers/relay.rs
@@ -8,7 +8,7 @@
     CallError, CallFault,
     engine::{Frame, Generate, Usage},
 };
-use bulrushhall_policy::WorkerKey;
+use bulrushhall_policy::{Ticket, WorkerKey};
 use futures_util::StreamExt;
 use tracing::Instrument;
 
@@ -22,7 +22,7 @@
         settle,
     },
     context::Context,
-    dispatcher::{Finished, Start},
+    dispatcher::{Finished, FirstToken, Start},
     handoff::{Cause, Portable, Produced},
     meters::Metric,
     telemetry::resume,
@@ -93,7 +93,7 @@
                 let span = tracing::info_span!("attempt", number = attempt);
                 attempt += 1;
                 tokio::select! {
-                    ended = one_attempt(&cx, &mut run, key, generate).instrument(span) => ended,
+                    ended = one_attempt(&cx, &mut run, key, asked.ticket, generate).instrument(span) => ended,
                     () = answer.halted() => Err(CallError::unknown(CallFault::Closed)),
                 }
             }
@@ -143,6 +143,7 @@
     cx: &Context,
     run: &mut Run,
     key: WorkerKey,
+    ticket: Ticket,
     generate: Generate,
 ) -> Result<Usage, CallError> {
     let gone = || CallError::not_done(CallFault::Connect);
@@ -150,9 +151,13 @@
     let BackendClient::Engine(engine) = backend.client else { return Err(gone()) };
     run.answer.set_started();
     let mut frames = engine.generate(generate).await?;
+    let mut first = Some(FirstToken { service: backend.service, ticket });
     while let Some(frame) = frames.next().await {
         match frame? {
             Frame::Token(token) => {
+                if let Some(first) = first.take() {
+                    let _ = cx.dispatcher.send(first).await;
+                }
                 run.emitted.push(token.clone());
                 let produced = Produced { id: run.answer.id(), version: run.version, token };
                 if !cx.keeper.send(produced).await.unwrap_or(false) {
--- /dev/null
+++ b/crates/daemon/src/fleet.rs
@@ -0,0 +1,319 @@
+//! The duty that buys VMs and gives them back, held by one node at a time.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use bulrushhall_coord::{LeaseOptions, Purpose, Source};
+use bulrushhall_core::{
+    Event, Ran, ServiceName, Stamp, VmName,
+    config::{Deployment, EnginesConfig},
+};
+use bulrushhall_platform::{
+    CallFault, Cloud, KeyValue,
+    clients::HttpCloud,
+    cloud::{Market, Offer, Purchase},
+    http::{Endpoint, EndpointOptions},
+    kv::{CasOutcome, Version},
+};
+use bulrushhall_policy::{
+    FleetAction, FleetEvent, FleetOptions, FleetPlan, FleetPlanner,
+    fleet::{FleetMarket, FleetOffer, Place, Slot, SlotState},
+};
+use bytes::Bytes;
+use tokio::time::sleep;
+
+use crate::{
+    backends::BackendClient,
+    context::Context,
+    duty::{Duty, DutyTask},
+    notices,
+};
+
+/// The key of the plan.
+pub const PLAN_KEY: &str = "fleet/plan";
+/// The name of the duty.
+const DUTY: &str = "fleet";
+/// The pause between two looks at the fleet.
+const PAUSE: Duration = Duration::from_secs(1);
+/// How long a drained engine may take to become empty.
+const DRAIN_LIMIT: Duration = Duration::from_secs(600);
+/// Thousandths of a cent in a thousandth of the currency unit.
+const PRICE_UNIT: u64 = 100;
+
+/// The plan's key no longer holds what this node wrote there last, or may not.
+struct PlanLost;
+
+/// What the holder of the duty works with until it loses the duty or the plan.
+struct Holder {
+    cx: Arc<Context>,
+    duty: Arc<Duty>,
+    key_value: Arc<dyn KeyValue>,
+    cloud: HttpCloud,
+    planner: FleetPlanner,
+    version: Version,
+    seen: BTreeSet<VmName>,
+    draining: BTreeMap<VmName, Stamp>,
+}
+
+/// Buys and gives back VMs while this node holds the duty.
+pub async fn follow(cx: Arc<Context>) {
+    let Some(address) = cx.settings.platform.cloud else { return };
+    let Some(key_value) = cx.key_value_for(Purpose::Fleet) else { return };
+    let task: DutyTask = Duty::start(&cx, DUTY, None, LeaseOptions::default());
+    let mut holder: Option<Holder> = None;
+    loop {
+        sleep(PAUSE).await;
+        if task.duty().hold().is_none() || managed(&cx.in_force().deployment).is_empty() {
+            holder = None;
+            continue;
+        }
+        if holder.is_none() {
+            let cloud = HttpCloud::new(Endpoint::new(address, EndpointOptions::default()));
+            holder = Holder::take_over(&cx, task.duty(), &key_value, cloud).await;
+        }
+        let Some(held) = &mut holder else { continue };
+        if held.round().await.is_err() {
+            holder = None;
+        }
+    }
+}
+
+// A service whose engines have fixed addresses is run by its operators; nothing is bought for it.
+fn managed(deployment: &Deployment) -> Vec<(&ServiceName, &EnginesConfig)> {
+    let engines = deployment.engines.iter().filter(|(service, _)| {
+        let cfg = deployment.services.get(*service);
+        cfg.is_some_and(|cfg| cfg.backends.is_empty())
+    });
+    engines.collect()
+}
+
+impl Holder {
+    async fn take_over(
+        cx: &Arc<Context>,
+        duty: &Arc<Duty>,
+        key_value: &Arc<dyn KeyValue>,
+        cloud: HttpCloud,
+    ) -> Option<Holder> {
+        let found = key_value.get(PLAN_KEY).await.ok()?;
+        // An absent plan is an empty one. One that can't be read is left alone: acting on an empty
+        // plan would buy the whole fleet a second time.
+        let plan = match found.version {
+            Version(0) => FleetPlan::default(),
+            _ if found.value.is_empty() => FleetPlan::default(),
+            _ => match serde_json::from_slice(&found.value) {
+                Ok(plan) => plan,
+                Err(error) => {
+                    tracing::error!(event = Event::FleetPlanRejected.number(), %error);
+                    return None;
+                }
+            },
+        };
+        Some(Holder {
+            cx: Arc::clone(cx),
+            duty: Arc::clone(duty),
+            key_value: Arc::clone(key_value),
+            cloud,
+            planner: FleetPlanner::new(FleetOptions::default(), plan),
+            version: found.version,
+            seen: BTreeSet::new(),
+            draining: BTreeMap::new(),
+        })
+    }
+
+    async fn round(&mut self) -> Result<(), PlanLost> {
+        let Ok(offers) = self.cloud.offers().await else { return Ok(()) };
+        let deployment = Arc::clone(&self.cx.in_force().deployment);
+        self.feed(FleetEvent::Offers(allowed(&deployment, offers))).await?;
+        for (service, cfg) in managed(&deployment) {
+            self.feed(FleetEvent::Need(service.clone(), cfg.least)).await?;
+        }
+        self.look_at_vms(&deployment).await?;
+        for action in self.feed(FleetEvent::Tick).await? {
+            self.carry_out(action).await?;
+        }
+        self.release_empty().await
+    }
+
+    async fn look_at_vms(&mut self, deployment: &Deployment) -> Result<(), PlanLost> {
+        let managed: Vec<&ServiceName> =
+            managed(deployment).into_iter().map(|(service, _)| service).collect();
+        let mut listed = Vec::new();
+        for vm in self.cx.backends.listed() {
+            if vm.service.as_ref().is_some_and(|service| managed.contains(&service)) {
+                listed.push(vm.vm);
+            }
+        }
+        let known: Vec<VmName> = self
+            .planner
+            .plan()
+            .slots
+            .values()
+            .filter_map(|slot| slot.state.vm().cloned())
+            .collect();
+        for vm in known {
+            if self.cx.leaving_vms.load().contains(&vm) {
+                self.feed(FleetEvent::Leaving(vm.clone())).await?;
+            }
+            if listed.contains(&vm) {
+                self.seen.insert(vm.clone());
+                self.feed(FleetEvent::Ready(vm)).await?;
+            } else if self.seen.remove(&vm) {
+                // The list shows new VMs late; only one that it has shown can be gone from it.
+                self.draining.remove(&vm);
+                self.feed(FleetEvent::Gone(vm)).await?;
+            }
+        }
+        for action in self.feed(FleetEvent::Listed(listed)).await? {
+            self.carry_out(action).await?;
+        }
+        Ok(())
+    }
+
+    // Hands an event to the planner and writes the plan where it has changed, before anything is
+    // done that rests on the change.
+    async fn feed(&mut self, event: FleetEvent) -> Result<Vec<FleetAction>, PlanLost> {
+        let mut actions = self.planner.handle(self.cx.clock.now(), event);
+        if !matches!(actions.first(), Some(FleetAction::Save(_))) {
+            return Ok(actions);
+        }
+        let FleetAction::Save(plan) = actions.remove(0) else { return Ok(actions) };
+        // A plan holds names and numbers only, for which serialization cannot fail.
+        let text = Bytes::from(serde_json::to_vec(&plan).unwrap_or_default());
+        let written = self.key_value.put_if(PLAN_KEY, self.version, text, None).await;
+        // After a lost reply the write may or may not have landed, and after a conflict another
+        // node has planned. Either way the plan in memory counts for nothing: it is read anew.
+        let Ok(CasOutcome::Written(version)) = written else { return Err(PlanLost) };
+        self.version = version;
+        Ok(actions)
+    }
+
+    async fn carry_out(&mut self, action: FleetAction) -> Result<(), PlanLost> {
+        // The lease may have lapsed since the round began.
+        if self.duty.hold().is_none() {
+            return Err(PlanLost);
+        }
+        match action {
+            FleetAction::Buy(slot) => self.buy(slot).await,
+            FleetAction::Drain(vm) => {
+                notices::take(&self.cx, Source::Notice, vec![vm]);
+                Ok(())
+            }
+            FleetAction::ReleaseOrphan(vm) => {
+                tracing::warn!(event = Event::OrphanReleased.number(), %vm);
+                let _ = self.cloud.release(&vm).await;
+                Ok(())
+            }
+            FleetAction::Save(_) => Ok(()),
+        }
+    }
+
+    async fn buy(&mut self, slot: Slot) -> Result<(), PlanLost> {
+        let purchase = Purchase {
+            token: slot.token(),
+            zone: slot.place.zone.clone(),
+            class: slot.place.class.clone(),
+            market: market(slot.place.market),
+            tag: slot.service.to_string(),
+        };
+        match self.cloud.buy(purchase).await {
+            Ok(vm) => {
+                let place = &slot.place;
+                tracing::info!(event = Event::VmBought.number(), %vm, zone = %place.zone, market = ?place.market);
+                self.feed(FleetEvent::Bought(slot.id, vm)).await.map(drop)
+            }
+            Err(error) => {
+                let refused = matches!(error.fault, CallFault::Refused { status: 400..500 });
+                if !refused && error.ran != Ran::No {
+                    // It may have been bought; the same token finds out.
+                    return Ok(());
+                }
+                let place = &slot.place;
+                tracing::info!(event = Event::PurchaseRefused.number(), zone = %place.zone, market = ?place.market, %error);
+                self.feed(FleetEvent::Refused(slot.id)).await.map(drop)
+            }
+        }
+    }
+
+    // An engine on a VM that is given back first ends what it runs. What is taken back by the
+    // cloud is released as well: the bill then ends a little earlier.
+    async fn release_empty(&mut self) -> Result<(), PlanLost> {
+        let now = self.cx.clock.now();
+        let slots = self.planner.plan().slots.values();
+        let leaving = slots.filter_map(|slot| match &slot.state {
+            SlotState::Leaving(vm) => Some(vm.clone()),
+            _ => None,
+        });
+        let leaving: Vec<VmName> = leaving.collect();
+        for vm in leaving {
+            let since = *self.draining.entry(vm.clone()).or_insert(now);
+            if now < since + DRAIN_LIMIT && !self.is_empty(&vm).await {
+                continue;
+            }
+            if self.duty.hold().is_none() {
+                return Err(PlanLost);
+            }
+            let released = self.cloud.release(&vm).await;
+            let gone = match &released {
+                Ok(()) => true,
+                Err(error) => error.fault == CallFault::Refused { status: 404 },
+            };
+            if gone {
+                tracing::info!(event = Event::VmReleased.number(), %vm);
+                self.draining.remove(&vm);
+                self.feed(FleetEvent::Gone(vm)).await?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn is_empty(&self, vm: &VmName) -> bool {
+        let mut idle = true;
+        for (_, backend) in self.cx.backends.close(vm) {
+            let BackendClient::Engine(engine) = backend.client else { continue };
+            let load = engine.load().await;
+            idle &= load.is_ok_and(|load| load.running + load.waiting == 0);
+        }
+        idle
+    }
+}
+
+fn allowed(deployment: &Deployment, offers: Vec<Offer>) -> Vec<FleetOffer> {
+    let mut classes = BTreeSet::new();
+    for (_, cfg) in managed(deployment) {
+        classes.extend(cfg.vm_classes.iter().map(|class| class.to_string()));
+    }
+    let mut allowed = Vec::new();
+    for offer in offers {
+        let Offer { zone, class, market, price } = offer;
+        if !classes.is_empty() && !classes.contains(&class) {
+            continue;
+        }
+        let described = deployment.vm_classes.iter().find(|(name, _)| name.as_str() == class);
+        if let Some((_, cfg)) = described {
+            let highest = match market {
+                Market::Reclaimable => cfg.reclaimable_price,
+                Market::OnDemand => cfg.on_demand_price,
+            };
+            let too_dear = highest.is_none_or(|most| u64::from(most.0) * PRICE_UNIT < price);
+            if too_dear || !cfg.zones.is_empty() && !cfg.zones.contains(&zone) {
+                continue;
+            }
+        }
+        let market = match market {
+            Market::Reclaimable => FleetMarket::Reclaimable,
+            Market::OnDemand => FleetMarket::OnDemand,
+        };
+        allowed.push(FleetOffer { place: Place { zone, class, market }, price });
+    }
+    allowed
+}
+
+fn market(market: FleetMarket) -> Market {
+    match market {
+        FleetMarket::Reclaimable => Market::Reclaimable,
+        FleetMarket::OnDemand => Market::OnDemand,
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod dispatcher;
 pub mod duty;
 pub mod errors;
+pub mod fleet;
 pub mod handoff;
 pub mod keyed;
 pub mod loads;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -39,6 +39,7 @@
     discovery,
     dispatcher::{Dispatcher, SetWorkers, Tick},
     errors::NodeError,
+    fleet,
     handoff::{self, Keeper, Recomputed},
     keyed::{self, Claimer},
     loads,
@@ -157,6 +158,7 @@
             tokio::spawn(tidy_meters(Arc::clone(&cx))),
             tokio::spawn(certificates::follow(tls)),
             tokio::spawn(loads::follow(Arc::clone(&cx))),
+            tokio::spawn(fleet::follow(Arc::clone(&cx))),
             tokio::spawn(discovery::follow(Arc::clone(&cx))),
             tokio::spawn(discovery::close_leaving(Arc::clone(&cx))),
         ];
--- a/crates/policy/src/reclaim.rs
+++ b/crates/policy/src/reclaim.rs
@@ -79,6 +79,7 @@
             .then(a.key.cmp(&b.key))
     });
     let mut spent = Duration::ZERO;
+    let first_move = plan.len();
     for one in to_move {
         let move_time = options.move_time(one.tokens);
         let saved = options.recompute_time(one.tokens.saturating_sub(one.held_there));
@@ -90,6 +91,13 @@
         spent += move_time;
         plan.push((one.key, Fate::Move(spent)));
     }
+    // Moves are made as late as the notice allows: many answers are shorter than they may be and
+    // end by themselves meanwhile, and each move costs the tokens of its last, unfinished block.
+    for (_, fate) in &mut plan[first_move..] {
+        if let Fate::Move(end) = fate {
+            *end += usable - spent;
+        }
+    }
     plan
 }
 
