--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod prefix;
 pub mod reclaim;
 pub mod retry;
+pub mod team_limits;
 
 pub use admission::{Admission, AdmissionOptions, Decision, Ticket, Wait};
 pub use fleet::{FleetAction, FleetEvent, FleetOptions, FleetPlan, FleetPlanner};
