--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod compare;
 pub mod cpu;
 pub mod load;
+pub mod policy;
 pub mod probe;
 pub mod reclaim;
 pub mod scenario;
--- a/crates/daemon/src/callers/relay.rs
+++ b/crates/daemon/src/callers/relay.rs
@@ -8,7 +8,7 @@
     CallError, CallFault, Engine,
     engine::{Frame, Generate, Usage},
 };
-use bulrushhall_policy::WorkerKey;
+use bulrushhall_policy::{Ticket, WorkerKey};
 use bytes::Bytes;
 use futures_util::StreamExt;
 use tracing::Instrument;
@@ -23,7 +23,7 @@
         settle,
     },
     context::Context,
-    dispatcher::{Finished, Start},
+    dispatcher::{Finished, FirstToken, Start},
     handoff::{Cause, Portable, Produced},
     meters::Metric,
     telemetry::resume,
@@ -99,7 +99,7 @@
                 }
                 answer.set_place(worker);
                 let ended = tokio::select! {
-                    ended = one_attempt(&cx, &mut run, key, generate).instrument(span) => ended,
+                    ended = one_attempt(&cx, &mut run, key, asked.ticket, generate).instrument(span) => ended,
                     () = answer.halted() => AttemptEnd::failed(CallFault::Closed),
                 };
                 answer.set_place(None);
@@ -169,6 +169,7 @@
     cx: &Context,
     run: &mut Run,
     key: WorkerKey,
+    ticket: Ticket,
     generate: Generate,
 ) -> AttemptEnd {
     let gone = || AttemptEnd::Failed(CallError::not_done(CallFault::Connect));
@@ -179,6 +180,7 @@
         Ok(frames) => frames,
         Err(error) => return AttemptEnd::Failed(error),
     };
+    let mut first = Some(FirstToken { service: backend.service, ticket });
     let answer = Arc::clone(&run.answer);
     let mut evacuated = std::pin::pin!(exported(&answer, engine.as_ref()));
     loop {
@@ -189,6 +191,9 @@
         };
         match frame {
             Some(Ok(Frame::Token(token))) => {
+                if let Some(first) = first.take() {
+                    let _ = cx.dispatcher.send(first).await;
+                }
                 run.emitted.push(token.clone());
                 let produced = Produced { id: answer.id(), version: run.version, token };
                 if !cx.keeper.send(produced).await.unwrap_or(false) {
