--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod load;
 pub mod probe;
 pub mod scenario;
+pub mod soak;
 pub mod testbed;
 
 pub use caller::{Answered, Caller, CallerError};
--- a/crates/bench/src/scenario/mod.rs
+++ b/crates/bench/src/scenario/mod.rs
@@ -9,4 +9,4 @@
 
 pub use error::ScenarioError;
 pub use runner::ScenarioRunner;
-pub use stage::Stage;
+pub use stage::{Stage, words};
--- a/crates/bench/src/scenario/stage.rs
+++ b/crates/bench/src/scenario/stage.rs
@@ -41,6 +41,7 @@
     load: Option<JoinHandle<Result<Report, PlanError>>>,
     records: Vec<Record>,
     noticed: Option<Instant>,
+    next_node: usize,
 }
 
 impl Stage {
@@ -48,7 +49,9 @@
     pub async fn start(options: TestbedOptions) -> Result<Stage, ScenarioError> {
         let testbed = Testbed::start(options).await.map_err(failed)?;
         let watch = RevisionWatch::start(&testbed.nodes);
-        let stage = Stage { testbed, watch, load: None, records: Vec::new(), noticed: None };
+        let next_node = testbed.nodes.len();
+        let (records, noticed) = (Vec::new(), None);
+        let stage = Stage { testbed, watch, load: None, records, noticed, next_node };
         stage.wait_for_members().await?;
         Ok(stage)
     }
@@ -80,13 +83,25 @@
 
     /// Starts one more node.
     pub async fn add_node(&mut self) -> Result<(), ScenarioError> {
-        let at = self.testbed.nodes.len();
+        let at = self.next_node;
+        self.next_node += 1;
         let zone = self.testbed.zone_of(at);
         self.testbed.add_node(at, zone, &Default::default()).await.map_err(failed)?;
-        self.watch.add(&self.testbed.nodes[at]);
+        let added = self.testbed.nodes.last().ok_or(ScenarioError::NotThere("node"))?;
+        self.watch.add(added);
         Ok(())
     }
 
+    /// Lets go of ended nodes and of all that was seen so far.
+    pub fn forget(&mut self) {
+        for node in self.testbed.nodes.iter().filter(|node| !node.is_alive()) {
+            self.testbed.machines.kill(&node.context().settings.node.vm);
+        }
+        self.testbed.nodes.retain(|node| node.is_alive());
+        self.watch.forget();
+        self.records = Vec::new();
+    }
+
     /// Announces the reclaim of all VMs of a zone.
     pub fn reclaim(&mut self, zone: &str, notice: Duration) -> usize {
         self.noticed = Some(Instant::now());
--- a/crates/bench/src/scenario/watch.rs
+++ b/crates/bench/src/scenario/watch.rs
@@ -51,6 +51,15 @@
         lock(&self.state).accepted.push((revision, self.started.elapsed()));
     }
 
+    /// Lets go of ended nodes and of what was seen; the newest accepted revision stays due.
+    pub fn forget(&self) {
+        let mut state = lock(&self.state);
+        state.nodes.retain(|node| node.is_alive());
+        state.seen = Vec::new();
+        let newest = state.accepted.pop();
+        state.accepted = newest.into_iter().collect();
+    }
+
     /// Judges what was seen so far.
     pub fn judge(&self) -> Vec<Violation> {
         let state = lock(&self.state);
--- /dev/null
+++ b/crates/bench/src/soak.rs
@@ -0,0 +1,191 @@
+//! A long run with random faults, in rounds; after each round all promises are judged.
+
+use std::{fs, time::Duration};
+
+use bulrushhall_standin::switches::Faults;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tokio::time::sleep;
+
+use crate::{
+    TestbedOptions,
+    check::Violation,
+    load::{Mix, Plan},
+    scenario::{ScenarioError, Stage},
+};
+
+/// How long load arrives in one round.
+const ROUND: Duration = Duration::from_secs(6);
+/// The faults of one round.
+const FAULTS_PER_ROUND: usize = 2;
+/// The number of nodes that each round starts with.
+const NODES: usize = 5;
+
+/// A `Fault` is one thing that goes wrong in a round.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A node dies without notice.
+    NodeDies,
+    /// A node is stopped gracefully.
+    NodeStops,
+    /// The key-value service is out for a while.
+    KvOutage,
+    /// Replies of the key-value service are lost for a while, and writes land late.
+    KvLosesReplies,
+    /// The key-value service is slow for a while.
+    KvSlow,
+    /// Replies of a backend server of the plain service are lost for a while.
+    OrdersLoseReplies,
+    /// An engine does not answer for a while.
+    EngineFreezes,
+    /// An operator applies a configuration.
+    Apply,
+}
+
+/// A `Round` is what one round showed.
+#[derive(Clone, Debug)]
+pub struct Round {
+    /// Its number.
+    pub number: u64,
+    /// What went wrong.
+    pub faults: Vec<Fault>,
+    /// The requests sent.
+    pub sent: usize,
+    /// Those that did not finish, whatever the reason.
+    pub unfinished: usize,
+    /// The broken promises.
+    pub violations: Vec<Violation>,
+    /// The resident memory of the whole process afterwards, in kilobytes.
+    pub resident: u64,
+    /// The open file handles of the whole process afterwards.
+    pub handles: usize,
+}
+
+/// A `Soak` is a long run.
+pub struct Soak {
+    stage: Stage,
+    random: Pcg64Mcg,
+    seed: u64,
+    number: u64,
+    applied: u64,
+}
+
+impl Fault {
+    /// All faults.
+    pub const ALL: [Fault; 8] = [
+        Fault::NodeDies,
+        Fault::NodeStops,
+        Fault::KvOutage,
+        Fault::KvLosesReplies,
+        Fault::KvSlow,
+        Fault::OrdersLoseReplies,
+        Fault::EngineFreezes,
+        Fault::Apply,
+    ];
+}
+
+impl Soak {
+    /// Starts a deployment; the seed decides load and faults.
+    pub async fn start(seed: u64) -> Result<Soak, ScenarioError> {
+        let options =
+            TestbedOptions { nodes: NODES, engines: 6, services: 3, ..TestbedOptions::default() };
+        let stage = Stage::start(options).await?;
+        Ok(Soak { stage, random: Pcg64Mcg::seed_from_u64(seed), seed, number: 0, applied: 0 })
+    }
+
+    /// Plays one round and judges it.
+    pub async fn round(&mut self) -> Result<Round, ScenarioError> {
+        self.number += 1;
+        let mut faults = Vec::new();
+        for _ in 0..FAULTS_PER_ROUND {
+            faults.push(Fault::ALL[self.random.random_range(0..Fault::ALL.len())]);
+        }
+        self.stage.send(self.plan())?;
+        for fault in &faults {
+            sleep(Duration::from_millis(self.random.random_range(300..1_500))).await;
+            self.bring_about(*fault).await?;
+        }
+        let (sent, unfinished) = self.stage.settle().await?;
+        self.end_faults();
+        while self.stage.alive().len() < NODES {
+            self.stage.add_node().await?;
+        }
+        self.stage.wait_for_members().await?;
+        let violations = self.stage.judge();
+        self.stage.forget();
+        let unfinished = unfinished.values().sum();
+        let (resident, handles) = (resident(), handles());
+        Ok(Round { number: self.number, faults, sent, unfinished, violations, resident, handles })
+    }
+
+    fn plan(&self) -> Plan {
+        let mix = if self.number.is_multiple_of(2) { Mix::Guild } else { Mix::Newsroom };
+        Plan {
+            mix,
+            rate: 12.0,
+            length: ROUND,
+            warm_up: Duration::ZERO,
+            seed: self.seed * 1_000 + self.number,
+            silence: Duration::from_secs(4),
+            patience: Duration::from_secs(40),
+            retries: 20,
+            ..Plan::default()
+        }
+    }
+
+    async fn bring_about(&mut self, fault: Fault) -> Result<(), ScenarioError> {
+        let stage = &mut self.stage;
+        match fault {
+            Fault::NodeDies | Fault::NodeStops => {
+                let alive = stage.alive();
+                let node = &alive[self.random.random_range(0..alive.len())];
+                match fault {
+                    Fault::NodeDies => node.kill(),
+                    _ => node.stop().await,
+                }
+            }
+            Fault::KvOutage => stage.set_kv(Faults { outage: true, ..Faults::default() }),
+            Fault::KvLosesReplies => {
+                stage.set_kv(Faults { lost_replies: 0.4, late_ms: 200, ..Faults::default() });
+            }
+            Fault::KvSlow => stage.set_kv(Faults { slow_ms: 300, ..Faults::default() }),
+            Fault::OrdersLoseReplies => {
+                let services = &stage.testbed.services;
+                let at = self.random.random_range(0..services.len());
+                services[at].switches().set(Faults { lost_replies: 0.5, ..Faults::default() });
+            }
+            Fault::EngineFreezes => {
+                let engines = &stage.testbed.engines;
+                let at = self.random.random_range(0..engines.len());
+                engines[at].switches().set(Faults { frozen: true, ..Faults::default() });
+            }
+            Fault::Apply => {
+                // While the service is out an operator would wait, and the round with it.
+                stage.set_kv(Faults::default());
+                self.applied += 1;
+                stage.apply(&format!("class-{}", self.applied)).await.map(drop)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn end_faults(&self) {
+        self.stage.set_kv(Faults::default());
+        for service in &self.stage.testbed.services {
+            service.switches().set(Faults::default());
+        }
+        for engine in &self.stage.testbed.engines {
+            engine.switches().set(Faults::default());
+        }
+    }
+}
+
+fn resident() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|text| text.trim().split(' ').next()?.parse().ok()).unwrap_or(0)
+}
+
+fn handles() -> usize {
+    fs::read_dir("/proc/self/fd").map_or(0, |entries| entries.count())
+}
