--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod probe;
 pub mod reclaim;
 pub mod scenario;
+pub mod soak;
 pub mod spread;
 pub mod testbed;
 
