The fleet's lease is held only where there is a fleet to plan

Cause: put together, two parts' tests disagreed: `few_calls` counts no writes of idle nodes, and the fleet's duty renewed a lease and claimed it although no service's engines were to be bought (3 writes and 5 lease calls in 6 s).

Change: the duty starts once the configuration has engines to buy and ends with them. `engines_are_bought_once` asked a node for an answer in the moment after another node's plan was ready; once in four runs that node had not yet heard of the engines and refused truthfully as not run. The test now asks again while it is refused as not run, within the same patience, and still wants a whole answer.

Conclusion: idle nodes without a managed fleet make no writes again.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -62,11 +62,18 @@
 pub async fn follow(cx: Arc<Context>) {
     let Some(address) = cx.settings.platform.cloud else { return };
     let Some(key_value) = cx.key_value_for(Purpose::Fleet) else { return };
-    let task: DutyTask = Duty::start(&cx, DUTY, None, LeaseOptions::default());
+    let mut task: Option<DutyTask> = None;
     let mut holder: Option<Holder> = None;
     loop {
         sleep(PAUSE).await;
-        if task.duty().hold().is_none() || managed(&cx.in_force().deployment).is_empty() {
+        // A lease that is held for nothing would cost calls of the key-value service for ever.
+        if managed(&cx.in_force().deployment).is_empty() {
+            (task, holder) = (None, None);
+            continue;
+        }
+        let task =
+            task.get_or_insert_with(|| Duty::start(&cx, DUTY, None, LeaseOptions::default()));
+        if task.duty().hold().is_none() {
             holder = None;
             continue;
         }
--- a/crates/daemon/tests/bought_fleet.rs
+++ b/crates/daemon/tests/bought_fleet.rs
@@ -3,9 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use bulrushhall_bench::{
-    Testbed, TestbedOptions,
+    CallerError, Testbed, TestbedOptions,
     testbed::{ENGINE_CLASS, MODEL, SERVICE},
 };
+use bulrushhall_core::Ran;
 use bulrushhall_daemon::{config_chain, fleet::PLAN_KEY};
 use bulrushhall_platform::{
     KeyValue,
@@ -63,8 +64,19 @@
     let (testbed, key_value) = managed_testbed().await;
     wait_for_ready(&key_value, 4).await;
     assert_eq!(testbed.machines.engines().len(), 4);
-    let answered = testbed.caller(1).chat(MODEL, "urgent", "which glaze", 8).await;
-    assert!(answered.expect("an answer").whole);
+    // The other node hears of the new engines from the list of VMs, a moment later; until then it
+    // refuses as not run.
+    let until = Instant::now() + PATIENCE;
+    let answered = loop {
+        match testbed.caller(1).chat(MODEL, "urgent", "which glaze", 8).await {
+            Ok(answered) => break answered,
+            Err(CallerError::Refused { ran: Ran::No, .. }) if Instant::now() < until => {
+                sleep(Duration::from_millis(100)).await;
+            }
+            Err(error) => panic!("{error}"),
+        }
+    };
+    assert!(answered.whole);
 }
 
 // A zone is taken back and sells nothing. The engine lost there is replaced in the other zones, so
