A request that was taken over is not called "not run"

Cause: whether a model request may have run was read from what the present owner had written to engines. After a takeover or handover that says nothing of the earlier owner: a node that found no engine before the deadline told the caller `ran: no` although the first node had written the request to an engine. Ruled out: a dead engine in the new owner's view, with which the answer was `unknown` already, since an attempt counts from its start.

Change: an answer that came from another node may have run, whatever this node has done.

Conclusion: `no` is now said only by the node that accepted the request and has written it to nobody. A queued request that was handed over and expires is called `unknown` too, which is truthful but coarser than it could be.

--- a/crates/daemon/src/answers/answer.rs
+++ b/crates/daemon/src/answers/answer.rs
@@ -31,6 +31,7 @@
     readers: AtomicUsize,
     uncopied: AtomicBool,
     started: AtomicBool,
+    may_have_run: AtomicBool,
     attended: AtomicBool,
     prompt_tokens: AtomicUsize,
     place: Mutex<Option<WorkerKey>>,
@@ -104,6 +105,7 @@
             readers: AtomicUsize::new(0),
             uncopied: AtomicBool::new(false),
             started: AtomicBool::new(false),
+            may_have_run: AtomicBool::new(false),
             attended: AtomicBool::new(false),
             prompt_tokens: AtomicUsize::new(0),
             place: Mutex::default(),
@@ -209,6 +211,11 @@
         self.uncopied.load(Ordering::Relaxed)
     }
 
+    /// Notes that an earlier owner may have written the request to a backend server.
+    pub fn set_may_have_run(&self) {
+        self.may_have_run.store(true, Ordering::Relaxed);
+    }
+
     /// Notes that an engine was given the request.
     pub fn set_started(&self) {
         self.started.store(true, Ordering::Relaxed);
@@ -280,12 +287,14 @@
         self.lock().end.clone()
     }
 
-    /// Returns whether the request has certainly not been run yet.
+    /// Returns whether a backend server may have run the request.
     pub fn ran(&self) -> Ran {
         if !self.is_empty() {
             return Ran::Yes;
         }
-        if self.is_started() { Ran::Unknown } else { Ran::No }
+        // What an earlier owner has written to an engine is not known here.
+        let may_have_run = self.is_started() || self.may_have_run.load(Ordering::Relaxed);
+        if may_have_run { Ran::Unknown } else { Ran::No }
     }
 
     /// Returns a reader that starts at token number `next`.
--- a/crates/daemon/src/handoff/keeper.rs
+++ b/crates/daemon/src/handoff/keeper.rs
@@ -191,6 +191,7 @@
         };
         tracing::info!(event = Event::RequestTaken.number(), request = %id, cause = cause.word());
         let answer = portable.answer(id);
+        answer.set_may_have_run();
         self.cx.answers.insert(Arc::clone(&answer));
         let run = relay::Run { portable, answer, version, emitted: tokens, cause };
         tokio::spawn(relay::traced(Arc::clone(&self.cx), run, None));
--- /dev/null
+++ b/crates/daemon/tests/taken_refusals.rs
@@ -0,0 +1,75 @@
+//! A request that was taken over is not called "not run" by a node that cannot know it.
+
+use std::time::Duration;
+
+use bulrushhall_bench::{Probe, Testbed, TestbedOptions, testbed::MODEL};
+use bulrushhall_daemon::config_chain;
+use bulrushhall_platform::{
+    clients::HttpKeyValue,
+    http::{Endpoint, EndpointOptions},
+};
+use bulrushhall_standin::switches::Faults;
+use hyper::{Method, StatusCode};
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+/// The longest wait for something that comes by itself.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+async fn testbed() -> Testbed {
+    let options = TestbedOptions { nodes: 2, engines: 1, ..TestbedOptions::default() };
+    let testbed = Testbed::start(options).await.expect("a testbed");
+    let text = format!("{}\n[class brief]\npriority = 2\ndeadline = 8s\n", testbed.config);
+    let endpoint = Endpoint::new(testbed.kv.address(), EndpointOptions::default());
+    config_chain::apply(&HttpKeyValue::new(endpoint), None, &text).await.expect("an acceptance");
+    wait(|| testbed.nodes.iter().all(|node| node.context().in_force().revision.0 == 2)).await;
+    wait(|| testbed.nodes.iter().all(|node| node.context().members.current().len() == 1)).await;
+    testbed
+}
+
+async fn wait(seen: impl Fn() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !seen() {
+        assert!(Instant::now() < until, "it did not come");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+// A node writes a request to an engine, which hangs, and dies. The node that takes the request
+// over knows no other engine than that one, whose VM is leaving, and the deadline passes. It has written nothing itself, but the engine may
+// have run the request for the first node: a caller told "not run" would send it anew.
+#[tokio::test(flavor = "multi_thread")]
+async fn earlier_owner() {
+    let testbed = testbed().await;
+    testbed.engines[0].switches().set(Faults { slow_ms: 60_000, ..Faults::default() });
+    let body = json!({
+        "model": MODEL,
+        "messages": [{ "role": "user", "content": "a survey" }],
+        "max_tokens": 8,
+    });
+    let probe = Probe::new(testbed.nodes[0].callers()).with("x-request-class", "brief");
+    let reply = probe.send(Method::POST, "/v1/requests", body.to_string()).await;
+    let reply = reply.expect("an answer");
+    assert_eq!(reply.status, StatusCode::ACCEPTED);
+    let path = format!("/v1/requests/{}", reply.json()["id"].as_str().expect("an id"));
+    let context = testbed.nodes[0].context();
+    wait(|| context.answers.open().iter().any(|answer| answer.is_started())).await;
+    // The other node hears of the notice as well and sends nothing to the engine.
+    let vm = testbed.engines[0].vm();
+    testbed.cloud.reclaim(vm, PATIENCE);
+    let heard = || testbed.nodes[1].context().backends.is_closed(vm);
+    wait(heard).await;
+    testbed.nodes[0].kill();
+
+    let probe = Probe::new(testbed.nodes[1].callers());
+    let until = Instant::now() + PATIENCE;
+    let failed: Value = loop {
+        let shown = probe.send(Method::GET, &path, "").await.expect("an answer").json();
+        if shown["status"] == "failed" {
+            break shown;
+        }
+        assert!(Instant::now() < until, "{shown}");
+        sleep(Duration::from_millis(50)).await;
+    };
+    assert_eq!(failed["error"]["ran"], "unknown", "{failed}");
+}
