Fleet: on-demand engines stand in later, and before the next reclaim; team limits use their slack

Change: stand-in below 0.75 of what is needed; after 2.5 s without any for sale the largest zone counts as lost; taken engines are ordered again at once; the highest demand of 20 s holds. Buckets of restarted nodes start empty; a quarter of the slack adds to the burst.

--- a/crates/gateway/src/backends/directory.rs
+++ b/crates/gateway/src/backends/directory.rs
@@ -68,7 +68,11 @@
 
     /// Removes those that were missing for too long.
     pub fn expire(&mut self, now: Stamp) {
-        let missing = |backend: &Backend| backend.missing_until.is_some_and(|until| until <= now);
+        self.remove_missing(|until| until <= now);
+    }
+
+    fn remove_missing(&mut self, is_over: impl Fn(Stamp) -> bool) {
+        let missing = |backend: &Backend| backend.missing_until.is_some_and(&is_over);
         let gone: Vec<Arc<str>> = self
             .arena
             .values()
@@ -80,6 +84,12 @@
         }
     }
 
+    /// Removes all that are missing: another node knows that the service was not away, and that only
+    /// this node's way to it was. Their records did not lapse, so the servers are gone.
+    pub fn drop_missing(&mut self) {
+        self.remove_missing(|_| true);
+    }
+
     /// Keeps only those whose names are listed; others are missing.
     pub fn retain_listed(
         &mut self,
--- a/crates/gateway/src/duties/fleet.rs
+++ b/crates/gateway/src/duties/fleet.rs
@@ -38,7 +38,9 @@
                         service = service.as_str(),
                         zone = order.zone.as_str(),
                         market = ?order.market,
-                        count = order.count
+                        count = order.count,
+                        planned_for = self.planned_for(&service),
+                        busy = gateway.with(|state| busy(state, &service))
                     );
                 }
                 Err(error) => self.refused(&service, &order, &error),
@@ -60,6 +62,10 @@
         due
     }
 
+    fn planned_for(&self, service: &ServiceName) -> f64 {
+        self.planners.get(service).map_or(0.0, CountPlanner::planned_for)
+    }
+
     fn refused(&mut self, service: &ServiceName, order: &CountOrder, error: &CallError) {
         tracing::info!(
             event = Event::OrderFailed.number(),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 use bulrushhall_core::{Incarnation, Revision, ServiceName, Stamp, TeamName};
 use bulrushhall_external::KeyValue;
 use bulrushhall_policy::{
-    quota::Quota,
+    quota::{Quota, QuotaSlack},
     repeat_share::{RepeatLimit, RepeatShare},
 };
 use rand::RngExt;
@@ -67,8 +67,12 @@
     pub members: Members,
     /// Up to which moment the configuration is known to have been the newest.
     pub freshness: Freshness,
+    /// Since when the records of backend servers are followed without a failure.
+    pub records_steady_since: Option<Stamp>,
     /// What each team took.
     pub quotas: HashMap<TeamName, Quota>,
+    /// When the node started, unless the whole system started for the first time.
+    pub restarted_at: Option<Stamp>,
     /// The repeats at each service.
     pub repeats: HashMap<ServiceName, RepeatShare>,
     /// The requests begun.
@@ -77,6 +81,15 @@
     pub demand: HashMap<ServiceName, Demand>,
 }
 
+impl State {
+    /// Returns the bucket of a team.
+    pub fn quota(&mut self, team: &TeamName) -> &mut Quota {
+        let restarted_at = self.restarted_at;
+        let bucket = || restarted_at.map_or_else(Quota::default, Quota::drained);
+        self.quotas.entry(team.clone()).or_insert_with(bucket)
+    }
+}
+
 /// A `Gateway` is one node.
 pub struct Gateway {
     /// Its settings.
@@ -100,13 +113,15 @@
         let day = clock::time_of_day();
         let started = u64::try_from(day.as_millis()).unwrap_or(u64::MAX);
         let incarnation = Incarnation((started << 12) | rand::rng().random_range(0..1 << 12));
+        let restarted_at = (!settings.gateway.first_start).then(clock::now);
+        let state = State { restarted_at, ..State::default() };
         Gateway {
             settings,
             incarnation,
             platform,
             table: ArcSwapOption::empty(),
             phase: watch::Sender::new(Phase::Serving),
-            state: Mutex::default(),
+            state: Mutex::new(state),
             // The time of day may jump while the node runs; the steady clock does not.
             day_offset: day.saturating_sub(clock::now().since(Stamp(0))),
         }
@@ -158,6 +173,16 @@
         self.phase() == Phase::Serving && (!table.is_keyed() || self.may_use_keys())
     }
 
+    /// Returns by how much teams may exceed their limits.
+    pub fn quota_slack(&self) -> QuotaSlack {
+        let bounds = &self.settings.bounds;
+        QuotaSlack {
+            window: bounds.quota_window.into(),
+            overage: bounds.quota_overage,
+            headroom: bounds.quota_headroom,
+        }
+    }
+
     /// Returns the limit on repeats.
     pub fn repeat_limit(&self) -> RepeatLimit {
         let bounds = &self.settings.bounds;
--- a/crates/gateway/src/knowledge/backends.rs
+++ b/crates/gateway/src/knowledge/backends.rs
@@ -64,6 +64,11 @@
         let mut returned_at =
             self.returned_at.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
         *returned_at = Some(now);
+        self.gateway.with(|state| state.records_steady_since = Some(now));
+    }
+
+    fn lost(&self) {
+        self.gateway.with(|state| state.records_steady_since = None);
     }
 
     fn listed(&self, _asked: Stamp, changes: Vec<Change>) {
@@ -71,7 +76,10 @@
             changes.iter().filter_map(|change| self.take(change)).collect();
         let returned_at = self.returned_at();
         let now = clock::now();
-        self.gateway.with(|state| state.backends.retain_listed(now, &listed, returned_at));
+        self.gateway.with(|state| {
+            state.backends.retain_listed(now, &listed, returned_at);
+            state.records_steady_since.get_or_insert(now);
+        });
     }
 
     fn changed(&self, _moment: Stamp, changes: Vec<Change>) {
--- a/crates/gateway/src/knowledge/digest.rs
+++ b/crates/gateway/src/knowledge/digest.rs
@@ -30,6 +30,9 @@
     pub revision: Revision,
     /// How long ago that was known to be the newest, in milliseconds.
     pub config_age_ms: Option<u64>,
+    /// For how long it has followed the records of backend servers without a failure, in
+    /// milliseconds.
+    pub records_steady_ms: Option<u64>,
     /// What each team took there since its start.
     pub quotas: Vec<(TeamName, f64)>,
     /// What it has running.
--- a/crates/gateway/src/knowledge/exchange.rs
+++ b/crates/gateway/src/knowledge/exchange.rs
@@ -29,6 +29,9 @@
 const EACH: Duration = Duration::from_millis(250);
 /// The age of the configuration from which a node asks all others: above what two watches take.
 const BLIND_AFTER: Duration = Duration::from_millis(2_500);
+/// For how long another node must have followed the records of backend servers without a failure for
+/// its word that the key-value service was not away: twice what records that lapsed take to return.
+const STEADY_FOR: Duration = Duration::from_secs(4);
 /// The longest time for opening a connection to a node.
 const CONNECT: Duration = Duration::from_millis(250);
 /// The longest time until a node answers.
@@ -173,7 +176,8 @@
             incarnation: gateway.incarnation,
             ready,
             revision,
-            config_age_ms: age.and_then(|age| u64::try_from(age.as_millis()).ok()),
+            config_age_ms: age.map(as_millis),
+            records_steady_ms: state.records_steady_since.map(|since| as_millis(now.since(since))),
             quotas: state.quotas.iter().map(|(team, quota)| (team.clone(), quota.own())).collect(),
             loads,
             usage: state.usage.of(gateway.incarnation),
@@ -210,8 +214,12 @@
         {
             state.freshness.note(since - Duration::from_millis(age));
         }
+        let steady = told.records_steady_ms.map(Duration::from_millis);
+        if steady.is_some_and(|steady| STEADY_FOR <= steady) {
+            state.backends.drop_missing();
+        }
         for (team, total) in told.quotas {
-            state.quotas.entry(team).or_default().hear(now, told.incarnation, total);
+            state.quota(&team).hear(now, told.incarnation, total);
         }
         for (window, counts) in told.usage {
             state.usage.merge(window, told.incarnation, &counts);
@@ -228,6 +236,10 @@
     })
 }
 
+fn as_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn encoded(message: &impl Serialize) -> Response<Body> {
     match rmp_serde::to_vec_named(message) {
         Ok(bytes) => Response::new(full(bytes)),
--- a/crates/gateway/src/knowledge/follow.rs
+++ b/crates/gateway/src/knowledge/follow.rs
@@ -27,6 +27,9 @@
     /// Notes that the service answers again after calls that failed.
     fn regained(&self, _now: Stamp) {}
 
+    /// Notes that the service does not answer.
+    fn lost(&self) {}
+
     /// Takes in all keys, as they were at some moment after `asked`.
     fn listed(&self, asked: Stamp, changes: Vec<Change>);
 
@@ -69,6 +72,7 @@
             Err(error) => {
                 if failures == 0 {
                     tracing::warn!(event = Event::DependencyLost.number(), prefix, %error);
+                    follower.lost();
                 }
                 failures += 1;
                 sleep(pause(failures)).await;
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -129,10 +129,10 @@
         QuotaUnit::Tokens { untold } => told.unwrap_or(untold),
     };
     let now = clock::now();
+    let limit = team.limit.with_slack(gateway.quota_slack());
     let taken = gateway.with(|state| {
         let nodes = state.members.count();
-        let quota = state.quotas.entry(team.name.clone()).or_default();
-        quota.take(now, team.limit, nodes, amount)
+        state.quota(&team.name).take(now, limit, nodes, amount)
     });
     taken.map(|()| amount).map_err(Failure::OverQuota)
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -29,6 +29,7 @@
 }
 
 /// `GatewaySettings` tell who the node is.
+#[serde_as]
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct GatewaySettings {
@@ -38,6 +39,9 @@
     pub name: NodeName,
     /// The availability zone of its VM.
     pub zone: ZoneName,
+    /// Whether the whole system starts for the first time.
+    #[serde_as(as = "DisplayFromStr")]
+    pub first_start: bool,
 }
 
 /// `PortSettings` tell where the node listens.
@@ -95,6 +99,15 @@
     /// The length of the window in which repeats are counted.
     #[serde_as(as = "DisplayFromStr")]
     pub retry_window: humantime::Duration,
+    /// The length of the window in which teams' limits are judged.
+    #[serde_as(as = "DisplayFromStr")]
+    pub quota_window: humantime::Duration,
+    /// The part by which a team may exceed its limit in a window.
+    #[serde_as(as = "DisplayFromStr")]
+    pub quota_overage: f64,
+    /// The tokens that a team may take in a window besides.
+    #[serde_as(as = "DisplayFromStr")]
+    pub quota_headroom: f64,
     /// The longest time for which callers keep addresses.
     #[serde_as(as = "DisplayFromStr")]
     pub address_ttl: humantime::Duration,
@@ -153,6 +166,7 @@
             adapter: "cooperative".to_owned(),
             name: valid("node-1"),
             zone: valid("zone-a"),
+            first_start: false,
         }
     }
 }
@@ -188,6 +202,9 @@
             retry_ratio: 0.2,
             retry_headroom: 50.0,
             retry_window: Duration::from_secs(10).into(),
+            quota_window: Duration::from_secs(8).into(),
+            quota_overage: 0.0,
+            quota_headroom: 0.0,
             address_ttl: Duration::from_secs(2).into(),
         }
     }
--- a/crates/policy/src/fleet_counts.rs
+++ b/crates/policy/src/fleet_counts.rs
@@ -11,6 +11,9 @@
 /// How many times the needed number is kept in reclaimable ones: one of four zones can go at once,
 /// and a second before the first can be bought again.
 const RESERVE: f64 = 1.5;
+/// The part of the needed number below which on-demand servers stand in: they cost several times as
+/// much, and for the seconds until others are sold again a fuller fleet is the smaller loss.
+const STAND_IN_SHARE: f64 = 0.75;
 /// How long a zone that refused an order is left alone.
 const REFUSED_PAUSE: Duration = Duration::from_millis(900);
 /// How long the demand must have been lower before fewer engines are kept: half a period of the
@@ -18,6 +21,9 @@
 const LOWER_AFTER: Duration = Duration::from_secs(20);
 /// The part to which the kept number may fall at a time.
 const LOWER_TO: f64 = 0.8;
+/// How long none must have been sold before on-demand servers are ordered for what the next reclaim
+/// would take: after shorter times, reclaimable ones are back before on-demand ones have started.
+const SOLD_OUT_FOR: Duration = Duration::from_millis(2_500);
 /// How much longer than an engine's start an order may take before it is given again.
 const START_SLACK: Duration = Duration::from_millis(1_500);
 /// How long enough engines must have been there before on-demand ones are given back.
@@ -82,9 +88,11 @@
     ordered: BTreeMap<(ZoneName, CountMarket), Ordered>,
     needed: Option<f64>,
     needed_at: Stamp,
+    peak: f64,
     counted: u32,
     counted_at: Stamp,
     enough_since: Option<Stamp>,
+    sold_out_since: Option<Stamp>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -92,6 +100,8 @@
     count: u32,
     at: Stamp,
     refused_until: Option<Stamp>,
+    /// The most that were there since.
+    most_seen: u32,
 }
 
 /// What one plan is made from.
@@ -130,6 +140,11 @@
         orders
     }
 
+    /// Returns the engines that are planned for, before the reserve.
+    pub fn planned_for(&self) -> f64 {
+        self.needed.unwrap_or(0.0)
+    }
+
     /// Notes that an order was refused: there are none of its kind in the zone for now.
     pub fn refused(&mut self, now: Stamp, order: &CountOrder) {
         let key = (order.zone.clone(), order.market);
@@ -157,14 +172,21 @@
     fn needed(&mut self, situation: &Situation<'_>, busy: f64) -> f64 {
         let measured = busy / USED_SHARE;
         let there = situation.seen.values().map(|seen| seen.reclaimable + seen.on_demand);
+        if self.needed.is_none() {
+            self.needed_at = situation.now;
+        }
         let kept = *self.needed.get_or_insert_with(|| f64::from(there.sum::<u32>()));
+        self.peak = self.peak.max(measured);
         let mut needed = kept;
         if kept <= measured {
             needed = measured;
             self.needed_at = situation.now;
+            self.peak = 0.0;
         } else if LOWER_AFTER <= situation.now.since(self.needed_at) {
-            needed = measured.max(kept * LOWER_TO);
+            // The highest since, not the last: demand swings faster than engines start.
+            needed = self.peak.max(kept * LOWER_TO);
             self.needed_at = situation.now;
+            self.peak = 0.0;
         }
         self.needed = Some(needed);
         needed.max(1.0)
@@ -196,7 +218,12 @@
         let Situation { now, limits, seen } = situation;
         let there: u32 = seen.values().map(|seen| seen.reclaimable).sum();
         let coming: u32 = limits.zones.keys().map(|zone| self.coming(situation, zone)).sum();
-        let missing = (needed.ceil() as u32).saturating_sub(there + coming);
+        let needed = needed * STAND_IN_SHARE;
+        // Reclaims mostly take several zones one after the other. While none are sold, what the next one
+        // would take is replaced before it goes: an on-demand server takes seconds to start too.
+        let at_risk = seen.values().map(|seen| seen.reclaimable).max().unwrap_or(0);
+        let at_risk = if self.is_sold_out_long(*now) { at_risk } else { 0 };
+        let missing = (needed.ceil() as u32).saturating_sub(there + coming - at_risk);
         let standing_in: u32 = seen.values().map(|seen| seen.on_demand).sum();
         let enough = needed <= f64::from(there + standing_in.min(missing));
         let since = enough.then(|| self.enough_since.unwrap_or(*now));
@@ -225,6 +252,15 @@
         targets
     }
 
+    fn is_sold_out_long(&mut self, now: Stamp) -> bool {
+        let mut refused = self.ordered.values().filter_map(|ordered| ordered.refused_until);
+        if !refused.any(|until| now < until + REFUSED_PAUSE) {
+            self.sold_out_since = None;
+            return false;
+        }
+        SOLD_OUT_FOR <= now.since(*self.sold_out_since.get_or_insert(now))
+    }
+
     // The reclaimable servers of a zone that were ordered and should start in time.
     fn coming(&self, situation: &Situation<'_>, zone: &ZoneName) -> u32 {
         let key = (zone.clone(), CountMarket::Reclaimable);
@@ -254,28 +290,32 @@
         if !self.is_due(situation, &key, count, there) {
             return;
         }
-        let ordered = Ordered { count, at: situation.now, refused_until: None };
-        self.ordered.insert(key, ordered);
+        let (at, most_seen) = (situation.now, there);
+        self.ordered.insert(key, Ordered { count, at, refused_until: None, most_seen });
         orders.push(CountOrder { zone: zone.clone(), market, count });
     }
 
     fn is_due(
-        &self,
+        &mut self,
         situation: &Situation<'_>,
         key: &(ZoneName, CountMarket),
         count: u32,
         there: u32,
     ) -> bool {
-        let Some(ordered) = self.ordered.get(key) else {
+        let Some(ordered) = self.ordered.get_mut(key) else {
             // A new holder does not repeat what is there already.
             return count != there;
         };
         if let Some(until) = ordered.refused_until {
             return until <= situation.now && (count != there || ordered.count != count);
         }
-        // A reclaim takes servers that were ordered; the same number is ordered again.
-        let late = situation.limits.start + START_SLACK <= situation.now.since(ordered.at);
-        ordered.count != count || (there < count && late)
+        // A reclaim takes servers that were ordered; the same number is ordered again at once, and also
+        // where an order was not carried out in time.
+        ordered.most_seen = ordered.most_seen.max(there);
+        let taken = there < ordered.most_seen.min(count);
+        let late = there < count
+            && situation.limits.start + START_SLACK <= situation.now.since(ordered.at);
+        ordered.count != count || taken || late
     }
 }
 
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -9,6 +9,9 @@
 /// A request larger than the bucket would otherwise never be taken; 0.9 leaves room for what other
 /// nodes take in the moment in which the bucket looks full.
 const OVERSIZED_SHARE: f64 = 0.9;
+/// The part of the slack that adds to the burst. A team that sends four times its limit takes up to a
+/// second's worth of it more between two exchanges, which is over half of the slack.
+const SLACK_USED: f64 = 0.25;
 /// How long a node's last word counts: four exchanges of 250 ms may be lost or late.
 const SILENT_AFTER: Duration = Duration::from_millis(1_000);
 
@@ -21,6 +24,34 @@
     pub burst: f64,
 }
 
+/// A `QuotaSlack` is by how much a limit may be exceeded over all nodes together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct QuotaSlack {
+    /// The length of the sliding window in which it is judged.
+    pub window: Duration,
+    /// The part by which the limit of a window may be exceeded.
+    pub overage: f64,
+    /// What may be taken in a window besides.
+    pub headroom: f64,
+}
+
+impl QuotaLimit {
+    /// Returns the limit that nodes hold a team to, given the slack that its operators allow.
+    ///
+    /// Nodes know each other's takings a moment late, so a window holds more than they mean it to; most
+    /// of the slack is for that. The rest adds to the burst, so that a team that is held back by what
+    /// nodes know too late is not refused below its limit.
+    pub fn with_slack(self, slack: QuotaSlack) -> QuotaLimit {
+        let window = slack.window.as_secs_f64();
+        if self.per_second <= 0.0 || window <= 0.0 {
+            return self;
+        }
+        let of_window = self.per_second * window + self.burst;
+        let allowed = of_window * slack.overage + slack.headroom;
+        QuotaLimit { burst: self.burst + allowed * SLACK_USED, ..self }
+    }
+}
+
 /// A `Quota` is one team's bucket at one node.
 ///
 /// What other nodes took is subtracted as they tell it. A node that is not heard may go on taking
@@ -41,6 +72,14 @@
 }
 
 impl Quota {
+    /// Returns the bucket of a node that started at `now` while the limit was already in use.
+    ///
+    /// It is empty: what was taken before is not known. Full buckets would let a team take its burst
+    /// once more at each node with every restart, and all nodes may restart at once.
+    pub fn drained(now: Stamp) -> Quota {
+        Quota { level: Some(0.0), filled_at: now, ..Quota::default() }
+    }
+
     /// Takes `amount`, or tells when to come back.
     ///
     /// `nodes` counts all nodes, this one included.
--- a/crates/policy/tests/quota_share.rs
+++ b/crates/policy/tests/quota_share.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use bulrushhall_core::{Incarnation, Stamp};
-use bulrushhall_policy::quota::{Quota, QuotaLimit};
+use bulrushhall_policy::quota::{Quota, QuotaLimit, QuotaSlack};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
 
 const LIMIT: QuotaLimit = QuotaLimit { per_second: 1_000.0, burst: 1_000.0 };
 const NODES: usize = 4;
@@ -86,3 +88,68 @@
         assert!(quota.take(Stamp(0), QuotaLimit::default(), 1, 1e9).is_ok());
     }
 }
+
+// All nodes are killed at once while a team uses up its limit. With full buckets after the restart it
+// would take its burst five times more within the same few seconds.
+#[test]
+fn restart_of_all() {
+    let start = Stamp::from_millis(1_000);
+    let mut nodes = vec![Quota::drained(start); NODES];
+    let mut total = 0.0;
+    for millis in (1_000..2_000).step_by(10) {
+        for node in &mut nodes {
+            if node.take(Stamp::from_millis(millis), LIMIT, NODES, 10.0).is_ok() {
+                total += 10.0;
+            }
+        }
+    }
+    assert!(total <= 1_000.0, "{total}");
+}
+
+// A large team sends four times its limit, in requests of very different sizes, to five nodes that hear
+// each other a moment late; one of them starts anew now and then. No window may hold more than the slack
+// allows, and most of what it allows must be served.
+#[test]
+fn windows_with_slack() {
+    let limit = QuotaLimit { per_second: 47_000.0, burst: 47_000.0 };
+    let slack = QuotaSlack { window: Duration::from_secs(8), overage: 0.1, headroom: 190_000.0 };
+    let most = (limit.per_second * 8.0 + limit.burst) * 1.1 + slack.headroom;
+    let wide = limit.with_slack(slack);
+    for seed in 0..20 {
+        let mut random = Pcg64::seed_from_u64(seed);
+        let mut nodes = vec![Quota::default(); 5];
+        let mut lives: Vec<u64> = (0..5).collect();
+        let mut taken: Vec<(u64, f64)> = Vec::new();
+        for millis in (0..40_000).step_by(10) {
+            let now = Stamp::from_millis(millis);
+            if millis % EXCHANGE == 0 {
+                for pair in 0..25 {
+                    let (at, from) = (pair / 5, pair % 5);
+                    if at != from {
+                        let (life, told) = (Incarnation(lives[from]), nodes[from].own());
+                        nodes[at].hear(now, life, told);
+                    }
+                }
+            }
+            if random.random_bool(0.001) {
+                let at = random.random_range(0..5);
+                nodes[at] = Quota::drained(now);
+                lives[at] += 5;
+            }
+            if random.random_bool(0.16) {
+                let tokens = 2_000.0 * 20.0_f64.powf(random.random_range(0.0..1.0));
+                let at = random.random_range(0..5);
+                if nodes[at].take(now, wide, 5, tokens).is_ok() {
+                    taken.push((millis, tokens));
+                }
+            }
+        }
+        let mut fullest: f64 = 0.0;
+        for from in (0..32_000).step_by(100) {
+            let within = taken.iter().filter(|(at, _)| (from..from + 8_000).contains(at));
+            fullest = fullest.max(within.map(|(_, tokens)| tokens).sum());
+        }
+        assert!(fullest <= most, "seed {seed}: {fullest} above {most}");
+        assert!(most * 0.65 < fullest, "seed {seed}: {fullest} of {most}");
+    }
+}
