A node whose record is lost writes it again

Cause: a node that started while the lease of its earlier life was about to lapse tried twice to write its record, lost both times (old record there, then gone), and renewed its new lease ever after without a record. Ruled out: usage reports themselves (all windows were sent, a fifth too low), the holder's change. Change: up to four tries, an error if none is written; a node watches for its own record too. Test: found_nodes::lost_record failed before.

--- a/crates/gateway/src/knowledge/members.rs
+++ b/crates/gateway/src/knowledge/members.rs
@@ -46,6 +46,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Members {
     nodes: BTreeMap<NodeName, Member>,
+    /// Whether this node's own record is not in the key-value service.
+    pub own_missing: bool,
     /// Whether the record of the duties' holder is in the key-value service; none before the
     /// service was asked.
     pub duty_held: Option<bool>,
--- a/crates/gateway/src/knowledge/membership.rs
+++ b/crates/gateway/src/knowledge/membership.rs
@@ -4,7 +4,7 @@
 
 use bulrushhall_core::{NodeName, Stamp};
 use bulrushhall_external::{
-    CallError,
+    CallError, CallFault,
     kv::{CasOutcome, Change, LeaseId, Version},
 };
 use bytes::Bytes;
@@ -28,6 +28,8 @@
 const RECORD_TTL: Duration = Duration::from_secs(6);
 /// The time between two renewals: two may fail before the record lapses.
 const RENEW_EACH: Duration = Duration::from_secs(2);
+/// The tries to write a record whose version changes meanwhile.
+const TRIES: usize = 4;
 /// The pause after a failed write.
 const PAUSE: Duration = Duration::from_millis(500);
 
@@ -45,14 +47,16 @@
 pub async fn register(gateway: Arc<Gateway>) {
     let mut lease: Option<LeaseId> = None;
     while gateway.phase() == Phase::Serving {
+        // A lease that lives on says nothing of the record, which may be gone all the same.
+        let missing = gateway.with(|state| state.members.own_missing);
         let kept = match lease {
-            Some(held) => gateway.platform.key_value.renew(held).await.map(|()| held),
-            None => write(&gateway).await,
+            Some(held) if !missing => gateway.platform.key_value.renew(held).await.map(|()| held),
+            _ => write(&gateway).await,
         };
         match kept {
             Ok(held) => {
                 lease = Some(held);
-                sleep(RENEW_EACH).await;
+                pause_until_missing(&gateway).await;
             }
             // Whether it lapsed or could not be renewed: a new lease can't be wrong.
             Err(_) => {
@@ -63,6 +67,13 @@
     }
 }
 
+async fn pause_until_missing(gateway: &Gateway) {
+    let until = clock::now() + RENEW_EACH;
+    while clock::now() < until && !gateway.with(|state| state.members.own_missing) {
+        sleep(PAUSE).await;
+    }
+}
+
 async fn write(gateway: &Gateway) -> Result<LeaseId, CallError> {
     let kv = &gateway.platform.key_value;
     let ports = &gateway.settings.ports;
@@ -77,14 +88,17 @@
     let key = format!("{NODES}{}", gateway.settings.gateway.name);
     let lease = kv.grant(RECORD_TTL).await?;
     let mut expected = Version(0);
-    // The record of an earlier life may still be there.
-    for _ in 0..2 {
+    // The record of an earlier life may still be there, and may lapse between two tries.
+    for _ in 0..TRIES {
         match kv.put_if(&key, expected, value.clone(), Some(lease)).await? {
-            CasOutcome::Written(_) => break,
+            CasOutcome::Written(_) => {
+                gateway.with(|state| state.members.own_missing = false);
+                return Ok(lease);
+            }
             CasOutcome::Conflict(found) => expected = found.version,
         }
     }
-    Ok(lease)
+    Err(CallError::not_done(CallFault::Closed))
 }
 
 impl MemberFollower {
@@ -96,7 +110,8 @@
         }
         let name = NodeName::new(change.key.strip_prefix(NODES)?).ok()?;
         if name == self.gateway.settings.gateway.name {
-            return None;
+            self.gateway.with(|state| state.members.own_missing = present.is_none());
+            return present.map(|_| name);
         }
         let Some(value) = present else {
             self.gateway.with(|state| state.members.unlist(&name));
@@ -120,7 +135,11 @@
         self.note_duty(changes.iter().any(|change| change.key == DUTY_KEY));
         let listed: BTreeSet<NodeName> =
             changes.iter().filter_map(|change| self.take(change)).collect();
-        self.gateway.with(|state| state.members.retain_listed(&listed));
+        let own = &self.gateway.settings.gateway.name;
+        self.gateway.with(|state| {
+            state.members.own_missing = !listed.contains(own);
+            state.members.retain_listed(&listed);
+        });
     }
 
     fn changed(&self, _moment: Stamp, changes: Vec<Change>) {
