--- a/crates/policy/src/fleet_counts.rs
+++ b/crates/policy/src/fleet_counts.rs
@@ -24,10 +24,13 @@
 /// How long none must have been sold before on-demand servers are ordered for what the next reclaim
 /// would take: after shorter times, reclaimable ones are back before on-demand ones have started.
 const SOLD_OUT_FOR: Duration = Duration::from_millis(2_500);
+/// The time in which the highest demand fades to a third, for on-demand servers: twice an engine's
+/// start, so that they are kept through a wave and not for long after a burst.
+const RECENT_FADES: Duration = Duration::from_secs(8);
 /// How much longer than an engine's start an order may take before it is given again.
 const START_SLACK: Duration = Duration::from_millis(1_500);
 /// How long enough engines must have been there before on-demand ones are given back.
-const STEADY_FOR: Duration = Duration::from_millis(1_000);
+const STEADY_FOR: Duration = Duration::from_millis(500);
 
 /// How long no further server must have come before the first plan without any demand: longer than
 /// the time between two that register one after the other.
@@ -89,6 +92,8 @@
     needed: Option<f64>,
     needed_at: Stamp,
     peak: f64,
+    recent: f64,
+    recent_at: Stamp,
     counted: u32,
     counted_at: Stamp,
     enough_since: Option<Stamp>,
@@ -124,7 +129,7 @@
     ) -> Vec<CountOrder> {
         let situation = Situation { now, limits, seen };
         if !self.is_settled(&situation, busy) {
-            return Vec::new();
+            return self.first_orders(&situation);
         }
         let needed = self.needed(&situation, busy);
         let reclaimable = self.reclaimable_targets(&situation, needed);
@@ -152,14 +157,28 @@
         ordered.refused_until = Some(now + REFUSED_PAUSE);
     }
 
+    // While it is not known yet how many there are, reclaimable ones are ordered for half of the places.
+    // On-demand ones can then be given back a start earlier; what is too much goes with the first plan.
+    fn first_orders(&mut self, situation: &Situation<'_>) -> Vec<CountOrder> {
+        let mut orders = Vec::new();
+        let limits = situation.limits;
+        if limits.reclaimable_price.is_none() {
+            return orders;
+        }
+        for zone in limits.zones.keys() {
+            let count = (limits.most / 2).max(limits.least);
+            self.want(situation, zone, CountMarket::Reclaimable, count, &mut orders);
+        }
+        orders
+    }
+
     // Servers register one after the other when all start together. Planned from the first few, the
     // rest would be given back just before the first requests come.
     fn is_settled(&mut self, situation: &Situation<'_>, busy: f64) -> bool {
         if self.needed.is_some() || BUSY_LEAST < busy {
             return true;
         }
-        let there = situation.seen.values().map(|seen| seen.reclaimable + seen.on_demand);
-        let there: u32 = there.sum();
+        let there: u32 = situation.seen.values().map(|seen| seen.on_demand).sum();
         if there != self.counted {
             self.counted = there;
             self.counted_at = situation.now;
@@ -171,12 +190,13 @@
     // holder before; demand that has not been seen yet is no reason for fewer.
     fn needed(&mut self, situation: &Situation<'_>, busy: f64) -> f64 {
         let measured = busy / USED_SHARE;
-        let there = situation.seen.values().map(|seen| seen.reclaimable + seen.on_demand);
+        let there = situation.seen.values().map(|seen| seen.on_demand.max(seen.reclaimable));
         if self.needed.is_none() {
             self.needed_at = situation.now;
         }
         let kept = *self.needed.get_or_insert_with(|| f64::from(there.sum::<u32>()));
         self.peak = self.peak.max(measured);
+        self.note_recent(situation.now, measured);
         let mut needed = kept;
         if kept <= measured {
             needed = measured;
@@ -192,6 +212,14 @@
         needed.max(1.0)
     }
 
+    // The highest demand of the last seconds, which fades.
+    fn note_recent(&mut self, now: Stamp, measured: f64) {
+        let passed = now.since(self.recent_at).as_secs_f64();
+        let faded = self.recent * (-passed / RECENT_FADES.as_secs_f64()).exp();
+        self.recent = measured.max(faded);
+        self.recent_at = now;
+    }
+
     fn reclaimable_targets(
         &self,
         situation: &Situation<'_>,
@@ -218,6 +246,9 @@
         let Situation { now, limits, seen } = situation;
         let there: u32 = seen.values().map(|seen| seen.reclaimable).sum();
         let coming: u32 = limits.zones.keys().map(|zone| self.coming(situation, zone)).sum();
+        // Until there was any demand, the servers that were there are the only measure.
+        let seen_demand = BUSY_LEAST / USED_SHARE < self.recent;
+        let needed = if seen_demand { needed.min(self.recent) } else { needed };
         let needed = needed * STAND_IN_SHARE;
         // Reclaims mostly take several zones one after the other. While none are sold, what the next one
         // would take is replaced before it goes: an on-demand server takes seconds to start too.
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -9,9 +9,10 @@
 /// A request larger than the bucket would otherwise never be taken; 0.9 leaves room for what other
 /// nodes take in the moment in which the bucket looks full.
 const OVERSIZED_SHARE: f64 = 0.9;
-/// The part of the slack that adds to the burst. A team that sends four times its limit takes up to a
-/// second's worth of it more between two exchanges, which is over half of the slack.
-const SLACK_USED: f64 = 0.25;
+/// The part of what a window may hold at most that nodes plan with; the rest is for what they take
+/// between two exchanges. Teams that send four times their limit to five nodes, with restarts, stay
+/// 5 in 100 below what a window may hold.
+const PLANNED_SHARE: f64 = 0.88;
 /// How long a node's last word counts: four exchanges of 250 ms may be lost or late.
 const SILENT_AFTER: Duration = Duration::from_millis(1_000);
 
@@ -38,17 +39,17 @@
 impl QuotaLimit {
     /// Returns the limit that nodes hold a team to, given the slack that its operators allow.
     ///
-    /// Nodes know each other's takings a moment late, so a window holds more than they mean it to; most
-    /// of the slack is for that. The rest adds to the burst, so that a team that is held back by what
-    /// nodes know too late is not refused below its limit.
+    /// Nodes know each other's takings a moment late, so a window holds more than they mean it to. What
+    /// they leave free for that is refused to the team below its limit, so it is as little as will do.
     pub fn with_slack(self, slack: QuotaSlack) -> QuotaLimit {
         let window = slack.window.as_secs_f64();
         if self.per_second <= 0.0 || window <= 0.0 {
             return self;
         }
         let of_window = self.per_second * window + self.burst;
-        let allowed = of_window * slack.overage + slack.headroom;
-        QuotaLimit { burst: self.burst + allowed * SLACK_USED, ..self }
+        let most = of_window * (1.0 + slack.overage) + slack.headroom;
+        let per_second = (most * PLANNED_SHARE - self.burst) / window;
+        QuotaLimit { per_second: per_second.max(self.per_second), ..self }
     }
 }
 
--- a/crates/policy/tests/quota_share.rs
+++ b/crates/policy/tests/quota_share.rs
@@ -6,6 +6,7 @@
 use bulrushhall_policy::quota::{Quota, QuotaLimit, QuotaSlack};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
+use rstest::rstest;
 
 const LIMIT: QuotaLimit = QuotaLimit { per_second: 1_000.0, burst: 1_000.0 };
 const NODES: usize = 4;
@@ -106,12 +107,14 @@
     assert!(total <= 1_000.0, "{total}");
 }
 
-// A large team sends four times its limit, in requests of very different sizes, to five nodes that hear
+// A team sends four times its limit, in requests of very different sizes, to five nodes that hear
 // each other a moment late; one of them starts anew now and then. No window may hold more than the slack
 // allows, and most of what it allows must be served.
-#[test]
-fn windows_with_slack() {
-    let limit = QuotaLimit { per_second: 47_000.0, burst: 47_000.0 };
+#[rstest]
+#[case::small(47_000.0, 0.16)]
+#[case::large(250_000.0, 0.8)]
+fn windows_with_slack(#[case] rate: f64, #[case] asked: f64) {
+    let limit = QuotaLimit { per_second: rate, burst: rate };
     let slack = QuotaSlack { window: Duration::from_secs(8), overage: 0.1, headroom: 190_000.0 };
     let most = (limit.per_second * 8.0 + limit.burst) * 1.1 + slack.headroom;
     let wide = limit.with_slack(slack);
@@ -136,7 +139,7 @@
                 nodes[at] = Quota::drained(now);
                 lives[at] += 5;
             }
-            if random.random_bool(0.16) {
+            if random.random_bool(asked) {
                 let tokens = 2_000.0 * 20.0_f64.powf(random.random_range(0.0..1.0));
                 let at = random.random_range(0..5);
                 if nodes[at].take(now, wide, 5, tokens).is_ok() {
@@ -150,6 +153,6 @@
             fullest = fullest.max(within.map(|(_, tokens)| tokens).sum());
         }
         assert!(fullest <= most, "seed {seed}: {fullest} above {most}");
-        assert!(most * 0.65 < fullest, "seed {seed}: {fullest} of {most}");
+        assert!(most * 0.8 < fullest, "seed {seed}: {fullest} of {most}");
     }
 }
