Routes are part of the product's configuration

Cause: routes were known to the adapter's document only; an operator could not write, check or print one, and the gateway had types of its own for them. Ruled out: a second route type in the gateway beside the configuration's (removed). Change: [route NAME] in the INI, its check, its rendering, docs/SETTINGS.md and the operators' library; the gateway and the adapter use RouteConfig, RouteKind and ServiceShare of the core. What is logged is read by the daemon's own [log] settings; [services] of a node's settings is named [endpoints]. Tests of the configuration, its pages and the library pass.

--- a/crates/cli/tests/python_library.rs
+++ b/crates/cli/tests/python_library.rs
@@ -12,8 +12,8 @@
     Deployment,
     config::{
         AdapterConfig, ClassConfig, EnginesConfig, Fencing, ModelConfig, RolloutConfig,
-        SECTION_KINDS, ServiceConfig, ServiceType, TeamConfig, VersionConfig, VmClassConfig,
-        Weights, ZoneConfig, fields_of, parse_deployment, render,
+        RouteConfig, SECTION_KINDS, ServiceConfig, ServiceType, TeamConfig, VersionConfig,
+        VmClassConfig, Weights, ZoneConfig, fields_of, parse_deployment, render,
     },
 };
 use rstest::rstest;
@@ -99,7 +99,7 @@
                    print(json.dumps({kind.kind: sorted(kind.keys()) for kind in KINDS}))";
     let printed = python(&["-c", program]);
     let printed: BTreeMap<String, Vec<String>> = serde_json::from_str(&printed).expect("JSON");
-    let taken: [(&str, &[&str]); 11] = [
+    let taken: [(&str, &[&str]); 12] = [
         ("service", fields_of::<ServiceConfig>()),
         ("engines", fields_of::<EnginesConfig>()),
         ("model", fields_of::<ModelConfig>()),
@@ -108,6 +108,7 @@
         ("rollout", fields_of::<RolloutConfig>()),
         ("class", fields_of::<ClassConfig>()),
         ("team", fields_of::<TeamConfig>()),
+        ("route", fields_of::<RouteConfig>()),
         ("zone", fields_of::<ZoneConfig>()),
         ("vm-class", fields_of::<VmClassConfig>()),
         ("weights", fields_of::<Weights>()),
--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -18,6 +18,7 @@
     check.classes();
     check.teams();
     check.vm_classes();
+    check.routes();
     check.weights();
     check.problems
 }
@@ -180,6 +181,35 @@
         }
     }
 
+    fn routes(&mut self) {
+        let deployment = self.deployment;
+        for (name, cfg) in &deployment.routes {
+            for share in &cfg.services {
+                self.reference(("route", name), "services", &share.service, &deployment.services);
+            }
+            if cfg.services.iter().all(|share| share.weight == 0) {
+                let message = format!("route {name} leads to no service");
+                self.add(("route", name), "services", message, "write services = NAME@1");
+            }
+            if cfg.host.is_empty() || cfg.host != cfg.host.to_ascii_lowercase() {
+                let message = format!("route {name} needs a host in lower case");
+                self.add(("route", name), "host", message, "write host = desk.example");
+            }
+            if !cfg.prefix.starts_with('/') || !cfg.prefix.ends_with('/') {
+                let message = format!("route {name}: a prefix begins and ends with a slash");
+                self.add(("route", name), "prefix", message, "write prefix = /orders/");
+            }
+            if cfg.attempts == 0 {
+                let message = format!("route {name} allows no send");
+                self.add(("route", name), "attempts", message, "write attempts = 1");
+            }
+            if cfg.timeout.is_zero() {
+                let message = format!("route {name} has a timeout of zero");
+                self.add(("route", name), "timeout", message, "write a time such as 10s");
+            }
+        }
+    }
+
     fn vm_classes(&mut self) {
         let deployment = self.deployment;
         for (name, cfg) in &deployment.vm_classes {
--- a/crates/core/src/config/deployment.rs
+++ b/crates/core/src/config/deployment.rs
@@ -6,12 +6,12 @@
 
 use crate::{
     config::{
-        AdapterConfig, ClassConfig, EnginesConfig, ModelConfig, RolloutConfig, ServiceConfig,
-        TeamConfig, VersionConfig, VmClassConfig, Weights, ZoneConfig,
+        AdapterConfig, ClassConfig, EnginesConfig, ModelConfig, RolloutConfig, RouteConfig,
+        ServiceConfig, TeamConfig, VersionConfig, VmClassConfig, Weights, ZoneConfig,
     },
     name::{
-        AdapterName, ClassName, ModelName, RolloutName, ServiceName, TeamName, VersionName,
-        VmClassName, ZoneName,
+        AdapterName, ClassName, ModelName, RolloutName, RouteName, ServiceName, TeamName,
+        VersionName, VmClassName, ZoneName,
     },
 };
 
@@ -35,6 +35,8 @@
     pub classes: BTreeMap<ClassName, ClassConfig>,
     /// The teams, by name.
     pub teams: BTreeMap<TeamName, TeamConfig>,
+    /// The routes, by name.
+    pub routes: BTreeMap<RouteName, RouteConfig>,
     /// The availability zones, by name.
     pub zones: BTreeMap<ZoneName, ZoneConfig>,
     /// The classes of VMs, by name.
--- a/crates/core/src/config/ini.rs
+++ b/crates/core/src/config/ini.rs
@@ -12,9 +12,9 @@
 };
 
 /// The kinds of sections that a configuration may have.
-pub const SECTION_KINDS: [&str; 11] = [
-    "service", "engines", "model", "version", "adapter", "rollout", "class", "team", "zone",
-    "vm-class", "weights",
+pub const SECTION_KINDS: [&str; 12] = [
+    "service", "engines", "model", "version", "adapter", "rollout", "class", "team", "route",
+    "zone", "vm-class", "weights",
 ];
 
 type Problems = Vec<Problem>;
@@ -128,6 +128,7 @@
         "rollout" => insert(file, section, &mut deployment.rollouts),
         "class" => insert(file, section, &mut deployment.classes),
         "team" => insert(file, section, &mut deployment.teams),
+        "route" => insert(file, section, &mut deployment.routes),
         "zone" => insert(file, section, &mut deployment.zones),
         "vm-class" => insert(file, section, &mut deployment.vm_classes),
         "weights" => {
--- a/crates/core/src/config/render.rs
+++ b/crates/core/src/config/render.rs
@@ -22,6 +22,7 @@
     write_all(&mut text, "rollout", &deployment.rollouts);
     write_all(&mut text, "class", &deployment.classes);
     write_all(&mut text, "team", &deployment.teams);
+    write_all(&mut text, "route", &deployment.routes);
     write_section(&mut text, "weights", &deployment.weights);
     text
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,8 +15,8 @@
 pub use event::Event;
 pub use ids::{Fence, Incarnation, RequestId, Revision};
 pub use name::{
-    AdapterName, ClassName, ModelName, NodeName, RolloutName, ServiceName, TeamName, VersionName,
-    VmClassName, VmName, ZoneName,
+    AdapterName, ClassName, ModelName, NodeName, RolloutName, RouteName, ServiceName, TeamName,
+    VersionName, VmClassName, VmName, ZoneName,
 };
 pub use ran::Ran;
 pub use stamp::Stamp;
--- a/crates/core/src/name.rs
+++ b/crates/core/src/name.rs
@@ -46,6 +46,8 @@
 pub enum RolloutKind {}
 /// The kind of names of VM classes.
 pub enum VmClassKind {}
+/// The kind of names of routes.
+pub enum RouteKind {}
 
 /// The name of a service.
 pub type ServiceName = Name<ServiceKind>;
@@ -69,6 +71,8 @@
 pub type RolloutName = Name<RolloutKind>;
 /// The name of a VM class.
 pub type VmClassName = Name<VmClassKind>;
+/// The name of a route.
+pub type RouteName = Name<RouteKind>;
 
 impl NameKind for ServiceKind {
     const WORD: &'static str = "service";
@@ -103,6 +107,9 @@
 impl NameKind for VmClassKind {
     const WORD: &'static str = "VM class";
 }
+impl NameKind for RouteKind {
+    const WORD: &'static str = "route";
+}
 
 impl<K: NameKind> Name<K> {
     /// Returns a checked name.
--- a/crates/core/tests/config_problems.rs
+++ b/crates/core/tests/config_problems.rs
@@ -125,3 +125,17 @@
     assert!(told.contains("same key as team a"), "{told}");
     assert!(!told.contains(&hash), "{told}");
 }
+
+#[rstest]
+#[case("[route r]\nhost = a.example\nservices = pattern@1\n", 3, "pattern, which is missing")]
+#[case("[route r]\nhost = A.example\nservices = pattern-desk@1\n", 2, "host in lower case")]
+#[case("[route r]\nhost = a\nprefix = /x\nservices = pattern-desk@1\n", 3, "with a slash")]
+#[case("[route r]\nhost = a\nservices = pattern-desk@0\n", 3, "leads to no service")]
+#[case("[route r]\nhost = a\nservices = pattern-desk\n", 3, "expected service@weight")]
+#[case("[route r]\nhost = a\nservices = pattern-desk@1\nattempts = 0\n", 4, "allows no send")]
+#[case("[route r]\nhost = a\nservices = pattern-desk@1\nkind = twice\n", 4, "unknown variant")]
+fn routes(#[case] added: &str, #[case] line: usize, #[case] message: &str) {
+    let (found, text, _) = only_problem(added);
+    assert_eq!(found, line, "{text}");
+    assert!(text.contains(message), "{text}");
+}
--- a/crates/daemon/src/routes.rs
+++ b/crates/daemon/src/routes.rs
@@ -8,7 +8,7 @@
 };
 
 use bulrushhall_core::Event;
-use bulrushhall_gateway::{Node, Platform, Settings, settings::ServiceSettings};
+use bulrushhall_gateway::{Node, Platform, Settings, settings::EndpointSettings};
 use error_stack::{Report, ResultExt};
 use tokio::{
     signal::unix::{SignalKind, signal},
@@ -16,7 +16,7 @@
 };
 use tracing_subscriber::{EnvFilter, fmt, layer::SubscriberExt, util::SubscriberInitExt};
 
-use crate::{errors::NodeError, telemetry::Lines};
+use crate::{errors::NodeError, settings::LogSettings, telemetry::Lines};
 
 /// The time between two looks at whether the settings file has changed without a signal.
 const LOOK_EACH: Duration = Duration::from_secs(5);
@@ -27,7 +27,7 @@
     /// Its name in settings.
     pub name: &'static str,
     /// Returns the platform at the addresses of the settings.
-    pub connect: fn(&ServiceSettings) -> Platform,
+    pub connect: fn(&EndpointSettings) -> Platform,
 }
 
 /// Every adapter.
@@ -38,12 +38,13 @@
 pub async fn run(path: &Path, text: &str) -> Result<(), Report<NodeError>> {
     let settings = Settings::parse(&path.display().to_string(), text);
     let settings = settings.change_context(NodeError::Settings)?;
-    start_logs(&settings.log.filter)?;
+    let log = LogSettings::parse(&path.display().to_string(), text);
+    start_logs(&log.change_context(NodeError::Settings)?.filter)?;
     let adapter = ADAPTERS.iter().find(|adapter| adapter.name == settings.gateway.adapter);
     let adapter = adapter.ok_or_else(|| Report::new(NodeError::Settings))?;
     let mut term = signal(SignalKind::terminate()).change_context(NodeError::Start)?;
     let mut interrupt = signal(SignalKind::interrupt()).change_context(NodeError::Start)?;
-    let platform = (adapter.connect)(&settings.services);
+    let platform = (adapter.connect)(&settings.endpoints);
     let node = Node::start(settings, platform).change_context(NodeError::Start)?;
     let reload = tokio::spawn(follow_settings(path.to_owned(), text.into()));
     tokio::select! {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -165,6 +165,16 @@
     }
 }
 
+impl LogSettings {
+    /// Returns what an INI text says about logs, whatever else is in it.
+    pub fn parse(file: &str, text: &str) -> Result<LogSettings> {
+        let (sections, _) = read_sections(file, text);
+        let mut problems = Vec::new();
+        let settings = read(file, &sections, "log", &mut problems);
+        if problems.is_empty() { Ok(settings) } else { Err(CoreError::Config(problems)) }
+    }
+}
+
 fn read<T: DeserializeOwned + Default>(
     file: &str,
     sections: &[Section],
--- a/crates/daemon/tests/settings_page.rs
+++ b/crates/daemon/tests/settings_page.rs
@@ -5,9 +5,9 @@
 use bulrushhall_core::{
     CoreError,
     config::{
-        AdapterConfig, ClassConfig, EnginesConfig, ModelConfig, RolloutConfig, SECTION_KINDS,
-        ServiceConfig, TeamConfig, VersionConfig, VmClassConfig, Weights, ZoneConfig, fields_of,
-        pairs_of,
+        AdapterConfig, ClassConfig, EnginesConfig, ModelConfig, RolloutConfig, RouteConfig,
+        SECTION_KINDS, ServiceConfig, TeamConfig, VersionConfig, VmClassConfig, Weights,
+        ZoneConfig, fields_of, pairs_of,
     },
 };
 use bulrushhall_daemon::{
@@ -17,6 +17,9 @@
         TlsSettings, TraceSettings,
     },
 };
+use bulrushhall_gateway::settings::{
+    BoundSettings, EndpointSettings, GatewaySettings, PortSettings, SECTION_KINDS as GATEWAY_KINDS,
+};
 use rstest::rstest;
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -68,6 +71,7 @@
 #[case("rollout", keys_of::<RolloutConfig>())]
 #[case("class", keys_of::<ClassConfig>())]
 #[case("team", keys_of::<TeamConfig>())]
+#[case("route", keys_of::<RouteConfig>())]
 #[case("zone", keys_of::<ZoneConfig>())]
 #[case("vm-class", keys_of::<VmClassConfig>())]
 #[case("weights", keys_of::<Weights>())]
@@ -77,13 +81,19 @@
 #[case("log", keys_of::<LogSettings>())]
 #[case("trace", keys_of::<TraceSettings>())]
 #[case("tls", keys_of::<TlsSettings>())]
+#[case("gateway", keys_of::<GatewaySettings>())]
+#[case("ports", keys_of::<PortSettings>())]
+#[case("endpoints", keys_of::<EndpointSettings>())]
+#[case("bounds", keys_of::<BoundSettings>())]
 fn keys_and_defaults(#[case] kind: &str, #[case] keys: BTreeMap<String, String>) {
     assert_eq!(page().get(kind), Some(&keys), "docs/SETTINGS.md, [{kind}]");
 }
 
 #[test]
 fn sections() {
-    let mut known: Vec<&str> = SECTION_KINDS.into_iter().chain(NODE_KINDS).collect();
+    let of_gateway = GATEWAY_KINDS.into_iter().filter(|kind| *kind != "log");
+    let known = SECTION_KINDS.into_iter().chain(NODE_KINDS).chain(of_gateway);
+    let mut known: Vec<&str> = known.collect();
     known.sort_unstable();
     assert!(page().keys().eq(known.iter()), "{known:?}");
 }
--- a/crates/gateway/src/pipeline/identify.rs
+++ b/crates/gateway/src/pipeline/identify.rs
@@ -28,7 +28,7 @@
     /// Returns the rank of urgency, 0 being the first.
     pub fn rank(&self) -> u8 {
         let of_team = self.team.as_ref().and_then(|team| team.priority);
-        of_team.unwrap_or(self.route.priority).min(9)
+        of_team.unwrap_or(self.route.cfg.priority).min(9)
     }
 }
 
@@ -41,7 +41,7 @@
         return Err(if gateway.is_certain() { Failure::NoRoute } else { Failure::ConfigUnknown });
     };
     let mut team = None;
-    if table.is_keyed() && !route.anonymous {
+    if table.is_keyed() && !route.cfg.anonymous {
         team = call.key.as_deref().and_then(|key| table.team(key)).cloned();
         if team.is_none() {
             let certain = gateway.is_certain();
--- a/crates/gateway/src/pipeline/place.rs
+++ b/crates/gateway/src/pipeline/place.rs
@@ -105,7 +105,11 @@
         let read = Duration::from_secs_f64(f64::from(chosen.to_read) / PREFILL_PER_MS / 1_000.0);
         let work = read + PER_ANSWER_TOKEN * prompt.answer();
         state.demand.entry(service.clone()).or_default().note(now, work);
-        let patience = Patience { target: req.route.target, gap: req.route.gap, left };
+        let patience = Patience {
+            target: req.route.cfg.target_latency.into(),
+            gap: req.route.cfg.target_gap.map(Duration::from),
+            left,
+        };
         patience.judge(chosen.wait, &mut random).map_err(Failure::Overloaded)?;
     }
     let remembered = (sizes.memory as f64 * REMEMBERED_SHARE) as u64;
@@ -152,7 +156,7 @@
     }
     let mut random = rand::rng();
     let (key, wait) = choose_plain(&views, &mut random).ok_or(Failure::NoBackend)?;
-    let patience = Patience { target: req.route.target, gap: None, left };
+    let patience = Patience { target: req.route.cfg.target_latency.into(), gap: None, left };
     patience.judge(wait, &mut random).map_err(Failure::Overloaded)?;
     let backend = state.backends.get(key).ok_or(Failure::NoBackend)?;
     Ok(Place {
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -2,7 +2,7 @@
 
 use std::{error, fmt, sync::Arc, time::Duration};
 
-use bulrushhall_core::Event;
+use bulrushhall_core::{Event, config::RouteKind};
 use bulrushhall_external::http::{Body, BodyFault};
 use bulrushhall_policy::placement::WorkerKey;
 use bytes::Bytes;
@@ -22,7 +22,6 @@
         serve::hash_of,
         settle::Trail,
     },
-    table::Kind,
 };
 
 /// The longest pause in a stream that may go on elsewhere, in pauses of an answer in time; and at
@@ -158,7 +157,7 @@
         let Ok(bytes) = frame.into_data() else { return Step::Nothing };
         answering.occupancy.note_began();
         self.trail.began();
-        if !self.req.route.kind.is_stream() || !answering.head.status.is_success() {
+        if !self.req.route.cfg.kind.is_stream() || !answering.head.status.is_success() {
             return Step::Frame(bytes);
         }
         let split = self.splitter.push(&bytes);
@@ -182,7 +181,7 @@
         if !self.may_resume() {
             return left;
         }
-        let gap = self.req.route.gap.unwrap_or_default();
+        let gap = self.req.route.cfg.target_gap.map_or(Duration::ZERO, Duration::from);
         let mut most = (gap * STALL_GAPS).max(STALL_LEAST);
         if let Some(answering) = &self.answering {
             most += answering.place.footprint.expected.unwrap_or_default();
@@ -191,7 +190,8 @@
     }
 
     fn may_resume(&self) -> bool {
-        self.req.route.kind == Kind::ResumableStream && self.trail.sends < self.req.route.attempts
+        self.req.route.cfg.kind == RouteKind::ResumableStream
+            && self.trail.sends < self.req.route.cfg.attempts
     }
 
     async fn resume(&mut self) -> bool {
@@ -199,7 +199,7 @@
             return false;
         }
         let hash = hash_of(&self.req);
-        let Some(service) = self.req.route.service(hash).cloned() else { return false };
+        let Some(service) = self.req.route.cfg.service(hash).cloned() else { return false };
         let now = clock::now();
         let limit = self.gateway.repeat_limit();
         let paid = self.gateway.with(|state| {
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bulrushhall_coord::Attempts;
-use bulrushhall_core::{Event, Ran, ServiceName, Stamp};
+use bulrushhall_core::{Event, Ran, ServiceName, Stamp, config::RouteKind};
 use bulrushhall_external::http::{Body, BodyError, empty, read_limited};
 use bulrushhall_policy::placement::WorkerKey;
 use bytes::Bytes;
@@ -25,7 +25,7 @@
         relay::Relay,
         settle::Trail,
     },
-    table::{Kind, QuotaUnit},
+    table::QuotaUnit,
 };
 
 /// How much sooner than the caller's deadline an answer is due: the way to the caller.
@@ -81,13 +81,14 @@
         return Err(Failure::Leaving);
     }
     let patience = req.call.deadline.map(|deadline| deadline.saturating_sub(WAY_TO_CALLER));
-    let patience = patience.map_or(req.route.timeout, |left| left.min(req.route.timeout));
+    let timeout = Duration::from(req.route.cfg.timeout);
+    let patience = patience.map_or(timeout, |left| left.min(timeout));
     let end = started + patience;
     let body = read_body(&req, body, patience).await?;
     let original = Original::new(head, body, end);
     let amount = take_quota(gateway, &req)?;
     let hash = hash_of(&req);
-    let service = req.route.service(hash).cloned().ok_or(Failure::NoBackend)?;
+    let service = req.route.cfg.service(hash).cloned().ok_or(Failure::NoBackend)?;
     gateway.with(|state| {
         state.repeats.entry(service.clone()).or_default().note_first(clock::now());
     });
@@ -174,7 +175,7 @@
             Ok(answering) => {
                 attempts.end(Ran::Yes);
                 let replaceable =
-                    answering.head.status.is_server_error() && req.route.kind.may_run_again();
+                    answering.head.status.is_server_error() && req.route.cfg.kind.may_run_again();
                 if !replaceable || !again(gateway, req, service, trail) {
                     return Ok((answering, tried));
                 }
@@ -196,7 +197,7 @@
         if original.end <= clock::now() {
             return Err(Failure::Late(attempts.ran()));
         }
-        let allowed = attempts.may_try_again() || req.route.kind.may_run_again();
+        let allowed = attempts.may_try_again() || req.route.cfg.kind.may_run_again();
         if !allowed || !again(gateway, req, service, trail) {
             return Err(honest(Failure::Rejected, attempts));
         }
@@ -205,7 +206,7 @@
 
 // Whether the request may be sent once more; pays for it.
 fn again(gateway: &Gateway, req: &Identified, service: &ServiceName, trail: &Trail) -> bool {
-    if req.route.attempts <= trail.sends {
+    if req.route.cfg.attempts <= trail.sends {
         return false;
     }
     let now = clock::now();
@@ -231,10 +232,10 @@
 }
 
 fn silence(req: &Identified, placed: &Place, sends: u32) -> Duration {
-    let last = req.route.attempts <= sends;
-    match req.route.kind {
-        Kind::Idempotent if !last => PLAIN_SILENCE,
-        Kind::ResumableStream if !last => {
+    let last = req.route.cfg.attempts <= sends;
+    match req.route.cfg.kind {
+        RouteKind::Idempotent if !last => PLAIN_SILENCE,
+        RouteKind::ResumableStream if !last => {
             ENGINE_SILENCE + placed.footprint.expected.unwrap_or_default()
         }
         _ => Duration::MAX,
@@ -251,7 +252,7 @@
 ) -> Response<Body> {
     let headers = gateway.platform.wire.answer_headers(&answering.parts.headers);
     let status = answering.parts.status;
-    let is_stream = req.route.kind.is_stream() && status.is_success();
+    let is_stream = req.route.cfg.kind.is_stream() && status.is_success();
     if !is_stream {
         answering.occupancy.note_began();
         trail.began();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -11,7 +11,9 @@
 use serde_with::{DisplayFromStr, serde_as};
 
 /// The kinds of sections that a settings file may have.
-pub const SECTION_KINDS: [&str; 5] = ["gateway", "ports", "services", "bounds", "log"];
+///
+/// What is logged is read by the process that writes it.
+pub const SECTION_KINDS: [&str; 5] = ["gateway", "ports", "endpoints", "bounds", "log"];
 
 /// The `Settings` of a node.
 #[derive(Clone, Debug, Default)]
@@ -21,11 +23,9 @@
     /// Where it listens.
     pub ports: PortSettings,
     /// Where the platform's services are.
-    pub services: ServiceSettings,
+    pub endpoints: EndpointSettings,
     /// Within which times and shares it keeps its promises.
     pub bounds: BoundSettings,
-    /// What is logged.
-    pub log: LogSettings,
 }
 
 /// `GatewaySettings` tell who the node is.
@@ -60,10 +60,10 @@
     pub metrics: Option<SocketAddr>,
 }
 
-/// `ServiceSettings` tell where the platform's services are.
+/// `EndpointSettings` tell where the platform's services are.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
-pub struct ServiceSettings {
+pub struct EndpointSettings {
     /// The key-value service.
     pub key_value: SocketAddr,
     /// The cloud API.
@@ -113,14 +113,6 @@
     pub address_ttl: humantime::Duration,
 }
 
-/// `LogSettings` tell what is logged.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct LogSettings {
-    /// Which events are logged, as `tracing` filters are written.
-    pub filter: String,
-}
-
 impl Settings {
     /// Returns the settings that an INI text gives; the error holds every problem in it.
     pub fn parse(file: &str, text: &str) -> Result<Settings> {
@@ -129,9 +121,8 @@
         let settings = Settings {
             gateway: read(file, &sections, "gateway", &mut problems),
             ports: read(file, &sections, "ports", &mut problems),
-            services: read(file, &sections, "services", &mut problems),
+            endpoints: read(file, &sections, "endpoints", &mut problems),
             bounds: read(file, &sections, "bounds", &mut problems),
-            log: read(file, &sections, "log", &mut problems),
         };
         if problems.is_empty() {
             return Ok(settings);
@@ -184,9 +175,9 @@
     }
 }
 
-impl Default for ServiceSettings {
+impl Default for EndpointSettings {
     fn default() -> Self {
-        ServiceSettings { key_value: SocketAddr::from(([127, 0, 0, 1], 0)), cloud: None }
+        EndpointSettings { key_value: SocketAddr::from(([127, 0, 0, 1], 0)), cloud: None }
     }
 }
 
@@ -210,12 +201,6 @@
     }
 }
 
-impl Default for LogSettings {
-    fn default() -> Self {
-        LogSettings { filter: "info".to_owned() }
-    }
-}
-
 fn valid<K: NameKind>(text: &str) -> Name<K> {
     Name::new(text).unwrap_or_else(|_| unreachable!("a valid name"))
 }
--- a/crates/gateway/src/table/mod.rs
+++ b/crates/gateway/src/table/mod.rs
@@ -7,7 +7,7 @@
 mod team;
 
 pub use limits::CallerLimits;
-pub use route::{Kind, Route, Share};
+pub use route::Route;
 pub use route_table::RouteTable;
 pub use service::{EngineSizes, ServiceEntry};
 pub use team::{QuotaUnit, TeamEntry};
--- a/crates/gateway/src/table/route_table.rs
+++ b/crates/gateway/src/table/route_table.rs
@@ -28,11 +28,11 @@
     pub fn with_routes(mut self, routes: impl IntoIterator<Item = Route>) -> RouteTable {
         self.routes.clear();
         for route in routes {
-            self.routes.entry(route.host.clone()).or_default().push(Arc::new(route));
+            self.routes.entry(route.cfg.host.clone()).or_default().push(Arc::new(route));
         }
         for of_host in self.routes.values_mut() {
             // The first that fits is then the longest.
-            of_host.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+            of_host.sort_by_key(|route| std::cmp::Reverse(route.cfg.prefix.len()));
         }
         self
     }
@@ -60,7 +60,7 @@
             Some(of_host) => of_host,
             None => self.routes.get(&host.to_ascii_lowercase())?,
         };
-        of_host.iter().find(|route| path.starts_with(&route.prefix))
+        of_host.iter().find(|route| path.starts_with(&route.cfg.prefix))
     }
 
     /// Returns the team that a key belongs to.
--- a/operators/python/bulrushhall/sections.py
+++ b/operators/python/bulrushhall/sections.py
@@ -12,6 +12,10 @@
 from .units import Rate, duration_text, price_text, size_text
 
 
+# Fields whose keys can't be their names: both stand for something else in a section.
+KEY_NAMES = {"service_type": "type", "route_kind": "kind"}
+
+
 @dataclass(kw_only=True)
 class Section:
     """A section of the configuration, with the line of the program that made it."""
@@ -31,7 +35,7 @@
     def keys(cls) -> list[str]:
         """Returns the keys that the section may have."""
         known = [item.name for item in fields(cls) if item.name not in ("name", "place")]
-        return ["type" if key == "service_type" else key for key in known]
+        return [KEY_NAMES.get(key, key) for key in known]
 
     def values(self) -> dict[str, str]:
         """Returns the texts of the keys that are set."""
@@ -40,7 +44,7 @@
             value = getattr(self, item.name, None)
             if item.name in ("name", "place") or value is None:
                 continue
-            key = "type" if item.name == "service_type" else item.name
+            key = KEY_NAMES.get(item.name, item.name)
             texts[key] = value_text(key, value)
         return texts
 
@@ -165,6 +169,24 @@
     tokens: Rate | None = None
 
 
+@dataclass
+class Route(Section):
+    """A route by which callers' requests reach services."""
+
+    kind = "route"
+    name: str
+    host: str | None = None
+    prefix: str | None = None
+    services: Sequence[str] | None = None
+    route_kind: Literal["idempotent", "at-most-once", "stream", "resumable-stream"] | None = None
+    attempts: int | None = None
+    timeout: timedelta | None = None
+    target_latency: timedelta | None = None
+    target_gap: timedelta | None = None
+    priority: int | None = None
+    anonymous: bool | None = None
+
+
 @dataclass
 class Weights(Section):
     """What weighs how much in decisions."""
@@ -185,6 +207,7 @@
     Rollout,
     Class,
     Team,
+    Route,
     Weights,
 )
 
@@ -195,6 +218,8 @@
         return duration_text(value)
     if isinstance(value, Decimal):
         return price_text(value)
+    if isinstance(value, bool):
+        return str(value).lower()
     if key == "size" and isinstance(value, int):
         return size_text(value)
     if isinstance(value, Sequence) and not isinstance(value, str):
