Metrics of routes, the daemon as a process on the platform's wire, pages

Cause: a node that serves routes had no metrics though its settings named a port for them, and no test ran the real process over the platform's wire.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod notices;
 pub mod operators;
 pub mod peers;
+mod route_metrics;
 pub mod routes;
 pub mod settings;
 pub mod telemetry;
--- a/crates/daemon/src/routes.rs
+++ b/crates/daemon/src/routes.rs
@@ -16,7 +16,7 @@
 };
 use tracing_subscriber::{EnvFilter, fmt, layer::SubscriberExt, util::SubscriberInitExt};
 
-use crate::{errors::NodeError, settings::LogSettings, telemetry::Lines};
+use crate::{errors::NodeError, route_metrics, settings::LogSettings, telemetry::Lines};
 
 /// The time between two looks at whether the settings file has changed without a signal.
 const LOOK_EACH: Duration = Duration::from_secs(5);
@@ -44,6 +44,9 @@
     let adapter = adapter.ok_or_else(|| Report::new(NodeError::Settings))?;
     let mut term = signal(SignalKind::terminate()).change_context(NodeError::Start)?;
     let mut interrupt = signal(SignalKind::interrupt()).change_context(NodeError::Start)?;
+    if let Some(address) = settings.ports.metrics {
+        route_metrics::start(address)?;
+    }
     let platform = (adapter.connect)(&settings.endpoints);
     let node = Node::start(settings, platform).change_context(NodeError::Start)?;
     let reload = tokio::spawn(follow_settings(path.to_owned(), text.into()));
--- a/crates/daemon/tests/metrics_page.rs
+++ b/crates/daemon/tests/metrics_page.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, fs, path::Path};
 
 use bulrushhall_daemon::meters::{Kind, Metric};
+use bulrushhall_gateway::meters::ROUTE_METRICS;
 
 fn read(path: &str) -> String {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
@@ -41,11 +42,21 @@
         assert_eq!(*labels, metric.labels().join(", "), "{}", metric.name());
     }
     for name in rows.keys() {
-        let known = Metric::ALL.iter().any(|metric| metric.name() == name);
+        let mut known = Metric::ALL.iter().any(|metric| metric.name() == name);
+        known |= ROUTE_METRICS.iter().any(|metric| metric.name == name);
         assert!(known, "{name} stands on the page only");
     }
 }
 
+#[test]
+fn metrics_of_routes() {
+    let rows = rows();
+    for metric in ROUTE_METRICS {
+        let told = rows.get(metric.name).map(|(kind, labels)| (kind.as_str(), labels.as_str()));
+        assert_eq!(told, Some((metric.kind, metric.labels)), "{}", metric.name);
+    }
+}
+
 #[test]
 fn order_of_catalogue() {
     for (at, metric) in Metric::ALL.into_iter().enumerate() {
--- /dev/null
+++ b/crates/daemon/tests/route_process.rs
@@ -0,0 +1,116 @@
+//! The daemon as a process of its own on the co-operative's platform.
+
+#[path = "../../../platform/tests/stage/mod.rs"]
+mod stage;
+
+use std::{
+    net::SocketAddr,
+    process::{Child, Command, Stdio},
+};
+
+use stage::{
+    LEDGER, Stage,
+    backend::{Backend, Manner},
+    caller::{ask, get, read},
+    document::record,
+    open, until,
+};
+
+struct Process {
+    child: Child,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // The process may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn address_of(text: &str, key: &str) -> SocketAddr {
+    let line = text.lines().find_map(|line| line.strip_prefix(&format!("{key} = ")));
+    line.expect("a setting").parse().expect("an address")
+}
+
+fn start(text: &str, out: Stdio) -> Process {
+    let name = format!("bulrushd-routes-{}-{}.ini", std::process::id(), text.len());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, text).expect("a written file");
+    let mut daemon = Command::new(env!("CARGO_BIN_EXE_bulrushd"));
+    daemon.arg("--settings").arg(&path).stdout(out).stderr(Stdio::null());
+    Process { child: daemon.spawn().expect("a started daemon") }
+}
+
+fn terminate(process: &Process) {
+    let pid = process.child.id().to_string();
+    let sent = Command::new("kill").args(["-TERM", &pid]).status().expect("a signal");
+    assert!(sent.success());
+}
+
+// The process is told to stop while a request is being answered. The request must get its answer, and
+// the process end by itself, out of the addresses first.
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop() {
+    let stage = Stage::without_node().await;
+    let text = stage.settings_text("node-9");
+    let mut process = start(&text, Stdio::null());
+    let callers = address_of(&text, "callers");
+    let readiness = address_of(&text, "readiness");
+    until(async || get(readiness, "/readyz").await == Some(200)).await;
+    let backend = Backend::new("b-1", Manner::After(1_200));
+    let port = open(std::sync::Arc::<Backend>::clone(&backend));
+    stage.store.put("servers/b-1", &record(LEDGER, port.address, "ready").to_string());
+    until(async || ask(callers, "a-0", "/order/0").await.status == 200).await;
+    let asked = tokio::spawn(async move { ask(callers, "a-1", "/order/1").await });
+    until(async || backend.seen().iter().any(|seen| seen.path == "/order/1")).await;
+    terminate(&process);
+    until(async || get(readiness, "/readyz").await == Some(503)).await;
+    let answer = asked.await.expect("an answer");
+    assert_eq!((answer.status, answer.body.as_str()), (200, "done"));
+    let ended = tokio::task::spawn_blocking(move || {
+        let status = process.child.wait().expect("an end");
+        (status, process)
+    });
+    assert!(ended.await.expect("an end").0.success());
+}
+
+// Nobody reads the output of the process. Its pipe fills up, and each write to it would wait for ever;
+// requests must be served all the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn unread_output() {
+    let stage = Stage::without_node().await;
+    let text = format!("{}\n[log]\nfilter = trace\n", stage.settings_text("node-8"));
+    let _process = start(&text, Stdio::piped());
+    let callers = address_of(&text, "callers");
+    let readiness = address_of(&text, "readiness");
+    until(async || get(readiness, "/readyz").await == Some(200)).await;
+    let backend = Backend::new("b-1", Manner::Whole);
+    let port = open(std::sync::Arc::<Backend>::clone(&backend));
+    stage.store.put("servers/b-1", &record(LEDGER, port.address, "ready").to_string());
+    until(async || ask(callers, "a", "/look/1").await.status == 200).await;
+    for number in 0..600 {
+        assert_eq!(ask(callers, &format!("a-{number}"), "/look/1").await.status, 200);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn served_metrics() {
+    let stage = Stage::without_node().await;
+    let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let metrics = free.local_addr().expect("an address");
+    drop(free);
+    let text = stage.settings_text("node-7");
+    let text = text.replace("[endpoints]", &format!("metrics = {metrics}\n[endpoints]"));
+    let _process = start(&text, Stdio::null());
+    let callers = address_of(&text, "callers");
+    let readiness = address_of(&text, "readiness");
+    until(async || get(readiness, "/readyz").await == Some(200)).await;
+    assert_eq!(ask(callers, "a-1", "/look/1").await.status, 503);
+    let page = read(metrics, "/metrics").await;
+    assert!(
+        page.contains("bulrush_route_requests_total{kind=\"idempotent\",outcome=\"no_backend\"} 1"),
+        "{page}"
+    );
+    assert!(page.contains("bulrush_route_revision 1"), "{page}");
+}
--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -21,6 +21,7 @@
     clock,
     gateway::{Gateway, Phase},
     knowledge::DUTY_KEY,
+    meters,
 };
 
 /// The time between two looks at whether a call is due.
@@ -138,6 +139,7 @@
         if held != now_held {
             log_change(held, now_held);
             held = now_held;
+            meters::duties(held.is_some());
         }
     }
 }
--- a/crates/gateway/src/knowledge/config.rs
+++ b/crates/gateway/src/knowledge/config.rs
@@ -9,6 +9,7 @@
 use crate::{
     gateway::Gateway,
     knowledge::{Follower, follow},
+    meters,
 };
 
 /// The wait of a watch: short enough that its answers keep the age of the configuration well below
@@ -47,6 +48,7 @@
         before = before.0,
         source
     );
+    meters::revision(table.revision.0);
     gateway.table.store(Some(Arc::new(table)));
     true
 }
--- a/crates/gateway/src/knowledge/follow.rs
+++ b/crates/gateway/src/knowledge/follow.rs
@@ -10,7 +10,7 @@
 use rand::RngExt;
 use tokio::time::{sleep, timeout};
 
-use crate::{clock, gateway::Gateway};
+use crate::{clock, gateway::Gateway, meters};
 
 /// How much longer than its wait a watch may take. A watch on a connection that has gone silent
 /// would never end.
@@ -72,6 +72,7 @@
             Err(error) => {
                 if failures == 0 {
                     tracing::warn!(event = Event::DependencyLost.number(), prefix, %error);
+                    meters::dependency_lost(prefix);
                     follower.lost();
                 }
                 failures += 1;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod duties;
 pub mod gateway;
 pub mod knowledge;
+pub mod meters;
 pub mod node;
 pub mod pipeline;
 pub mod ports;
--- /dev/null
+++ b/crates/gateway/src/meters.rs
@@ -0,0 +1,89 @@
+//! What a node that serves routes counts and measures.
+
+use std::time::Duration;
+
+use bulrushhall_core::config::RouteKind;
+use metrics::{counter, gauge, histogram};
+
+/// Callers' requests by how they ended.
+const REQUESTS: &str = "bulrush_route_requests_total";
+/// The time from a request to the end of its answer.
+const REQUEST_SECONDS: &str = "bulrush_route_request_seconds";
+/// The time from a request to the first token, or the answer of a plain service.
+const FIRST_SECONDS: &str = "bulrush_route_first_seconds";
+/// Sends that ended without an answer that may be passed on.
+const SENDS_FAILED: &str = "bulrush_route_sends_failed_total";
+/// Services of the platform that stopped to answer.
+const DEPENDENCIES_LOST: &str = "bulrush_route_dependencies_lost_total";
+/// The revision in force.
+const REVISION: &str = "bulrush_route_revision";
+/// Whether the node holds the duties.
+const DUTIES: &str = "bulrush_route_duties_held";
+
+/// A `RouteMetric` is one metric as the page of metrics has it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RouteMetric {
+    /// The name under which monitoring finds it.
+    pub name: &'static str,
+    /// How its value moves: `counter`, `gauge` or `histogram`.
+    pub kind: &'static str,
+    /// Its labels, whose values are of fixed sets.
+    pub labels: &'static str,
+}
+
+/// Every metric.
+pub const ROUTE_METRICS: [RouteMetric; 7] = [
+    RouteMetric { name: REQUESTS, kind: "counter", labels: "kind, outcome" },
+    RouteMetric { name: REQUEST_SECONDS, kind: "histogram", labels: "kind" },
+    RouteMetric { name: FIRST_SECONDS, kind: "histogram", labels: "kind" },
+    RouteMetric { name: SENDS_FAILED, kind: "counter", labels: "fault" },
+    RouteMetric { name: DEPENDENCIES_LOST, kind: "counter", labels: "prefix" },
+    RouteMetric { name: REVISION, kind: "gauge", labels: "" },
+    RouteMetric { name: DUTIES, kind: "gauge", labels: "" },
+];
+
+/// Counts a request that has ended.
+pub fn ended(
+    kind: Option<RouteKind>,
+    outcome: &'static str,
+    first: Option<Duration>,
+    took: Duration,
+) {
+    let kind = kind_word(kind);
+    counter!(REQUESTS, "kind" => kind, "outcome" => outcome).increment(1);
+    histogram!(REQUEST_SECONDS, "kind" => kind).record(took.as_secs_f64());
+    if let Some(first) = first {
+        histogram!(FIRST_SECONDS, "kind" => kind).record(first.as_secs_f64());
+    }
+}
+
+/// Counts a send that ended without an answer that may be passed on.
+pub fn send_failed(fault: &'static str) {
+    counter!(SENDS_FAILED, "fault" => fault).increment(1);
+}
+
+/// Counts a service of the platform that stopped to answer, by what was asked of it.
+pub fn dependency_lost(prefix: &'static str) {
+    counter!(DEPENDENCIES_LOST, "prefix" => prefix).increment(1);
+}
+
+/// Sets the revision in force.
+pub fn revision(revision: u64) {
+    // Revisions stay far below the size from which a float can't hold them.
+    gauge!(REVISION).set(revision as f64);
+}
+
+/// Sets whether the node holds the duties.
+pub fn duties(held: bool) {
+    gauge!(DUTIES).set(f64::from(u8::from(held)));
+}
+
+fn kind_word(kind: Option<RouteKind>) -> &'static str {
+    match kind {
+        None => "none",
+        Some(RouteKind::Idempotent) => "idempotent",
+        Some(RouteKind::AtMostOnce) => "at-most-once",
+        Some(RouteKind::Stream) => "stream",
+        Some(RouteKind::ResumableStream) => "resumable-stream",
+    }
+}
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -17,6 +17,7 @@
     border::{AnswerHead, SendHead},
     clock,
     gateway::Gateway,
+    meters,
     pipeline::{identify::Identified, occupancy::Occupancy, place::Place},
 };
 
@@ -55,6 +56,21 @@
     Foreign,
 }
 
+impl SendFault {
+    /// Returns the word for it in logs and metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            SendFault::NotOpened(OpenError::Unreachable) => "unreachable",
+            SendFault::NotOpened(OpenError::Full) => "too_many_connections",
+            SendFault::NotRun => "not_run",
+            SendFault::OtherBackend => "other_backend",
+            SendFault::Silent => "silent",
+            SendFault::Closed => "closed",
+            SendFault::Foreign => "foreign",
+        }
+    }
+}
+
 /// A `SendFailed` is a send that ended without an answer that may be passed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SendFailed {
@@ -205,11 +221,12 @@
 }
 
 fn note_failure(gateway: &Gateway, req: &Identified, place: &Place, failed: SendFailed) {
+    meters::send_failed(failed.fault.word());
     tracing::info!(
         event = Event::SendFailed.number(),
         id = req.call.id.as_str(),
         backend = &*place.name,
-        fault = ?failed.fault,
+        fault = failed.fault.word(),
         ran = failed.ran.word(),
         candidates = place.candidates,
         wait_ms = place.wait.as_secs_f64() * 1_000.0
--- a/crates/gateway/src/pipeline/settle.rs
+++ b/crates/gateway/src/pipeline/settle.rs
@@ -7,6 +7,7 @@
 use crate::{
     clock,
     gateway::Gateway,
+    meters,
     pipeline::{Failure, identify::Identified},
 };
 
@@ -84,6 +85,12 @@
         let now = clock::now();
         let millis = |from: Stamp, to: Stamp| to.since(from).as_secs_f64() * 1_000.0;
         let req = self.req.as_ref();
+        meters::ended(
+            req.map(|req| req.route.cfg.kind),
+            self.outcome,
+            self.first_at.map(|at| at.since(self.started)),
+            now.since(self.started),
+        );
         let age = self.gateway.with(|state| state.freshness.age(now));
         tracing::info!(
             event = Event::CallEnded.number(),
