Nodes agree on the time of day; placement search is one type

Cause: a node that starts while its time of day is wrong (clock steps of the sites, seconds to 40 minutes) counted usage in windows of another time and, as the holder of the duties, fixed reports of windows that had not ended. Twin logic: a section reader in two settings files, a time limit around calls in two duties, placement with eight arguments. Ruled out: the key-value service as a clock (it tells none); following the time of day while running (it jumps).

--- a/crates/coord/src/usage.rs
+++ b/crates/coord/src/usage.rs
@@ -25,6 +25,18 @@
     }
 }
 
+/// Returns by how much a node's time of day should be corrected, in milliseconds, given how far those of
+/// the other nodes are ahead of it.
+///
+/// A node that starts while its time of day is wrong would count in windows of another time, and as the
+/// holder of the duty fix reports of windows that have not ended. The middle of all nodes' times, its own
+/// included, is right as long as most are.
+pub fn correction(ahead: impl IntoIterator<Item = i64>) -> i64 {
+    let mut ahead: Vec<i64> = ahead.into_iter().chain([0]).collect();
+    ahead.sort_unstable();
+    ahead[(ahead.len() - 1) / 2]
+}
+
 /// The `UsageCounts` of all nodes, each as that node told them last.
 ///
 /// Counts of one life of a node only rise, so what is heard twice or in the wrong order is
--- a/crates/coord/tests/usage_counts.rs
+++ b/crates/coord/tests/usage_counts.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bulrushhall_coord::{FixedReports, TeamCounts, UsageCounts, Window};
+use bulrushhall_coord::{FixedReports, TeamCounts, UsageCounts, Window, usage::correction};
 use bulrushhall_core::{Incarnation, TeamName};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -94,3 +94,15 @@
         assert_eq!(nodes[0].total(Window(1)).values().sum::<u64>(), begun, "seed {seed}");
     }
 }
+
+// One node of five started while its time of day was minutes wrong. It must count like the others, and
+// the others must not follow it.
+#[test]
+fn wrong_time_of_day() {
+    assert_eq!(correction([-240_000, -240_003, -239_998, -240_001]), -240_000);
+    assert_eq!(correction([240_000, 2, -3, 1]), 1);
+    assert_eq!(correction([]), 0);
+    // Of two nodes nobody knows which is right; both take the earlier, and end no window too soon.
+    assert_eq!(correction([5_000]), 0);
+    assert_eq!(correction([-5_000]), -5_000);
+}
--- a/crates/core/src/config/section.rs
+++ b/crates/core/src/config/section.rs
@@ -83,6 +83,22 @@
     }
 }
 
+/// Returns the settings of the only section of a kind, or the defaults where there is none; adds what is
+/// wrong in it to `problems`.
+pub fn read_only<T: DeserializeOwned + Default>(
+    file: &str,
+    sections: &[Section],
+    kind: &str,
+    problems: &mut Vec<Problem>,
+) -> T {
+    let Some(section) = sections.iter().find(|section| section.kind == kind) else {
+        return T::default();
+    };
+    let (settings, found) = section.read_well_formed(file);
+    problems.extend(found);
+    settings.unwrap_or_default()
+}
+
 fn read_pairs<'a, T: DeserializeOwned>(
     pairs: impl IntoIterator<Item = (&'a str, &'a str)>,
 ) -> Result<T, ValueError> {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -4,10 +4,10 @@
 
 use bulrushhall_core::{
     CoreError, NodeName, Result, VmName, ZoneName,
-    config::{CommaList, ExactSize, Problem, Section, read_sections, unknown_sections},
+    config::{CommaList, ExactSize, Problem, read_only, read_sections, unknown_sections},
 };
 use bytesize::ByteSize;
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize};
 use serde_with::{DisplayFromStr, serde_as};
 
 /// The `Settings` of a node.
@@ -142,12 +142,12 @@
         let (sections, mut problems) = read_sections(file, text);
         problems.extend(unknown_sections(file, &sections, &SECTION_KINDS));
         let settings = Settings {
-            node: read(file, &sections, "node", &mut problems),
-            platform: read(file, &sections, "platform", &mut problems),
-            limits: read(file, &sections, "limits", &mut problems),
-            log: read(file, &sections, "log", &mut problems),
-            trace: read(file, &sections, "trace", &mut problems),
-            tls: read(file, &sections, "tls", &mut problems),
+            node: read_only(file, &sections, "node", &mut problems),
+            platform: read_only(file, &sections, "platform", &mut problems),
+            limits: read_only(file, &sections, "limits", &mut problems),
+            log: read_only(file, &sections, "log", &mut problems),
+            trace: read_only(file, &sections, "trace", &mut problems),
+            tls: read_only(file, &sections, "tls", &mut problems),
         };
         let tls = &settings.tls;
         let set = [&tls.certificate, &tls.key, &tls.authority].map(Option::is_some);
@@ -170,25 +170,11 @@
     pub fn parse(file: &str, text: &str) -> Result<LogSettings> {
         let (sections, _) = read_sections(file, text);
         let mut problems = Vec::new();
-        let settings = read(file, &sections, "log", &mut problems);
+        let settings = read_only(file, &sections, "log", &mut problems);
         if problems.is_empty() { Ok(settings) } else { Err(CoreError::Config(problems)) }
     }
 }
 
-fn read<T: DeserializeOwned + Default>(
-    file: &str,
-    sections: &[Section],
-    kind: &str,
-    problems: &mut Vec<Problem>,
-) -> T {
-    let Some(section) = sections.iter().find(|section| section.kind == kind) else {
-        return T::default();
-    };
-    let (settings, found) = section.read_well_formed(file);
-    problems.extend(found);
-    settings.unwrap_or_default()
-}
-
 impl Default for TraceSettings {
     fn default() -> Self {
         TraceSettings { collector: None, share: 0.01 }
--- a/crates/gateway/src/duties/fleet.rs
+++ b/crates/gateway/src/duties/fleet.rs
@@ -6,13 +6,12 @@
 };
 
 use bulrushhall_core::{Event, ServiceName, ZoneName};
-use bulrushhall_external::{CallError, CallFault};
+use bulrushhall_external::CallError;
 use bulrushhall_policy::fleet_counts::{CountOrder, CountPlanner, Seen};
-use tokio::time::timeout;
 
 use crate::{
     clock,
-    duties::{Holder, holder::ORDER_TIMEOUT},
+    duties::{Holder, holder::ORDER_TIMEOUT, within},
     gateway::{Gateway, State},
     table::RouteTable,
 };
@@ -30,8 +29,7 @@
         for (service, order) in self.due(gateway, &table) {
             let Some(orders) = &gateway.platform.orders else { return };
             let Some(authority) = holder.authority() else { return };
-            let ordered = timeout(ORDER_TIMEOUT, orders.order(&authority, &service, &order)).await;
-            match ordered.unwrap_or_else(|_| Err(CallError::unknown(CallFault::Timeout))) {
+            match within(ORDER_TIMEOUT, orders.order(&authority, &service, &order)).await {
                 Ok(()) => {
                     tracing::info!(
                         event = Event::CountOrdered.number(),
--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -14,11 +14,12 @@
     kv::{CasOutcome, LeaseId, Version},
 };
 use bytes::Bytes;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::{
     border::Authority,
     clock,
+    duties::within,
     gateway::{Gateway, Phase},
     knowledge::DUTY_KEY,
     meters,
@@ -92,14 +93,14 @@
     async fn carry_out(&self, call: LeaseCall) -> LeaseReply {
         let kv = self.gateway.platform.key_value.as_ref();
         match call {
-            LeaseCall::Grant(ttl) => within(kv.grant(ttl))
+            LeaseCall::Grant(ttl) => within(CALL_TIMEOUT, kv.grant(ttl))
                 .await
                 .map_or_else(failed, |lease| LeaseReply::Granted(lease.0)),
-            LeaseCall::Renew(lease) => {
-                within(kv.renew(LeaseId(lease))).await.map_or_else(failed, |()| LeaseReply::Done)
-            }
+            LeaseCall::Renew(lease) => within(CALL_TIMEOUT, kv.renew(LeaseId(lease)))
+                .await
+                .map_or_else(failed, |()| LeaseReply::Done),
             LeaseCall::Release(fence) => {
-                let removed = within(kv.remove_if(DUTY_KEY, Version(fence.0))).await;
+                let removed = within(CALL_TIMEOUT, kv.remove_if(DUTY_KEY, Version(fence.0))).await;
                 removed.map_or_else(failed, |_| LeaseReply::Done)
             }
             LeaseCall::Claim(lease) => self.claim(kv, lease).await,
@@ -109,7 +110,7 @@
     async fn claim(&self, kv: &dyn KeyValue, lease: u64) -> LeaseReply {
         let own = HolderRecord { life: self.gateway.incarnation, lease }.encode();
         let put = kv.put_if(DUTY_KEY, Version(0), Bytes::from(own), Some(LeaseId(lease)));
-        match within(put).await {
+        match within(CALL_TIMEOUT, put).await {
             Ok(CasOutcome::Written(version)) => LeaseReply::Claimed(Fence(version.0)),
             Ok(CasOutcome::Conflict(found)) => {
                 LeaseReply::Taken(Fence(found.version.0), holder_of(&found.value))
@@ -153,12 +154,6 @@
     }
 }
 
-async fn within<T>(call: impl Future<Output = Result<T, CallError>>) -> Result<T, CallError> {
-    let answered = timeout(CALL_TIMEOUT, call).await;
-    let silent = CallError::unknown(bulrushhall_external::CallFault::Timeout);
-    answered.unwrap_or(Err(silent))
-}
-
 fn failed(error: CallError) -> LeaseReply {
     LeaseReply::Failed(error.ran)
 }
--- a/crates/gateway/src/duties/mod.rs
+++ b/crates/gateway/src/duties/mod.rs
@@ -10,7 +10,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::time::sleep;
+use bulrushhall_external::{CallError, CallFault};
+use tokio::time::{sleep, timeout};
 
 use crate::gateway::{Gateway, Phase};
 
@@ -32,3 +33,12 @@
         fleet.act(&gateway, &holder).await;
     }
 }
+
+// A call that takes longer may have taken effect, or may yet do so.
+async fn within<T>(
+    limit: Duration,
+    call: impl Future<Output = Result<T, CallError>>,
+) -> Result<T, CallError> {
+    let answered = timeout(limit, call).await;
+    answered.unwrap_or_else(|_| Err(CallError::unknown(CallFault::Timeout)))
+}
--- a/crates/gateway/src/duties/usage.rs
+++ b/crates/gateway/src/duties/usage.rs
@@ -9,11 +9,10 @@
     kv::{CasOutcome, Version},
 };
 use bytes::Bytes;
-use tokio::time::timeout;
 
 use crate::{
     clock,
-    duties::{Holder, holder::ORDER_TIMEOUT},
+    duties::{Holder, holder::ORDER_TIMEOUT, within},
     gateway::Gateway,
 };
 
@@ -61,8 +60,7 @@
         while let Some((&window, counts)) = self.unsent.first_key_value() {
             let Some(orders) = &gateway.platform.orders else { return Ok(()) };
             let Some(authority) = holder.authority() else { return Ok(()) };
-            let sent = timeout(ORDER_TIMEOUT, orders.report(&authority, window, counts)).await;
-            sent.unwrap_or_else(|_| Err(CallError::unknown(CallFault::Timeout)))?;
+            within(ORDER_TIMEOUT, orders.report(&authority, window, counts)).await?;
             let total: u64 = counts.values().sum();
             tracing::info!(event = Event::UsageReported.number(), window = window.0, total);
             self.unsent.remove(&window);
@@ -71,7 +69,7 @@
     }
 
     async fn read(&mut self, gateway: &Gateway) -> Result<(), CallError> {
-        let found = within(gateway.platform.key_value.get(KEY)).await?;
+        let found = within(CALL_TIMEOUT, gateway.platform.key_value.get(KEY)).await?;
         let fixed: FixedReports = match found.value.is_empty() {
             true => FixedReports::default(),
             false => rmp_serde::from_slice(&found.value)
@@ -100,15 +98,10 @@
         let encoded = rmp_serde::to_vec_named(&with);
         let encoded = encoded.map_err(|_| CallError::not_done(CallFault::Malformed))?;
         let put = gateway.platform.key_value.put_if(KEY, version, Bytes::from(encoded), None);
-        if let CasOutcome::Written(version) = within(put).await? {
+        if let CasOutcome::Written(version) = within(CALL_TIMEOUT, put).await? {
             self.fixed = Some((version, with));
             self.unsent.insert(window, counts);
         }
         Ok(())
     }
 }
-
-async fn within<T>(call: impl Future<Output = Result<T, CallError>>) -> Result<T, CallError> {
-    let answered = timeout(CALL_TIMEOUT, call).await;
-    answered.unwrap_or_else(|_| Err(CallError::unknown(CallFault::Timeout)))
-}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 };
 
 use arc_swap::ArcSwapOption;
-use bulrushhall_coord::{Freshness, UsageCounts, Window};
+use bulrushhall_coord::{Freshness, UsageCounts, Window, usage::correction};
 use bulrushhall_core::{Incarnation, Revision, ServiceName, Stamp, TeamName};
 use bulrushhall_external::KeyValue;
 use bulrushhall_policy::{
@@ -144,15 +144,26 @@
 
     /// Returns the usage window of this moment.
     pub fn window(&self) -> Window {
-        let day = self.day_offset + clock::now().since(Stamp(0));
-        Window::at(day, self.settings.bounds.usage_window.into())
+        Window::at(self.day(), self.settings.bounds.usage_window.into())
     }
 
     /// Returns how much of the window of this moment has passed.
     pub fn into_window(&self) -> Duration {
-        let day = self.day_offset + clock::now().since(Stamp(0));
         let length = Duration::from(self.settings.bounds.usage_window).as_millis().max(1);
-        Duration::from_millis(u64::try_from(day.as_millis() % length).unwrap_or(0))
+        Duration::from_millis(u64::try_from(self.day().as_millis() % length).unwrap_or(0))
+    }
+
+    /// Returns this node's time of day as it was at its start, gone on by a steady clock.
+    pub fn own_day(&self) -> Duration {
+        self.day_offset + clock::now().since(Stamp(0))
+    }
+
+    // The time of day that most nodes agree on.
+    fn day(&self) -> Duration {
+        let ahead = self.with(|state| correction(state.members.days_ahead()));
+        let shift = Duration::from_millis(ahead.unsigned_abs());
+        let own = self.own_day();
+        if ahead < 0 { own.saturating_sub(shift) } else { own + shift }
     }
 
     /// Returns whether a key known here may still be used.
--- a/crates/gateway/src/knowledge/digest.rs
+++ b/crates/gateway/src/knowledge/digest.rs
@@ -24,6 +24,8 @@
     pub node: NodeName,
     /// This life of it.
     pub incarnation: Incarnation,
+    /// Its time of day as it was at its start, in milliseconds since 1970, gone on by a steady clock.
+    pub day_ms: u64,
     /// Whether it serves callers.
     pub ready: bool,
     /// The revision that it has in force.
--- a/crates/gateway/src/knowledge/exchange.rs
+++ b/crates/gateway/src/knowledge/exchange.rs
@@ -174,6 +174,7 @@
         Digest {
             node: gateway.settings.gateway.name.clone(),
             incarnation: gateway.incarnation,
+            day_ms: as_millis(gateway.own_day()),
             ready,
             revision,
             config_age_ms: age.map(as_millis),
@@ -202,6 +203,7 @@
         }
         member.heard_at = Some(now);
         member.ready = told.ready;
+        member.day_ahead = Some(told.day_ms as i64 - as_millis(gateway.own_day()) as i64);
         member.busy = BTreeMap::new();
         for (service, busy) in told.busy {
             member.busy.insert(service.as_str().to_owned(), busy);
--- a/crates/gateway/src/knowledge/members.rs
+++ b/crates/gateway/src/knowledge/members.rs
@@ -38,6 +38,8 @@
     pub heard_at: Option<Stamp>,
     /// Whether it said last that it serves callers.
     pub ready: bool,
+    /// By how much its time of day is ahead, in milliseconds.
+    pub day_ahead: Option<i64>,
     /// The engines that its requests keep busy, by service.
     pub busy: BTreeMap<String, f64>,
 }
@@ -75,7 +77,8 @@
             incarnation = record.incarnation.0
         );
         let busy = BTreeMap::new();
-        let member = Member { record, listed: true, heard_at: None, ready: false, busy };
+        let member =
+            Member { record, listed: true, heard_at: None, ready: false, day_ahead: None, busy };
         self.nodes.insert(name, member);
     }
 
@@ -114,6 +117,11 @@
         self.nodes.iter()
     }
 
+    /// Returns by how much the times of day of the other nodes are ahead, in milliseconds.
+    pub fn days_ahead(&self) -> impl Iterator<Item = i64> {
+        self.nodes.values().filter_map(|member| member.day_ahead)
+    }
+
     /// Returns the number of all nodes, this one included.
     pub fn count(&self) -> usize {
         self.nodes.len() + 1
--- a/crates/gateway/src/pipeline/place.rs
+++ b/crates/gateway/src/pipeline/place.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bulrushhall_core::ServiceName;
+use bulrushhall_core::{ServiceName, ZoneName};
 use bulrushhall_policy::{
     engine_choice::{EngineRequest, EngineView, PREFILL_PER_MS, choose_engine},
     patience::Patience,
@@ -46,133 +46,151 @@
     pub candidates: usize,
 }
 
-/// Chooses a backend server that is not among those `tried`, or refuses.
-pub fn place(
-    gateway: &Gateway,
-    req: &Identified,
-    service: &ServiceName,
-    tried: &[WorkerKey],
-    left: Duration,
-) -> Result<Place, Failure> {
-    let entry = req.table.services.get(service).ok_or(Failure::NoBackend)?;
-    gateway.with(|state| match (entry.engine, &req.call.prompt) {
+/// A `Search` is what a backend server is looked for by.
+#[derive(Clone, Copy)]
+pub struct Search<'a> {
+    /// The request.
+    pub req: &'a Identified,
+    /// The service that it goes to.
+    pub service: &'a ServiceName,
+    /// The backend servers that got it already.
+    pub tried: &'a [WorkerKey],
+    /// The time that is left.
+    pub left: Duration,
+}
+
+/// Chooses a backend server that did not get the request yet, or refuses.
+pub fn place(gateway: &Gateway, search: Search<'_>) -> Result<Place, Failure> {
+    let entry = search.req.table.services.get(search.service).ok_or(Failure::NoBackend)?;
+    let zone = &gateway.settings.gateway.zone;
+    gateway.with(|state| match (entry.engine, &search.req.call.prompt) {
         (Some(sizes), Some(prompt)) => {
-            place_engine(gateway, state, req, (service, entry), sizes, prompt, tried, left)
+            let chosen = search.engine(state, zone, sizes, prompt)?;
+            search.placed(state, entry, chosen)
+        }
+        _ => {
+            let chosen = search.plain(state, zone)?;
+            search.placed(state, entry, chosen)
         }
-        _ => place_plain(gateway, state, req, (service, entry), tried, left),
     })
 }
 
-#[allow(clippy::too_many_arguments)]
-fn place_engine(
-    gateway: &Gateway,
-    state: &mut State,
-    req: &Identified,
-    (service, entry): (&ServiceName, &ServiceEntry),
-    sizes: EngineSizes,
-    prompt: &Prompt,
-    tried: &[WorkerKey],
-    left: Duration,
-) -> Result<Place, Failure> {
-    let now = clock::now();
-    let rank = req.rank();
-    let mut views = Vec::new();
-    for (key, backend) in state.backends.open(service) {
-        if tried.contains(&key) {
-            continue;
+/// A backend server as it was chosen.
+struct Chosen {
+    key: WorkerKey,
+    wait: Duration,
+    footprint: Footprint,
+    candidates: usize,
+}
+
+impl Search<'_> {
+    fn engine(
+        &self,
+        state: &mut State,
+        zone: &ZoneName,
+        sizes: EngineSizes,
+        prompt: &Prompt,
+    ) -> Result<Chosen, Failure> {
+        let now = clock::now();
+        let rank = self.req.rank();
+        let mut views = Vec::new();
+        for (key, backend) in self.untried(state) {
+            views.push(EngineView {
+                key,
+                identity: backend.identity,
+                slots: sizes.slots,
+                memory: sizes.memory,
+                requests: backend.requests(now),
+                waiting_tokens: backend.waiting_before(now, rank),
+                held_tokens: backend.held(now),
+                cached: backend.parts.cached(&prompt.parts),
+                slowness: backend.slowness,
+                distance: distance(zone, backend),
+                failing: backend.doubt.failing(),
+                avoided: backend.doubt.is_avoided(now),
+            });
         }
-        views.push(EngineView {
-            key,
-            identity: backend.identity,
-            slots: sizes.slots,
-            memory: sizes.memory,
-            requests: backend.requests(now),
-            waiting_tokens: backend.waiting_before(now, rank),
-            held_tokens: backend.held(now),
-            cached: backend.parts.cached(&prompt.parts),
-            slowness: backend.slowness,
-            distance: distance(gateway, backend),
-            failing: backend.doubt.failing(),
-            avoided: backend.doubt.is_avoided(now),
-        });
-    }
-    let wanted =
-        EngineRequest { parts: &prompt.parts, prompt: prompt.tokens, answer: prompt.answer() };
-    let mut random = rand::rng();
-    let chosen = choose_engine(wanted, &views, &mut random).ok_or(Failure::NoBackend)?;
-    if tried.is_empty() {
-        // What is refused is demand too: without it the fleet would never grow.
-        let read = Duration::from_secs_f64(f64::from(chosen.to_read) / PREFILL_PER_MS / 1_000.0);
-        let work = read + PER_ANSWER_TOKEN * prompt.answer();
-        state.demand.entry(service.clone()).or_default().note(now, work);
-        let patience = Patience {
-            target: req.route.cfg.target_latency.into(),
-            gap: req.route.cfg.target_gap.map(Duration::from),
-            left,
-        };
-        patience.judge(chosen.wait, &mut random).map_err(Failure::Overloaded)?;
-    }
-    let remembered = (sizes.memory as f64 * REMEMBERED_SHARE) as u64;
-    let backend = state.backends.get_mut(chosen.key).ok_or(Failure::NoBackend)?;
-    backend.parts.note(now, &prompt.parts, remembered);
-    Ok(Place {
-        key: chosen.key,
-        name: Arc::clone(&backend.name),
-        pool: Arc::clone(&backend.pool),
-        connections: part_of(entry.connections, state.members.count()),
-        footprint: Footprint {
+        let wanted =
+            EngineRequest { parts: &prompt.parts, prompt: prompt.tokens, answer: prompt.answer() };
+        let mut random = rand::rng();
+        let chosen = choose_engine(wanted, &views, &mut random).ok_or(Failure::NoBackend)?;
+        if self.tried.is_empty() {
+            // What is refused is demand too: without it the fleet would never grow.
+            let demand = state.demand.entry(self.service.clone()).or_default();
+            demand.note(now, work(chosen.to_read, prompt));
+            self.patience().judge(chosen.wait, &mut random).map_err(Failure::Overloaded)?;
+        }
+        let remembered = (sizes.memory as f64 * REMEMBERED_SHARE) as u64;
+        let backend = state.backends.get_mut(chosen.key).ok_or(Failure::NoBackend)?;
+        backend.parts.note(now, &prompt.parts, remembered);
+        let footprint = Footprint {
             rank,
             to_read: chosen.to_read,
             held: prompt.tokens + prompt.answer(),
             expected: Some(chosen.first_token),
-        },
-        wait: chosen.wait,
-        candidates: views.len(),
-    })
-}
+        };
+        Ok(Chosen { key: chosen.key, wait: chosen.wait, footprint, candidates: views.len() })
+    }
 
-fn place_plain(
-    gateway: &Gateway,
-    state: &mut State,
-    req: &Identified,
-    (service, entry): (&ServiceName, &ServiceEntry),
-    tried: &[WorkerKey],
-    left: Duration,
-) -> Result<Place, Failure> {
-    let now = clock::now();
-    let mut views = Vec::new();
-    for (key, backend) in state.backends.open(service) {
-        if tried.contains(&key) {
-            continue;
+    fn plain(&self, state: &State, zone: &ZoneName) -> Result<Chosen, Failure> {
+        let now = clock::now();
+        let mut views = Vec::new();
+        for (key, backend) in self.untried(state) {
+            views.push(PlainView {
+                key,
+                slots: backend.record.slots,
+                calls: backend.requests(now),
+                distance: distance(zone, backend),
+                failing: backend.doubt.failing(),
+                avoided: backend.doubt.is_avoided(now),
+            });
         }
-        views.push(PlainView {
-            key,
-            slots: backend.record.slots,
-            calls: backend.requests(now),
-            distance: distance(gateway, backend),
-            failing: backend.doubt.failing(),
-            avoided: backend.doubt.is_avoided(now),
-        });
+        let mut random = rand::rng();
+        let (key, wait) = choose_plain(&views, &mut random).ok_or(Failure::NoBackend)?;
+        self.patience().judge(wait, &mut random).map_err(Failure::Overloaded)?;
+        let footprint = Footprint { rank: self.req.rank(), ..Footprint::default() };
+        Ok(Chosen { key, wait, footprint, candidates: views.len() })
     }
-    let mut random = rand::rng();
-    let (key, wait) = choose_plain(&views, &mut random).ok_or(Failure::NoBackend)?;
-    let patience = Patience { target: req.route.cfg.target_latency.into(), gap: None, left };
-    patience.judge(wait, &mut random).map_err(Failure::Overloaded)?;
-    let backend = state.backends.get(key).ok_or(Failure::NoBackend)?;
-    Ok(Place {
-        key,
-        name: Arc::clone(&backend.name),
-        pool: Arc::clone(&backend.pool),
-        connections: part_of(entry.connections, state.members.count()),
-        footprint: Footprint { rank: req.rank(), ..Footprint::default() },
-        wait,
-        candidates: views.len(),
-    })
+
+    fn placed(
+        &self,
+        state: &State,
+        entry: &ServiceEntry,
+        chosen: Chosen,
+    ) -> Result<Place, Failure> {
+        let backend = state.backends.get(chosen.key).ok_or(Failure::NoBackend)?;
+        Ok(Place {
+            key: chosen.key,
+            name: Arc::clone(&backend.name),
+            pool: Arc::clone(&backend.pool),
+            connections: part_of(entry.connections, state.members.count()),
+            footprint: chosen.footprint,
+            wait: chosen.wait,
+            candidates: chosen.candidates,
+        })
+    }
+
+    fn untried<'s>(
+        &'s self,
+        state: &'s State,
+    ) -> impl Iterator<Item = (WorkerKey, &'s Backend)> + 's {
+        state.backends.open(self.service).filter(|(key, _)| !self.tried.contains(key))
+    }
+
+    fn patience(&self) -> Patience {
+        let cfg = &self.req.route.cfg;
+        let gap = cfg.target_gap.map(Duration::from).filter(|_| cfg.kind.is_stream());
+        Patience { target: cfg.target_latency.into(), gap, left: self.left }
+    }
+}
+
+fn work(to_read: u32, prompt: &Prompt) -> Duration {
+    let read = Duration::from_secs_f64(f64::from(to_read) / PREFILL_PER_MS / 1_000.0);
+    read + PER_ANSWER_TOKEN * prompt.answer()
 }
 
-fn distance(gateway: &Gateway, backend: &Backend) -> Duration {
-    let same = backend.record.zone == gateway.settings.gateway.zone;
-    if same { Duration::ZERO } else { OTHER_ZONE }
+fn distance(own: &ZoneName, backend: &Backend) -> Duration {
+    if backend.record.zone == *own { Duration::ZERO } else { OTHER_ZONE }
 }
 
 // What a backend server takes from all nodes is divided evenly, with one part kept free for a node
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -18,7 +18,7 @@
         EventSplitter,
         attempt::{Answering, Original, attempt, note_outcome},
         identify::Identified,
-        place::place,
+        place::{Search, place},
         serve::hash_of,
         settle::Trail,
     },
@@ -210,7 +210,8 @@
             return false;
         }
         let left = self.original.end.since(now);
-        let placed = place(&self.gateway, &self.req, &service, &self.tried, left);
+        let search = Search { req: &self.req, service: &service, tried: &self.tried, left };
+        let placed = place(&self.gateway, search);
         let Ok(placed) = placed else { return false };
         self.tried.push(placed.key);
         self.trail.sends += 1;
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -21,7 +21,7 @@
         Failure,
         attempt::{Answering, Original, SendFault, attempt},
         identify::{Identified, identify},
-        place::{Place, place},
+        place::{Place, Search, place},
         relay::Relay,
         settle::Trail,
     },
@@ -162,7 +162,7 @@
         if left.is_zero() {
             return Err(Failure::Late(attempts.ran()));
         }
-        let placed = place(gateway, req, service, &tried, left);
+        let placed = place(gateway, Search { req, service, tried: &tried, left });
         let placed = placed.map_err(|failure| honest(failure, attempts))?;
         tried.push(placed.key);
         trail.sends += 1;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,10 +4,10 @@
 
 use bulrushhall_core::{
     CoreError, NodeName, Result, ZoneName,
-    config::{Section, read_sections, unknown_sections},
+    config::{read_only, read_sections, unknown_sections},
     name::{Name, NameKind},
 };
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize};
 use serde_with::{DisplayFromStr, serde_as};
 
 /// The kinds of sections that a settings file may have.
@@ -119,10 +119,10 @@
         let (sections, mut problems) = read_sections(file, text);
         problems.extend(unknown_sections(file, &sections, &SECTION_KINDS));
         let settings = Settings {
-            gateway: read(file, &sections, "gateway", &mut problems),
-            ports: read(file, &sections, "ports", &mut problems),
-            endpoints: read(file, &sections, "endpoints", &mut problems),
-            bounds: read(file, &sections, "bounds", &mut problems),
+            gateway: read_only(file, &sections, "gateway", &mut problems),
+            ports: read_only(file, &sections, "ports", &mut problems),
+            endpoints: read_only(file, &sections, "endpoints", &mut problems),
+            bounds: read_only(file, &sections, "bounds", &mut problems),
         };
         if problems.is_empty() {
             return Ok(settings);
@@ -137,20 +137,6 @@
     }
 }
 
-fn read<T: DeserializeOwned + Default>(
-    file: &str,
-    sections: &[Section],
-    kind: &str,
-    problems: &mut Vec<bulrushhall_core::config::Problem>,
-) -> T {
-    let Some(section) = sections.iter().find(|section| section.kind == kind) else {
-        return T::default();
-    };
-    let (settings, found) = section.read_well_formed(file);
-    problems.extend(found);
-    settings.unwrap_or_default()
-}
-
 impl Default for GatewaySettings {
     fn default() -> Self {
         GatewaySettings {
