--- a/crates/gateway/src/pipeline/failure.rs
+++ b/crates/gateway/src/pipeline/failure.rs
@@ -18,6 +18,8 @@
 pub enum Failure {
     /// The head could not be understood.
     Malformed(CallProblem),
+    /// The head is larger than allowed.
+    HeadTooLarge,
     /// The body is larger than allowed.
     TooLarge,
     /// The body did not arrive.
@@ -49,6 +51,7 @@
     pub fn word(self) -> &'static str {
         match self {
             Failure::Malformed(_) => "malformed",
+            Failure::HeadTooLarge => "head_too_large",
             Failure::TooLarge => "too_large",
             Failure::BodyLost => "body_lost",
             Failure::ConfigUnknown => "config_unknown",
@@ -72,6 +75,7 @@
     pub fn refusal(self) -> Refusal {
         let (status, after) = match self {
             Failure::Malformed(_) => (StatusCode::BAD_REQUEST, None),
+            Failure::HeadTooLarge => (StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, None),
             Failure::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, None),
             Failure::BodyLost => (StatusCode::BAD_REQUEST, None),
             Failure::NoRoute => (StatusCode::NOT_FOUND, None),
--- a/crates/gateway/src/pipeline/identify.rs
+++ b/crates/gateway/src/pipeline/identify.rs
@@ -11,6 +11,9 @@
     table::{Route, RouteTable, TeamEntry},
 };
 
+/// The bytes of a header besides its name and value.
+const HEADER_EXTRA: usize = 4;
+
 /// An `Identified` request has a route and, where that asks for one, a team.
 #[derive(Clone, Debug)]
 pub struct Identified {
@@ -36,6 +39,9 @@
 pub fn identify(gateway: &Gateway, head: &request::Parts) -> Result<Identified, Failure> {
     let call = gateway.platform.wire.read_call(head).map_err(Failure::Malformed)?;
     let table = gateway.table.load_full().ok_or(Failure::ConfigUnknown)?;
+    if table.limits.head_bytes < head_bytes(head) {
+        return Err(Failure::HeadTooLarge);
+    }
     let Some(route) = table.route(&call.host, head.uri.path()).cloned() else {
         // The route may be in a newer configuration that this node could not learn.
         return Err(if gateway.is_certain() { Failure::NoRoute } else { Failure::ConfigUnknown });
@@ -54,3 +60,13 @@
     }
     Ok(Identified { call: Arc::new(call), table, route, team })
 }
+
+// The bytes of a head as they are sent: each header has a colon, a space and the end of its line.
+fn head_bytes(head: &request::Parts) -> usize {
+    let headers = head.headers.iter();
+    let headers: usize =
+        headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_EXTRA).sum();
+    head.method.as_str().len()
+        + head.uri.path_and_query().map_or(0, |path| path.as_str().len())
+        + headers
+}
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -86,7 +86,9 @@
     let end = started + patience;
     let body = read_body(&req, body, patience).await?;
     let original = Original::new(head, body, end);
-    let amount = take_quota(gateway, &req)?;
+    let amount = quota_amount(&req);
+    trail.counted = amount;
+    take_quota(gateway, &req, amount)?;
     let hash = hash_of(&req);
     let service = req.route.cfg.service(hash).cloned().ok_or(Failure::NoBackend)?;
     gateway.with(|state| {
@@ -121,21 +123,25 @@
     })
 }
 
-fn take_quota(gateway: &Gateway, req: &Identified) -> Result<f64, Failure> {
-    let Some(team) = &req.team else { return Ok(0.0) };
+fn quota_amount(req: &Identified) -> f64 {
+    let Some(team) = &req.team else { return 0.0 };
     let told = req.call.prompt.as_ref();
     let told = told.map(|prompt| f64::from(prompt.tokens) + f64::from(prompt.answer_most));
-    let amount = match team.unit {
+    match team.unit {
         QuotaUnit::Requests => 1.0,
         QuotaUnit::Tokens { untold } => told.unwrap_or(untold),
-    };
+    }
+}
+
+fn take_quota(gateway: &Gateway, req: &Identified, amount: f64) -> Result<(), Failure> {
+    let Some(team) = &req.team else { return Ok(()) };
     let now = clock::now();
     let limit = team.limit.with_slack(gateway.quota_slack());
     let taken = gateway.with(|state| {
         let nodes = state.members.count();
         state.quota(&team.name).take(now, limit, nodes, amount)
     });
-    taken.map(|()| amount).map_err(Failure::OverQuota)
+    taken.map_err(Failure::OverQuota)
 }
 
 fn give_back(gateway: &Gateway, req: &Identified, amount: f64) {
--- a/crates/gateway/src/pipeline/settle.rs
+++ b/crates/gateway/src/pipeline/settle.rs
@@ -21,6 +21,8 @@
     pub sends: u32,
     /// The backend server that got it last.
     pub backend: Option<Arc<str>>,
+    /// What it counts against its team's limit.
+    pub counted: f64,
     /// The status that the caller got.
     pub status: u16,
     outcome: &'static str,
@@ -37,6 +39,7 @@
             first_at: None,
             sends: 0,
             backend: None,
+            counted: 0.0,
             status: 0,
             outcome: "abandoned",
             after: None,
@@ -99,6 +102,7 @@
             team = req.and_then(|req| req.team.as_ref()).map_or("", |team| team.name.as_str()),
             outcome = self.outcome,
             status = self.status,
+            counted = self.counted,
             sends = self.sends,
             backend = self.backend.as_deref().unwrap_or(""),
             first_ms = self.first_at.map(|at| millis(self.started, at)),
