What a node remembers of requests and of dead nodes is bounded

Cause: requests of a service were remembered until one of them was to be repeated, so a node's memory grew with each request while nothing failed; the loads that earlier lives of nodes had told were never dropped. Change: both are trimmed when something is added. Test: repeat_share::healthy_service.

--- a/crates/gateway/src/backends/backend.rs
+++ b/crates/gateway/src/backends/backend.rs
@@ -68,6 +68,8 @@
 
     /// Notes what another node has running there.
     pub fn hear(&mut self, now: Stamp, node: Incarnation, load: Load) {
+        // Each restart of a node has a life of its own; without this they would pile up.
+        self.told.retain(|_, (at, _)| now.since(*at) < TOLD_FOR);
         self.told.insert(node, (now, load));
     }
 
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -91,8 +91,9 @@
     take_quota(gateway, &req, amount)?;
     let hash = hash_of(&req);
     let service = req.route.cfg.service(hash).cloned().ok_or(Failure::NoBackend)?;
+    let limit = gateway.repeat_limit();
     gateway.with(|state| {
-        state.repeats.entry(service.clone()).or_default().note_first(clock::now());
+        state.repeats.entry(service.clone()).or_default().note_first(clock::now(), limit);
     });
     let mut attempts = Attempts::default();
     let mut failed_answer = None;
--- a/crates/policy/src/repeat_share.rs
+++ b/crates/policy/src/repeat_share.rs
@@ -32,20 +32,30 @@
 
 impl RepeatShare {
     /// Notes a request, whether or not it is sent on.
-    pub fn note_first(&mut self, now: Stamp) {
+    pub fn note_first(&mut self, now: Stamp, limit: RepeatLimit) {
         self.firsts.push_back(now);
+        self.forget(now, limit);
+    }
+
+    /// Returns how many requests and repeats are remembered: those of one window.
+    pub fn remembered(&self) -> usize {
+        self.firsts.len() + self.repeats.len()
     }
 
     /// Returns the repeats that are left now; `nodes` counts all nodes, this one included.
     pub fn left(&mut self, now: Stamp, limit: RepeatLimit, nodes: usize) -> u32 {
+        self.forget(now, limit);
+        let allowed = limit.ratio * self.firsts.len() as f64 + limit.headroom / nodes.max(1) as f64;
+        let left = allowed * USED_SHARE - self.repeats.len() as f64;
+        if left < 1.0 { 0 } else { left as u32 }
+    }
+
+    fn forget(&mut self, now: Stamp, limit: RepeatLimit) {
         for seen in [&mut self.firsts, &mut self.repeats] {
             while seen.front().is_some_and(|at| limit.window <= now.since(*at)) {
                 seen.pop_front();
             }
         }
-        let allowed = limit.ratio * self.firsts.len() as f64 + limit.headroom / nodes.max(1) as f64;
-        let left = allowed * USED_SHARE - self.repeats.len() as f64;
-        if left < 1.0 { 0 } else { left as u32 }
     }
 
     /// Takes one repeat; returns whether one was left.
--- a/crates/policy/tests/repeat_share.rs
+++ b/crates/policy/tests/repeat_share.rs
@@ -19,7 +19,7 @@
     for millis in (0..60_000).step_by(20) {
         let node = &mut nodes[(millis as usize / 20) % NODES];
         let now = Stamp::from_millis(millis);
-        node.note_first(now);
+        node.note_first(now, LIMIT);
         firsts.push(millis);
         if node.take(now, LIMIT, NODES) {
             repeats.push(millis);
@@ -42,3 +42,14 @@
     assert_eq!(free, 8);
     assert!(share.take(Stamp::from_millis(10_002), LIMIT, NODES));
 }
+
+// A service answers each call, so that nothing is ever repeated. What is remembered must be bounded all
+// the same, or the node's memory grows with every request.
+#[test]
+fn healthy_service() {
+    let mut share = RepeatShare::default();
+    for millis in (0..100_000).step_by(10) {
+        share.note_first(Stamp::from_millis(millis), LIMIT);
+    }
+    assert_eq!(share.remembered(), 1_000);
+}
