A new holder of the duties sends the last three fixed windows

Cause: only the newest fixed window was sent once more; where the cloud was away, the holder before may have left more of them unsent. Found in reading, then shown by a test. Ruled out: remembering in the key-value service what was sent (a write for each report; equal reports are ignored anyway). Change: the three last windows are sent again, as many as are not due yet. Test: held_duties::unsent_windows misses three windows before, none after.

--- a/crates/gateway/src/duties/usage.rs
+++ b/crates/gateway/src/duties/usage.rs
@@ -20,6 +20,8 @@
 const KEY: &str = "bulrushhall-usage";
 /// How long after its end a window is fixed: five exchanges between nodes of 250 ms.
 const SETTLED_AFTER: Duration = Duration::from_millis(1_300);
+/// The windows that a new holder sends once more: those whose reports are not due yet.
+const SENT_AGAIN: usize = 3;
 /// The pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(400);
 /// The longest time of a call to the key-value service.
@@ -75,9 +77,9 @@
             false => rmp_serde::from_slice(&found.value)
                 .map_err(|_| CallError::not_done(CallFault::Malformed))?,
         };
-        // The holder before may have fixed a window and died before it sent it. Sent again, an equal
+        // The holder before may have fixed windows and died before it sent them. Sent again, an equal
         // report changes nothing.
-        if let Some((window, counts)) = fixed.windows.last_key_value() {
+        for (window, counts) in fixed.windows.iter().rev().take(SENT_AGAIN) {
             self.unsent.insert(*window, counts.clone());
         }
         self.fixed = Some((found.version, fixed));
