State that nobody reads is gone

Cause: the change kept whether the duties are held beside since when they are free, and the path of health checks, which no part reads; a comment told the wrong ratio of two times. Found in reading the change once more. Change: both fields removed; a document whose health check is no text is no longer refused for it, like any other field that the adapter does not read. No other behaviour changes.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -31,7 +31,7 @@
 /// server, and for clocks that run apart.
 const REVOCATION_MARGIN: Duration = Duration::from_millis(400);
 /// The age from which a configuration may lack what others have: a route or key that this node does
-/// not know may be new. It is twice the wait of a watch.
+/// not know may be new. It is three times the wait of a watch.
 const DOUBTFUL_AGE: Duration = Duration::from_millis(4_500);
 
 /// A `Phase` is how far a node is on its way to the stop.
--- a/crates/gateway/src/knowledge/members.rs
+++ b/crates/gateway/src/knowledge/members.rs
@@ -50,10 +50,8 @@
     nodes: BTreeMap<NodeName, Member>,
     /// Whether this node's own record is not in the key-value service.
     pub own_missing: bool,
-    /// Whether the record of the duties' holder is in the key-value service; none before the
-    /// service was asked.
-    pub duty_held: Option<bool>,
-    /// Since when it is not.
+    /// Since when the record of the duties' holder is not in the key-value service; none while it
+    /// is, and before the service was asked.
     pub duty_free_since: Option<Stamp>,
 }
 
--- a/crates/gateway/src/knowledge/membership.rs
+++ b/crates/gateway/src/knowledge/membership.rs
@@ -124,7 +124,6 @@
 
     fn note_duty(&self, held: bool) {
         self.gateway.with(|state| {
-            state.members.duty_held = Some(held);
             state.members.duty_free_since = (!held).then(clock::now);
         });
     }
--- a/crates/gateway/src/table/service.rs
+++ b/crates/gateway/src/table/service.rs
@@ -14,8 +14,6 @@
 /// A `ServiceEntry` is one service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceEntry {
-    /// The path of the health check.
-    pub health_path: String,
     /// The connections that one backend server takes from all nodes together.
     pub connections: u32,
     /// The sizes of its engines; none where it is a plain service.
