Nodes tell each other which prompt parts they sent where

Cause: a node knew only its own sends, so with 5 nodes a shared part was read on several engines, and with 30 on many. Ruled out: more weight on the home engines (a guess where a record is to be had); cache events of the engines (each node would follow each engine; 1,800 calls a second at 30 nodes and 60 engines). Change: a digest names the parts sent in the last second by engine; four exchanges carry each, so three may be lost. The digest is encoded once a round, not once a peer.

--- a/crates/gateway/src/backends/backend.rs
+++ b/crates/gateway/src/backends/backend.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use bulrushhall_core::{Incarnation, Stamp};
-use bulrushhall_policy::{doubt::Doubt, parts::PartMemory};
+use bulrushhall_policy::{doubt::Doubt, parts::PartMemory, recent_parts::RecentParts};
 
 use crate::{
     backends::{Load, Pool},
@@ -34,6 +34,8 @@
     pub doubt: Doubt,
     /// The parts of prompts that it is believed to keep.
     pub parts: PartMemory,
+    /// The parts of prompts that this node sent there lately.
+    pub recent: RecentParts,
     /// How many times the predicted time first tokens took lately.
     pub slowness: f64,
     /// What this node has running there.
@@ -55,6 +57,7 @@
             replaced: false,
             doubt: Doubt::default(),
             parts: PartMemory::default(),
+            recent: RecentParts::default(),
             slowness: 1.0,
             own: Load::default(),
             told: HashMap::new(),
--- a/crates/gateway/src/knowledge/digest.rs
+++ b/crates/gateway/src/knowledge/digest.rs
@@ -2,6 +2,7 @@
 
 use bulrushhall_coord::{TeamCounts, Window};
 use bulrushhall_core::{Incarnation, NodeName, Revision, ServiceName, TeamName};
+use bulrushhall_policy::parts::PromptPart;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
@@ -14,6 +15,8 @@
     pub backend: String,
     /// The load.
     pub load: Load,
+    /// The parts of prompts that were sent there lately.
+    pub parts: Vec<PromptPart>,
 }
 
 /// A `Digest` is what a node tells others of itself; the newest holds, so it may be lost or come
--- a/crates/gateway/src/knowledge/exchange.rs
+++ b/crates/gateway/src/knowledge/exchange.rs
@@ -110,16 +110,20 @@
             asked.map(|(name, member)| (name.clone(), member.record.peers)).collect()
         });
         endpoints.retain(|address, _| peers.iter().any(|(_, peer)| peer == address));
+        // The same message goes to all: made anew for each, it would cost a node its number of peers.
+        let Ok(message) = rmp_serde::to_vec_named(&digest(&gateway)).map(Bytes::from) else {
+            continue;
+        };
         for (_, address) in peers {
             let endpoint = endpoints.entry(address).or_insert_with(|| Arc::new(endpoint(address)));
-            tokio::spawn(ask(Arc::clone(&gateway), Arc::clone(endpoint)));
+            tokio::spawn(ask(Arc::clone(&gateway), Arc::clone(endpoint), message.clone()));
         }
     }
 }
 
-async fn ask(gateway: Arc<Gateway>, endpoint: Arc<Endpoint>) {
+async fn ask(gateway: Arc<Gateway>, endpoint: Arc<Endpoint>, message: Bytes) {
     let asked = clock::now();
-    let told = call::<Digest>(&endpoint, DIGEST_PATH, &digest(&gateway)).await;
+    let told = call::<Digest>(&endpoint, DIGEST_PATH, message).await;
     // A node that does not answer is not heard any more, which its absence from the addresses and
     // the shares kept back for it show.
     let Ok(told) = told else { return };
@@ -133,7 +137,7 @@
 }
 
 async fn read_document(gateway: &Gateway, endpoint: &Endpoint) {
-    let Ok(found) = call::<Document>(endpoint, DOCUMENT_PATH, &()).await else { return };
+    let Ok(found) = call::<Document>(endpoint, DOCUMENT_PATH, Bytes::new()).await else { return };
     if !found.bytes.is_empty() {
         take_config(gateway, &found.bytes, "node");
     }
@@ -148,11 +152,10 @@
 async fn call<T: DeserializeOwned>(
     endpoint: &Endpoint,
     path: &str,
-    message: &impl Serialize,
+    message: Bytes,
 ) -> Result<T, CallError> {
     let malformed = || CallError::unknown(CallFault::Malformed);
-    let message = rmp_serde::to_vec_named(message).map_err(|_| malformed())?;
-    let req = Request::post(path).body(Full::new(Bytes::from(message)));
+    let req = Request::post(path).body(Full::new(message));
     let answer = endpoint.send(req.map_err(|_| malformed())?).await?;
     let body = read_limited(answer.into_body(), MESSAGE_LIMIT, ANSWER).await;
     let body = body.map_err(|_| CallError::unknown(CallFault::Closed))?;
@@ -166,9 +169,11 @@
     gateway.with(|state| {
         let age = state.freshness.age(now);
         let mut loads = Vec::new();
-        for (_, backend) in state.backends.iter() {
-            if !backend.own.is_empty() {
-                loads.push(BackendLoad { backend: backend.name.to_string(), load: backend.own });
+        for (_, backend) in state.backends.iter_mut() {
+            let parts = backend.recent.told(now);
+            if !backend.own.is_empty() || !parts.is_empty() {
+                let load = backend.own;
+                loads.push(BackendLoad { backend: backend.name.to_string(), load, parts });
             }
         }
         Digest {
@@ -196,6 +201,7 @@
 fn hear(gateway: &Gateway, since: Option<Stamp>, told: Digest) -> Option<SocketAddr> {
     let now = clock::now();
     let own = gateway.revision();
+    let table = gateway.table.load_full();
     gateway.with(|state| {
         let member = state.members.get_mut(&told.node)?;
         if told.incarnation < member.record.incarnation {
@@ -229,9 +235,13 @@
         for (_, backend) in state.backends.iter_mut() {
             backend.unhear(told.incarnation);
         }
-        for load in told.loads {
-            if let Some(backend) = state.backends.named_mut(&load.backend) {
-                backend.hear(now, told.incarnation, load.load);
+        for BackendLoad { backend, load, parts } in told.loads {
+            let Some(backend) = state.backends.named_mut(&backend) else { continue };
+            backend.hear(now, told.incarnation, load);
+            let service =
+                table.as_ref().and_then(|table| table.services.get(&backend.record.service));
+            if let Some(sizes) = service.and_then(|service| service.engine) {
+                backend.parts.note(now, &parts, sizes.remembered());
             }
         }
         (own < told.revision).then_some(address)
--- a/crates/gateway/src/pipeline/place.rs
+++ b/crates/gateway/src/pipeline/place.rs
@@ -22,8 +22,6 @@
 /// The one-way latency to another availability zone, for comparing servers: what the early users
 /// have between theirs.
 const OTHER_ZONE: Duration = Duration::from_millis(1);
-/// The part of an engine's memory that prompts are remembered in; the rest is for those running.
-const REMEMBERED_SHARE: f64 = 0.6;
 /// The time of an engine for one token of an answer, in a batch of the usual size.
 const PER_ANSWER_TOKEN: Duration = Duration::from_micros(400);
 
@@ -120,9 +118,9 @@
             demand.note(now, work(chosen.to_read, prompt));
             self.patience().judge(chosen.wait, &mut random).map_err(Failure::Overloaded)?;
         }
-        let remembered = (sizes.memory as f64 * REMEMBERED_SHARE) as u64;
         let backend = state.backends.get_mut(chosen.key).ok_or(Failure::NoBackend)?;
-        backend.parts.note(now, &prompt.parts, remembered);
+        backend.parts.note(now, &prompt.parts, sizes.remembered());
+        backend.recent.note(now, &prompt.parts);
         let footprint = Footprint {
             rank,
             to_read: chosen.to_read,
--- a/crates/gateway/src/table/service.rs
+++ b/crates/gateway/src/table/service.rs
@@ -2,6 +2,9 @@
 
 use bulrushhall_policy::fleet_counts::CountLimits;
 
+/// The part of an engine's memory that prompts are remembered in; the rest is for those running.
+const REMEMBERED_SHARE: f64 = 0.6;
+
 /// `EngineSizes` are what one model engine of a service holds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EngineSizes {
@@ -11,6 +14,13 @@
     pub memory: u64,
 }
 
+impl EngineSizes {
+    /// Returns the tokens of prompts that an engine is believed to keep besides what is running.
+    pub fn remembered(&self) -> u64 {
+        (self.memory as f64 * REMEMBERED_SHARE) as u64
+    }
+}
+
 /// A `ServiceEntry` is one service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceEntry {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod plain_choice;
 pub mod prefix;
 pub mod quota;
+pub mod recent_parts;
 pub mod reclaim;
 pub mod repeat_share;
 pub mod retry;
--- a/crates/policy/src/parts.rs
+++ b/crates/policy/src/parts.rs
@@ -3,9 +3,10 @@
 use std::collections::HashMap;
 
 use bulrushhall_core::Stamp;
+use serde::{Deserialize, Serialize};
 
 /// A `PromptPart` is a part of a prompt that other prompts may begin with too.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptPart {
     /// The hash that names the part.
     pub id: u64,
