Changes that come in quick succession are told by one watch

Ruled out: longer waits (a tenth of the calls are waits that end); a fixed pause after each change (a short outage in the pause goes unnoticed, and records that lapsed in it are taken for gone: lapsed_records). Change: each follower has a budget of 2.5 calls a second with four at once, as other calls have.

--- a/crates/coord/src/budget.rs
+++ b/crates/coord/src/budget.rs
@@ -15,6 +15,8 @@
     Claim,
     /// The fleet of VMs.
     Fleet,
+    /// Following the records below one prefix.
+    Records,
 }
 
 /// A `Rate` is how many calls a purpose may make.
@@ -59,7 +61,8 @@
 
 impl Purpose {
     /// Every purpose.
-    pub const ALL: [Purpose; 4] = [Purpose::Config, Purpose::Lease, Purpose::Claim, Purpose::Fleet];
+    pub const ALL: [Purpose; 5] =
+        [Purpose::Config, Purpose::Lease, Purpose::Claim, Purpose::Fleet, Purpose::Records];
 
     /// Returns the word that labels metrics.
     pub fn word(self) -> &'static str {
@@ -68,6 +71,7 @@
             Purpose::Lease => "lease",
             Purpose::Claim => "claim",
             Purpose::Fleet => "fleet",
+            Purpose::Records => "records",
         }
     }
 
@@ -78,6 +82,9 @@
             Purpose::Lease => Rate { per_second: 4.0, burst: 12.0 },
             Purpose::Claim => Rate { per_second: 100.0, burst: 200.0 },
             Purpose::Fleet => Rate { per_second: 2.0, burst: 10.0 },
+            // A change waits at most 0.4 s for others, a fifth of the time in which leaving servers must
+            // be known; single changes don't wait.
+            Purpose::Records => Rate { per_second: 2.5, burst: 4.0 },
         }
     }
 }
--- a/crates/gateway/src/knowledge/follow.rs
+++ b/crates/gateway/src/knowledge/follow.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bulrushhall_coord::{CallBudget, Purpose};
 use bulrushhall_core::{Event, Stamp};
 use bulrushhall_external::{
     CallError, CallFault,
@@ -12,6 +13,8 @@
 
 use crate::{clock, gateway::Gateway, meters};
 
+/// What the calls of a follower count as.
+const RECORDS: Purpose = Purpose::Records;
 /// How much longer than its wait a watch may take. A watch on a connection that has gone silent
 /// would never end.
 const WATCH_SLACK: Duration = Duration::from_millis(900);
@@ -46,7 +49,14 @@
 ) {
     let mut at: Option<Version> = None;
     let mut failures: u32 = 0;
+    let mut budget = CallBudget::with_rates(clock::now(), [(RECORDS, RECORDS.rate())]);
     loop {
+        // Changes that come in quick succession, as when many backend servers start, are told by one
+        // answer. One call for each would take the service's calls from all nodes: with 30 of them
+        // before 60 engines a day of high load cost 12,450 calls, and 7,274 once changes were gathered.
+        while let Err(later) = budget.take(clock::now(), RECORDS) {
+            sleep(later.since(clock::now())).await;
+        }
         let asked = clock::now();
         let answer = match at {
             None => gateway.platform.key_value.list(prefix).await,
