--- a/crates/coord/src/ownership/mod.rs
+++ b/crates/coord/src/ownership/mod.rs
@@ -6,6 +6,7 @@
 mod peers;
 mod receive;
 mod row;
+mod sweep;
 
 pub use machine::{Action, Copied, Ownership};
 pub use message::{Message, Version};
