A stream goes on past engines that can't be reached, and a request's last line tells its placement

Cause: a reclaim or a crash takes several engines at once whose records are still there. A stream that may be resumed was cut when the first engine chosen for the rest could not be connected to, though nothing was sent. What placed a request (candidates, wait, expected first token, copy) stood in no line unless its send failed. Ruled out: paying the repeat budget for each of them (nothing reaches a backend server). Change: up to four engines are tried, as for a first send. Sends are counted in one place.

--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -2,7 +2,7 @@
 
 use std::{error, fmt, sync::Arc, time::Duration};
 
-use bulrushhall_core::{Event, config::RouteKind};
+use bulrushhall_core::{Event, ServiceName, config::RouteKind};
 use bulrushhall_external::http::{Body, BodyFault};
 use bulrushhall_policy::placement::WorkerKey;
 use bytes::Bytes;
@@ -16,10 +16,10 @@
     gateway::Gateway,
     pipeline::{
         EventSplitter,
-        attempt::{Answering, Original, attempt, note_outcome},
+        attempt::{Answering, Original, SendFault, attempt, note_outcome},
         identify::Identified,
         place::{Search, place},
-        serve::hash_of,
+        serve::{UNOPENED_MOST, hash_of},
         settle::Trail,
     },
 };
@@ -209,13 +209,29 @@
         if !paid {
             return false;
         }
-        let left = self.original.end.since(now);
-        let search = Search { req: &self.req, service: &service, tried: &self.tried, left };
-        let placed = place(&self.gateway, search);
-        let Ok(placed) = placed else { return false };
+        // What took one engine mostly took others with it, and some of these are not known to be gone
+        // yet. Nothing was sent where no connection could be opened, so the next one is tried.
+        for _ in 0..UNOPENED_MOST {
+            match self.resume_at_next(&service).await {
+                Ok(answering) => {
+                    self.splitter = EventSplitter::after(self.last);
+                    self.answering = Some(answering);
+                    return true;
+                }
+                Err(SendFault::NotOpened(_)) => self.trail.unsent(),
+                Err(_) => return false,
+            }
+        }
+        false
+    }
+
+    async fn resume_at_next(&mut self, service: &ServiceName) -> Result<Answering, SendFault> {
+        let left = self.original.end.since(clock::now());
+        let search = Search { req: &self.req, service, tried: &self.tried, left };
+        // Where no engine is left, nobody runs it.
+        let placed = place(&self.gateway, search).map_err(|_| SendFault::NotRun)?;
         self.tried.push(placed.key);
-        self.trail.sends += 1;
-        self.trail.backend = Some(Arc::clone(&placed.name));
+        self.trail.placed(&placed);
         tracing::info!(
             event = Event::StreamResumed.number(),
             id = self.req.call.id.as_str(),
@@ -224,13 +240,9 @@
         );
         let sent =
             attempt(&self.gateway, &self.req, &self.original, &placed, self.last, left).await;
-        let Ok(answering) = sent else { return false };
-        if !answering.head.status.is_success() {
-            return false;
-        }
-        self.splitter = EventSplitter::after(self.last);
-        self.answering = Some(answering);
-        true
+        let answering = sent.map_err(|failed| failed.fault)?;
+        // A failure can't follow the events that the caller has.
+        if answering.head.status.is_success() { Ok(answering) } else { Err(SendFault::Foreign) }
     }
 
     fn drop_broken(&mut self) {
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -36,7 +36,7 @@
 /// top of what its first token was expected to take.
 const ENGINE_SILENCE: Duration = Duration::from_millis(1_500);
 /// Connections that could not be opened, after which a request is given up.
-const UNOPENED_MOST: usize = 4;
+pub const UNOPENED_MOST: usize = 4;
 
 /// Serves one request of a caller.
 pub async fn serve(gateway: Arc<Gateway>, req: Request<Incoming>) -> Response<Body> {
@@ -172,8 +172,7 @@
         let placed = place(gateway, Search { req, service, tried: &tried, left });
         let placed = placed.map_err(|failure| honest(failure, attempts))?;
         tried.push(placed.key);
-        trail.sends += 1;
-        trail.backend = Some(Arc::clone(&placed.name));
+        trail.placed(&placed);
         attempts.begin();
         let silence = silence(req, &placed, trail.sends).min(left);
         let resume = req.call.resume_after;
@@ -194,7 +193,7 @@
         attempts.end(failed.ran);
         if matches!(failed.fault, SendFault::NotOpened(_)) {
             // Nothing reached a backend server, so nothing counts as sent.
-            trail.sends -= 1;
+            trail.unsent();
             unopened += 1;
             if unopened < UNOPENED_MOST {
                 continue;
--- a/crates/gateway/src/pipeline/settle.rs
+++ b/crates/gateway/src/pipeline/settle.rs
@@ -8,7 +8,7 @@
     clock,
     gateway::Gateway,
     meters,
-    pipeline::{Failure, identify::Identified},
+    pipeline::{Failure, identify::Identified, place::Place},
 };
 
 /// A `Trail` is what is told of a request once it has ended, whichever way it ends.
@@ -19,8 +19,7 @@
     first_at: Option<Stamp>,
     /// The sends so far.
     pub sends: u32,
-    /// The backend server that got it last.
-    pub backend: Option<Arc<str>>,
+    placed: Option<Place>,
     /// What it counts against its team's limit.
     pub counted: f64,
     /// The status that the caller got.
@@ -38,7 +37,7 @@
             started,
             first_at: None,
             sends: 0,
-            backend: None,
+            placed: None,
             counted: 0.0,
             status: 0,
             outcome: "abandoned",
@@ -51,6 +50,17 @@
         self.req = Some(req.clone());
     }
 
+    /// Notes where it is sent next.
+    pub fn placed(&mut self, place: &Place) {
+        self.sends += 1;
+        self.placed = Some(place.clone());
+    }
+
+    /// Notes that the last send did not leave this node.
+    pub fn unsent(&mut self) {
+        self.sends -= 1;
+    }
+
     /// Notes that a backend server began to work on it.
     pub fn began(&mut self) {
         if self.first_at.is_some() {
@@ -88,6 +98,8 @@
         let now = clock::now();
         let millis = |from: Stamp, to: Stamp| to.since(from).as_secs_f64() * 1_000.0;
         let req = self.req.as_ref();
+        let placed = self.placed.as_ref();
+        let expected = placed.and_then(|place| place.footprint.expected);
         meters::ended(
             req.map(|req| req.route.cfg.kind),
             self.outcome,
@@ -104,7 +116,12 @@
             status = self.status,
             counted = self.counted,
             sends = self.sends,
-            backend = self.backend.as_deref().unwrap_or(""),
+            backend = placed.map_or("", |place| &*place.name),
+            candidates = placed.map_or(0, |place| place.candidates),
+            wait_ms = placed.map(|place| place.wait.as_secs_f64() * 1_000.0),
+            expected_ms = expected.map(|expected| expected.as_secs_f64() * 1_000.0),
+            to_read = placed.map_or(0, |place| place.footprint.to_read),
+            copied_from = placed.and_then(|place| place.copy_from).map(tracing::field::display),
             first_ms = self.first_at.map(|at| millis(self.started, at)),
             took_ms = millis(self.started, now),
             after_ms = self.after.map(|after| after.as_secs_f64() * 1_000.0),
