Only engines that may be copied from count as keeping a part

Cause: the expected first token counted on copies from engines that fail too often to be named as a source; found in reading the change once more. Change: one predicate for both. A digest that can't be encoded is told apart from one that was not sent, as in the record of a node.

--- a/crates/gateway/src/knowledge/exchange.rs
+++ b/crates/gateway/src/knowledge/exchange.rs
@@ -111,9 +111,8 @@
         });
         endpoints.retain(|address, _| peers.iter().any(|(_, peer)| peer == address));
         // The same message goes to all: made anew for each, it would cost a node its number of peers.
-        let Ok(message) = rmp_serde::to_vec_named(&digest(&gateway)).map(Bytes::from) else {
-            continue;
-        };
+        let encoded = rmp_serde::to_vec_named(&digest(&gateway));
+        let message = encoded.map(Bytes::from).unwrap_or_else(|_| unreachable!("a plain message"));
         for (_, address) in peers {
             let endpoint = endpoints.entry(address).or_insert_with(|| Arc::new(endpoint(address)));
             tokio::spawn(ask(Arc::clone(&gateway), Arc::clone(endpoint), message.clone()));
--- a/crates/gateway/src/pipeline/place.rs
+++ b/crates/gateway/src/pipeline/place.rs
@@ -4,7 +4,7 @@
 
 use bulrushhall_core::{ServiceName, ZoneName};
 use bulrushhall_policy::{
-    copy_source::{SourceView, choose_source},
+    copy_source::{SourceView, choose_source, may_copy_from},
     engine_choice::{EngineChoice, EngineRequest, EngineView, PREFILL_PER_MS, choose_engine},
     patience::Patience,
     placement::WorkerKey,
@@ -113,7 +113,8 @@
             });
         }
         let keeping = state.backends.keeping(self.service);
-        let kept = keeping.map(|(_, backend)| backend.parts.cached(&prompt.parts)).max();
+        let sources = keeping.filter(|(_, backend)| may_copy_from(backend.doubt.failing()));
+        let kept = sources.map(|(_, backend)| backend.parts.cached(&prompt.parts)).max();
         let wanted = EngineRequest {
             parts: &prompt.parts,
             prompt: prompt.tokens,
--- a/crates/policy/src/copy_source.rs
+++ b/crates/policy/src/copy_source.rs
@@ -26,6 +26,11 @@
     pub failing: f64,
 }
 
+/// Returns whether an engine with a share of failures may be copied from.
+pub fn may_copy_from(failing: f64) -> bool {
+    failing < FAILING_MOST
+}
+
 /// Chooses the engine that keeps most, the nearest and idlest of these; none where the copy would not
 /// be worth it for an engine that keeps `cached` tokens itself.
 pub fn choose_source(
@@ -34,7 +39,7 @@
 ) -> Option<SourceView> {
     sources
         .into_iter()
-        .filter(|source| source.failing < FAILING_MOST)
+        .filter(|source| may_copy_from(source.failing))
         .filter(|source| COPIED_LEAST <= source.cached.saturating_sub(cached))
         .max_by_key(|source| (source.cached, source.near, Reverse(source.requests)))
 }
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -147,7 +147,7 @@
     }
 }
 
-// What another engine keeps is copied in a tenth of the time that reading takes.
+// What another engine keeps is copied in an eighth of the time that reading takes, or less.
 fn copied(req: EngineRequest<'_>, own: u32) -> u32 {
     let copied = req.kept.min(req.prompt).saturating_sub(own);
     if 0.0 < req.copied_per_ms && COPIED_LEAST <= copied { copied } else { 0 }
