Repeats are paid in one place, and sources of copies are found once a request

Found in reading the change once more. A stream that goes on paid for its repeat with a copy of the code that first sends pay with, without the line 222 of a refused repeat; it calls that now, and the line is written there too. The engines to copy from were looked through twice a request, with the load of all nodes at each engine; now once, and the load only at those that keep enough.

--- a/crates/gateway/src/pipeline/place.rs
+++ b/crates/gateway/src/pipeline/place.rs
@@ -4,7 +4,7 @@
 
 use bulrushhall_core::{ServiceName, ZoneName};
 use bulrushhall_policy::{
-    copy_source::{SourceView, choose_source, may_copy_from},
+    copy_source::{COPIED_LEAST, SourceView, choose_source, most_kept},
     engine_choice::{EngineChoice, EngineRequest, EngineView, PREFILL_PER_MS, choose_engine},
     patience::Patience,
     placement::WorkerKey,
@@ -112,14 +112,12 @@
                 avoided: backend.doubt.is_avoided(now),
             });
         }
-        let keeping = state.backends.keeping(self.service);
-        let sources = keeping.filter(|(_, backend)| may_copy_from(backend.doubt.failing()));
-        let kept = sources.map(|(_, backend)| backend.parts.cached(&prompt.parts)).max();
+        let sources = self.sources(state, sizes, prompt);
         let wanted = EngineRequest {
             parts: &prompt.parts,
             prompt: prompt.tokens,
             answer: prompt.answer(),
-            kept: kept.unwrap_or(0),
+            kept: most_kept(&sources),
             copied_per_ms: sizes.copied_per_ms,
         };
         let mut random = rand::rng();
@@ -130,8 +128,7 @@
             demand.note(now, work(chosen.to_read, prompt));
             self.patience().judge(chosen.wait, &mut random).map_err(Failure::Overloaded)?;
         }
-        let copies = 0.0 < sizes.copied_per_ms;
-        let copy_from = copies.then(|| self.source(state, chosen, prompt)).flatten();
+        let copy_from = copy_from(state, chosen, sources);
         let backend = state.backends.get_mut(chosen.key).ok_or(Failure::NoBackend)?;
         backend.parts.note(now, &prompt.parts, sizes.remembered());
         backend.recent.note(now, &prompt.parts);
@@ -145,24 +142,22 @@
         Ok(Chosen { key, wait, footprint, copy_from, candidates })
     }
 
-    fn source(&self, state: &State, chosen: EngineChoice, prompt: &Prompt) -> Option<SocketAddr> {
-        let now = clock::now();
-        let zone = &state.backends.get(chosen.key)?.record.zone;
+    // The engines that keep enough of the prompt to be copied from; none where engines can't copy.
+    fn sources(&self, state: &State, sizes: EngineSizes, prompt: &Prompt) -> Vec<SourceView> {
         let mut sources = Vec::new();
+        if sizes.copied_per_ms <= 0.0 {
+            return sources;
+        }
+        let now = clock::now();
         for (key, backend) in state.backends.keeping(self.service) {
-            if key == chosen.key {
+            let cached = backend.parts.cached(&prompt.parts);
+            if cached < COPIED_LEAST {
                 continue;
             }
-            sources.push(SourceView {
-                key,
-                cached: backend.parts.cached(&prompt.parts),
-                near: backend.record.zone == *zone,
-                requests: backend.requests(now),
-                failing: backend.doubt.failing(),
-            });
+            let (requests, failing) = (backend.requests(now), backend.doubt.failing());
+            sources.push(SourceView { key, cached, near: false, requests, failing });
         }
-        let source = choose_source(sources, chosen.cached)?;
-        Some(state.backends.get(source.key)?.record.address)
+        sources
     }
 
     fn plain(&self, state: &State, zone: &ZoneName) -> Result<Chosen, Failure> {
@@ -218,6 +213,22 @@
     }
 }
 
+// The address of the engine that the chosen one copies from.
+fn copy_from(
+    state: &State,
+    chosen: EngineChoice,
+    mut sources: Vec<SourceView>,
+) -> Option<SocketAddr> {
+    let zone = &state.backends.get(chosen.key)?.record.zone;
+    sources.retain(|source| source.key != chosen.key);
+    for source in &mut sources {
+        let backend = state.backends.get(source.key);
+        source.near = backend.is_some_and(|backend| backend.record.zone == *zone);
+    }
+    let source = choose_source(sources, chosen.cached)?;
+    Some(state.backends.get(source.key)?.record.address)
+}
+
 fn work(to_read: u32, prompt: &Prompt) -> Duration {
     let read = Duration::from_secs_f64(f64::from(to_read) / PREFILL_PER_MS / 1_000.0);
     read + PER_ANSWER_TOKEN * prompt.answer()
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -19,7 +19,7 @@
         attempt::{Answering, Original, SendFault, attempt, note_outcome},
         identify::Identified,
         place::{Search, place},
-        serve::{UNOPENED_MOST, hash_of},
+        serve::{UNOPENED_MOST, again, hash_of},
         settle::Trail,
     },
 };
@@ -200,13 +200,7 @@
         }
         let hash = hash_of(&self.req);
         let Some(service) = self.req.route.cfg.service(hash).cloned() else { return false };
-        let now = clock::now();
-        let limit = self.gateway.repeat_limit();
-        let paid = self.gateway.with(|state| {
-            let nodes = state.members.count();
-            state.repeats.entry(service.clone()).or_default().take(now, limit, nodes)
-        });
-        if !paid {
+        if !again(&self.gateway, &self.req, &service, &self.trail) {
             return false;
         }
         // What took one engine mostly took others with it, and some of these are not known to be gone
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -210,8 +210,8 @@
     }
 }
 
-// Whether the request may be sent once more; pays for it.
-fn again(gateway: &Gateway, req: &Identified, service: &ServiceName, trail: &Trail) -> bool {
+/// Returns whether a request may be sent once more, and pays for it.
+pub fn again(gateway: &Gateway, req: &Identified, service: &ServiceName, trail: &Trail) -> bool {
     if req.route.cfg.attempts <= trail.sends {
         return false;
     }
--- a/crates/policy/src/copy_source.rs
+++ b/crates/policy/src/copy_source.rs
@@ -26,9 +26,16 @@
     pub failing: f64,
 }
 
-/// Returns whether an engine with a share of failures may be copied from.
-pub fn may_copy_from(failing: f64) -> bool {
-    failing < FAILING_MOST
+impl SourceView {
+    fn is_trusted(&self) -> bool {
+        self.failing < FAILING_MOST
+    }
+}
+
+/// Returns the most leading tokens of the prompt that an engine keeps which may be copied from.
+pub fn most_kept(sources: &[SourceView]) -> u32 {
+    let trusted = sources.iter().filter(|source| source.is_trusted());
+    trusted.map(|source| source.cached).max().unwrap_or(0)
 }
 
 /// Chooses the engine that keeps most, the nearest and idlest of these; none where the copy would not
@@ -39,7 +46,7 @@
 ) -> Option<SourceView> {
     sources
         .into_iter()
-        .filter(|source| may_copy_from(source.failing))
+        .filter(SourceView::is_trusted)
         .filter(|source| COPIED_LEAST <= source.cached.saturating_sub(cached))
         .max_by_key(|source| (source.cached, source.near, Reverse(source.requests)))
 }
