Decisions rest on the speed of engines that is seen

Cause: demand, waits and refusals were worked out with the speeds of the first users' engines. The new customer's read twice as fast: 40 engines stood where 8 to 14 were needed. On slower ones credit was lost. The planner staffs by the square root, keeps the highest demand of four starts in reclaimable engines and of one in on-demand ones, gives nothing cheap back while none are sold, does not count orders beside leaving engines as coming, and follows the demand on all nodes, so that a new holder does not put a reserve upon the reserve.

--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -1,34 +1,64 @@
-//! How many engines the requests of a node keep busy.
+//! How much work the requests of a node are for the engines.
 
 use std::time::Duration;
 
 use bulrushhall_core::Stamp;
+use bulrushhall_policy::observed::EnginePace;
+use serde::{Deserialize, Serialize};
 
 /// The time over which the demand is averaged: longer than a burst of a few requests, shorter than
 /// an engine takes to start.
 const AVERAGED_OVER: Duration = Duration::from_secs(3);
 /// The shortest time between two takings of the average.
 const TAKEN_EACH: Duration = Duration::from_millis(200);
+/// The part of an engine's batch that is planned to be filled: half, so that a reclaim of a zone or a
+/// burst finds places.
+const BATCH_SHARE: f64 = 0.5;
 
-/// A `Demand` is the work sent to the engines of a service, in engines that it keeps busy.
+/// An `Offered` is the work that engines of a service are sent in a second.
+///
+/// Nodes tell each other tokens and not times: how long these take each works out by what is known
+/// of the engines at that moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Offered {
+    /// The prompt tokens to read.
+    pub read: f64,
+    /// The expected tokens of answers.
+    pub answer: f64,
+}
+
+impl Offered {
+    /// Returns both together.
+    pub fn plus(self, other: Offered) -> Offered {
+        Offered { read: self.read + other.read, answer: self.answer + other.answer }
+    }
+
+    /// Returns the engines that are kept busy all the time with it.
+    pub fn busy(self, pace: &EnginePace, slots: u32) -> f64 {
+        let batch = (f64::from(slots) * BATCH_SHARE).max(1.0);
+        (pace.read_ms(self.read) + pace.answer_work_ms(self.answer, batch)) / 1_000.0
+    }
+}
+
+/// A `Demand` is the work that a node sends to the engines of a service.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Demand {
-    busy: f64,
-    sent: f64,
+    rate: Offered,
+    sent: Offered,
     taken_at: Stamp,
 }
 
 impl Demand {
-    /// Notes a request that keeps an engine busy for `work`.
-    pub fn note(&mut self, now: Stamp, work: Duration) {
+    /// Notes a request.
+    pub fn note(&mut self, now: Stamp, work: Offered) {
         self.take(now);
-        self.sent += work.as_secs_f64();
+        self.sent = self.sent.plus(work);
     }
 
-    /// Returns the engines that are kept busy.
-    pub fn busy(&mut self, now: Stamp) -> f64 {
+    /// Returns the work that is sent in a second.
+    pub fn rate(&mut self, now: Stamp) -> Offered {
         self.take(now);
-        self.busy
+        self.rate
     }
 
     fn take(&mut self, now: Stamp) {
@@ -37,9 +67,10 @@
             return;
         }
         let weight = 1.0 - (-passed.as_secs_f64() / AVERAGED_OVER.as_secs_f64()).exp();
-        let rate = self.sent / passed.as_secs_f64();
-        self.busy += (rate - self.busy) * weight;
-        self.sent = 0.0;
+        let moved = |rate: f64, sent: f64| rate + (sent / passed.as_secs_f64() - rate) * weight;
+        self.rate.read = moved(self.rate.read, self.sent.read);
+        self.rate.answer = moved(self.rate.answer, self.sent.answer);
+        self.sent = Offered::default();
         self.taken_at = now;
     }
 }
--- a/crates/gateway/src/duties/fleet.rs
+++ b/crates/gateway/src/duties/fleet.rs
@@ -11,11 +11,16 @@
 
 use crate::{
     clock,
+    demand::Offered,
     duties::{Holder, holder::ORDER_TIMEOUT, within},
     gateway::{Gateway, State},
-    table::RouteTable,
+    table::{EngineSizes, RouteTable},
 };
 
+/// The part of an engine's memory that running requests may take in the plan; the rest keeps what
+/// prompts share.
+const MEMORY_SHARE: f64 = 0.7;
+
 /// A `FleetDuty` orders as many backend servers as the demand asks for.
 #[derive(Debug, Default)]
 pub struct FleetDuty {
@@ -31,6 +36,7 @@
             let Some(authority) = holder.authority() else { return };
             match within(ORDER_TIMEOUT, orders.order(&authority, &service, &order)).await {
                 Ok(()) => {
+                    let pace = gateway.with(|state| state.observed(&service).engines.pace());
                     tracing::info!(
                         event = Event::CountOrdered.number(),
                         service = service.as_str(),
@@ -38,7 +44,12 @@
                         market = ?order.market,
                         count = order.count,
                         planned_for = self.planned_for(&service),
-                        busy = gateway.with(|state| busy(state, &service))
+                        busy = self.busy(gateway, &table, &service),
+                        read_per_ms = pace.read_per_ms(),
+                        event_ms = pace.gap.base,
+                        event_ms_more = pace.gap.slope,
+                        event_tokens = pace.event_tokens,
+                        samples = pace.samples
                     );
                 }
                 Err(error) => self.refused(&service, &order, &error),
@@ -46,13 +57,31 @@
         }
     }
 
+    /// Notes the demand while another node holds the duty.
+    pub fn observe(&mut self, gateway: &Gateway) {
+        let Some(table) = gateway.table.load_full() else { return };
+        let now = clock::now();
+        for (service, entry) in &table.services {
+            let Some(limits) = &entry.counts else { continue };
+            let busy = self.busy(gateway, &table, service);
+            let seen = gateway.with(|state| seen(state, service));
+            self.planner(gateway, service).observe(now, limits, busy, &seen);
+        }
+    }
+
+    fn planner(&mut self, gateway: &Gateway, service: &ServiceName) -> &mut CountPlanner {
+        let staffing = || CountPlanner::new(gateway.settings.fleet.staffing());
+        self.planners.entry(service.clone()).or_insert_with(staffing)
+    }
+
     fn due(&mut self, gateway: &Gateway, table: &RouteTable) -> Vec<(ServiceName, CountOrder)> {
         let now = clock::now();
         let mut due = Vec::new();
         for (service, entry) in &table.services {
             let Some(limits) = &entry.counts else { continue };
-            let (busy, seen) = gateway.with(|state| (busy(state, service), seen(state, service)));
-            let planner = self.planners.entry(service.clone()).or_default();
+            let busy = self.busy(gateway, table, service);
+            let seen = gateway.with(|state| seen(state, service));
+            let planner = self.planner(gateway, service);
             for order in planner.plan(now, limits, busy, &seen) {
                 due.push((service.clone(), order));
             }
@@ -60,6 +89,11 @@
         due
     }
 
+    fn busy(&self, gateway: &Gateway, table: &RouteTable, service: &ServiceName) -> f64 {
+        let sizes = table.services.get(service).and_then(|entry| entry.engine);
+        sizes.map_or(0.0, |sizes| gateway.with(|state| busy(state, service, sizes)))
+    }
+
     fn planned_for(&self, service: &ServiceName) -> f64 {
         self.planners.get(service).map_or(0.0, CountPlanner::planned_for)
     }
@@ -80,21 +114,33 @@
     }
 }
 
-fn busy(state: &mut State, service: &ServiceName) -> f64 {
+// The engines that the demand of all nodes keeps busy: with their time, or with their memory where that
+// is what fills up first.
+fn busy(state: &mut State, service: &ServiceName, sizes: EngineSizes) -> f64 {
     let now = clock::now();
-    let own = state.demand.get_mut(service).map_or(0.0, |demand| demand.busy(now));
-    let told = state.members.iter().filter_map(|(_, member)| member.busy.get(service.as_str()));
-    own + told.sum::<f64>()
+    let mut offered =
+        state.demand.get_mut(service).map_or(Offered::default(), |demand| demand.rate(now));
+    for (_, member) in state.members.iter() {
+        let told = member.offered.get(service);
+        offered = offered.plus(told.copied().unwrap_or_default());
+    }
+    let held: u64 = state.backends.open(service).map(|(_, backend)| backend.held(now)).sum();
+    let memory = held as f64 / (sizes.memory.max(1) as f64 * MEMORY_SHARE);
+    offered.busy(&state.observed(service).engines.pace(), sizes.slots).max(memory)
 }
 
 fn seen(state: &State, service: &ServiceName) -> BTreeMap<ZoneName, Seen> {
     let mut seen: BTreeMap<ZoneName, Seen> = BTreeMap::new();
-    for (_, backend) in state.backends.open(service) {
+    for (_, backend) in state.backends.iter() {
+        if backend.record.service != *service {
+            continue;
+        }
         let of_zone = seen.entry(backend.record.zone.clone()).or_default();
-        if backend.record.reclaimable {
-            of_zone.reclaimable += 1;
-        } else {
-            of_zone.on_demand += 1;
+        match (backend.record.reclaimable, backend.is_open()) {
+            (true, true) => of_zone.reclaimable += 1,
+            (true, false) => of_zone.leaving += 1,
+            (false, true) => of_zone.on_demand += 1,
+            (false, false) => {}
         }
     }
     seen
--- a/crates/gateway/src/duties/mod.rs
+++ b/crates/gateway/src/duties/mod.rs
@@ -26,7 +26,7 @@
         sleep(EACH).await;
         if holder.authority().is_none() {
             usage = UsageDuty::default();
-            fleet = FleetDuty::default();
+            fleet.observe(&gateway);
             continue;
         }
         usage.act(&gateway, &holder).await;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,6 +23,7 @@
     clock,
     demand::Demand,
     knowledge::Members,
+    observed::Observed,
     settings::Settings,
     table::RouteTable,
 };
@@ -79,9 +80,16 @@
     pub usage: UsageCounts,
     /// The work that engines of each service were sent.
     pub demand: HashMap<ServiceName, Demand>,
+    /// What was learnt of the backend servers of each service.
+    pub observed: HashMap<ServiceName, Observed>,
 }
 
 impl State {
+    /// Returns what was learnt of the backend servers of a service.
+    pub fn observed(&mut self, service: &ServiceName) -> &mut Observed {
+        self.observed.entry(service.clone()).or_default()
+    }
+
     /// Returns the bucket of a team.
     pub fn quota(&mut self, team: &TeamName) -> &mut Quota {
         let restarted_at = self.restarted_at;
--- a/crates/gateway/src/knowledge/digest.rs
+++ b/crates/gateway/src/knowledge/digest.rs
@@ -2,11 +2,11 @@
 
 use bulrushhall_coord::{TeamCounts, Window};
 use bulrushhall_core::{Incarnation, NodeName, Revision, ServiceName, TeamName};
-use bulrushhall_policy::parts::PromptPart;
+use bulrushhall_policy::{observed::EnginePace, parts::PromptPart};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::backends::Load;
+use crate::{backends::Load, demand::Offered};
 
 /// A `BackendLoad` is what a node has running at one backend server.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -44,8 +44,10 @@
     pub loads: Vec<BackendLoad>,
     /// The requests begun there in each window.
     pub usage: Vec<(Window, TeamCounts)>,
-    /// The engines of each service that its requests keep busy.
-    pub busy: Vec<(ServiceName, f64)>,
+    /// The work that it sends to the engines of each service.
+    pub offered: Vec<(ServiceName, Offered)>,
+    /// What it has learnt of the engines of each service.
+    pub paces: Vec<(ServiceName, EnginePace)>,
 }
 
 /// A `Document` is a configuration as it was read, for a node that is behind.
--- a/crates/gateway/src/knowledge/exchange.rs
+++ b/crates/gateway/src/knowledge/exchange.rs
@@ -1,11 +1,6 @@
 //! The exchange of digests between nodes, and the port that takes them.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use bulrushhall_core::{NodeName, Stamp};
 use bulrushhall_external::{
@@ -186,10 +181,15 @@
             quotas: state.quotas.iter().map(|(team, quota)| (team.clone(), quota.own())).collect(),
             loads,
             usage: state.usage.of(gateway.incarnation),
-            busy: state
+            offered: state
                 .demand
                 .iter_mut()
-                .map(|(service, demand)| (service.clone(), demand.busy(now)))
+                .map(|(service, demand)| (service.clone(), demand.rate(now)))
+                .collect(),
+            paces: state
+                .observed
+                .iter()
+                .filter_map(|(service, observed)| Some((service.clone(), observed.engines.own()?)))
                 .collect(),
         }
     })
@@ -209,10 +209,7 @@
         member.heard_at = Some(now);
         member.ready = told.ready;
         member.day_ahead = Some(told.day_ms as i64 - as_millis(gateway.own_day()) as i64);
-        member.busy = BTreeMap::new();
-        for (service, busy) in told.busy {
-            member.busy.insert(service.as_str().to_owned(), busy);
-        }
+        member.offered = told.offered.into_iter().collect();
         let address = member.record.peers;
         // Only who has the same configuration tells something about the age of this node's, and
         // only in an answer: a message may have been under way for long.
@@ -225,6 +222,9 @@
         if steady.is_some_and(|steady| STEADY_FOR <= steady) {
             state.backends.drop_missing();
         }
+        for (service, pace) in told.paces {
+            state.observed(&service).engines.hear(pace);
+        }
         for (team, total) in told.quotas {
             state.quota(&team).hear(now, told.incarnation, total);
         }
--- a/crates/gateway/src/knowledge/members.rs
+++ b/crates/gateway/src/knowledge/members.rs
@@ -6,9 +6,11 @@
     time::Duration,
 };
 
-use bulrushhall_core::{Event, Incarnation, NodeName, Stamp, ZoneName};
+use bulrushhall_core::{Event, Incarnation, NodeName, ServiceName, Stamp, ZoneName};
 use serde::{Deserialize, Serialize};
 
+use crate::demand::Offered;
+
 /// How long a node that is not heard still counts as there: four exchanges of 250 ms and a little.
 const HEARD_FOR: Duration = Duration::from_millis(1_200);
 /// How long a node without a record in the key-value service is kept while it is still heard.
@@ -40,8 +42,8 @@
     pub ready: bool,
     /// By how much its time of day is ahead, in milliseconds.
     pub day_ahead: Option<i64>,
-    /// The engines that its requests keep busy, by service.
-    pub busy: BTreeMap<String, f64>,
+    /// The work that it sends to the engines of each service.
+    pub offered: BTreeMap<ServiceName, Offered>,
 }
 
 /// `Members` are the other nodes.
@@ -74,9 +76,14 @@
             address = %record.peers,
             incarnation = record.incarnation.0
         );
-        let busy = BTreeMap::new();
-        let member =
-            Member { record, listed: true, heard_at: None, ready: false, day_ahead: None, busy };
+        let member = Member {
+            record,
+            listed: true,
+            heard_at: None,
+            ready: false,
+            day_ahead: None,
+            offered: BTreeMap::new(),
+        };
         self.nodes.insert(name, member);
     }
 
--- a/crates/gateway/src/pipeline/events.rs
+++ b/crates/gateway/src/pipeline/events.rs
@@ -12,6 +12,8 @@
     pub bytes: Bytes,
     /// The number of the last of them that has one.
     pub last: Option<u64>,
+    /// How many they are.
+    pub events: u32,
 }
 
 /// An `EventSplitter` holds back the part of a stream whose event has not ended.
@@ -35,16 +37,16 @@
     /// Adds bytes of the stream; returns the whole events that are there now, if there are any.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Split> {
         self.pending.extend_from_slice(bytes);
-        let end = self.end()?;
+        let (end, events) = self.end()?;
         let whole = self.pending.split_to(end).freeze();
         self.searched = 0;
         let last = last_number(&whole);
-        let Some(skip_to) = self.skip_to else { return Some(Split { bytes: whole, last }) };
+        let Some(skip_to) = self.skip_to else { return Some(Split { bytes: whole, last, events }) };
         let kept = skip(&whole, skip_to);
         if !kept.is_empty() {
             self.skip_to = None;
         }
-        (!kept.is_empty()).then_some(Split { bytes: kept, last })
+        (!kept.is_empty()).then_some(Split { bytes: kept, last, events })
     }
 
     /// Returns whether an event has begun and not ended.
@@ -57,20 +59,24 @@
         EVENT_MOST < self.pending.len()
     }
 
-    // Returns the end of the last whole event: after its empty line.
-    fn end(&mut self) -> Option<usize> {
+    // Returns the end of the last whole event, after its empty line, and how many there are.
+    fn end(&mut self) -> Option<(usize, u32)> {
         let from = self.searched.saturating_sub(3);
         self.searched = self.pending.len();
-        let mut end = None;
+        let (mut end, mut events) = (None, 0);
         for at in from..self.pending.len() {
             let rest = &self.pending[at..];
-            if rest.starts_with(b"\n\n") {
-                end = Some(at + 2);
+            let empty_line = if rest.starts_with(b"\n\n") {
+                2
             } else if rest.starts_with(b"\n\r\n") {
-                end = Some(at + 3);
-            }
+                3
+            } else {
+                continue;
+            };
+            end = Some(at + empty_line);
+            events += 1;
         }
-        end
+        end.map(|end| (end, events))
     }
 }
 
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -9,7 +9,9 @@
 mod relay;
 mod serve;
 mod settle;
+mod stream_gaps;
 
 pub use events::{EventSplitter, Split};
 pub use failure::Failure;
 pub use serve::serve;
+pub use stream_gaps::StreamGaps;
--- a/crates/gateway/src/pipeline/occupancy.rs
+++ b/crates/gateway/src/pipeline/occupancy.rs
@@ -2,7 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bulrushhall_policy::placement::WorkerKey;
+use bulrushhall_core::Stamp;
+use bulrushhall_policy::{
+    observed::{FirstTokenSample, StreamSample},
+    placement::WorkerKey,
+};
 
 use crate::{clock, gateway::Gateway};
 
@@ -17,6 +21,8 @@
     pub held: u32,
     /// The time until its first token that was expected, at an engine.
     pub expected: Option<Duration>,
+    /// Whether nothing was there before it, and it is known what has to be read.
+    pub unqueued: bool,
 }
 
 /// An `Occupancy` counts a request at a backend server until it is dropped, whichever way the
@@ -26,7 +32,7 @@
     key: WorkerKey,
     footprint: Footprint,
     began: bool,
-    since: bulrushhall_core::Stamp,
+    since: Stamp,
 }
 
 impl Occupancy {
@@ -49,15 +55,40 @@
         }
         self.began = true;
         let took = clock::now().since(self.since);
-        let Footprint { rank, to_read, expected, .. } = self.footprint;
+        let Footprint { rank, to_read, expected, unqueued, .. } = self.footprint;
         self.gateway.with(|state| {
             let Some(backend) = state.backends.get_mut(self.key) else { return };
             backend.own.waiting[usize::from(rank)] -= to_read;
-            if let Some(expected) = expected {
-                backend.note_first_token(expected, took);
+            let Some(expected) = expected else { return };
+            backend.note_first_token(expected, took);
+            if unqueued {
+                let service = backend.record.service.clone();
+                let sample = FirstTokenSample { to_read, took };
+                state.observed(&service).engines.note_first_token(sample);
             }
         });
     }
+
+    /// Notes that a stream ended well, whose events came `gap` apart.
+    pub fn note_stream(&self, gap: Duration, events: u32, expected_tokens: u32) {
+        let now = clock::now();
+        self.gateway.with(|state| {
+            let Some(backend) = state.backends.get(self.key) else { return };
+            let (running, service) = (backend.requests(now), backend.record.service.clone());
+            let sample = StreamSample { running, gap, events, expected_tokens };
+            state.observed(&service).engines.note_stream(sample);
+        });
+    }
+
+    /// Notes that a plain service has answered.
+    pub fn note_call(&self) {
+        let took = clock::now().since(self.since);
+        self.gateway.with(|state| {
+            let Some(backend) = state.backends.get(self.key) else { return };
+            let service = backend.record.service.clone();
+            state.observed(&service).calls.note(took);
+        });
+    }
 }
 
 impl Drop for Occupancy {
--- a/crates/gateway/src/pipeline/place.rs
+++ b/crates/gateway/src/pipeline/place.rs
@@ -5,7 +5,7 @@
 use bulrushhall_core::{ServiceName, ZoneName};
 use bulrushhall_policy::{
     copy_source::{COPIED_LEAST, SourceView, choose_source, most_kept},
-    engine_choice::{EngineChoice, EngineRequest, EngineView, PREFILL_PER_MS, choose_engine},
+    engine_choice::{EngineChoice, EngineRequest, EngineView, choose_engine},
     patience::Patience,
     placement::WorkerKey,
     plain_choice::{PlainView, choose_plain},
@@ -15,6 +15,7 @@
     backends::{Backend, Pool},
     border::Prompt,
     clock,
+    demand::Offered,
     gateway::{Gateway, State},
     pipeline::{Failure, identify::Identified, occupancy::Footprint},
     table::{EngineSizes, ServiceEntry},
@@ -23,8 +24,6 @@
 /// The one-way latency to another availability zone, for comparing servers: what the early users
 /// have between theirs.
 const OTHER_ZONE: Duration = Duration::from_millis(1);
-/// The time of an engine for one token of an answer, in a batch of the usual size.
-const PER_ANSWER_TOKEN: Duration = Duration::from_micros(400);
 
 /// A `Place` is a chosen backend server.
 #[derive(Clone)]
@@ -43,6 +42,8 @@
     pub copy_from: Option<SocketAddr>,
     /// The expected wait behind others.
     pub wait: Duration,
+    /// The time that almost all calls take there, at a plain service.
+    pub long_call: Duration,
     /// The backend servers that it was chosen from.
     pub candidates: usize,
 }
@@ -119,13 +120,15 @@
             answer: prompt.answer(),
             kept: most_kept(&sources),
             copied_per_ms: sizes.copied_per_ms,
+            pace: state.observed(self.service).engines.pace(),
         };
         let mut random = rand::rng();
         let chosen = choose_engine(wanted, &views, &mut random).ok_or(Failure::NoBackend)?;
         if self.tried.is_empty() {
             // What is refused is demand too: without it the fleet would never grow.
             let demand = state.demand.entry(self.service.clone()).or_default();
-            demand.note(now, work(chosen.to_read, prompt));
+            let (read, answer) = (f64::from(chosen.to_read), f64::from(prompt.answer()));
+            demand.note(now, Offered { read, answer });
             self.patience().judge(chosen.wait, &mut random).map_err(Failure::Overloaded)?;
         }
         let copy_from = copy_from(state, chosen, sources);
@@ -137,6 +140,8 @@
             to_read: chosen.to_read,
             held: prompt.tokens + prompt.answer(),
             expected: Some(chosen.first_token),
+            // Of a prompt that is copied or guessed to be cached, what is read is not known.
+            unqueued: chosen.wait.is_zero() && chosen.to_read + chosen.cached == prompt.tokens,
         };
         let (key, wait, candidates) = (chosen.key, chosen.wait, views.len());
         Ok(Chosen { key, wait, footprint, copy_from, candidates })
@@ -160,7 +165,7 @@
         sources
     }
 
-    fn plain(&self, state: &State, zone: &ZoneName) -> Result<Chosen, Failure> {
+    fn plain(&self, state: &mut State, zone: &ZoneName) -> Result<Chosen, Failure> {
         let now = clock::now();
         let mut views = Vec::new();
         for (key, backend) in self.untried(state) {
@@ -174,7 +179,8 @@
             });
         }
         let mut random = rand::rng();
-        let (key, wait) = choose_plain(&views, &mut random).ok_or(Failure::NoBackend)?;
+        let call = state.observed(self.service).calls.median();
+        let (key, wait) = choose_plain(&views, call, &mut random).ok_or(Failure::NoBackend)?;
         self.patience().judge(wait, &mut random).map_err(Failure::Overloaded)?;
         let footprint = Footprint { rank: self.req.rank(), ..Footprint::default() };
         Ok(Chosen { key, wait, footprint, copy_from: None, candidates: views.len() })
@@ -182,10 +188,11 @@
 
     fn placed(
         &self,
-        state: &State,
+        state: &mut State,
         entry: &ServiceEntry,
         chosen: Chosen,
     ) -> Result<Place, Failure> {
+        let long_call = state.observed(self.service).calls.long();
         let backend = state.backends.get(chosen.key).ok_or(Failure::NoBackend)?;
         Ok(Place {
             key: chosen.key,
@@ -195,6 +202,7 @@
             footprint: chosen.footprint,
             copy_from: chosen.copy_from,
             wait: chosen.wait,
+            long_call,
             candidates: chosen.candidates,
         })
     }
@@ -229,11 +237,6 @@
     Some(state.backends.get(source.key)?.record.address)
 }
 
-fn work(to_read: u32, prompt: &Prompt) -> Duration {
-    let read = Duration::from_secs_f64(f64::from(to_read) / PREFILL_PER_MS / 1_000.0);
-    read + PER_ANSWER_TOKEN * prompt.answer()
-}
-
 fn distance(own: &ZoneName, backend: &Backend) -> Duration {
     if backend.record.zone == *own { Duration::ZERO } else { OTHER_ZONE }
 }
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -15,7 +15,7 @@
     clock,
     gateway::Gateway,
     pipeline::{
-        EventSplitter,
+        EventSplitter, StreamGaps,
         attempt::{Answering, Original, SendFault, attempt, note_outcome},
         identify::Identified,
         place::{Search, place},
@@ -46,6 +46,7 @@
     /// What is told at the end.
     pub trail: Trail,
     splitter: EventSplitter,
+    gaps: StreamGaps,
     last: Option<u64>,
     ended: bool,
 }
@@ -96,6 +97,7 @@
             tried,
             trail,
             splitter: EventSplitter::default(),
+            gaps: StreamGaps::default(),
             last,
             ended: false,
         }
@@ -166,6 +168,7 @@
         }
         let Some(split) = split else { return Step::Nothing };
         self.last = split.last.or(self.last);
+        self.gaps.note(clock::now(), split.events);
         Step::Frame(split.bytes)
     }
 
@@ -247,6 +250,7 @@
     fn finish(&mut self) {
         self.ended = true;
         self.trail.answered();
+        self.note_gaps();
         let Some(answering) = self.answering.take() else { return };
         let Answering { head, connection, place, .. } = answering;
         if !head.closing {
@@ -254,6 +258,14 @@
         }
     }
 
+    // A stream that went on elsewhere was written by two engines and tells of neither.
+    fn note_gaps(&self) {
+        let (Some(answering), 1) = (&self.answering, self.trail.sends) else { return };
+        let Some(prompt) = &self.req.call.prompt else { return };
+        let Some((gap, events)) = self.gaps.measured() else { return };
+        answering.occupancy.note_stream(gap, events, prompt.answer());
+    }
+
     fn cut(&mut self, fault: RelayFault) -> Option<Result<Bytes, BodyFault>> {
         self.ended = true;
         self.answering = None;
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -30,8 +30,13 @@
 
 /// How much sooner than the caller's deadline an answer is due: the way to the caller.
 const WAY_TO_CALLER: Duration = Duration::from_millis(20);
-/// After how much silence an idempotent call is sent again: over ten times what plain services take.
-const PLAIN_SILENCE: Duration = Duration::from_millis(250);
+/// After how many times what almost all calls of a service take an idempotent call is sent again: a
+/// call that is merely slow is not worth a second one.
+const SILENT_TIMES: u32 = 2;
+/// The shortest such silence: a node may stand still that long without anything being wrong.
+const SILENCE_LEAST: Duration = Duration::from_millis(100);
+/// The longest, as a part of the time that is left: the second send needs its time too.
+const SILENCE_SHARE: u32 = 3;
 /// The shortest silence of an engine after which a stream that may be resumed is sent elsewhere, on
 /// top of what its first token was expected to take.
 const ENGINE_SILENCE: Duration = Duration::from_millis(1_500);
@@ -174,7 +179,7 @@
         tried.push(placed.key);
         trail.placed(&placed);
         attempts.begin();
-        let silence = silence(req, &placed, trail.sends).min(left);
+        let silence = silence(req, &placed, trail.sends, left).min(left);
         let resume = req.call.resume_after;
         let sent = attempt(gateway, req, original, &placed, resume, silence).await;
         let failed = match sent {
@@ -237,10 +242,13 @@
     if attempts.ran() == Ran::No { failure } else { Failure::Lost }
 }
 
-fn silence(req: &Identified, placed: &Place, sends: u32) -> Duration {
+fn silence(req: &Identified, placed: &Place, sends: u32, left: Duration) -> Duration {
     let last = req.route.cfg.attempts <= sends;
     match req.route.cfg.kind {
-        RouteKind::Idempotent if !last => PLAIN_SILENCE,
+        RouteKind::Idempotent if !last => {
+            let most = (left / SILENCE_SHARE).max(SILENCE_LEAST);
+            (placed.long_call * SILENT_TIMES + placed.wait).clamp(SILENCE_LEAST, most)
+        }
         RouteKind::ResumableStream if !last => {
             ENGINE_SILENCE + placed.footprint.expected.unwrap_or_default()
         }
@@ -263,6 +271,9 @@
         answering.occupancy.note_began();
         trail.began();
     }
+    if status.is_success() && req.call.prompt.is_none() {
+        answering.occupancy.note_call();
+    }
     let relay = Relay::new(Arc::clone(gateway), req, original, answering, tried, trail);
     let mut answer = Response::new(relay.into_body());
     *answer.status_mut() = status;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -10,10 +10,12 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DisplayFromStr, serde_as};
 
+use crate::fleet_settings::FleetSettings;
+
 /// The kinds of sections that a settings file may have.
 ///
 /// What is logged is read by the process that writes it.
-pub const SECTION_KINDS: [&str; 5] = ["gateway", "ports", "endpoints", "bounds", "log"];
+pub const SECTION_KINDS: [&str; 6] = ["gateway", "ports", "endpoints", "bounds", "fleet", "log"];
 
 /// The `Settings` of a node.
 #[derive(Clone, Debug, Default)]
@@ -26,6 +28,8 @@
     pub endpoints: EndpointSettings,
     /// Within which times and shares it keeps its promises.
     pub bounds: BoundSettings,
+    /// How many engines it orders for a demand.
+    pub fleet: FleetSettings,
 }
 
 /// `GatewaySettings` tell who the node is.
@@ -123,7 +127,9 @@
             ports: read_only(file, &sections, "ports", &mut problems),
             endpoints: read_only(file, &sections, "endpoints", &mut problems),
             bounds: read_only(file, &sections, "bounds", &mut problems),
+            fleet: read_only(file, &sections, "fleet", &mut problems),
         };
+        problems.extend(settings.fleet.problems(file, &sections));
         if problems.is_empty() {
             return Ok(settings);
         }
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -6,13 +6,11 @@
 
 use crate::{
     copy_source::COPIED_LEAST,
+    observed::EnginePace,
     parts::PromptPart,
     placement::{WorkerKey, rendezvous_score},
 };
 
-/// The prompt tokens that an engine reads in a millisecond before any were measured: what the two
-/// early users' engines read, 54.6 and 63.9, rounded down.
-pub const PREFILL_PER_MS: f64 = 50.0;
 /// The part of a prompt that the engines at home for it are believed to have cached without an own
 /// record: other nodes send the same prompts there.
 const HOME_SHARE: f64 = 0.6;
@@ -22,9 +20,12 @@
 const MEMORY_SHARE: f64 = 0.85;
 /// The spread, in milliseconds, of a random addend that keeps nodes from choosing alike.
 const JITTER_MS: f64 = 3.0;
-/// What a running request adds to the time of a step, in milliseconds of the first token: a fuller
-/// batch is slower for all in it.
-const CROWDING_MS: f64 = 1.5;
+/// How many of the slower events count that a running request means for a first token: a fuller batch
+/// is slower for all in it, and its requests read prompts too.
+const CROWDED_EVENTS: f64 = 3.0;
+/// The part that the slower events of the answer count against its first token: a long answer spends
+/// more of its time in the batch than before.
+const CROWDED_ANSWER: f64 = 0.08;
 /// What a share of failures of 1 adds, in milliseconds: about one lost attempt.
 const FAILING_MS: f64 = 1_500.0;
 /// The time until a copy from another engine's memory begins, in milliseconds: what the early users'
@@ -79,6 +80,8 @@
     pub kept: u32,
     /// The tokens that an engine copies from another one's memory in a millisecond; 0 where it can't.
     pub copied_per_ms: f64,
+    /// How fast the engines are.
+    pub pace: EnginePace,
 }
 
 /// An `EngineChoice` is a chosen engine with what is expected of it.
@@ -131,12 +134,13 @@
     // Beyond its memory an engine puts the newest requests aside and reads them again.
     let over = (engine.held_tokens + needed).saturating_sub(room).min(needed + room);
     let full = engine.requests.saturating_sub(engine.slots);
-    let per_place = f64::from(req.answer) / f64::from(engine.slots.max(1)) * PREFILL_PER_MS;
-    let before = engine.waiting_tokens as f64 + over as f64 + f64::from(full) * per_place;
-    let wait = before / PREFILL_PER_MS * engine.slowness;
+    // Beyond its batch one place comes free for each answer that ends.
+    let places = req.pace.answer_work_ms(f64::from(req.answer), f64::from(engine.slots));
+    let reading = req.pace.read_ms(engine.waiting_tokens as f64 + over as f64);
+    let wait = (reading + f64::from(full) * places) * engine.slowness;
     let copying =
         if 0 < copied { COPY_SETUP_MS + f64::from(copied) / req.copied_per_ms } else { 0.0 };
-    let read = f64::from(to_read) / PREFILL_PER_MS * engine.slowness;
+    let read = req.pace.first.at(f64::from(to_read)) * engine.slowness;
     EngineChoice {
         key: engine.key,
         to_read,
@@ -156,11 +160,12 @@
 fn score(req: EngineRequest<'_>, engine: &EngineView, expected: &EngineChoice) -> f64 {
     let first = expected.first_token.as_secs_f64() * 1_000.0;
     let filled = f64::from(engine.requests) / f64::from(engine.slots.max(1));
-    let delay = f64::from(expected.to_read) / PREFILL_PER_MS * filled * DELAY_WEIGHT;
-    // A long answer spends more of its time in the batch than before its first token.
-    let crowding = f64::from(engine.requests) * CROWDING_MS * (1.0 + f64::from(req.answer) / 200.0);
+    let delay = req.pace.read_ms(f64::from(expected.to_read)) * filled * DELAY_WEIGHT;
+    let slower = req.pace.gap.slope * CROWDED_EVENTS;
+    let slower = slower + req.pace.crowding_ms(f64::from(req.answer)) * CROWDED_ANSWER;
+    let crowding = f64::from(engine.requests) * slower;
     let way = engine.distance.as_secs_f64() * 2_000.0;
-    let moved = f64::from(expected.copied) / PREFILL_PER_MS * COPY_WEIGHT;
+    let moved = req.pace.read_ms(f64::from(expected.copied)) * COPY_WEIGHT;
     first + delay + moved + crowding + way + engine.failing * FAILING_MS
 }
 
--- a/crates/policy/src/fleet_counts.rs
+++ b/crates/policy/src/fleet_counts/planner.rs
@@ -1,34 +1,19 @@
-//! How many backend servers of each market a service should have in each availability zone, where
-//! the platform buys and places them and takes only the counts.
+//! The orders that a demand asks for.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use bulrushhall_core::{Stamp, ZoneName};
 
-/// The part of an engine's time that is planned to be used: above it, the wait for the first token
-/// grows faster than the number of engines saved.
-const USED_SHARE: f64 = 0.42;
-/// How many times the needed number is kept in reclaimable ones: one of four zones can go at once,
-/// and a second before the first can be bought again.
-const RESERVE: f64 = 1.5;
-/// The part of the needed number below which on-demand servers stand in: they cost several times as
-/// much, and for the seconds until others are sold again a fuller fleet is the smaller loss.
-const STAND_IN_SHARE: f64 = 0.75;
+use crate::fleet_counts::{
+    CountLimits, CountMarket, CountOrder, Seen, Staffing, recent_peak::RecentPeak,
+    staffing::START_SLACK,
+};
+
 /// How long a zone that refused an order is left alone.
 const REFUSED_PAUSE: Duration = Duration::from_millis(900);
-/// How long the demand must have been lower before fewer engines are kept: half a period of the
-/// early users' waves of traffic.
-const LOWER_AFTER: Duration = Duration::from_secs(20);
-/// The part to which the kept number may fall at a time.
-const LOWER_TO: f64 = 0.8;
-/// How long none must have been sold before on-demand servers are ordered for what the next reclaim
-/// would take: after shorter times, reclaimable ones are back before on-demand ones have started.
-const SOLD_OUT_FOR: Duration = Duration::from_millis(2_500);
-/// The time in which the highest demand fades to a third, for on-demand servers: twice an engine's
-/// start, so that they are kept through a wave and not for long after a burst.
-const RECENT_FADES: Duration = Duration::from_secs(8);
-/// How much longer than an engine's start an order may take before it is given again.
-const START_SLACK: Duration = Duration::from_millis(1_500);
+/// How many starts of an engine after a reclaim the next one is expected: zones are mostly taken one
+/// after the other, and a holder that has just taken over does not know yet that none are sold.
+const SCARCE_STARTS: f64 = 2.5;
 /// How long enough engines must have been there before on-demand ones are given back.
 const STEADY_FOR: Duration = Duration::from_millis(500);
 
@@ -38,66 +23,24 @@
 /// The demand, in busy engines, from which it is taken as seen.
 const BUSY_LEAST: f64 = 0.5;
 
-/// A `CountMarket` tells whether the servers of a count can be taken back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum CountMarket {
-    /// Cheap, and taken back after a notice, all of a zone at once.
-    Reclaimable,
-    /// Kept until the count is lowered.
-    OnDemand,
-}
-
-/// A `CountLimits` are what a service allows in each zone, and what it costs there.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct CountLimits {
-    /// The fewest servers in a zone, of both markets together.
-    pub least: u32,
-    /// The most servers in a zone, of both markets together.
-    pub most: u32,
-    /// How long a server takes to start.
-    pub start: Duration,
-    /// The price of a reclaimable server as a part of an on-demand one's; none are sold without.
-    pub reclaimable_price: Option<f64>,
-    /// The price of an on-demand server by zone.
-    pub zones: BTreeMap<ZoneName, f64>,
-}
-
-/// `Seen` are the servers of one zone that take work now.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Seen {
-    /// The reclaimable ones.
-    pub reclaimable: u32,
-    /// The on-demand ones.
-    pub on_demand: u32,
-}
-
-/// A `CountOrder` asks for a number of servers.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CountOrder {
-    /// The zone.
-    pub zone: ZoneName,
-    /// The market.
-    pub market: CountMarket,
-    /// The number.
-    pub count: u32,
-}
-
 /// A `CountPlanner` decides the orders of one service.
 ///
 /// Reclaimable servers are bought in reserve, since a reclaim mostly comes with a time in which none
 /// are sold. On-demand ones stand in only for what is missing then.
 #[derive(Clone, Debug, Default)]
 pub struct CountPlanner {
+    staffing: Staffing,
     ordered: BTreeMap<(ZoneName, CountMarket), Ordered>,
+    /// The servers that were there when the duty began, until the demand was seen for long enough.
+    found: Option<f64>,
+    demand_since: Option<Stamp>,
+    peak: RecentPeak,
+    stand_in_peak: RecentPeak,
     needed: Option<f64>,
-    needed_at: Stamp,
-    peak: f64,
-    recent: f64,
-    recent_at: Stamp,
     counted: u32,
     counted_at: Stamp,
     enough_since: Option<Stamp>,
-    sold_out_since: Option<Stamp>,
+    reclaimed_at: Option<Stamp>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -107,6 +50,17 @@
     refused_until: Option<Stamp>,
     /// The most that were there since.
     most_seen: u32,
+    /// Those that were leaving when it was given.
+    leaving: u32,
+}
+
+/// How many engines are needed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Needed {
+    /// For the highest demand that may return, in reclaimable ones.
+    kept: f64,
+    /// For the demand of the last seconds, whatever they cost.
+    at_once: f64,
 }
 
 /// What one plan is made from.
@@ -117,6 +71,29 @@
 }
 
 impl CountPlanner {
+    /// Returns a planner that has seen nothing.
+    pub fn new(staffing: Staffing) -> CountPlanner {
+        CountPlanner { staffing, ..CountPlanner::default() }
+    }
+
+    /// Notes the demand at a node that does not hold the duty.
+    ///
+    /// A node that takes the duty over knows the highest demand of the last seconds, so it neither gives
+    /// engines back before the demand returns nor keeps all that it finds. What it ordered before is
+    /// not known to be in force any more.
+    pub fn observe(
+        &mut self,
+        now: Stamp,
+        limits: &CountLimits,
+        busy: f64,
+        seen: &BTreeMap<ZoneName, Seen>,
+    ) {
+        self.ordered.clear();
+        self.found = None;
+        self.note_demand(now, limits, busy);
+        self.note_reclaims(now, seen);
+    }
+
     /// Returns the orders to give now.
     ///
     /// `busy` is the demand: the engines that would be busy all the time with it.
@@ -128,12 +105,13 @@
         seen: &BTreeMap<ZoneName, Seen>,
     ) -> Vec<CountOrder> {
         let situation = Situation { now, limits, seen };
+        self.note_reclaims(now, seen);
         if !self.is_settled(&situation, busy) {
             return self.first_orders(&situation);
         }
-        let needed = self.needed(&situation, busy);
-        let reclaimable = self.reclaimable_targets(&situation, needed);
-        let on_demand = self.on_demand_targets(&situation, needed, &reclaimable);
+        let Needed { kept, at_once } = self.needed(&situation, busy);
+        let reclaimable = self.reclaimable_targets(&situation, kept);
+        let on_demand = self.on_demand_targets(&situation, at_once, &reclaimable);
         let mut orders = Vec::new();
         for zone in limits.zones.keys() {
             let kept = on_demand.get(zone).copied().unwrap_or(0);
@@ -188,36 +166,32 @@
 
     // The servers that are there when the duty begins are what the operators thought right, or the
     // holder before; demand that has not been seen yet is no reason for fewer.
-    fn needed(&mut self, situation: &Situation<'_>, busy: f64) -> f64 {
-        let measured = busy / USED_SHARE;
-        let there = situation.seen.values().map(|seen| seen.on_demand.max(seen.reclaimable));
-        if self.needed.is_none() {
-            self.needed_at = situation.now;
+    fn needed(&mut self, situation: &Situation<'_>, busy: f64) -> Needed {
+        let Situation { now, limits, seen } = situation;
+        let mut needed = self.note_demand(*now, limits, busy);
+        let there = |of: fn(&Seen) -> u32| f64::from(seen.values().map(of).sum::<u32>());
+        // Reclaimable ones were ordered with the reserve; taken for needed, each holder would add to it.
+        let reclaimable = there(|seen| seen.reclaimable) / limits.reserve();
+        let found = *self.found.get_or_insert(reclaimable.max(there(|seen| seen.on_demand)));
+        let seen_for = self.demand_since.map_or(Duration::ZERO, |since| now.since(since));
+        if seen_for < self.staffing.kept_for(limits.start) {
+            needed.kept = needed.kept.max(found);
         }
-        let kept = *self.needed.get_or_insert_with(|| f64::from(there.sum::<u32>()));
-        self.peak = self.peak.max(measured);
-        self.note_recent(situation.now, measured);
-        let mut needed = kept;
-        if kept <= measured {
-            needed = measured;
-            self.needed_at = situation.now;
-            self.peak = 0.0;
-        } else if LOWER_AFTER <= situation.now.since(self.needed_at) {
-            // The highest since, not the last: demand swings faster than engines start.
-            needed = self.peak.max(kept * LOWER_TO);
-            self.needed_at = situation.now;
-            self.peak = 0.0;
+        if seen_for < self.staffing.stand_ins_for(limits.start) {
+            needed.at_once = needed.at_once.max(found);
         }
-        self.needed = Some(needed);
-        needed.max(1.0)
+        self.needed = Some(needed.at_once);
+        Needed { kept: needed.kept.max(1.0), at_once: needed.at_once.max(1.0) }
     }
 
-    // The highest demand of the last seconds, which fades.
-    fn note_recent(&mut self, now: Stamp, measured: f64) {
-        let passed = now.since(self.recent_at).as_secs_f64();
-        let faded = self.recent * (-passed / RECENT_FADES.as_secs_f64()).exp();
-        self.recent = measured.max(faded);
-        self.recent_at = now;
+    fn note_demand(&mut self, now: Stamp, limits: &CountLimits, busy: f64) -> Needed {
+        if BUSY_LEAST < busy {
+            self.demand_since.get_or_insert(now);
+        }
+        let engines = self.staffing.engines(busy);
+        let kept = self.peak.note(now, self.staffing.kept_for(limits.start), engines);
+        let stand_ins = self.staffing.stand_ins_for(limits.start);
+        Needed { kept, at_once: self.stand_in_peak.note(now, stand_ins, engines) }
     }
 
     fn reclaimable_targets(
@@ -230,9 +204,20 @@
         if limits.reclaimable_price.is_none() {
             return targets;
         }
-        let each = (needed * RESERVE / limits.zones.len().max(1) as f64).ceil() as u32;
-        for zone in limits.zones.keys() {
-            targets.insert(zone.clone(), each.clamp(limits.least, limits.most));
+        let zones = limits.zones.len().max(1) as u32;
+        let total = (needed * limits.reserve()).ceil() as u32;
+        let (each, mut over) = (total / zones, total % zones);
+        for zone in by_price(limits) {
+            let more = over.min(1);
+            over -= more;
+            targets.insert(zone.clone(), (each + more).clamp(limits.least, limits.most));
+        }
+        // What is given back while none are sold has to be replaced by what costs several times as much.
+        if self.is_scarce(situation) {
+            for (zone, target) in &mut targets {
+                let there = situation.seen.get(zone).map_or(0, |seen| seen.reclaimable);
+                *target = (*target).max(there);
+            }
         }
         targets
     }
@@ -246,14 +231,10 @@
         let Situation { now, limits, seen } = situation;
         let there: u32 = seen.values().map(|seen| seen.reclaimable).sum();
         let coming: u32 = limits.zones.keys().map(|zone| self.coming(situation, zone)).sum();
-        // Until there was any demand, the servers that were there are the only measure.
-        let seen_demand = BUSY_LEAST / USED_SHARE < self.recent;
-        let needed = if seen_demand { needed.min(self.recent) } else { needed };
-        let needed = needed * STAND_IN_SHARE;
         // Reclaims mostly take several zones one after the other. While none are sold, what the next one
         // would take is replaced before it goes: an on-demand server takes seconds to start too.
         let at_risk = seen.values().map(|seen| seen.reclaimable).max().unwrap_or(0);
-        let at_risk = if self.is_sold_out_long(*now) { at_risk } else { 0 };
+        let at_risk = if self.is_scarce(situation) { at_risk } else { 0 };
         let missing = (needed.ceil() as u32).saturating_sub(there + coming - at_risk);
         let standing_in: u32 = seen.values().map(|seen| seen.on_demand).sum();
         let enough = needed <= f64::from(there + standing_in.min(missing));
@@ -283,13 +264,20 @@
         targets
     }
 
-    fn is_sold_out_long(&mut self, now: Stamp) -> bool {
-        let mut refused = self.ordered.values().filter_map(|ordered| ordered.refused_until);
-        if !refused.any(|until| now < until + REFUSED_PAUSE) {
-            self.sold_out_since = None;
-            return false;
+    // The platform takes back all reclaimable servers of a zone at once; a plan lowers them one by one.
+    fn note_reclaims(&mut self, now: Stamp, seen: &BTreeMap<ZoneName, Seen>) {
+        if seen.values().any(|seen| seen.reclaimable == 0 && 0 < seen.leaving) {
+            self.reclaimed_at = Some(now);
         }
-        SOLD_OUT_FOR <= now.since(*self.sold_out_since.get_or_insert(now))
+    }
+
+    // Whether the next zone may go at any moment, and what goes can't be bought again.
+    fn is_scarce(&self, situation: &Situation<'_>) -> bool {
+        let Situation { now, limits, .. } = situation;
+        let mut refused = self.ordered.values().filter_map(|ordered| ordered.refused_until);
+        let scarce_for = limits.start.mul_f64(SCARCE_STARTS);
+        refused.any(|until| *now < until + REFUSED_PAUSE)
+            || self.reclaimed_at.is_some_and(|at| now.since(at) < scarce_for)
     }
 
     // The reclaimable servers of a zone that were ordered and should start in time.
@@ -300,7 +288,8 @@
         if late || ordered.refused_until.is_some() {
             return 0;
         }
-        let there = situation.seen.get(zone).map_or(0, |seen| seen.reclaimable);
+        // An order that no more than makes up for those that leave is taken and starts none.
+        let there = situation.seen.get(zone).map_or(0, |seen| seen.reclaimable + seen.leaving);
         ordered.count.saturating_sub(there)
     }
 
@@ -312,17 +301,18 @@
         count: u32,
         orders: &mut Vec<CountOrder>,
     ) {
-        let there = situation.seen.get(zone).copied().unwrap_or_default();
-        let there = match market {
-            CountMarket::Reclaimable => there.reclaimable,
-            CountMarket::OnDemand => there.on_demand,
+        let of_zone = situation.seen.get(zone).copied().unwrap_or_default();
+        let (there, leaving) = match market {
+            CountMarket::Reclaimable => (of_zone.reclaimable, of_zone.leaving),
+            CountMarket::OnDemand => (of_zone.on_demand, 0),
         };
         let key = (zone.clone(), market);
-        if !self.is_due(situation, &key, count, there) {
+        if !self.is_due(situation, &key, count, (there, leaving)) {
             return;
         }
         let (at, most_seen) = (situation.now, there);
-        self.ordered.insert(key, Ordered { count, at, refused_until: None, most_seen });
+        let ordered = Ordered { count, at, refused_until: None, most_seen, leaving };
+        self.ordered.insert(key, ordered);
         orders.push(CountOrder { zone: zone.clone(), market, count });
     }
 
@@ -331,7 +321,7 @@
         situation: &Situation<'_>,
         key: &(ZoneName, CountMarket),
         count: u32,
-        there: u32,
+        (there, leaving): (u32, u32),
     ) -> bool {
         let Some(ordered) = self.ordered.get_mut(key) else {
             // A new holder does not repeat what is there already.
@@ -344,9 +334,11 @@
         // where an order was not carried out in time.
         ordered.most_seen = ordered.most_seen.max(there);
         let taken = there < ordered.most_seen.min(count);
+        // Those that left were counted by the platform when the order was given.
+        let left = there < count && leaving < ordered.leaving;
         let late = there < count
             && situation.limits.start + START_SLACK <= situation.now.since(ordered.at);
-        ordered.count != count || taken || late
+        ordered.count != count || taken || left || late
     }
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod fleet_counts;
 pub mod lane;
+pub mod observed;
 pub mod parts;
 pub mod patience;
 pub mod placement;
--- /dev/null
+++ b/crates/policy/src/observed/call_times.rs
@@ -0,0 +1,55 @@
+//! How long the calls of a plain service take.
+
+use std::time::Duration;
+
+use crate::observed::Recent;
+
+/// The calls that are held: two seconds' worth at some tens a second.
+const HELD: usize = 64;
+/// The calls from which they are gone by.
+const CALLS_LEAST: usize = 8;
+/// The median and the long end while none was seen: short calls, and a silence after which one that
+/// is lost is sent again before its caller gives up.
+const PRIOR: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(80));
+/// The share of calls that take no longer than the long end.
+const LONG_SHARE: f64 = 0.95;
+/// After how many calls the figures are drawn anew.
+const DRAWN_EACH: u64 = 8;
+
+/// `CallTimes` are how long the calls of one plain service took lately.
+#[derive(Clone, Debug)]
+pub struct CallTimes {
+    recent: Recent<HELD>,
+    median: Duration,
+    long: Duration,
+}
+
+impl Default for CallTimes {
+    fn default() -> Self {
+        CallTimes { recent: Recent::default(), median: PRIOR.0, long: PRIOR.1 }
+    }
+}
+
+impl CallTimes {
+    /// Takes in a call that was answered.
+    pub fn note(&mut self, took: Duration) {
+        self.recent.note(took.as_secs_f64());
+        let due = self.recent.seen().is_multiple_of(DRAWN_EACH);
+        if !due || self.recent.len() < CALLS_LEAST {
+            return;
+        }
+        let quantile = |share| self.recent.quantile(share).map(Duration::from_secs_f64);
+        self.median = quantile(0.5).unwrap_or(self.median);
+        self.long = quantile(LONG_SHARE).unwrap_or(self.long);
+    }
+
+    /// Returns the time that half of the calls take at most.
+    pub fn median(&self) -> Duration {
+        self.median
+    }
+
+    /// Returns the time that almost all calls take at most.
+    pub fn long(&self) -> Duration {
+        self.long
+    }
+}
--- a/crates/policy/src/plain_choice.rs
+++ b/crates/policy/src/plain_choice.rs
@@ -6,11 +6,9 @@
 
 use crate::placement::WorkerKey;
 
-/// The time that one call takes at a plain service, for the wait behind others: the early users'
-/// calls take 15 ms.
-const CALL_MS: f64 = 15.0;
-/// What a share of failures of 1 adds, in milliseconds: an attempt that has to be made again.
-const FAILING_MS: f64 = 200.0;
+/// What a share of failures of 1 adds, in calls: an attempt that has to be made again, mostly after a
+/// silence.
+const FAILING_CALLS: f64 = 12.0;
 /// The spread, in milliseconds, of a random addend that keeps nodes from choosing alike.
 const JITTER_MS: f64 = 1.0;
 
@@ -31,8 +29,14 @@
     pub avoided: bool,
 }
 
-/// Chooses a backend server, with the wait that is expected there; none without one.
-pub fn choose_plain(servers: &[PlainView], random: &mut dyn Rng) -> Option<(WorkerKey, Duration)> {
+/// Chooses a backend server, with the wait that is expected there; none without one. Calls mostly take
+/// `call`.
+pub fn choose_plain(
+    servers: &[PlainView],
+    call: Duration,
+    random: &mut dyn Rng,
+) -> Option<(WorkerKey, Duration)> {
+    let call_ms = call.as_secs_f64() * 1_000.0;
     let trusted = servers.iter().any(|server| !server.avoided);
     let mut best: Option<(f64, WorkerKey, f64)> = None;
     for server in servers {
@@ -40,10 +44,10 @@
             continue;
         }
         let slots = f64::from(server.slots.max(1));
-        let wait = (f64::from(server.calls + 1) - slots).max(0.0) / slots * CALL_MS;
-        let filled = f64::from(server.calls) / slots * CALL_MS;
+        let wait = (f64::from(server.calls + 1) - slots).max(0.0) / slots * call_ms;
+        let filled = f64::from(server.calls) / slots * call_ms;
         let way = server.distance.as_secs_f64() * 2_000.0;
-        let failing = server.failing * FAILING_MS;
+        let failing = server.failing * FAILING_CALLS * call_ms;
         let score = wait + filled + way + failing + random.random_range(0.0..JITTER_MS);
         if best.is_none_or(|(least, ..)| score < least) {
             best = Some((score, server.key, wait));
--- a/crates/policy/tests/recent_parts.rs
+++ b/crates/policy/tests/recent_parts.rs
@@ -5,6 +5,7 @@
 use bulrushhall_core::Stamp;
 use bulrushhall_policy::{
     engine_choice::{EngineRequest, EngineView, choose_engine},
+    observed::EnginePace,
     parts::{PartMemory, PromptPart},
     placement::WorkerKey,
     recent_parts::RecentParts,
@@ -88,6 +89,7 @@
             answer: 120,
             kept: 0,
             copied_per_ms: 0.0,
+            pace: EnginePace::default(),
         };
         let chosen = choose_engine(req, &views, &mut random).expect("an engine");
         let at = engines.iter().position(|key| *key == chosen.key).expect("known");
