--- a/crates/policy/src/copy_source.rs
+++ b/crates/policy/src/copy_source.rs
@@ -6,7 +6,7 @@
 
 /// The fewest tokens that are worth a copy: an engine reads fewer in the 5 to 10 ms that it takes to
 /// set one up.
-pub const COPIED_LEAST: u32 = 128;
+pub const COPIED_LEAST: u32 = 512;
 /// The share of failures from which an engine is not copied from: the copy would fail too, and the
 /// prompt be read after a lost wait.
 const FAILING_MOST: f64 = 0.2;
--- a/crates/policy/src/fleet_counts/staffing.rs
+++ b/crates/policy/src/fleet_counts/staffing.rs
@@ -23,7 +23,7 @@
 
 impl Default for Staffing {
     fn default() -> Self {
-        Staffing { used_most: 0.95, spread: 0.5, kept_starts: 4.0, stand_in_starts: 1.0 }
+        Staffing { used_most: 0.85, spread: 0.5, kept_starts: 8.0, stand_in_starts: 1.0 }
     }
 }
 
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -13,15 +13,6 @@
 /// between two exchanges. Teams that send four times their limit to five nodes, with restarts, stay
 /// 5 in 100 below what a window may hold.
 const PLANNED_SHARE: f64 = 0.88;
-/// The part of the burst below which a team's limit counts as nearly used up.
-const SCARCE_BELOW: f64 = 0.5;
-/// How many times its equal part of the rate a node may take by itself: callers are not spread evenly,
-/// and what one node leaves others may take.
-const PART_OF_RATE: f64 = 1.5;
-/// How many times its equal part of the burst a node may take by itself.
-const PART_OF_BURST: f64 = 1.2;
-/// The time between two words of a node, for which its part may add up while the limit is nearly used up.
-const EXCHANGE: Duration = Duration::from_millis(250);
 /// How long a node's last word counts: four exchanges of 250 ms may be lost or late.
 const SILENT_AFTER: Duration = Duration::from_millis(1_000);
 
@@ -67,17 +58,9 @@
 /// What other nodes took is subtracted as they tell it. A node that is not heard may go on taking
 /// its equal part; so much is held back for it, so that the sum keeps to the limit also while
 /// nodes cannot hear each other.
-///
-/// All nodes see the bucket fill up again at the same moment. Before they hear of each other, thirty of
-/// them would take what three seconds allow and then nothing for as long, which callers meet as refusals
-/// in turns and the platform as a window above the limit. While the limit is nearly used up, each takes
-/// no more than somewhat above its equal part.
 #[derive(Clone, Debug, Default)]
 pub struct Quota {
     level: Option<f64>,
-    /// What this node may take by itself while the limit is nearly used up; below 0 after a request that
-    /// was larger.
-    part: f64,
     filled_at: Stamp,
     own: f64,
     peers: BTreeMap<Incarnation, Told>,
@@ -116,15 +99,12 @@
         self.refill(now, limit, nodes);
         let level = self.level.unwrap_or(limit.burst);
         let needed = amount.min(limit.burst * OVERSIZED_SHARE);
-        if needed <= level && 0.0 <= self.part {
+        if needed <= level {
             self.level = Some(level - amount);
-            self.part -= amount;
             return Ok(());
         }
         self.own -= amount;
-        let of_all = (needed - level) / limit.per_second;
-        let of_part = -self.part / part_per_second(limit, nodes);
-        Err(Duration::from_secs_f64(of_all.max(of_part).max(0.0)))
+        Err(Duration::from_secs_f64((needed - level) / limit.per_second))
     }
 
     /// Gives back what a request took that did not run.
@@ -153,29 +133,16 @@
     }
 
     fn refill(&mut self, now: Stamp, limit: QuotaLimit, nodes: usize) {
-        let nodes = nodes.max(1);
         let passed = now.since(self.filled_at).as_secs_f64();
         self.filled_at = now;
         let Some(level) = self.level else {
             self.level = Some(limit.burst);
-            self.part = limit.burst * PART_OF_BURST / nodes as f64;
             return;
         };
-        let per_second = part_per_second(limit, nodes);
-        let most = if level < limit.burst * SCARCE_BELOW {
-            per_second * EXCHANGE.as_secs_f64()
-        } else {
-            limit.burst * PART_OF_BURST / nodes as f64
-        };
-        self.part = (self.part + passed * per_second).min(most);
         let heard = self.peers.values().filter(|told| now.since(told.at) < SILENT_AFTER).count();
+        let nodes = nodes.max(1);
         let silent = (nodes - 1).saturating_sub(heard);
         let share = 1.0 - silent as f64 / nodes as f64;
         self.level = Some((level + passed * limit.per_second * share).min(limit.burst));
     }
 }
-
-// What a node may take in a second by itself.
-fn part_per_second(limit: QuotaLimit, nodes: usize) -> f64 {
-    limit.per_second * PART_OF_RATE / nodes.max(1) as f64
-}
