The fleet's outlook is taken in one place, and what the change left over goes

The loop that gathers demand and servers of each service stood twice and looked up in the table what it had in hand; the demand was worked out again for each order's log line; each look at what was learnt copied the service's name, several times a request; CALLS_LEAST could not decide anything; the test in hear was harder than its meaning; two comments told of classes that are gone. Ruled out: one type for the settings and the planner's staffing: the INI form belongs to the node. Change: outlooks() serves observe and due, an order carries the demand that it was made from, names are copied only where nothing is known, dead check and stale words removed.

--- a/crates/gateway/src/duties/fleet.rs
+++ b/crates/gateway/src/duties/fleet.rs
@@ -7,7 +7,7 @@
 
 use bulrushhall_core::{Event, ServiceName, ZoneName};
 use bulrushhall_external::CallError;
-use bulrushhall_policy::fleet_counts::{CountOrder, CountPlanner, Seen};
+use bulrushhall_policy::fleet_counts::{CountLimits, CountOrder, CountPlanner, Seen};
 
 use crate::{
     clock,
@@ -21,6 +21,21 @@
 /// prompts share.
 const MEMORY_SHARE: f64 = 0.7;
 
+/// An order that is due, with the demand that it was made from.
+struct DueOrder {
+    service: ServiceName,
+    busy: f64,
+    order: CountOrder,
+}
+
+/// What one service's plan is made from.
+struct Outlook<'a> {
+    service: &'a ServiceName,
+    limits: &'a CountLimits,
+    busy: f64,
+    seen: BTreeMap<ZoneName, Seen>,
+}
+
 /// A `FleetDuty` orders as many backend servers as the demand asks for.
 #[derive(Debug, Default)]
 pub struct FleetDuty {
@@ -31,7 +46,7 @@
     /// Gives the orders that are due.
     pub async fn act(&mut self, gateway: &Arc<Gateway>, holder: &Holder) {
         let Some(table) = gateway.table.load_full() else { return };
-        for (service, order) in self.due(gateway, &table) {
+        for DueOrder { service, busy, order } in self.due(gateway, &table) {
             let Some(orders) = &gateway.platform.orders else { return };
             let Some(authority) = holder.authority() else { return };
             match within(ORDER_TIMEOUT, orders.order(&authority, &service, &order)).await {
@@ -44,7 +59,7 @@
                         market = ?order.market,
                         count = order.count,
                         planned_for = self.planned_for(&service),
-                        busy = self.busy(gateway, &table, &service),
+                        busy,
                         read_per_ms = pace.read_per_ms(),
                         event_ms = pace.gap.base,
                         event_ms_more = pace.gap.slope,
@@ -61,10 +76,7 @@
     pub fn observe(&mut self, gateway: &Gateway) {
         let Some(table) = gateway.table.load_full() else { return };
         let now = clock::now();
-        for (service, entry) in &table.services {
-            let Some(limits) = &entry.counts else { continue };
-            let busy = self.busy(gateway, &table, service);
-            let seen = gateway.with(|state| seen(state, service));
+        for Outlook { service, limits, busy, seen } in outlooks(gateway, &table) {
             self.planner(gateway, service).observe(now, limits, busy, &seen);
         }
     }
@@ -74,26 +86,17 @@
         self.planners.entry(service.clone()).or_insert_with(staffing)
     }
 
-    fn due(&mut self, gateway: &Gateway, table: &RouteTable) -> Vec<(ServiceName, CountOrder)> {
+    fn due(&mut self, gateway: &Gateway, table: &RouteTable) -> Vec<DueOrder> {
         let now = clock::now();
         let mut due = Vec::new();
-        for (service, entry) in &table.services {
-            let Some(limits) = &entry.counts else { continue };
-            let busy = self.busy(gateway, table, service);
-            let seen = gateway.with(|state| seen(state, service));
-            let planner = self.planner(gateway, service);
-            for order in planner.plan(now, limits, busy, &seen) {
-                due.push((service.clone(), order));
+        for Outlook { service, limits, busy, seen } in outlooks(gateway, table) {
+            for order in self.planner(gateway, service).plan(now, limits, busy, &seen) {
+                due.push(DueOrder { service: service.clone(), busy, order });
             }
         }
         due
     }
 
-    fn busy(&self, gateway: &Gateway, table: &RouteTable, service: &ServiceName) -> f64 {
-        let sizes = table.services.get(service).and_then(|entry| entry.engine);
-        sizes.map_or(0.0, |sizes| gateway.with(|state| busy(state, service, sizes)))
-    }
-
     fn planned_for(&self, service: &ServiceName) -> f64 {
         self.planners.get(service).map_or(0.0, CountPlanner::planned_for)
     }
@@ -114,6 +117,19 @@
     }
 }
 
+fn outlooks<'a>(gateway: &Gateway, table: &'a RouteTable) -> Vec<Outlook<'a>> {
+    let mut outlooks = Vec::new();
+    for (service, entry) in &table.services {
+        let Some(limits) = &entry.counts else { continue };
+        let (busy, seen) = gateway.with(|state| {
+            let busy = entry.engine.map_or(0.0, |sizes| busy(state, service, sizes));
+            (busy, seen(state, service))
+        });
+        outlooks.push(Outlook { service, limits, busy, seen });
+    }
+    outlooks
+}
+
 // The engines that the demand of all nodes keeps busy: with their time, or with their memory where that
 // is what fills up first.
 fn busy(state: &mut State, service: &ServiceName, sizes: EngineSizes) -> f64 {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -87,7 +87,11 @@
 impl State {
     /// Returns what was learnt of the backend servers of a service.
     pub fn observed(&mut self, service: &ServiceName) -> &mut Observed {
-        self.observed.entry(service.clone()).or_default()
+        // Asked several times a request: the name is copied only where nothing is known yet.
+        if !self.observed.contains_key(service) {
+            self.observed.insert(service.clone(), Observed::default());
+        }
+        self.observed.get_mut(service).unwrap_or_else(|| unreachable!("just inserted"))
     }
 
     /// Returns the bucket of a team.
--- a/crates/policy/src/observed/call_times.rs
+++ b/crates/policy/src/observed/call_times.rs
@@ -6,14 +6,12 @@
 
 /// The calls that are held: two seconds' worth at some tens a second.
 const HELD: usize = 64;
-/// The calls from which they are gone by.
-const CALLS_LEAST: usize = 8;
 /// The median and the long end while none was seen: short calls, and a silence after which one that
 /// is lost is sent again before its caller gives up.
 const PRIOR: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(80));
 /// The share of calls that take no longer than the long end.
 const LONG_SHARE: f64 = 0.95;
-/// After how many calls the figures are drawn anew.
+/// After how many calls the figures are drawn anew, the first time too.
 const DRAWN_EACH: u64 = 8;
 
 /// `CallTimes` are how long the calls of one plain service took lately.
@@ -34,8 +32,7 @@
     /// Takes in a call that was answered.
     pub fn note(&mut self, took: Duration) {
         self.recent.note(took.as_secs_f64());
-        let due = self.recent.seen().is_multiple_of(DRAWN_EACH);
-        if !due || self.recent.len() < CALLS_LEAST {
+        if !self.recent.seen().is_multiple_of(DRAWN_EACH) {
             return;
         }
         let quantile = |share| self.recent.quantile(share).map(Duration::from_secs_f64);
--- a/crates/policy/src/observed/engine_speed.rs
+++ b/crates/policy/src/observed/engine_speed.rs
@@ -4,9 +4,9 @@
 
 use crate::observed::{EnginePace, LineFit, Recent};
 
-/// The prompt tokens up to which the first class of first tokens reaches.
+/// The prompt tokens at the nearer point of the prior line of first tokens: a short question.
 const READ_UNIT: f64 = 250.0;
-/// The running requests up to which the first class of gaps reaches.
+/// The running requests at the nearer point of the prior line of gaps: an engine that is almost idle.
 const RUNNING_UNIT: f64 = 2.0;
 /// The ended streams from which the tokens of an event are told.
 const STREAMS: usize = 64;
@@ -79,8 +79,7 @@
 
     /// Takes in what another node learnt; a node that has just started goes by it.
     pub fn hear(&mut self, told: EnginePace) {
-        let known = self.told.map_or(0, |known| known.samples);
-        if OWN_LEAST <= told.samples.max(known) {
+        if OWN_LEAST <= told.samples {
             self.told = Some(told);
         }
     }
--- a/crates/policy/src/observed/line_fit.rs
+++ b/crates/policy/src/observed/line_fit.rs
@@ -38,7 +38,7 @@
 }
 
 impl LineFit {
-    /// Returns a fit that nothing was noted for; the quantity is mostly above `unit`.
+    /// Returns a fit that nothing was noted for; the points of the prior lie at `unit` and above.
     pub fn new(unit: f64, prior: Line) -> LineFit {
         LineFit { unit, prior, samples: Vec::with_capacity(HELD), seen: 0 }
     }
