Metrics and log fields that tell why a node lacks others' takings or a configuration

A failed answer was logged as "the connection ended early" whatever had happened; it now says whether the time was over or the answer too large, and CallFault has TooLarge for it. New metrics: nodes known and heard, what other nodes told and was not taken in, and configurations read from other nodes by outcome.

--- a/crates/external/src/errors.rs
+++ b/crates/external/src/errors.rs
@@ -4,6 +4,8 @@
 
 use bulrushhall_core::Ran;
 
+use crate::http::BodyError;
+
 /// A `CallError` is a failed call: what went wrong and whether the call may have taken effect.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallError {
@@ -29,6 +31,8 @@
         /// The HTTP status.
         status: u16,
     },
+    /// The answer is larger than this node reads.
+    TooLarge,
     /// The answer could not be read.
     Malformed,
     /// The caller's own budget for such calls is spent.
@@ -47,6 +51,16 @@
     }
 }
 
+impl From<BodyError> for CallFault {
+    fn from(error: BodyError) -> CallFault {
+        match error {
+            BodyError::TooLarge => CallFault::TooLarge,
+            BodyError::Timeout => CallFault::Timeout,
+            BodyError::Closed => CallFault::Closed,
+        }
+    }
+}
+
 impl fmt::Display for CallError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match &self.fault {
@@ -55,6 +69,7 @@
             CallFault::Timeout => f.write_str("no progress within the time-out"),
             CallFault::Closed => f.write_str("the connection ended early"),
             CallFault::Refused { status } => write!(f, "refused with status {status}"),
+            CallFault::TooLarge => f.write_str("the answer is larger than allowed"),
             CallFault::Malformed => f.write_str("the answer could not be read"),
             CallFault::Budget => f.write_str("the budget for such calls is spent"),
         }?;
--- a/crates/gateway/src/knowledge/config.rs
+++ b/crates/gateway/src/knowledge/config.rs
@@ -46,6 +46,7 @@
         event = Event::ConfigInForce.number(),
         revision = table.revision.0,
         before = before.0,
+        bytes = document.len(),
         source
     );
     meters::revision(table.revision.0);
--- a/crates/gateway/src/knowledge/exchange.rs
+++ b/crates/gateway/src/knowledge/exchange.rs
@@ -17,6 +17,7 @@
     clock,
     gateway::Gateway,
     knowledge::{BackendLoad, Digest, Document, take_config},
+    meters,
 };
 
 /// The time between two exchanges with each node: a burst is seen by all nodes before an engine has
@@ -95,6 +96,7 @@
         let peers: Vec<(NodeName, SocketAddr)> = gateway.with(|state| {
             state.members.expire(now);
             state.backends.expire(now);
+            meters::members(state.members.count(), state.members.heard(now));
             let members = &state.members;
             for quota in state.quotas.values_mut() {
                 quota.retain(|peer| members.is_alive(peer));
@@ -131,7 +133,9 @@
 }
 
 async fn read_document(gateway: &Gateway, endpoint: &Endpoint) {
-    let Ok(found) = call::<Document>(endpoint, DOCUMENT_PATH, Bytes::new()).await else { return };
+    let found = call::<Document>(endpoint, DOCUMENT_PATH, Bytes::new()).await;
+    meters::document_read(found.as_ref().err().map(|error| &error.fault));
+    let Ok(found) = found else { return };
     if !found.bytes.is_empty() {
         take_config(gateway, &found.bytes, "node");
     }
@@ -152,7 +156,7 @@
     let req = Request::post(path).body(Full::new(message));
     let answer = endpoint.send(req.map_err(|_| malformed())?).await?;
     let body = read_limited(answer.into_body(), MESSAGE_LIMIT, ANSWER).await;
-    let body = body.map_err(|_| CallError::unknown(CallFault::Closed))?;
+    let body = body.map_err(|error| CallError::unknown(error.into()))?;
     rmp_serde::from_slice(&body).map_err(|_| malformed())
 }
 
@@ -202,8 +206,12 @@
     let own = gateway.revision();
     let table = gateway.table.load_full();
     gateway.with(|state| {
-        let member = state.members.get_mut(&told.node)?;
+        let Some(member) = state.members.get_mut(&told.node) else {
+            meters::digest_ignored("unknown");
+            return None;
+        };
         if told.incarnation < member.record.incarnation {
+            meters::digest_ignored("earlier_life");
             return None;
         }
         member.heard_at = Some(now);
--- a/crates/gateway/src/knowledge/members.rs
+++ b/crates/gateway/src/knowledge/members.rs
@@ -57,6 +57,12 @@
     pub duty_free_since: Option<Stamp>,
 }
 
+impl Member {
+    fn is_heard(&self, now: Stamp) -> bool {
+        self.heard_at.is_some_and(|at| now.since(at) < HEARD_FOR)
+    }
+}
+
 impl Members {
     /// Takes in the record of a node.
     pub fn upsert(&mut self, name: NodeName, record: MemberRecord) {
@@ -132,6 +138,11 @@
         self.nodes.len() + 1
     }
 
+    /// Returns the number of other nodes that are heard.
+    pub fn heard(&self, now: Stamp) -> usize {
+        self.nodes.values().filter(|member| member.is_heard(now)).count()
+    }
+
     /// Returns whether a life of a node is known.
     pub fn is_alive(&self, incarnation: Incarnation) -> bool {
         self.nodes.values().any(|member| member.record.incarnation == incarnation)
@@ -142,11 +153,10 @@
     /// A node that hears nobody can't tell who serves and names all: callers try others where one
     /// does not answer.
     pub fn serving(&self, now: Stamp) -> Vec<SocketAddr> {
-        let heard = |member: &Member| member.heard_at.is_some_and(|at| now.since(at) < HEARD_FOR);
-        let deaf = !self.nodes.values().any(heard);
+        let deaf = self.heard(now) == 0;
         let mut addresses = Vec::new();
         for member in self.nodes.values() {
-            if deaf || (heard(member) && member.ready) {
+            if deaf || (member.is_heard(now) && member.ready) {
                 addresses.push(member.record.callers);
             }
         }
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bulrushhall_core::config::RouteKind;
+use bulrushhall_external::CallFault;
 use metrics::{counter, gauge, histogram};
 
 /// Callers' requests by how they ended.
@@ -17,6 +18,12 @@
 const DEPENDENCIES_LOST: &str = "bulrush_route_dependencies_lost_total";
 /// The revision in force.
 const REVISION: &str = "bulrush_route_revision";
+/// Nodes that this one knows, and that it hears.
+const MEMBERS: &str = "bulrush_route_members";
+/// What other nodes told that was not taken in.
+const DIGESTS_IGNORED: &str = "bulrush_route_digests_ignored_total";
+/// Configurations that were read from other nodes.
+const DOCUMENTS_READ: &str = "bulrush_route_documents_read_total";
 /// Whether the node holds the duties.
 const DUTIES: &str = "bulrush_route_duties_held";
 
@@ -32,13 +39,16 @@
 }
 
 /// Every metric.
-pub const ROUTE_METRICS: [RouteMetric; 7] = [
+pub const ROUTE_METRICS: [RouteMetric; 10] = [
     RouteMetric { name: REQUESTS, kind: "counter", labels: "kind, outcome" },
     RouteMetric { name: REQUEST_SECONDS, kind: "histogram", labels: "kind" },
     RouteMetric { name: FIRST_SECONDS, kind: "histogram", labels: "kind" },
     RouteMetric { name: SENDS_FAILED, kind: "counter", labels: "fault" },
     RouteMetric { name: DEPENDENCIES_LOST, kind: "counter", labels: "prefix" },
     RouteMetric { name: REVISION, kind: "gauge", labels: "" },
+    RouteMetric { name: MEMBERS, kind: "gauge", labels: "state" },
+    RouteMetric { name: DIGESTS_IGNORED, kind: "counter", labels: "reason" },
+    RouteMetric { name: DOCUMENTS_READ, kind: "counter", labels: "outcome" },
     RouteMetric { name: DUTIES, kind: "gauge", labels: "" },
 ];
 
@@ -73,6 +83,28 @@
     gauge!(REVISION).set(revision as f64);
 }
 
+/// Sets the nodes that this one knows, itself included, and those of the others that it hears.
+pub fn members(known: usize, heard: usize) {
+    gauge!(MEMBERS, "state" => "known").set(known as f64);
+    gauge!(MEMBERS, "state" => "heard").set(heard as f64);
+}
+
+/// Counts what another node told and was not taken in.
+pub fn digest_ignored(reason: &'static str) {
+    counter!(DIGESTS_IGNORED, "reason" => reason).increment(1);
+}
+
+/// Counts a configuration that was read from another node, by what it failed with, if it did.
+pub fn document_read(fault: Option<&CallFault>) {
+    let outcome = match fault {
+        None => "read",
+        Some(CallFault::Timeout) => "timeout",
+        Some(CallFault::TooLarge) => "too_large",
+        Some(_) => "failed",
+    };
+    counter!(DOCUMENTS_READ, "outcome" => outcome).increment(1);
+}
+
 /// Sets whether the node holds the duties.
 pub fn duties(held: bool) {
     gauge!(DUTIES).set(f64::from(u8::from(held)));
