--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 pub mod kv;
 pub mod link;
+pub mod pace;
 pub mod reply;
 pub mod running;
 pub mod service;
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -13,6 +13,8 @@
     time::sleep,
 };
 
+use crate::pace::Pace;
+
 /// The bytes that are passed on at once.
 const CHUNK: usize = 16 * 1024;
 
@@ -37,10 +39,19 @@
 impl Link {
     /// Starts a stretch of network to `target`.
     pub async fn start(target: SocketAddr) -> io::Result<Link> {
+        Link::open(target, None).await
+    }
+
+    /// Starts a stretch of network over which what `target` sends shares a rate with other links.
+    pub async fn start_paced(target: SocketAddr, pace: Arc<Pace>) -> io::Result<Link> {
+        Link::open(target, Some(pace)).await
+    }
+
+    async fn open(target: SocketAddr, pace: Option<Arc<Pace>>) -> io::Result<Link> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
         let state = Arc::new(watch::Sender::new(LinkState::default()));
-        let task = tokio::spawn(accept(listener, target, Arc::clone(&state)));
+        let task = tokio::spawn(accept(listener, target, pace, Arc::clone(&state)));
         Ok(Link { address, state, task })
     }
 
@@ -71,7 +82,12 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, state: Arc<watch::Sender<LinkState>>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    pace: Option<Arc<Pace>>,
+    state: Arc<watch::Sender<LinkState>>,
+) {
     loop {
         let Ok((near, _)) = listener.accept().await else { continue };
         if state.borrow().cut {
@@ -83,14 +99,15 @@
         let (near_in, near_out) = near.into_split();
         let (far_in, far_out) = far.into_split();
         let born = state.borrow().forgotten;
-        tokio::spawn(pass(near_in, far_out, state.subscribe(), born));
-        tokio::spawn(pass(far_in, near_out, state.subscribe(), born));
+        tokio::spawn(pass(near_in, far_out, None, state.subscribe(), born));
+        tokio::spawn(pass(far_in, near_out, pace.clone(), state.subscribe(), born));
     }
 }
 
 async fn pass(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
+    pace: Option<Arc<Pace>>,
     mut state: watch::Receiver<LinkState>,
     born: u64,
 ) {
@@ -116,6 +133,9 @@
         if !delay.is_zero() {
             sleep(delay).await;
         }
+        if let Some(pace) = &pace {
+            pace.pass(count).await;
+        }
         if to.write_all(&buf[..count]).await.is_err() {
             return;
         }
