A node keeps to its part of a team's limit while the team asks for more than there is

Nodes now tell what a team asks for in a second. Where that exceeds what the bucket and the window's spare hold until nodes have heard of each other, a node also needs the amount in its own part, by its share of what is asked.

--- a/crates/gateway/src/knowledge/digest.rs
+++ b/crates/gateway/src/knowledge/digest.rs
@@ -40,6 +40,9 @@
     pub records_steady_ms: Option<u64>,
     /// What each team took there since its start.
     pub quotas: Vec<(TeamName, f64)>,
+    /// What each team asks for there in a second; nodes of an earlier version do not tell it.
+    #[serde(default)]
+    pub asked: Vec<(TeamName, f64)>,
     /// What it has running.
     pub loads: Vec<BackendLoad>,
     /// The requests begun there in each window.
--- a/crates/gateway/src/knowledge/exchange.rs
+++ b/crates/gateway/src/knowledge/exchange.rs
@@ -2,11 +2,12 @@
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use bulrushhall_core::{NodeName, Stamp};
+use bulrushhall_core::{NodeName, Stamp, TeamName};
 use bulrushhall_external::{
     BoxFuture, CallError, CallFault,
     http::{Body, Endpoint, EndpointOptions, Handler, empty, full, read_limited},
 };
+use bulrushhall_policy::quota::QuotaTold;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming};
@@ -183,6 +184,11 @@
             config_age_ms: age.map(as_millis),
             records_steady_ms: state.records_steady_since.map(|since| as_millis(now.since(since))),
             quotas: state.quotas.iter().map(|(team, quota)| (team.clone(), quota.own())).collect(),
+            asked: state
+                .quotas
+                .iter()
+                .map(|(team, quota)| (team.clone(), quota.told(now).asked))
+                .collect(),
             loads,
             usage: state.usage.of(gateway.incarnation),
             offered: state
@@ -233,8 +239,10 @@
         for (service, pace) in told.paces {
             state.observed(&service).engines.hear(pace);
         }
+        let asked: HashMap<TeamName, f64> = told.asked.into_iter().collect();
         for (team, total) in told.quotas {
-            state.quota(&team).hear(now, told.incarnation, total);
+            let asked = asked.get(&team).copied().unwrap_or(0.0);
+            state.quota(&team).hear(now, told.incarnation, QuotaTold { total, asked });
         }
         for (window, counts) in told.usage {
             state.usage.merge(window, told.incarnation, &counts);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod copy_source;
 pub mod doubt;
 pub mod engine_choice;
+pub mod fading;
 pub mod fleet;
 pub mod fleet_counts;
 pub mod lane;
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -3,6 +3,9 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use bulrushhall_core::{Incarnation, Stamp};
+use serde::{Deserialize, Serialize};
+
+use crate::fading::Fading;
 
 /// The part of the burst that is enough for a request larger than the burst.
 ///
@@ -13,6 +16,19 @@
 /// between two exchanges. Teams that send four times their limit to five nodes, with restarts, stay
 /// 5 in 100 below what a window may hold.
 const PLANNED_SHARE: f64 = 0.88;
+/// The time after which other nodes have heard what a node took: an exchange of 250 ms, and half as
+/// much on its way.
+const TOLD_AFTER: Duration = Duration::from_millis(370);
+/// The time over which what a team asks for is averaged.
+const ASKED_OVER: Duration = Duration::from_secs(1);
+/// The part of the limit that is divided evenly, for nodes that a team begins to ask; the rest goes by
+/// what nodes are asked for.
+const EVEN_SHARE: f64 = 0.1;
+/// The part of the spare of a window that may be taken before nodes hear of each other.
+const SPARE_SHARE: f64 = 0.3;
+/// What the nodes' parts make together, of the limit: what nodes tell each other keeps to the limit, and
+/// parts alone would leave some of it unused.
+const PARTS: f64 = 1.15;
 /// How long a node's last word counts: four exchanges of 250 ms may be lost or late.
 const SILENT_AFTER: Duration = Duration::from_millis(1_000);
 
@@ -41,37 +57,82 @@
     ///
     /// Nodes know each other's takings a moment late, so a window holds more than they mean it to. What
     /// they leave free for that is refused to the team below its limit, so it is as little as will do.
-    pub fn with_slack(self, slack: QuotaSlack) -> QuotaLimit {
+    pub fn with_slack(self, slack: QuotaSlack) -> QuotaPlan {
         let window = slack.window.as_secs_f64();
         if self.per_second <= 0.0 || window <= 0.0 {
-            return self;
+            return self.into();
         }
         let of_window = self.per_second * window + self.burst;
         let most = of_window * (1.0 + slack.overage) + slack.headroom;
         let per_second = (most * PLANNED_SHARE - self.burst) / window;
-        QuotaLimit { per_second: per_second.max(self.per_second), ..self }
+        let per_second = per_second.max(self.per_second);
+        let spare = (most - per_second * window - self.burst).max(0.0);
+        QuotaPlan { limit: QuotaLimit { per_second, ..self }, spare }
+    }
+
+    fn part(self, share: f64) -> QuotaLimit {
+        QuotaLimit { per_second: self.per_second * share * PARTS, burst: self.burst * share }
+    }
+}
+
+/// A `QuotaPlan` is what nodes let a team take.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct QuotaPlan {
+    /// The limit that they hold it to.
+    pub limit: QuotaLimit,
+    /// What a window may hold besides.
+    pub spare: f64,
+}
+
+impl From<QuotaLimit> for QuotaPlan {
+    fn from(limit: QuotaLimit) -> QuotaPlan {
+        QuotaPlan { limit, spare: 0.0 }
     }
 }
 
+/// A `QuotaTold` is what a node tells others of a team.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct QuotaTold {
+    /// What the team took there since the node's start.
+    pub total: f64,
+    /// What the team asks for there in a second.
+    pub asked: f64,
+}
+
 /// A `Quota` is one team's bucket at one node.
 ///
 /// What other nodes took is subtracted as they tell it. A node that is not heard may go on taking
 /// its equal part; so much is held back for it, so that the sum keeps to the limit also while
 /// nodes cannot hear each other.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Quota {
     level: Option<f64>,
     filled_at: Stamp,
     own: f64,
-    peers: BTreeMap<Incarnation, Told>,
+    peers: BTreeMap<Incarnation, Heard>,
+    asked: Fading,
+    reserve: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Told {
-    total: f64,
+struct Heard {
+    told: QuotaTold,
     at: Stamp,
 }
 
+impl Default for Quota {
+    fn default() -> Self {
+        Quota {
+            level: None,
+            filled_at: Stamp::default(),
+            own: 0.0,
+            peers: BTreeMap::new(),
+            asked: Fading::new(ASKED_OVER),
+            reserve: 0.0,
+        }
+    }
+}
+
 impl Quota {
     /// Returns the bucket of a node that started at `now` while the limit was already in use.
     ///
@@ -87,30 +148,39 @@
     pub fn take(
         &mut self,
         now: Stamp,
-        limit: QuotaLimit,
+        plan: impl Into<QuotaPlan>,
         nodes: usize,
         amount: f64,
     ) -> Result<(), Duration> {
-        self.own += amount;
+        let QuotaPlan { limit, spare } = plan.into();
         if limit.per_second <= 0.0 {
             self.level = None;
+            self.own += amount;
             return Ok(());
         }
-        self.refill(now, limit, nodes);
+        self.asked.add(now, amount);
+        let demand = self.demand(now, nodes);
+        self.refill(now, limit, nodes, demand.share);
         let level = self.level.unwrap_or(limit.burst);
-        let needed = amount.min(limit.burst * OVERSIZED_SHARE);
-        if needed <= level {
-            self.level = Some(level - amount);
-            return Ok(());
+        wait_for(amount, level, limit)?;
+        // All nodes see the bucket fill up at the same moment. Where a team asks for more than it holds
+        // before they hear of each other, each keeps to its part: together they would take several
+        // buckets, and a window would hold more than it may.
+        let asked_unheard = demand.per_second * TOLD_AFTER.as_secs_f64();
+        if level + spare * SPARE_SHARE < asked_unheard {
+            wait_for(amount, self.reserve, limit.part(demand.share))?;
         }
-        self.own -= amount;
-        Err(Duration::from_secs_f64((needed - level) / limit.per_second))
+        self.reserve = (self.reserve - amount).max(-amount);
+        self.level = Some(level - amount);
+        self.own += amount;
+        Ok(())
     }
 
     /// Gives back what a request took that did not run.
     pub fn give_back(&mut self, amount: f64) {
         self.own -= amount;
         self.level = self.level.map(|level| level + amount);
+        self.reserve += amount;
     }
 
     /// Returns what this node took since its start, to be told to others.
@@ -118,12 +188,17 @@
         self.own
     }
 
+    /// Returns what is to be told to others.
+    pub fn told(&self, now: Stamp) -> QuotaTold {
+        QuotaTold { total: self.own, asked: self.asked.rate(now) }
+    }
+
     /// Notes what another node took since its start.
-    pub fn hear(&mut self, now: Stamp, peer: Incarnation, total: f64) {
-        let known = self.peers.insert(peer, Told { total, at: now });
+    pub fn hear(&mut self, now: Stamp, peer: Incarnation, told: QuotaTold) {
+        let known = self.peers.insert(peer, Heard { told, at: now });
         // What a node took before this one knew it has been filled up again or was counted by
         // the burst that this node did not take at its start.
-        let taken = known.map_or(0.0, |known| total - known.total);
+        let taken = known.map_or(0.0, |known| told.total - known.told.total);
         self.level = self.level.map(|level| level - taken);
     }
 
@@ -132,17 +207,54 @@
         self.peers.retain(|peer, _| alive(*peer));
     }
 
-    fn refill(&mut self, now: Stamp, limit: QuotaLimit, nodes: usize) {
+    fn demand(&self, now: Stamp, nodes: usize) -> Demand {
+        let own = self.asked.rate(now);
+        let heard = self.peers.values().filter(|heard| heard.is_fresh(now));
+        let others: f64 = heard.map(|heard| heard.told.asked).sum();
+        let even = 1.0 / nodes.max(1) as f64;
+        let asked = if own <= 0.0 { 0.0 } else { own / (own + others) };
+        let share = EVEN_SHARE * even + (1.0 - EVEN_SHARE) * asked;
+        Demand { per_second: own + others, share }
+    }
+
+    fn refill(&mut self, now: Stamp, limit: QuotaLimit, nodes: usize, share: f64) {
         let passed = now.since(self.filled_at).as_secs_f64();
         self.filled_at = now;
+        let part = limit.part(share);
         let Some(level) = self.level else {
             self.level = Some(limit.burst);
+            self.reserve = part.burst;
             return;
         };
-        let heard = self.peers.values().filter(|told| now.since(told.at) < SILENT_AFTER).count();
+        let heard = self.peers.values().filter(|heard| heard.is_fresh(now)).count();
         let nodes = nodes.max(1);
         let silent = (nodes - 1).saturating_sub(heard);
-        let share = 1.0 - silent as f64 / nodes as f64;
-        self.level = Some((level + passed * limit.per_second * share).min(limit.burst));
+        let counted = 1.0 - silent as f64 / nodes as f64;
+        let passed = passed * counted;
+        // Nodes that don't hear each other have a bucket on each side; together they hold one burst.
+        self.level = Some((level + passed * limit.per_second).min(limit.burst * counted));
+        self.reserve = (self.reserve + passed * part.per_second).min(part.burst);
+    }
+}
+
+impl Heard {
+    fn is_fresh(&self, now: Stamp) -> bool {
+        now.since(self.at) < SILENT_AFTER
+    }
+}
+
+// Tells when a bucket that is at `level` holds enough for `amount`, if it does not.
+fn wait_for(amount: f64, level: f64, limit: QuotaLimit) -> Result<(), Duration> {
+    let needed = amount.min(limit.burst * OVERSIZED_SHARE);
+    if needed <= level {
+        return Ok(());
     }
+    Err(Duration::from_secs_f64((needed - level) / limit.per_second))
+}
+
+/// What a team asks for in a second at all nodes that are heard, and this node's share of the limit.
+#[derive(Clone, Copy, Debug)]
+struct Demand {
+    per_second: f64,
+    share: f64,
 }
--- a/crates/policy/tests/quota_share.rs
+++ b/crates/policy/tests/quota_share.rs
@@ -23,7 +23,7 @@
             for at in 0..NODES {
                 for from in 0..NODES {
                     if at != from && hear(at, from) {
-                        let told = nodes[from].own();
+                        let told = nodes[from].told(now);
                         nodes[at].hear(now, Incarnation(from as u64), told);
                     }
                 }
@@ -129,7 +129,7 @@
                 for pair in 0..25 {
                     let (at, from) = (pair / 5, pair % 5);
                     if at != from {
-                        let (life, told) = (Incarnation(lives[from]), nodes[from].own());
+                        let (life, told) = (Incarnation(lives[from]), nodes[from].told(now));
                         nodes[at].hear(now, life, told);
                     }
                 }
