Nodes know each other by their own word, not by the key-value service's records alone

Callers of one team got more than its limit, 3.09 M tokens in 8 s where 2.96 M were allowed, after two of five nodes had lost the key-value service and two others had started anew meanwhile.

Cause: what another node told was taken in only if the node had a record in the service. The record of a node that is cut off lapses, so a node that starts later ignores it; and the node that is cut off keeps the record of the other's earlier life, so it dropped the other's counts with every exchange and began anew. Neither side subtracted what the other took, nor kept a part back for it. Evidence: by the "after_ms" of refusals, two seconds after the first of them the bucket stood at -620,000 tokens at the node that knew all five, and between -43,000 and 24,000 at the other four. It is not the fault of buckets that fill up at the same moment: the tests failed with that mended (332 to 420 requests where 295 may be).

Class: knowledge that nodes share directly, thrown away by what the service does not list. The same cause lost the usage of such nodes in reports (usage_of_all failed too) and divided the repeats of a service by too few nodes.

A digest now carries its sender's record, and the records of nodes that the sender hears and the service lacks, so that two nodes that know nothing of each other meet through a third. Nodes without a record are asked by all who know them, are kept for 3 s after they were last heard, and do not delay the turn of others to take the duties. This holds whatever the service lists, since only nodes that nobody hears are left out.

--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -82,7 +82,9 @@
         let now = clock::now();
         let own = &self.gateway.settings.gateway.name;
         let free = self.gateway.with(|state| {
-            let earlier = state.members.iter().filter(|(name, _)| *name < own).count();
+            // A node without a record can't reach the service, so its turn is not waited for.
+            let listed = state.members.iter().filter(|(_, member)| member.listed);
+            let earlier = listed.filter(|(name, _)| *name < own).count();
             let turn = TURN * u32::try_from(earlier).unwrap_or(u32::MAX);
             let since = state.members.duty_free_since;
             since.is_some_and(|since| turn <= now.since(since))
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,7 +22,7 @@
     border::{Orders, Records, Wire},
     clock,
     demand::Demand,
-    knowledge::Members,
+    knowledge::{MemberRecord, Members},
     observed::Observed,
     settings::Settings,
     table::RouteTable,
@@ -144,6 +144,17 @@
         act(&mut self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner()))
     }
 
+    /// Returns what other nodes have to know of this one.
+    pub fn record(&self) -> MemberRecord {
+        let ports = &self.settings.ports;
+        MemberRecord {
+            incarnation: self.incarnation,
+            zone: self.settings.gateway.zone.clone(),
+            callers: ports.callers,
+            peers: ports.peers,
+        }
+    }
+
     /// Returns the revision in force; 0 before one is known.
     pub fn revision(&self) -> Revision {
         self.table.load().as_ref().map_or(Revision(0), |table| table.revision)
--- a/crates/gateway/src/knowledge/digest.rs
+++ b/crates/gateway/src/knowledge/digest.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::{backends::Load, demand::Offered};
+use crate::{backends::Load, demand::Offered, knowledge::MemberRecord};
 
 /// A `BackendLoad` is what a node has running at one backend server.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -27,6 +27,12 @@
     pub node: NodeName,
     /// This life of it.
     pub incarnation: Incarnation,
+    /// Its record, which the key-value service may lack; nodes of an earlier version do not tell it.
+    #[serde(default)]
+    pub record: Option<MemberRecord>,
+    /// The nodes that it hears and whose records the key-value service lacks.
+    #[serde(default)]
+    pub unlisted: Vec<(NodeName, MemberRecord)>,
     /// Its time of day as it was at its start, in milliseconds since 1970, gone on by a steady clock.
     pub day_ms: u64,
     /// Whether it serves callers.
--- a/crates/gateway/src/knowledge/exchange.rs
+++ b/crates/gateway/src/knowledge/exchange.rs
@@ -86,7 +86,8 @@
 /// Exchanges digests with all other nodes for ever.
 ///
 /// Of two nodes the one with the lower name asks, and both learn from one call. A node that lost
-/// the key-value service asks all: how old its configuration is it learns from answers alone.
+/// the key-value service asks all: how old its configuration is it learns from answers alone. A node that
+/// the service has no record of is asked by all who know it.
 pub async fn exchange(gateway: Arc<Gateway>) {
     let mut endpoints: HashMap<SocketAddr, Arc<Endpoint>> = HashMap::new();
     let mut ticks = interval(EACH);
@@ -104,7 +105,9 @@
             }
             let own = &gateway.settings.gateway.name;
             let blind = !state.freshness.is_within(now, BLIND_AFTER);
-            let asked = members.iter().filter(|(name, _)| blind || own < *name);
+            // A node without a record may not know of this one, and would not ask.
+            let asked =
+                members.iter().filter(|(name, member)| blind || own < *name || !member.listed);
             asked.map(|(name, member)| (name.clone(), member.record.peers)).collect()
         });
         endpoints.retain(|address, _| peers.iter().any(|(_, peer)| peer == address));
@@ -178,6 +181,12 @@
         Digest {
             node: gateway.settings.gateway.name.clone(),
             incarnation: gateway.incarnation,
+            record: Some(gateway.record()),
+            unlisted: state
+                .members
+                .unlisted(now)
+                .map(|(name, record)| (name.clone(), record.clone()))
+                .collect(),
             day_ms: as_millis(gateway.own_day()),
             ready,
             revision,
@@ -212,6 +221,13 @@
     let own = gateway.revision();
     let table = gateway.table.load_full();
     gateway.with(|state| {
+        if let Some(record) = told.record {
+            state.members.hear(now, &told.node, record);
+        }
+        let name = &gateway.settings.gateway.name;
+        for (other, record) in told.unlisted.into_iter().filter(|(other, _)| other != name) {
+            state.members.note_told(now, &other, record);
+        }
         let Some(member) = state.members.get_mut(&told.node) else {
             meters::digest_ignored("unknown");
             return None;
--- a/crates/gateway/src/knowledge/members.rs
+++ b/crates/gateway/src/knowledge/members.rs
@@ -38,6 +38,8 @@
     pub listed: bool,
     /// When it was last heard.
     pub heard_at: Option<Stamp>,
+    /// When another node last told that it hears it.
+    pub told_at: Option<Stamp>,
     /// Whether it said last that it serves callers.
     pub ready: bool,
     /// By how much its time of day is ahead, in milliseconds.
@@ -58,39 +60,77 @@
 }
 
 impl Member {
+    fn new(record: MemberRecord) -> Member {
+        Member {
+            record,
+            listed: false,
+            heard_at: None,
+            told_at: None,
+            ready: false,
+            day_ahead: None,
+            offered: BTreeMap::new(),
+        }
+    }
+
     fn is_heard(&self, now: Stamp) -> bool {
         self.heard_at.is_some_and(|at| now.since(at) < HEARD_FOR)
     }
 }
 
 impl Members {
-    /// Takes in the record of a node.
-    pub fn upsert(&mut self, name: NodeName, record: MemberRecord) {
-        let known = self.nodes.get(&name);
-        if known.is_some_and(|known| record.incarnation < known.record.incarnation) {
-            return;
+    /// Takes in the record of a node that is in the key-value service.
+    pub fn list(&mut self, name: &NodeName, record: MemberRecord) {
+        if let Some(member) = self.upsert(name, record, "key-value service") {
+            member.listed = true;
         }
-        if let Some(known) = self.nodes.get_mut(&name)
-            && known.record == record
-        {
-            known.listed = true;
-            return;
+    }
+
+    /// Takes in the record of a node from its own word.
+    ///
+    /// The key-value service lacks the records of nodes that lost their way to it, and such nodes see no
+    /// record that is written meanwhile. Were they not known to each other, a team would get its limit
+    /// from each side, and what one side did would be missing in reports.
+    pub fn hear(&mut self, now: Stamp, name: &NodeName, record: MemberRecord) {
+        if let Some(member) = self.upsert(name, record, "itself") {
+            member.heard_at = Some(now);
         }
-        tracing::info!(
-            event = Event::MemberSeen.number(),
-            node = %name,
-            address = %record.peers,
-            incarnation = record.incarnation.0
-        );
-        let member = Member {
-            record,
-            listed: true,
-            heard_at: None,
-            ready: false,
-            day_ahead: None,
-            offered: BTreeMap::new(),
-        };
-        self.nodes.insert(name, member);
+    }
+
+    /// Takes in the record of a node that another node hears.
+    pub fn note_told(&mut self, now: Stamp, name: &NodeName, record: MemberRecord) {
+        if let Some(member) = self.upsert(name, record, "node") {
+            member.told_at = Some(now);
+        }
+    }
+
+    /// Returns the nodes that are heard and have no record in the key-value service.
+    pub fn unlisted(&self, now: Stamp) -> impl Iterator<Item = (&NodeName, &MemberRecord)> {
+        let heard = self.nodes.iter().filter(move |(_, member)| member.is_heard(now));
+        heard.filter(|(_, member)| !member.listed).map(|(name, member)| (name, &member.record))
+    }
+
+    // Returns the member with the record; none where a later life of the node is known.
+    fn upsert(
+        &mut self,
+        name: &NodeName,
+        record: MemberRecord,
+        source: &'static str,
+    ) -> Option<&mut Member> {
+        let known = self.nodes.get(name).map(|known| &known.record);
+        if known.is_some_and(|known| record.incarnation < known.incarnation) {
+            return None;
+        }
+        if known != Some(&record) {
+            tracing::info!(
+                event = Event::MemberSeen.number(),
+                node = %name,
+                address = %record.peers,
+                incarnation = record.incarnation.0,
+                source
+            );
+            self.nodes.insert(name.clone(), Member::new(record));
+        }
+        self.nodes.get_mut(name)
     }
 
     /// Notes that the record of a node is gone.
@@ -107,10 +147,11 @@
         }
     }
 
-    /// Removes nodes without a record that are no longer heard.
+    /// Removes nodes without a record that nobody hears any more.
     pub fn expire(&mut self, now: Stamp) {
         self.nodes.retain(|name, member| {
-            let heard = member.heard_at.is_some_and(|at| now.since(at) < UNLISTED_FOR);
+            let last = member.heard_at.max(member.told_at);
+            let heard = last.is_some_and(|at| now.since(at) < UNLISTED_FOR);
             if !member.listed && !heard {
                 tracing::info!(event = Event::MemberLost.number(), node = %name);
             }
--- a/crates/gateway/src/knowledge/membership.rs
+++ b/crates/gateway/src/knowledge/membership.rs
@@ -76,14 +76,7 @@
 
 async fn write(gateway: &Gateway) -> Result<LeaseId, CallError> {
     let kv = &gateway.platform.key_value;
-    let ports = &gateway.settings.ports;
-    let record = MemberRecord {
-        incarnation: gateway.incarnation,
-        zone: gateway.settings.gateway.zone.clone(),
-        callers: ports.callers,
-        peers: ports.peers,
-    };
-    let encoded = rmp_serde::to_vec_named(&record);
+    let encoded = rmp_serde::to_vec_named(&gateway.record());
     let value = encoded.map(Bytes::from).unwrap_or_else(|_| unreachable!("a plain record"));
     let key = format!("{NODES}{}", gateway.settings.gateway.name);
     let lease = kv.grant(RECORD_TTL).await?;
@@ -118,7 +111,7 @@
             return None;
         };
         let record: MemberRecord = rmp_serde::from_slice(value).ok()?;
-        self.gateway.with(|state| state.members.upsert(name.clone(), record));
+        self.gateway.with(|state| state.members.list(&name, record));
         Some(name)
     }
 
