A large answer of the key-value service may take as long as it keeps arriving

Callers were served by routes that had been dropped: on slow links a configuration of 840,607 bytes, 1.12 MB on the wire, did not arrive within the second that a body had, nor within the rest of the watch's time-out of 2.4 s. It was cut and asked for again, for ever.

--- a/crates/external/src/http/body.rs
+++ b/crates/external/src/http/body.rs
@@ -1,8 +1,8 @@
 //! Bodies of requests and answers.
 
-use std::{error, fmt, time::Duration};
+use std::{error, fmt, pin::pin, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
 use http_body_util::{BodyExt, Empty, Full, LengthLimitError, Limited, StreamBody, combinators};
 use hyper::body::Frame;
@@ -24,6 +24,15 @@
     Closed,
 }
 
+/// A `Progress` bounds the reading of a body that may be large for its link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Progress {
+    /// The longest pause in which no byte arrives.
+    pub pause: Duration,
+    /// The longest time for the whole.
+    pub whole: Duration,
+}
+
 impl fmt::Display for BodyError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
@@ -65,3 +74,37 @@
         Ok(Err(_)) => Err(BodyError::Closed),
     }
 }
+
+/// Returns the whole of a body of at most `limit` bytes that keeps arriving.
+///
+/// A time-out for the whole makes what is too large for a slow link arrive never: it is cut, asked for
+/// again, and takes the link from everything else meanwhile.
+pub async fn read_progressing<B>(
+    body: B,
+    limit: usize,
+    progress: Progress,
+) -> Result<Bytes, BodyError>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn error::Error + Send + Sync>>,
+{
+    let read = tokio::time::timeout(progress.whole, read_frames(body, limit, progress.pause));
+    read.await.unwrap_or(Err(BodyError::Timeout))
+}
+
+async fn read_frames<B>(body: B, limit: usize, pause: Duration) -> Result<Bytes, BodyError>
+where
+    B: hyper::body::Body<Data = Bytes>,
+{
+    let mut body = pin!(body);
+    let mut read = BytesMut::new();
+    loop {
+        let frame = tokio::time::timeout(pause, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| BodyError::Timeout)? else { return Ok(read.freeze()) };
+        let Ok(data) = frame.map_err(|_| BodyError::Closed)?.into_data() else { continue };
+        if limit < read.len() + data.len() {
+            return Err(BodyError::TooLarge);
+        }
+        read.extend_from_slice(&data);
+    }
+}
--- a/crates/external/src/http/mod.rs
+++ b/crates/external/src/http/mod.rs
@@ -7,7 +7,9 @@
 mod tls;
 mod trace;
 
-pub use body::{Body, BodyError, BodyFault, empty, full, read_limited, streamed};
+pub use body::{
+    Body, BodyError, BodyFault, Progress, empty, full, read_limited, read_progressing, streamed,
+};
 pub use endpoint::{Endpoint, EndpointOptions, Identity};
 pub use listen::listen;
 pub use server::{Handler, ServerOptions, serve};
--- a/crates/external/src/kv.rs
+++ b/crates/external/src/kv.rs
@@ -99,5 +99,7 @@
     fn renew(&self, lease: LeaseId) -> Call<'_, ()>;
 
     /// Waits up to `wait` for changes after `after` below `prefix`; none came if it is empty.
+    ///
+    /// It fails soon after `wait` where no answer begins; one that has begun may take longer to arrive.
     fn watch<'a>(&'a self, prefix: &'a str, after: Version, wait: Duration) -> Call<'a, Changes>;
 }
--- a/crates/gateway/src/knowledge/follow.rs
+++ b/crates/gateway/src/knowledge/follow.rs
@@ -5,19 +5,16 @@
 use bulrushhall_coord::{CallBudget, Purpose};
 use bulrushhall_core::{Event, Stamp};
 use bulrushhall_external::{
-    CallError, CallFault,
+    CallFault,
     kv::{Change, Changes, Version},
 };
 use rand::RngExt;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::{clock, gateway::Gateway, meters};
 
 /// What the calls of a follower count as.
 const RECORDS: Purpose = Purpose::Records;
-/// How much longer than its wait a watch may take. A watch on a connection that has gone silent
-/// would never end.
-const WATCH_SLACK: Duration = Duration::from_millis(900);
 /// The pause after a failed call; nodes draw from the upper half of it, doubled up to two times.
 const PAUSE: Duration = Duration::from_millis(200);
 /// The wait of the first watch after a failure.
@@ -60,7 +57,10 @@
         let asked = clock::now();
         let answer = match at {
             None => gateway.platform.key_value.list(prefix).await,
-            Some(after) => watch(&gateway, prefix, after, wait_after(failures, wait)).await,
+            Some(after) => {
+                let wait = wait_after(failures, wait);
+                gateway.platform.key_value.watch(prefix, after, wait).await
+            }
         };
         match answer {
             Ok(found) => {
@@ -79,6 +79,8 @@
                 }
             }
             Err(error) if error.fault == (CallFault::Refused { status: HISTORY_GONE }) => at = None,
+            // A watch tells every version since its start, a list the newest ones only.
+            Err(error) if error.fault == CallFault::TooLarge && at.is_some() => at = None,
             Err(error) => {
                 if failures == 0 {
                     tracing::warn!(event = Event::DependencyLost.number(), prefix, %error);
@@ -92,17 +94,6 @@
     }
 }
 
-async fn watch(
-    gateway: &Gateway,
-    prefix: &str,
-    after: Version,
-    wait: Duration,
-) -> Result<Changes, CallError> {
-    let watching = gateway.platform.key_value.watch(prefix, after, wait);
-    let watched = timeout(wait + WATCH_SLACK, watching).await;
-    watched.unwrap_or_else(|_| Err(CallError::unknown(CallFault::Timeout)))
-}
-
 // The first watch after a failure is short: when the service is back must not be learned only at the
 // end of a whole wait, since records that lapsed may be missing for two seconds from then on.
 fn wait_after(failures: u32, wait: Duration) -> Duration {
