A node that is behind reads the configuration from one other node at a time

Callers were served by routes that had been dropped: on 15 of 30 nodes, all on links of 23 to 27 Mbit/s, a configuration of 840,607 bytes never came in force.

Cause: a node that heard of a newer version asked every node that had it for the document, at once and with each exchange of 250 ms, while the key-value service was sending it too. 20 answers share a link that carries one of them in 0.3 s; each was cut after 0.7 s and asked for again. The links of these nodes carried 2.5 to 4.5 MB/s until the record's end, and their watches of other records failed for want of room. Nodes with fast links sent 3 to 10 MB/s. Class: repeats of a large transfer without a bound, from many at once, each with a time-out for the whole.

Now one reading runs at a time, and it begins only after the time that the service needs to bring the document itself; where the service is lost it begins at once. The next node that tells of the version is asked when it has failed. So a link carries at most two documents, whatever the number of nodes.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod attempts;
 pub mod budget;
+pub mod catch_up;
 pub mod chain;
 pub mod claims;
 pub mod entries;
@@ -22,6 +23,7 @@
 
 pub use attempts::Attempts;
 pub use budget::{CallBudget, Outcomes, Purpose};
+pub use catch_up::CatchUp;
 pub use chain::{ChainCall, ChainReply, ChainStep, ChainWriter, Refusal};
 pub use claims::{ClaimRefusal, Claims, ClaimsAction, ClaimsOptions, KeyHash, Shard, Swapped};
 pub use entries::{Candidate, Headroom};
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 };
 
 use arc_swap::ArcSwapOption;
-use bulrushhall_coord::{Freshness, UsageCounts, Window, usage::correction};
+use bulrushhall_coord::{CatchUp, Freshness, UsageCounts, Window, usage::correction};
 use bulrushhall_core::{Incarnation, Revision, ServiceName, Stamp, TeamName};
 use bulrushhall_external::KeyValue;
 use bulrushhall_policy::{
@@ -68,6 +68,10 @@
     pub members: Members,
     /// Up to which moment the configuration is known to have been the newest.
     pub freshness: Freshness,
+    /// Which newer configurations other nodes told of.
+    pub catch_up: CatchUp,
+    /// Whether the key-value service does not answer when asked for the configuration.
+    pub config_lost: bool,
     /// Since when the records of backend servers are followed without a failure.
     pub records_steady_since: Option<Stamp>,
     /// What each team took.
--- a/crates/gateway/src/knowledge/config.rs
+++ b/crates/gateway/src/knowledge/config.rs
@@ -70,6 +70,14 @@
 }
 
 impl Follower for ConfigFollower {
+    fn regained(&self, _now: Stamp) {
+        self.gateway.with(|state| state.config_lost = false);
+    }
+
+    fn lost(&self) {
+        self.gateway.with(|state| state.config_lost = true);
+    }
+
     fn listed(&self, asked: Stamp, changes: Vec<Change>) {
         self.take(asked, changes);
     }
--- a/crates/gateway/src/knowledge/exchange.rs
+++ b/crates/gateway/src/knowledge/exchange.rs
@@ -5,7 +5,10 @@
 use bulrushhall_core::{NodeName, Stamp, TeamName};
 use bulrushhall_external::{
     BoxFuture, CallError, CallFault,
-    http::{Body, Endpoint, EndpointOptions, Handler, empty, full, read_limited},
+    http::{
+        Body, Endpoint, EndpointOptions, Handler, Progress, empty, full, read_limited,
+        read_progressing,
+    },
 };
 use bulrushhall_policy::quota::QuotaTold;
 use bytes::Bytes;
@@ -33,6 +36,15 @@
 const CONNECT: Duration = Duration::from_millis(250);
 /// The longest time until a node answers.
 const ANSWER: Duration = Duration::from_millis(700);
+/// How a digest has to arrive: one that takes longer says nothing of this moment.
+const DIGEST: Progress = Progress { pause: ANSWER, whole: ANSWER };
+/// How a configuration has to arrive.
+const DOCUMENT: Progress = Progress { pause: ANSWER, whole: Duration::from_secs(10) };
+/// The time that the key-value service has to bring a configuration that other nodes have, besides what
+/// its size takes.
+const SERVICE_FIRST: Duration = Duration::from_millis(500);
+/// The bytes of a configuration that the key-value service has a second for.
+const SERVICE_RATE: f64 = 1_000_000.0;
 /// The largest message, in bytes: a configuration, with room to spare.
 const MESSAGE_LIMIT: usize = 4 << 20;
 /// Where digests are exchanged.
@@ -61,9 +73,9 @@
                 let Ok(told) = rmp_serde::from_slice::<Digest>(&body) else {
                     return refuse(StatusCode::BAD_REQUEST);
                 };
-                let behind = hear(&self.gateway, None, told);
-                if let Some(node) = behind {
-                    tokio::spawn(catch_up(Arc::clone(&self.gateway), node));
+                if let Some(reading) = hear(&self.gateway, None, told) {
+                    let endpoint = endpoint(reading.address);
+                    tokio::spawn(async move { read_document(reading, &endpoint).await });
                 }
                 encoded(&digest(&self.gateway))
             }
@@ -121,27 +133,35 @@
     }
 }
 
+/// A `Reading` is the only reading of a configuration from another node, until it is dropped.
+struct Reading {
+    gateway: Arc<Gateway>,
+    address: SocketAddr,
+}
+
+impl Drop for Reading {
+    fn drop(&mut self) {
+        self.gateway.with(|state| state.catch_up.end());
+    }
+}
+
 async fn ask(gateway: Arc<Gateway>, endpoint: Arc<Endpoint>, message: Bytes) {
     let asked = clock::now();
-    let told = call::<Digest>(&endpoint, DIGEST_PATH, message).await;
+    let told = call::<Digest>(&endpoint, DIGEST_PATH, message, DIGEST).await;
     // A node that does not answer is not heard any more, which its absence from the addresses and
     // the shares kept back for it show.
     let Ok(told) = told else { return };
-    if hear(&gateway, Some(asked), told).is_some() {
-        read_document(&gateway, &endpoint).await;
+    if let Some(reading) = hear(&gateway, Some(asked), told) {
+        read_document(reading, &endpoint).await;
     }
 }
 
-async fn catch_up(gateway: Arc<Gateway>, address: SocketAddr) {
-    read_document(&gateway, &endpoint(address)).await;
-}
-
-async fn read_document(gateway: &Gateway, endpoint: &Endpoint) {
-    let found = call::<Document>(endpoint, DOCUMENT_PATH, Bytes::new()).await;
+async fn read_document(reading: Reading, endpoint: &Endpoint) {
+    let found = call::<Document>(endpoint, DOCUMENT_PATH, Bytes::new(), DOCUMENT).await;
     meters::document_read(found.as_ref().err().map(|error| &error.fault));
     let Ok(found) = found else { return };
     if !found.bytes.is_empty() {
-        take_config(gateway, &found.bytes, "node");
+        take_config(&reading.gateway, &found.bytes, "node");
     }
 }
 
@@ -155,11 +175,12 @@
     endpoint: &Endpoint,
     path: &str,
     message: Bytes,
+    progress: Progress,
 ) -> Result<T, CallError> {
     let malformed = || CallError::unknown(CallFault::Malformed);
     let req = Request::post(path).body(Full::new(message));
     let answer = endpoint.send(req.map_err(|_| malformed())?).await?;
-    let body = read_limited(answer.into_body(), MESSAGE_LIMIT, ANSWER).await;
+    let body = read_progressing(answer.into_body(), MESSAGE_LIMIT, progress).await;
     let body = body.map_err(|error| CallError::unknown(error.into()))?;
     rmp_serde::from_slice(&body).map_err(|_| malformed())
 }
@@ -214,12 +235,13 @@
     })
 }
 
-// Takes in what a node told, no earlier than `since` where that is known; returns its address where
-// it has a newer configuration.
-fn hear(gateway: &Gateway, since: Option<Stamp>, told: Digest) -> Option<SocketAddr> {
+// Takes in what a node told, no earlier than `since` where that is known; returns the reading of its
+// configuration where that is due.
+fn hear(gateway: &Arc<Gateway>, since: Option<Stamp>, told: Digest) -> Option<Reading> {
     let now = clock::now();
     let own = gateway.revision();
     let table = gateway.table.load_full();
+    let document = table.as_ref().map(|table| table.document.len());
     gateway.with(|state| {
         if let Some(record) = told.record {
             state.members.hear(now, &told.node, record);
@@ -275,10 +297,18 @@
                 backend.parts.note(now, &parts, sizes.remembered());
             }
         }
-        (own < told.revision).then_some(address)
+        state.catch_up.hear(now, own, told.revision);
+        let patience = document.map_or(Duration::ZERO, patience);
+        let patience = if state.config_lost { Duration::ZERO } else { patience };
+        let is_due = state.catch_up.begin(now, own, told.revision, patience);
+        is_due.then(|| Reading { gateway: Arc::clone(gateway), address })
     })
 }
 
+fn patience(document: usize) -> Duration {
+    SERVICE_FIRST + Duration::from_secs_f64(document as f64 / SERVICE_RATE)
+}
+
 fn as_millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
