A node that can't get a newer configuration in time refuses requests

A node knows since when another one has a newer revision. Once that is half a second short of the time for configurations (the new setting config_apply, 2 s by default), it refuses requests as not run, with 503 and Retry-After, and is not ready. While nobody has a newer one, as in outages, nodes go on with what they have.

A node that does not hear of the newer revision either is not covered.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -31,6 +31,9 @@
 /// The part of the time for revocations that is kept free: for a request on its way to a backend
 /// server, and for clocks that run apart.
 const REVOCATION_MARGIN: Duration = Duration::from_millis(400);
+/// The part of the time for configurations that is kept free: for hearing of a newer one, which takes an
+/// exchange of 250 ms, and for a request on its way to a backend server.
+const CONFIG_MARGIN: Duration = Duration::from_millis(500);
 /// The age from which a configuration may lack what others have: a route or key that this node does
 /// not know may be new. It is three times the wait of a watch.
 const DOUBTFUL_AGE: Duration = Duration::from_millis(4_500);
@@ -205,10 +208,24 @@
         self.with(|state| state.freshness.is_within(clock::now(), DOUBTFUL_AGE))
     }
 
+    /// Returns whether a newer configuration has been known of for so long that the one in force may not
+    /// be used any more.
+    ///
+    /// A node whose link is too slow, or that can't read the newer one, would otherwise go on with routes
+    /// that were dropped. As long as nobody has a newer one, nodes go on with what they have.
+    pub fn is_outdated(&self) -> bool {
+        let own = self.revision();
+        let limit = Duration::from(self.settings.bounds.config_apply);
+        let limit = limit.saturating_sub(CONFIG_MARGIN);
+        let since = self.with(|state| state.catch_up.behind_since(own));
+        since.is_some_and(|since| limit <= clock::now().since(since))
+    }
+
     /// Returns whether the node can serve callers.
     pub fn is_ready(&self) -> bool {
         let Some(table) = self.table.load_full() else { return false };
-        self.phase() == Phase::Serving && (!table.is_keyed() || self.may_use_keys())
+        let usable = !table.is_keyed() || self.may_use_keys();
+        self.phase() == Phase::Serving && usable && !self.is_outdated()
     }
 
     /// Returns by how much teams may exceed their limits.
--- a/crates/gateway/src/pipeline/identify.rs
+++ b/crates/gateway/src/pipeline/identify.rs
@@ -42,6 +42,9 @@
     if table.limits.head_bytes < head_bytes(head) {
         return Err(Failure::HeadTooLarge);
     }
+    if gateway.is_outdated() {
+        return Err(Failure::ConfigUnknown);
+    }
     let Some(route) = table.route(&call.host, head.uri.path()).cloned() else {
         // The route may be in a newer configuration that this node could not learn.
         return Err(if gateway.is_certain() { Failure::NoRoute } else { Failure::ConfigUnknown });
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -82,6 +82,9 @@
     /// After which time a key that was taken away may not be used any more, on any node.
     #[serde_as(as = "DisplayFromStr")]
     pub revocation: humantime::Duration,
+    /// After which time a confirmed configuration is in force on all nodes.
+    #[serde_as(as = "DisplayFromStr")]
+    pub config_apply: humantime::Duration,
     /// How long the process may go on after it was told to stop.
     #[serde_as(as = "DisplayFromStr")]
     pub grace: humantime::Duration,
@@ -178,6 +181,7 @@
     fn default() -> Self {
         BoundSettings {
             revocation: Duration::from_secs(5).into(),
+            config_apply: Duration::from_secs(2).into(),
             grace: Duration::from_secs(8).into(),
             lease: Duration::from_secs(3).into(),
             usage_window: Duration::from_secs(5).into(),
