Large values of the key-value service and of peers arrive on slow links

Both are bounded by progress now.

kv_faults::slow_link, a value of 1 MB on a link that needs 6 s, failed before and passes.

--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -10,7 +10,7 @@
 use bulrushhall_core::Incarnation;
 use bulrushhall_external::{
     CallError, CallFault,
-    http::{Endpoint, EndpointOptions, Tls, read_limited},
+    http::{Endpoint, EndpointOptions, Progress, Tls, read_progressing},
 };
 use bytes::Bytes;
 use http_body_util::Full;
@@ -21,8 +21,10 @@
     peers::{Envelope, MESSAGE_LIMIT, PeerMessage, Sender},
 };
 
-/// The longest time that a reply may take.
+/// The longest time until a reply begins.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How a reply has to arrive once it has begun: it may hold a whole configuration.
+const REPLY: Progress = Progress { pause: REPLY_TIMEOUT, whole: Duration::from_secs(10) };
 /// The longest time for opening a connection to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -70,8 +72,8 @@
         if status != StatusCode::OK {
             return Err(CallError::not_done(CallFault::Refused { status: status.as_u16() }));
         }
-        let reply = read_limited(answer.into_body(), MESSAGE_LIMIT, REPLY_TIMEOUT).await;
-        let reply = reply.map_err(|_| CallError::unknown(CallFault::Closed))?;
+        let reply = read_progressing(answer.into_body(), MESSAGE_LIMIT, REPLY).await;
+        let reply = reply.map_err(|error| CallError::unknown(error.into()))?;
         let reply: Envelope<M::Reply> =
             rmp_serde::from_slice(&reply).map_err(|_| CallError::unknown(CallFault::Malformed))?;
         cx.note_peer();
--- a/crates/external/src/clients/kv.rs
+++ b/crates/external/src/clients/kv.rs
@@ -10,7 +10,7 @@
 use crate::{
     Call,
     errors::{CallError, CallFault},
-    http::{Endpoint, read_limited},
+    http::{Endpoint, Progress, read_progressing},
     kv::{CasOutcome, Changes, KeyValue, LeaseId, VALUE_MAX, Version, Versioned},
 };
 
@@ -20,8 +20,8 @@
 pub const EXPECT_HEADER: &str = "x-expect-version";
 /// The header that carries the lease that a key is tied to.
 pub const LEASE_HEADER: &str = "x-lease";
-/// The longest time for the body of an answer.
-const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// How the body of an answer has to arrive.
+const BODY: Progress = Progress { pause: Duration::from_secs(2), whole: Duration::from_secs(20) };
 /// The largest answer, in bytes: a value, or a list of keys.
 const ANSWER_LIMIT: usize = VALUE_MAX + (1 << 16);
 
@@ -142,13 +142,13 @@
     let malformed = || CallError::unknown(CallFault::Malformed);
     let header = answer.headers().get(VERSION_HEADER).ok_or_else(malformed)?;
     let version = header.to_str().map_err(|_| malformed())?.parse().map_err(|_| malformed())?;
-    let body = read_limited(answer.into_body(), ANSWER_LIMIT, BODY_TIMEOUT).await;
-    let value = body.map_err(|_| CallError::unknown(CallFault::Closed))?;
+    let body = read_progressing(answer.into_body(), ANSWER_LIMIT, BODY).await;
+    let value = body.map_err(|error| CallError::unknown(error.into()))?;
     Ok(Versioned { version: Version(version), value })
 }
 
 async fn read_json<T: DeserializeOwned>(answer: Response<Incoming>) -> Result<T, CallError> {
-    let body = read_limited(answer.into_body(), ANSWER_LIMIT, BODY_TIMEOUT).await;
-    let body = body.map_err(|_| CallError::unknown(CallFault::Closed))?;
+    let body = read_progressing(answer.into_body(), ANSWER_LIMIT, BODY).await;
+    let body = body.map_err(|error| CallError::unknown(error.into()))?;
     serde_json::from_slice(&body).map_err(|_| CallError::unknown(CallFault::Malformed))
 }
--- a/crates/standin/tests/kv_faults.rs
+++ b/crates/standin/tests/kv_faults.rs
@@ -1,6 +1,6 @@
 //! The stand-in key-value service keeps its promises and breaks them when told to.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bulrushhall_core::Ran;
 use bulrushhall_external::{
@@ -11,6 +11,8 @@
 };
 use bulrushhall_standin::{
     kv::{KvOptions, KvServer},
+    link::Link,
+    pace::Pace,
     switches::Faults,
 };
 use tokio::time::{Instant, sleep};
@@ -122,3 +124,15 @@
     assert!(0 < limited);
     assert_eq!(server.counts().reads, 40);
 }
+
+// Guards against a value that never arrives because its link needs longer for it than a call may take.
+#[tokio::test]
+async fn slow_link() {
+    let (server, near) = start().await;
+    let value = vec![b'x'; VALUE_MAX];
+    near.put_if("large", Version(0), value.into(), None).await.expect("an outcome");
+    let pace = Arc::new(Pace::new(VALUE_MAX as f64 / 6.0));
+    let link = Link::start_paced(server.address(), pace).await.expect("a link");
+    let far = HttpKeyValue::new(Endpoint::new(link.address(), EndpointOptions::default()));
+    assert_eq!(far.get("large").await.expect("a value").value.len(), VALUE_MAX);
+}
