--- a/crates/external/src/http/body.rs
+++ b/crates/external/src/http/body.rs
@@ -70,11 +70,14 @@
     match collected {
         Err(_) => Err(BodyError::Timeout),
         Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge),
-        Ok(Err(_)) => Err(BodyError::Closed),
+        Ok(Err(error)) => Err(broken(&error)),
     }
 }
 
+fn broken(error: &BodyFault) -> BodyError {
+    if error.is::<LengthLimitError>() { BodyError::TooLarge } else { BodyError::Closed }
+}
+
 /// Returns the whole of a body of at most `limit` bytes that keeps arriving.
 ///
 /// A time-out for the whole makes what is too large for a slow link arrive never: it is cut, asked for
@@ -88,23 +91,21 @@
     B: hyper::body::Body<Data = Bytes>,
     B::Error: Into<Box<dyn error::Error + Send + Sync>>,
 {
-    let read = tokio::time::timeout(progress.whole, read_frames(body, limit, progress.pause));
-    read.await.unwrap_or(Err(BodyError::Timeout))
+    let frames = read_frames(Limited::new(body, limit), progress.pause);
+    let read = tokio::time::timeout(progress.whole, frames).await;
+    read.unwrap_or(Err(BodyError::Timeout))
 }
 
-async fn read_frames<B>(body: B, limit: usize, pause: Duration) -> Result<Bytes, BodyError>
+async fn read_frames<B>(body: B, pause: Duration) -> Result<Bytes, BodyError>
 where
-    B: hyper::body::Body<Data = Bytes>,
+    B: hyper::body::Body<Data = Bytes, Error = BodyFault>,
 {
     let mut body = pin!(body);
     let mut read = BytesMut::new();
     loop {
         let frame = tokio::time::timeout(pause, body.frame()).await;
         let Some(frame) = frame.map_err(|_| BodyError::Timeout)? else { return Ok(read.freeze()) };
-        let Ok(data) = frame.map_err(|_| BodyError::Closed)?.into_data() else { continue };
-        if limit < read.len() + data.len() {
-            return Err(BodyError::TooLarge);
-        }
+        let Ok(data) = frame.map_err(|error| broken(&error))?.into_data() else { continue };
         read.extend_from_slice(&data);
     }
 }
--- a/crates/gateway/src/knowledge/exchange.rs
+++ b/crates/gateway/src/knowledge/exchange.rs
@@ -244,7 +244,7 @@
     let document = table.as_ref().map(|table| table.document.len());
     gateway.with(|state| {
         if let Some(record) = told.record {
-            state.members.hear(now, &told.node, record);
+            state.members.introduce(&told.node, record);
         }
         let name = &gateway.settings.gateway.name;
         for (other, record) in told.unlisted.into_iter().filter(|(other, _)| other != name) {
--- a/crates/gateway/src/knowledge/members.rs
+++ b/crates/gateway/src/knowledge/members.rs
@@ -90,10 +90,8 @@
     /// The key-value service lacks the records of nodes that lost their way to it, and such nodes see no
     /// record that is written meanwhile. Were they not known to each other, a team would get its limit
     /// from each side, and what one side did would be missing in reports.
-    pub fn hear(&mut self, now: Stamp, name: &NodeName, record: MemberRecord) {
-        if let Some(member) = self.upsert(name, record, "itself") {
-            member.heard_at = Some(now);
-        }
+    pub fn introduce(&mut self, name: &NodeName, record: MemberRecord) {
+        self.upsert(name, record, "itself");
     }
 
     /// Takes in the record of a node that another node hears.
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -3,7 +3,6 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use bulrushhall_core::{Incarnation, Stamp};
-use serde::{Deserialize, Serialize};
 
 use crate::fading::Fading;
 
@@ -53,7 +52,7 @@
 }
 
 impl QuotaLimit {
-    /// Returns the limit that nodes hold a team to, given the slack that its operators allow.
+    /// Returns what nodes let a team take, given the slack that its operators allow.
     ///
     /// Nodes know each other's takings a moment late, so a window holds more than they mean it to. What
     /// they leave free for that is refused to the team below its limit, so it is as little as will do.
@@ -91,7 +90,7 @@
 }
 
 /// A `QuotaTold` is what a node tells others of a team.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct QuotaTold {
     /// What the team took there since the node's start.
     pub total: f64,
