Callers are told at most 64 addresses, drawn anew for each answer

Cause: the list of addresses named all nodes in the order of their names, and callers read 64 of them. Of 119 nodes the last 55 would hardly be found, while a node that says that it is ready has to get connections. Ruled out: naming the nodes of the caller's zone alone, since a zone's loss would leave its callers none. Change: [bounds] addresses_most, 64; a random choice where more serve.

--- a/crates/gateway/src/ports/directory.rs
+++ b/crates/gateway/src/ports/directory.rs
@@ -7,6 +7,7 @@
     http::{Body, Handler, empty, full},
 };
 use hyper::{Request, Response, StatusCode, body::Incoming};
+use rand::seq::IndexedRandom;
 
 use crate::{clock, gateway::Gateway};
 
@@ -31,6 +32,11 @@
         if self.gateway.is_ready() {
             addresses.push(self.gateway.settings.ports.callers);
         }
+        // A caller reads no more than so many. Always the first ones, callers would find the others never.
+        let most = self.gateway.settings.bounds.addresses_most;
+        if most < addresses.len() {
+            addresses = addresses.sample(&mut rand::rng(), most).copied().collect();
+        }
         if addresses.is_empty() {
             return status(StatusCode::SERVICE_UNAVAILABLE);
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -118,6 +118,9 @@
     /// The longest time for which callers keep addresses.
     #[serde_as(as = "DisplayFromStr")]
     pub address_ttl: humantime::Duration,
+    /// The most addresses that a caller is told at once.
+    #[serde_as(as = "DisplayFromStr")]
+    pub addresses_most: usize,
 }
 
 impl Settings {
@@ -193,6 +196,7 @@
             quota_overage: 0.0,
             quota_headroom: 0.0,
             address_ttl: Duration::from_secs(2).into(),
+            addresses_most: 64,
         }
     }
 }
