Relays from 17 nodes on, with a standby; events and a metric of roles

Change: flat_max 16 in place of 48. The next node by rank is told every second time what the relay of the zone is told, and each node tells its own usage with each message. A relay that died took the counts of nodes that had ended along (hypothesis; the standby is meant to hold them, standby_follows tests who it is).

--- a/crates/coord/src/relays.rs
+++ b/crates/coord/src/relays.rs
@@ -21,7 +21,7 @@
 impl Default for RelayOptions {
     fn default() -> Self {
         RelayOptions {
-            flat_max: 48,
+            flat_max: 16,
             relays: 1,
             silent_asked: 2,
             silent_after: Duration::from_millis(600),
@@ -61,6 +61,11 @@
     pub near: Vec<NodeName>,
     /// The relays of all other zones; empty but for a relay.
     pub far: Vec<NodeName>,
+    /// The node that becomes its zone's relay next; none where that is this node.
+    ///
+    /// It keeps what must outlive a relay: a relay that dies with counts of nodes that have ended would take
+    /// these along.
+    pub standby: Option<NodeName>,
 }
 
 impl RelayPlan {
@@ -94,7 +99,11 @@
         }
         let mut plan = RelayPlan { role: Role::Member, ..RelayPlan::default() };
         for (zone, peers) in zones {
-            for node in self.relays_of(peers) {
+            let (relays, standby) = self.relays_of(peers);
+            if zone == own.zone {
+                plan.standby = standby.filter(|node| *node != own.node).cloned();
+            }
+            for node in relays {
                 if node == own.node {
                     plan.role = Role::Relay;
                 } else if zone == own.zone {
@@ -113,25 +122,28 @@
         plan
     }
 
-    // The first by rank that are not silent, and some of the silent ones before them.
-    fn relays_of<'a>(&self, mut peers: Vec<RelayPeer<'a>>) -> Vec<&'a NodeName> {
+    // The first by rank that are not silent, some of the silent ones before them, and the next one.
+    fn relays_of<'a>(
+        &self,
+        mut peers: Vec<RelayPeer<'a>>,
+    ) -> (Vec<&'a NodeName>, Option<&'a NodeName>) {
         peers.sort_by_cached_key(|peer| (xxh3_64(peer.node.as_str().as_bytes()), peer.node));
         let mut relays = Vec::new();
         let (mut sound, mut silent) = (0, 0);
         for peer in peers {
-            if sound == self.relays {
-                break;
+            if !peer.silent && sound == self.relays {
+                return (relays, Some(peer.node));
             }
             if !peer.silent {
                 sound += 1;
-            } else if silent < self.silent_asked {
+            } else if silent < self.silent_asked && sound < self.relays {
                 silent += 1;
             } else {
                 continue;
             }
             relays.push(peer.node);
         }
-        relays
+        (relays, None)
     }
 }
 
--- a/crates/coord/tests/relay_plan.rs
+++ b/crates/coord/tests/relay_plan.rs
@@ -40,12 +40,13 @@
 
 #[test]
 fn few_nodes() {
-    assert!(Fleet::new(48, 4).plans().values().all(|plan| plan.role == Role::Flat));
+    assert!(Fleet::new(16, 4).plans().values().all(|plan| plan.role == Role::Flat));
 }
 
 // Guards against messages that grow with the square of the nodes: all nodes together exchange news with a
 // number of others that grows with the nodes and the square of the zones.
 #[rstest]
+#[case(30, 4)]
 #[case(60, 4)]
 #[case(120, 6)]
 #[case(340, 10)]
@@ -85,6 +86,29 @@
     assert!(fleet.silent.iter().all(|node| plan.near.contains(node)));
 }
 
+// Guards against counts of nodes that have ended, which are lost with the relay that alone knew them.
+#[test]
+fn standby_follows() {
+    let mut fleet = Fleet::new(120, 6);
+    let plans = fleet.plans();
+    let relays: Vec<NodeName> = plans
+        .iter()
+        .filter(|(_, plan)| plan.role == Role::Relay)
+        .map(|(node, _)| node.clone())
+        .collect();
+    let standbys: BTreeSet<NodeName> =
+        plans.values().filter_map(|plan| plan.standby.clone()).collect();
+    assert_eq!(standbys.len(), 6);
+    fleet.silent = relays.into_iter().collect();
+    for (at, (node, _)) in fleet.nodes.iter().enumerate() {
+        if fleet.silent.contains(node) {
+            continue;
+        }
+        let is_relay = fleet.plan(at).role == Role::Relay;
+        assert_eq!(is_relay, standbys.contains(node), "{node}");
+    }
+}
+
 #[test]
 fn asked_as_relay() {
     let fleet = Fleet::new(120, 6);
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -59,6 +59,10 @@
     MemberSeen,
     /// Another node is no longer known.
     MemberLost,
+    /// The node's part in passing on news has changed.
+    RoleChanged,
+    /// Another relay's news are taken in.
+    SourceChanged,
     /// This node carries out the duties.
     DutiesGained,
     /// This node no longer carries out the duties.
@@ -112,6 +116,8 @@
         Event::RecordIgnored,
         Event::MemberSeen,
         Event::MemberLost,
+        Event::RoleChanged,
+        Event::SourceChanged,
         Event::DutiesGained,
         Event::DutiesLost,
         Event::VmBought,
@@ -155,6 +161,8 @@
             Event::RecordIgnored => 414,
             Event::MemberSeen => 420,
             Event::MemberLost => 421,
+            Event::RoleChanged => 422,
+            Event::SourceChanged => 423,
             Event::DutiesGained => 430,
             Event::DutiesLost => 431,
             Event::VmBought => 500,
--- a/crates/gateway/src/knowledge/exchange.rs
+++ b/crates/gateway/src/knowledge/exchange.rs
@@ -8,7 +8,7 @@
 };
 
 use bulrushhall_coord::{IsAsked, RelayOptions, RelayPeer, Role};
-use bulrushhall_core::{NodeName, Stamp};
+use bulrushhall_core::{Event, NodeName, Stamp};
 use bulrushhall_external::{
     CallError, CallFault,
     http::{Endpoint, EndpointOptions, Progress, read_progressing},
@@ -37,6 +37,8 @@
 const EACH: Duration = Duration::from_millis(250);
 /// The time between two exchanges where news take three ways, through relays.
 const EACH_BY_RELAYS: Duration = Duration::from_millis(200);
+/// The rounds after which the standby of a zone is told.
+const STANDBY_EACH: u64 = 2;
 /// The age of the configuration from which a node asks all others: above what two watches take.
 const BLIND_AFTER: Duration = Duration::from_millis(2_500);
 /// The same for members, which learn it from relays.
@@ -133,7 +135,10 @@
     });
     let is_asked = state.relay_asked_at.is_some_and(|at| now.since(at) < RELAY_FOR);
     let plan = options.plan(own, others, if is_asked { IsAsked::Yes } else { IsAsked::No });
+    meters::role(plan.role);
     if plan.role != state.relays.role {
+        let (before, role) = (state.relays.role, plan.role);
+        tracing::info!(event = Event::RoleChanged.number(), ?role, ?before);
         // What was told to the role before is about other sets of nodes.
         state.sources.clear();
         state.members.forget_offered();
@@ -190,6 +195,9 @@
                 asks.push(ask);
             }
         }
+        if let Some(ask) = self.standby_ask(state, &asks) {
+            asks.push(ask);
+        }
         if self.blind {
             let all: Vec<_> = state.members.iter().collect();
             for (node, member) in all.sample(&mut rand::rng(), BLIND_ASKS) {
@@ -201,6 +209,17 @@
         asks
     }
 
+    // Each second round the standby of the zone is told what its relay is told.
+    fn standby_ask(&self, state: &State, asks: &[Ask]) -> Option<Ask> {
+        let standby = state.relays.standby.as_ref()?;
+        let is_asked = asks.iter().any(|ask| ask.node == *standby);
+        if is_asked || !state.exchanges.is_multiple_of(STANDBY_EACH) {
+            return None;
+        }
+        let member = state.members.iter().find(|(node, _)| *node == standby)?.1;
+        Some(ask_of(standby, member, Told::Own, Told::Nothing))
+    }
+
     fn asks_first(&self, node: &NodeName, member: &Member) -> bool {
         let heard = member.direct_at.is_some_and(|at| self.now.since(at) < ASKED_WITHIN);
         self.gateway.settings.gateway.name < *node || !heard
--- a/crates/gateway/src/knowledge/hear.rs
+++ b/crates/gateway/src/knowledge/hear.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use bulrushhall_coord::{NewsScope, Role, SourceChoice, usage::UsageOf};
-use bulrushhall_core::{Incarnation, Stamp, TeamName, ZoneName};
+use bulrushhall_core::{Event, Incarnation, Stamp, TeamName, ZoneName};
 use bulrushhall_policy::quota::QuotaTold;
 
 use crate::{
@@ -137,6 +137,12 @@
             SourceChoice::Ignored => false,
             SourceChoice::Taken { before } => {
                 if let Some(before) = before {
+                    tracing::info!(
+                        event = Event::SourceChanged.number(),
+                        node = %told.node,
+                        nodes = told.nodes,
+                        before = before.0
+                    );
                     drop_source(state, before);
                 }
                 true
--- a/crates/gateway/src/knowledge/tell.rs
+++ b/crates/gateway/src/knowledge/tell.rs
@@ -99,7 +99,9 @@
         }
         digest.loads = self.loads(state);
         digest.offered = self.offered(state);
-        if state.relays.role == Role::Flat || state.exchanges.is_multiple_of(LATE_NEWS_EACH) {
+        // What only this node knows is lost with it.
+        let is_own = self.message.told == Told::Own;
+        if is_own || state.exchanges.is_multiple_of(LATE_NEWS_EACH) {
             digest.usage = self.usage(state);
             for (service, observed) in &state.observed {
                 digest.paces.extend(observed.engines.own().map(|pace| (service.clone(), pace)));
@@ -182,9 +184,9 @@
     }
 
     fn usage(&self, state: &State) -> Vec<(Window, TeamCounts)> {
-        let rounds = match state.relays.role {
-            Role::Flat => state.exchanges,
-            Role::Member | Role::Relay => state.exchanges / LATE_NEWS_EACH,
+        let rounds = match self.message.told {
+            Told::Own | Told::Nothing => state.exchanges,
+            Told::Zone | Told::Others => state.exchanges / LATE_NEWS_EACH,
         };
         let is_for_all = rounds.is_multiple_of(ALL_WINDOWS_EACH);
         let which = if is_for_all { ToldWindows::All } else { ToldWindows::Newest };
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bulrushhall_coord::Role;
 use bulrushhall_core::config::RouteKind;
 use bulrushhall_external::CallFault;
 use metrics::{counter, gauge, histogram};
@@ -20,6 +21,8 @@
 const REVISION: &str = "bulrush_route_revision";
 /// Nodes that this one knows, and that it hears.
 const MEMBERS: &str = "bulrush_route_members";
+/// The node's part in passing on news.
+const ROLE: &str = "bulrush_route_role";
 /// What other nodes told that was not taken in.
 const DIGESTS_IGNORED: &str = "bulrush_route_digests_ignored_total";
 /// Configurations that were read from other nodes.
@@ -39,7 +42,7 @@
 }
 
 /// Every metric.
-pub const ROUTE_METRICS: [RouteMetric; 10] = [
+pub const ROUTE_METRICS: [RouteMetric; 11] = [
     RouteMetric { name: REQUESTS, kind: "counter", labels: "kind, outcome" },
     RouteMetric { name: REQUEST_SECONDS, kind: "histogram", labels: "kind" },
     RouteMetric { name: FIRST_SECONDS, kind: "histogram", labels: "kind" },
@@ -47,6 +50,7 @@
     RouteMetric { name: DEPENDENCIES_LOST, kind: "counter", labels: "prefix" },
     RouteMetric { name: REVISION, kind: "gauge", labels: "" },
     RouteMetric { name: MEMBERS, kind: "gauge", labels: "state" },
+    RouteMetric { name: ROLE, kind: "gauge", labels: "role" },
     RouteMetric { name: DIGESTS_IGNORED, kind: "counter", labels: "reason" },
     RouteMetric { name: DOCUMENTS_READ, kind: "counter", labels: "outcome" },
     RouteMetric { name: DUTIES, kind: "gauge", labels: "" },
@@ -89,6 +93,14 @@
     gauge!(MEMBERS, "state" => "heard").set(heard as f64);
 }
 
+/// Sets the node's part in passing on news.
+pub fn role(role: Role) {
+    for (word, of_word) in [("flat", Role::Flat), ("member", Role::Member), ("relay", Role::Relay)]
+    {
+        gauge!(ROLE, "role" => word).set(f64::from(u8::from(role == of_word)));
+    }
+}
+
 /// Counts what another node told and was not taken in.
 pub fn digest_ignored(reason: &'static str) {
     counter!(DIGESTS_IGNORED, "reason" => reason).increment(1);
