One change log for records of backend servers and of nodes, and less written twice

Found on reading the change once more; behaviour stays as it is, but for two field names of a message that no release had. Numbers of changes, the names that went last and what to tell after a number stood in Backends and in Members, with a type of news each; ChangeLog and News serve both, with tests of their own (change_log). Messages that tell nothing were spelt out in the adapter's test and in the digest; Digest::new serves both. Three tests of policy had the same idle engine. The standby was looked for in a list of all nodes where a map has it, and who gets a message was asked in two ways.

Suspected on reading and listed as open: takings that a relay counts twice after it forgot a member.

Left: is_fed and times_fed stand in two followers; Quota::own serves a test alone.

--- a/crates/gateway/src/backends/directory.rs
+++ b/crates/gateway/src/backends/directory.rs
@@ -1,7 +1,7 @@
 //! The backend servers by name and service.
 
 use std::{
-    collections::{BTreeSet, HashMap, VecDeque},
+    collections::{BTreeSet, HashMap},
     sync::Arc,
     time::Duration,
 };
@@ -14,6 +14,7 @@
 use crate::{
     backends::{Backend, RecordNews},
     border::{BackendRecord, BackendState},
+    change_log::ChangeLog,
 };
 
 /// How long after the return of the key-value service a record may stay missing: those that lapsed
@@ -29,9 +30,7 @@
     arena: SlotMap<WorkerKey, Backend>,
     names: HashMap<Arc<str>, WorkerKey>,
     /// The changes of records since the start.
-    changes: u64,
-    /// The servers that went last, each with the number of that change.
-    gone: VecDeque<(u64, Arc<str>)>,
+    changes: ChangeLog<String, GONE_KEPT>,
 }
 
 impl Backends {
@@ -65,8 +64,7 @@
     }
 
     fn note_change(&mut self, name: &str) {
-        self.changes += 1;
-        let at = self.changes;
+        let at = self.changes.note();
         if let Some(backend) = self.named_mut(name) {
             backend.changed_at = at;
         }
@@ -75,20 +73,12 @@
     /// Returns the changes of records after that with the number `after`, or all records where these are
     /// not known any more.
     pub fn news(&self, after: u64) -> RecordNews {
-        let forgotten = self.changes < after
-            || (GONE_KEPT <= self.gone.len()
-                && self.gone.front().is_some_and(|(oldest, _)| after < *oldest));
-        let after = if forgotten { 0 } else { after };
-        let mut news = RecordNews { after, at: self.changes, ..RecordNews::default() };
-        for backend in self.arena.values().filter(|backend| after < backend.changed_at) {
-            news.records.push((backend.name.to_string(), backend.record.clone()));
-        }
-        if 0 < after {
-            let gone = self.gone.iter().rev().take_while(|(at, _)| after < *at);
-            let gone = gone.filter(|(_, name)| !self.names.contains_key(name));
-            news.gone = gone.map(|(_, name)| name.to_string()).collect();
-        }
-        news
+        let told = |backend: &Backend| (backend.name.to_string(), backend.record.clone());
+        let records = |after| {
+            let changed = self.arena.values().filter(|backend| after < backend.changed_at);
+            changed.map(told).collect()
+        };
+        self.changes.news(after, records, |name| self.names.contains_key(name.as_str()))
     }
 
     /// Takes in what another node told of changes.
@@ -166,11 +156,7 @@
     pub fn remove(&mut self, name: &str) {
         let Some(key) = self.names.remove(name) else { return };
         self.arena.remove(key);
-        self.changes += 1;
-        self.gone.push_back((self.changes, name.into()));
-        if GONE_KEPT < self.gone.len() {
-            self.gone.pop_front();
-        }
+        self.changes.note_gone(name.to_owned());
         tracing::info!(event = Event::BackendGone.number(), backend = name);
     }
 
--- a/crates/gateway/src/backends/mod.rs
+++ b/crates/gateway/src/backends/mod.rs
@@ -5,11 +5,14 @@
 mod directory;
 mod load;
 mod pool;
-mod record_news;
 
 pub use backend::Backend;
 pub use connection::{Connection, OpenError};
 pub use directory::Backends;
 pub use load::{Load, RANKS};
 pub use pool::Pool;
-pub use record_news::RecordNews;
+
+use crate::{border::BackendRecord, change_log::News};
+
+/// `RecordNews` are changes of the records of backend servers.
+pub type RecordNews = News<String, BackendRecord>;
--- a/crates/gateway/src/knowledge/digest.rs
+++ b/crates/gateway/src/knowledge/digest.rs
@@ -123,6 +123,35 @@
     pub records: Option<(RecordNews, MemberNews)>,
 }
 
+impl Digest {
+    /// Returns a message that tells no more than who sends it.
+    pub fn new(node: NodeName, incarnation: Incarnation) -> Digest {
+        Digest {
+            node,
+            incarnation,
+            record: None,
+            unlisted: Vec::new(),
+            day_ms: 0,
+            ready: false,
+            revision: Revision(0),
+            config_age_ms: None,
+            records_steady_ms: None,
+            told: Told::Own,
+            wants: Told::Own,
+            nodes: one(),
+            heard: Vec::new(),
+            quotas: Vec::new(),
+            asked: Vec::new(),
+            loads: Vec::new(),
+            usage: Vec::new(),
+            offered: Vec::new(),
+            paces: Vec::new(),
+            records_known: None,
+            records: None,
+        }
+    }
+}
+
 /// `RecordsKnown` tell up to which changes a node has the records of backend servers and nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordsKnown {
--- a/crates/gateway/src/knowledge/exchange.rs
+++ b/crates/gateway/src/knowledge/exchange.rs
@@ -217,7 +217,7 @@
         if is_asked || !state.exchanges.is_multiple_of(STANDBY_EACH) {
             return None;
         }
-        let member = state.members.iter().find(|(node, _)| *node == standby)?.1;
+        let member = state.members.get(standby)?;
         Some(ask_of(standby, member, Told::Own, Told::Nothing))
     }
 
--- a/crates/gateway/src/knowledge/members.rs
+++ b/crates/gateway/src/knowledge/members.rs
@@ -1,7 +1,7 @@
 //! The other nodes.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     time::Duration,
 };
@@ -9,7 +9,7 @@
 use bulrushhall_core::{Event, Incarnation, NodeName, ServiceName, Stamp, ZoneName};
 use serde::{Deserialize, Serialize};
 
-use crate::{demand::Offered, knowledge::MemberNews};
+use crate::{change_log::ChangeLog, demand::Offered, knowledge::MemberNews};
 
 /// How long a node that is not heard still counts as there: four exchanges of 250 ms and a little.
 const HEARD_FOR: Duration = Duration::from_millis(1_200);
@@ -63,9 +63,7 @@
     nodes: BTreeMap<NodeName, Member>,
     lives: BTreeMap<Incarnation, NodeName>,
     /// The changes of what is in the key-value service since the start.
-    changes: u64,
-    /// The nodes whose records went last, each with the number of that change.
-    gone: VecDeque<(u64, NodeName)>,
+    changes: ChangeLog<NodeName, GONE_KEPT>,
     /// Whether this node's own record is not in the key-value service.
     pub own_missing: bool,
     /// Since when the record of the duties' holder is not in the key-value service; none while it
@@ -124,12 +122,14 @@
 impl Members {
     /// Takes in the record of a node that is in the key-value service.
     pub fn list(&mut self, name: &NodeName, record: MemberRecord) {
-        let at = self.changes + 1;
-        let Some(member) = self.upsert(name, record, "key-value service") else { return };
-        if !member.listed {
-            member.listed = true;
-            member.changed_at = at;
-            self.changes = at;
+        let is_new =
+            self.upsert(name, record, "key-value service").is_some_and(|node| !node.listed);
+        if !is_new {
+            return;
+        }
+        let changed_at = self.changes.note();
+        if let Some(member) = self.nodes.get_mut(name) {
+            (member.listed, member.changed_at) = (true, changed_at);
         }
     }
 
@@ -187,11 +187,7 @@
     pub fn unlist(&mut self, name: &NodeName) {
         let Some(member) = self.nodes.get_mut(name).filter(|member| member.listed) else { return };
         member.listed = false;
-        self.changes += 1;
-        self.gone.push_back((self.changes, name.clone()));
-        if GONE_KEPT < self.gone.len() {
-            self.gone.pop_front();
-        }
+        self.changes.note_gone(name.clone());
     }
 
     /// Keeps only those listed.
@@ -205,41 +201,31 @@
     /// Returns the changes after that with the number `after`, or all records where these are not known any
     /// more.
     pub fn news(&self, after: u64) -> MemberNews {
-        let forgotten = self.changes < after
-            || (GONE_KEPT <= self.gone.len()
-                && self.gone.front().is_some_and(|(oldest, _)| after < *oldest));
-        let after = if forgotten { 0 } else { after };
-        let mut news = MemberNews { after, at: self.changes, ..MemberNews::default() };
-        for (name, member) in &self.nodes {
-            if member.listed && after < member.changed_at {
-                news.listed.push((name.clone(), member.record.clone()));
-            }
-        }
-        if 0 < after {
-            let gone = self.gone.iter().rev().take_while(|(at, _)| after < *at);
-            let is_listed = |name: &NodeName| self.nodes.get(name).is_some_and(|node| node.listed);
-            let gone = gone.filter(|(_, name)| !is_listed(name));
-            news.unlisted = gone.map(|(_, name)| name.clone()).collect();
-        }
-        news
+        let records = |after| {
+            let listed = self.nodes.iter().filter(|(_, member)| member.listed);
+            let changed = listed.filter(|(_, member)| after < member.changed_at);
+            changed.map(|(name, member)| (name.clone(), member.record.clone())).collect()
+        };
+        let is_listed = |name: &NodeName| self.nodes.get(name).is_some_and(|node| node.listed);
+        self.changes.news(after, records, is_listed)
     }
 
     /// Takes in what the node `teller` told of changes; `own` is this node.
     pub fn take_news(&mut self, news: MemberNews, teller: &NodeName, own: &NodeName) {
-        let MemberNews { after, listed, unlisted, .. } = news;
+        let MemberNews { after, records, gone, .. } = news;
         if after == 0 {
             let mut names: BTreeSet<NodeName> =
-                listed.iter().map(|(name, _)| name.clone()).collect();
+                records.iter().map(|(name, _)| name.clone()).collect();
             self.own_missing = !names.contains(own);
             // It does not tell of itself.
             names.insert(teller.clone());
             self.retain_listed(&names);
         }
-        for name in unlisted {
+        for name in gone {
             self.own_missing |= name == *own;
             self.unlist(&name);
         }
-        for (name, record) in listed {
+        for (name, record) in records {
             if name == *own {
                 self.own_missing = false;
                 continue;
@@ -262,6 +248,11 @@
         });
     }
 
+    /// Returns a node.
+    pub fn get(&self, name: &NodeName) -> Option<&Member> {
+        self.nodes.get(name)
+    }
+
     /// Returns a node, to be changed.
     pub fn get_mut(&mut self, name: &NodeName) -> Option<&mut Member> {
         self.nodes.get_mut(name)
--- a/crates/gateway/src/knowledge/mod.rs
+++ b/crates/gateway/src/knowledge/mod.rs
@@ -2,13 +2,16 @@
 
 use std::time::Duration;
 
+use bulrushhall_core::NodeName;
+
+use crate::change_log::News;
+
 mod backends;
 mod config;
 mod digest;
 mod exchange;
 mod follow;
 mod hear;
-mod member_news;
 mod members;
 mod membership;
 mod peer_port;
@@ -19,11 +22,13 @@
 pub use digest::{BackendLoad, Digest, Document, HeardLife, RecordsKnown, Told};
 pub use exchange::exchange;
 pub use follow::{Follower, follow};
-pub use member_news::MemberNews;
 pub use members::{Member, MemberRecord, Members};
 pub use membership::{DUTY_KEY, follow_members, register};
 pub use peer_port::PeerPort;
 
+/// `MemberNews` are changes of the records of nodes in the key-value service.
+pub type MemberNews = News<NodeName, MemberRecord>;
+
 fn as_millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/gateway/src/knowledge/tell.rs
+++ b/crates/gateway/src/knowledge/tell.rs
@@ -45,8 +45,6 @@
         let age = state.freshness.age(now);
         let unlisted = state.members.unlisted(now);
         let mut digest = Digest {
-            node: gateway.settings.gateway.name.clone(),
-            incarnation: gateway.incarnation,
             record: Some(gateway.record()),
             unlisted: unlisted.map(|(name, record)| (name.clone(), record.clone())).collect(),
             day_ms: as_millis(gateway.own_day()),
@@ -56,16 +54,8 @@
             records_steady_ms: state.records_steady_since.map(|since| as_millis(now.since(since))),
             told,
             wants,
-            nodes: 1,
-            heard: Vec::new(),
-            quotas: Vec::new(),
-            asked: Vec::new(),
-            loads: Vec::new(),
-            usage: Vec::new(),
-            offered: Vec::new(),
-            paces: Vec::new(),
             records_known: state.records_fed(now).filter(|_| wants == Told::Others),
-            records: None,
+            ..Digest::new(gateway.settings.gateway.name.clone(), gateway.incarnation)
         };
         if told != Told::Nothing {
             let teller = Teller { gateway, now, message };
@@ -121,7 +111,7 @@
             let life = member.record.incarnation;
             let is_told = match self.message.told {
                 Told::Zone => member.record.zone == *zone && member.is_heard_here(self.now),
-                Told::Others => self.message.to != Some(life) && member.is_heard(self.now),
+                Told::Others => life != self.receiver() && member.is_heard(self.now),
                 Told::Own | Told::Nothing => false,
             };
             let Some(at) = member.heard_at.filter(|_| is_told) else { continue };
@@ -169,7 +159,7 @@
             let life = member.record.incarnation;
             let is_told = match self.message.told {
                 Told::Zone => member.record.zone == *zone && !state.sources.has(life),
-                Told::Others => self.message.to != Some(life),
+                Told::Others => life != self.receiver(),
                 Told::Own | Told::Nothing => false,
             };
             if !is_told {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod backends;
 pub mod border;
+pub mod change_log;
 pub mod clock;
 pub mod demand;
 pub mod duties;
--- a/crates/policy/tests/engine_choice.rs
+++ b/crates/policy/tests/engine_choice.rs
@@ -1,5 +1,7 @@
 //! The engine for a request, under loads of the kinds that callers bring.
 
+mod idle;
+
 use std::time::Duration;
 
 use bulrushhall_core::Stamp;
@@ -17,20 +19,7 @@
 
 fn engines(count: u64) -> Vec<EngineView> {
     let mut keys: SlotMap<WorkerKey, ()> = SlotMap::with_key();
-    let engine = |number| EngineView {
-        key: keys.insert(()),
-        identity: number * 7_919,
-        slots: 64,
-        memory: 566_000,
-        requests: 0,
-        waiting_tokens: 0,
-        held_tokens: 0,
-        cached: 0,
-        slowness: 1.0,
-        distance: Duration::ZERO,
-        failing: 0.0,
-        avoided: false,
-    };
+    let engine = |number| idle::engine(keys.insert(()), number * 7_919, 566_000);
     (0..count).map(engine).collect()
 }
 
--- a/crates/policy/tests/recent_parts.rs
+++ b/crates/policy/tests/recent_parts.rs
@@ -1,5 +1,7 @@
 //! What a node tells others of the parts of prompts that it sent.
 
+mod idle;
+
 use std::time::Duration;
 
 use bulrushhall_core::Stamp;
@@ -126,18 +128,5 @@
 }
 
 fn view(key: WorkerKey, at: usize, waiting_tokens: u64, cached: u32) -> EngineView {
-    EngineView {
-        key,
-        identity: at as u64 * 7_919,
-        slots: 64,
-        memory: MEMORY,
-        requests: 0,
-        waiting_tokens,
-        held_tokens: 0,
-        cached,
-        slowness: 1.0,
-        distance: Duration::ZERO,
-        failing: 0.0,
-        avoided: false,
-    }
+    EngineView { waiting_tokens, cached, ..idle::engine(key, at as u64 * 7_919, MEMORY) }
 }
--- a/crates/policy/tests/stale_loads.rs
+++ b/crates/policy/tests/stale_loads.rs
@@ -1,5 +1,7 @@
 //! Many nodes that choose engines by loads that are a moment old.
 
+mod idle;
+
 use std::collections::VecDeque;
 
 use bulrushhall_policy::{
@@ -11,7 +13,6 @@
 use rand_pcg::Pcg64;
 use rstest::rstest;
 use slotmap::SlotMap;
-use std::time::Duration;
 
 const NODES: usize = 100;
 const ENGINES: usize = 60;
@@ -25,20 +26,7 @@
 const USED: f64 = 0.7;
 
 fn view(key: WorkerKey, at: usize, waiting: f64) -> EngineView {
-    EngineView {
-        key,
-        identity: at as u64,
-        slots: 64,
-        memory: 500_000,
-        requests: 0,
-        waiting_tokens: waiting as u64,
-        held_tokens: 0,
-        cached: 0,
-        slowness: 1.0,
-        distance: Duration::ZERO,
-        failing: 0.0,
-        avoided: false,
-    }
+    EngineView { waiting_tokens: waiting as u64, ..idle::engine(key, at as u64, 500_000) }
 }
 
 // Returns the waits of requests in milliseconds, least first.
