Server limits: log and count the limits that backend servers name in their responses

Cause under investigation: servers got more requests than the limit that they had named. The logs could not tell whether a node reads such a limit at all (hypothesis 1 of docs/incidents/server-limit.md), keeps its own part only (2), or loses it on retries and kept connections (3). Lines 415 and 416 and the counter bulrush_route_announcements_total now say when a node reads a limit; with them, lines 220 and 221 tell which requests went to the server afterwards and as which attempt. No decision uses the limit yet.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -57,6 +57,10 @@
     BackendDoubted,
     /// The record of a backend server cannot be read and is ignored.
     RecordIgnored,
+    /// A backend server limits the requests that it accepts from all nodes together.
+    BackendLimited,
+    /// A backend server no longer limits the requests that it accepts.
+    BackendLimitLifted,
     /// Another node was discovered, or its record has changed.
     MemberSeen,
     /// Another node was removed.
@@ -123,6 +127,8 @@
         Event::BackendGone,
         Event::BackendDoubted,
         Event::RecordIgnored,
+        Event::BackendLimited,
+        Event::BackendLimitLifted,
         Event::MemberSeen,
         Event::MemberLost,
         Event::RoleChanged,
@@ -172,6 +178,8 @@
             Event::BackendGone => 412,
             Event::BackendDoubted => 413,
             Event::RecordIgnored => 414,
+            Event::BackendLimited => 415,
+            Event::BackendLimitLifted => 416,
             Event::MemberSeen => 420,
             Event::MemberLost => 421,
             Event::RoleChanged => 422,
--- a/crates/gateway/src/adapter/wire.rs
+++ b/crates/gateway/src/adapter/wire.rs
@@ -8,7 +8,7 @@
     http::{request, response},
 };
 
-use crate::adapter::Call;
+use crate::adapter::{Call, RequestLimit};
 
 /// A `CallProblem` is the reason why a caller's request is malformed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,7 +39,7 @@
 }
 
 /// A `ResponseHead` is the platform-independent view of the head of a backend server's response.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ResponseHead {
     /// The status.
     pub status: StatusCode,
@@ -55,6 +55,8 @@
     pub closing: bool,
     /// The idle timeout of the connection, if the backend server announces it.
     pub idle: Option<Duration>,
+    /// The limit that the backend server sets on requests.
+    pub request_limit: RequestLimit,
 }
 
 /// A `Refusal` is a response of a node's own to a caller.
--- a/crates/gateway/src/backends/backend.rs
+++ b/crates/gateway/src/backends/backend.rs
@@ -49,6 +49,8 @@
     pub slowness: f64,
     /// The load of this node's requests there.
     pub own: Load,
+    /// The requests per second that it accepts from all nodes together, if it limits them.
+    pub request_limit: Option<f64>,
     /// Its connections.
     pub pool: Arc<Pool>,
     reported: HashMap<Incarnation, (Stamp, Load)>,
@@ -72,6 +74,7 @@
             recent_relayed: RecentParts::default(),
             slowness: 1.0,
             own: Load::default(),
+            request_limit: None,
             reported: HashMap::new(),
         }
     }
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -15,6 +15,8 @@
 const FIRST_SECONDS: &str = "bulrush_route_first_seconds";
 /// Attempts that got no response that may be forwarded.
 const SENDS_FAILED: &str = "bulrush_route_sends_failed_total";
+/// Statements of backend servers about the requests that they accept, in their responses.
+const ANNOUNCEMENTS: &str = "bulrush_route_announcements_total";
 /// Outages of the platform's services.
 const DEPENDENCIES_LOST: &str = "bulrush_route_dependencies_lost_total";
 /// Restores of the key-value service from an older copy.
@@ -48,11 +50,12 @@
 }
 
 /// Every metric.
-pub const ROUTE_METRICS: [RouteMetric; 14] = [
+pub const ROUTE_METRICS: [RouteMetric; 15] = [
     RouteMetric { name: REQUESTS, kind: "counter", labels: "kind, outcome" },
     RouteMetric { name: REQUEST_SECONDS, kind: "histogram", labels: "kind" },
     RouteMetric { name: FIRST_SECONDS, kind: "histogram", labels: "kind" },
     RouteMetric { name: SENDS_FAILED, kind: "counter", labels: "fault" },
+    RouteMetric { name: ANNOUNCEMENTS, kind: "counter", labels: "kind" },
     RouteMetric { name: DEPENDENCIES_LOST, kind: "counter", labels: "prefix" },
     RouteMetric { name: STORE_RESTORES, kind: "counter", labels: "" },
     RouteMetric { name: REVISION, kind: "gauge", labels: "" },
@@ -85,6 +88,11 @@
     counter!(SENDS_FAILED, "fault" => fault).increment(1);
 }
 
+/// Counts a response in which a backend server states which requests it accepts.
+pub fn announced(kind: &'static str) {
+    counter!(ANNOUNCEMENTS, "kind" => kind).increment(1);
+}
+
 /// Counts an outage of a service of the platform, by the prefix of the keys that were requested.
 pub fn dependency_lost(prefix: &'static str) {
     counter!(DEPENDENCIES_LOST, "prefix" => prefix).increment(1);
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -18,7 +18,10 @@
     clock,
     gateway::Gateway,
     meters,
-    pipeline::{identify::IdentifiedRequest, in_flight::InFlightGuard, placement::Placement},
+    pipeline::{
+        announcements::note_announcements, identify::IdentifiedRequest, in_flight::InFlightGuard,
+        placement::Placement,
+    },
     rollouts::AttemptEnd,
 };
 
@@ -135,6 +138,7 @@
         let (parts, body) = response.into_parts();
         let head = gateway.platform.wire.read_response(&parts);
         check_head(req, &head)?;
+        note_announcements(gateway, placement, &head);
         Ok((head, parts, body, connection))
     });
     match answered {
