Server limits: nodes keep the limit that a backend server names together

Callers saw nothing; servers in need got two to three times the requests a second that they had named.

Cause: no decision knew the limit (hypothesis 1). A placement took a server's slots, load and prefix cache into account, and nothing in a response's head but its id, seal and whether the request ran was read. The class: a backend server's statement about itself that is passed on and not acted on. Ruled out: hypothesis 2 (a part per node) and 3 (retries and kept connections only), since first tries alone exceed the limit.

Change: the statement of a response is kept for the incarnation of the server, also when its record is removed, and spread in digests with author, number and age. Each limit is divided among as many nodes as its tolerance has room for, by rendezvous hashing; every way to a server passes one placement, which takes a request from the node's bucket. If all servers of a service are exhausted, a request is refused at once as not run.

--- /dev/null
+++ b/crates/gateway/src/backends/announced.rs
@@ -0,0 +1,114 @@
+//! What a backend server has announced in its responses.
+
+use std::time::Duration;
+
+use bulrushhall_core::{Incarnation, Stamp};
+use bulrushhall_policy::server_limit::{LimitBucket, LimitPart};
+use serde::{Deserialize, Serialize};
+
+/// How long other nodes are told that a limit was lifted: several exchanges may be lost.
+const LIFTED_REPORTED_FOR: Duration = Duration::from_secs(10);
+
+/// An `Announced` is what one incarnation of a backend server has announced about the requests that it accepts.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Announced {
+    limit: Option<LimitNote>,
+    part: LimitPart,
+    bucket: LimitBucket,
+}
+
+/// A `LimitNote` is one statement of a backend server about its limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitNote {
+    /// The requests per second that it accepts from all nodes together; none if it lifted its limit.
+    pub per_second: Option<f64>,
+    /// When it said so.
+    pub at: Stamp,
+    /// The node that received the response.
+    pub author: Incarnation,
+    /// The number of the response among those of the node.
+    pub number: u64,
+}
+
+impl LimitNote {
+    // The ages in gossip lack the transfer times, so notes of one node are ordered by their numbers.
+    fn is_after(&self, other: &LimitNote) -> bool {
+        if self.author == other.author { other.number < self.number } else { other.at < self.at }
+    }
+}
+
+/// A `LimitReport` is a statement of a backend server about its limit, for other nodes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// The backend server.
+    pub backend: String,
+    /// Its start time.
+    pub born: Option<u64>,
+    /// The requests per second that it accepts from all nodes together; none if it lifted its limit.
+    pub per_second: Option<f64>,
+    /// The time since it said so, in milliseconds.
+    pub age_ms: u64,
+    /// The node that received the response.
+    pub author: Incarnation,
+    /// The number of the response among those of the node.
+    pub number: u64,
+}
+
+impl Announced {
+    /// Returns its limit in requests per second, if it has one.
+    pub fn limit(&self) -> Option<f64> {
+        self.limit.and_then(|note| note.per_second)
+    }
+
+    /// Returns the last statement about its limit, as long as other nodes should learn of it.
+    pub fn reported_limit(&self, now: Stamp) -> Option<LimitNote> {
+        let is_recent = |note: &LimitNote| now.since(note.at) < LIFTED_REPORTED_FOR;
+        self.limit.filter(|note| note.per_second.is_some() || is_recent(note))
+    }
+
+    /// Notes a statement about its limit; returns whether the limit has changed.
+    pub fn note_limit(&mut self, now: Stamp, note: LimitNote) -> bool {
+        if self.limit.is_none() && note.per_second.is_none() {
+            return false;
+        }
+        if self.limit.is_some_and(|known| !note.is_after(&known)) {
+            return false;
+        }
+        let before = self.limit();
+        if before.is_none() {
+            self.bucket = LimitBucket::empty(now);
+        }
+        self.limit = Some(note);
+        before != note.per_second
+    }
+
+    /// Sets this node's part of the limit.
+    pub fn set_part(&mut self, part: LimitPart) {
+        self.part = part;
+    }
+
+    /// Returns whether a request may be sent to it now.
+    pub fn accepts_request(&self, now: Stamp) -> bool {
+        self.limit().is_none() || self.bucket.wait(now, self.part) == Some(Duration::ZERO)
+    }
+
+    /// Returns the time until this node may send it a request; none if this node has no part of its limit.
+    pub fn wait(&self, now: Stamp) -> Option<Duration> {
+        if self.limit().is_none() {
+            return Some(Duration::ZERO);
+        }
+        self.bucket.wait(now, self.part)
+    }
+
+    /// Notes a request that is about to be sent to it.
+    pub fn take_request(&mut self, now: Stamp) {
+        if self.limit().is_some() {
+            self.bucket.take(now, self.part);
+        }
+    }
+
+    /// Notes that a request did not reach it.
+    pub fn refund_request(&mut self) {
+        self.bucket.refund();
+    }
+}
--- a/crates/gateway/src/backends/backend.rs
+++ b/crates/gateway/src/backends/backend.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     adapter::{BackendRecord, BackendState},
-    backends::{Load, Pool},
+    backends::{Announced, Load, Pool},
 };
 
 /// How long a load that another node reported is valid: four digests at 250 ms may be lost or late.
@@ -49,8 +49,8 @@
     pub slowness: f64,
     /// The load of this node's requests there.
     pub own: Load,
-    /// The requests per second that it accepts from all nodes together, if it limits them.
-    pub request_limit: Option<f64>,
+    /// What it has announced about the requests that it accepts.
+    pub announced: Announced,
     /// Its connections.
     pub pool: Arc<Pool>,
     reported: HashMap<Incarnation, (Stamp, Load)>,
@@ -74,7 +74,7 @@
             recent_relayed: RecentParts::default(),
             slowness: 1.0,
             own: Load::default(),
-            request_limit: None,
+            announced: Announced::default(),
             reported: HashMap::new(),
         }
     }
--- a/crates/gateway/src/backends/directory.rs
+++ b/crates/gateway/src/backends/directory.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     adapter::{BackendRecord, BackendState},
-    backends::{Backend, BackendUpdates, removed::RemovedRecords},
+    backends::{Announced, Backend, BackendUpdates, LimitReport, removed::RemovedRecords},
     change_log::ChangeLog,
 };
 
@@ -76,7 +76,10 @@
             self.remove(name);
         }
         log_state(name, &record);
-        let backend = Backend::new(name, xxh3_64(name.as_bytes()), record);
+        let mut backend = Backend::new(name, xxh3_64(name.as_bytes()), record);
+        // Records expire in an outage although their servers are alive, and what these said remains true.
+        let announced = self.removed.announced(name, &backend.record);
+        backend.announced = announced.unwrap_or_default();
         let name = Arc::clone(&backend.name);
         let key = self.arena.insert(backend);
         self.names.insert(Arc::clone(&name), key);
@@ -176,12 +179,37 @@
     pub fn remove(&mut self, name: &str) {
         let Some(key) = self.names.remove(name) else { return };
         if let Some(backend) = self.arena.remove(key) {
-            self.removed.note(name, backend.record);
+            self.removed.note(name, backend.record, backend.announced);
         }
         self.changes.note_removed(name.to_owned());
         tracing::info!(event = Event::BackendGone.number(), backend = name);
     }
 
+    /// Returns what a backend server has announced, also if it has been removed since.
+    pub fn announced_mut(&mut self, key: WorkerKey, name: &str) -> Option<&mut Announced> {
+        match self.arena.get_mut(key) {
+            Some(backend) => Some(&mut backend.announced),
+            None => self.removed.announced_mut(name),
+        }
+    }
+
+    /// Returns the statements of backend servers about their limits that other nodes should know.
+    pub fn limit_reports(&self, now: Stamp) -> Vec<LimitReport> {
+        let mut reports = Vec::new();
+        for backend in self.arena.values() {
+            let Some(note) = backend.announced.reported_limit(now) else { continue };
+            reports.push(LimitReport {
+                backend: backend.name.to_string(),
+                born: backend.record.born,
+                per_second: note.per_second,
+                age_ms: u64::try_from(now.since(note.at).as_millis()).unwrap_or(u64::MAX),
+                author: note.author,
+                number: note.number,
+            });
+        }
+        reports
+    }
+
     /// Returns a backend server.
     pub fn get(&self, key: WorkerKey) -> Option<&Backend> {
         self.arena.get(key)
--- a/crates/gateway/src/backends/mod.rs
+++ b/crates/gateway/src/backends/mod.rs
@@ -1,5 +1,6 @@
 //! The backend servers that a node knows: their records, loads and open connections.
 
+mod announced;
 mod backend;
 mod connection;
 mod directory;
@@ -7,6 +8,7 @@
 mod pool;
 mod removed;
 
+pub use announced::{Announced, LimitNote, LimitReport};
 pub use backend::Backend;
 pub use connection::{Connection, OpenError};
 pub use directory::Backends;
--- a/crates/gateway/src/cluster/digest.rs
+++ b/crates/gateway/src/cluster/digest.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    backends::{BackendUpdates, Load, RANKS},
+    backends::{BackendUpdates, LimitReport, Load, RANKS},
     cluster::{MemberRecord, MemberUpdates},
     demand::Offered,
     rollouts::ReportedCounts,
@@ -127,6 +127,9 @@
     /// The answers of both versions in the roll-outs that are in progress.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub rollout_counts: Vec<ReportedCounts>,
+    /// The limits of backend servers that the sender knows.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub backend_limits: Vec<LimitReport>,
     /// The sender's latency models of the engines of each service.
     #[serde(rename = "paces")]
     pub latency_models: Vec<(ServiceName, EngineLatencyModel)>,
@@ -164,6 +167,7 @@
             offered: Vec::new(),
             rollouts: Vec::new(),
             rollout_counts: Vec::new(),
+            backend_limits: Vec::new(),
             latency_models: Vec::new(),
             record_cursor: None,
             records: None,
--- a/crates/gateway/src/cluster/gossip.rs
+++ b/crates/gateway/src/cluster/gossip.rs
@@ -28,6 +28,7 @@
         receive::{DocumentFetch, receive_digest},
     },
     gateway::{Gateway, State},
+    limits::plan_limits,
     meters,
 };
 
@@ -117,6 +118,7 @@
         quota.retain(|peer| members.is_known(peer));
     }
     plan_relays(gateway, state, now);
+    plan_limits(state, &gateway.settings.gateway.name);
     let is_member = state.relays.role == Role::Member;
     let stale_after = if is_member { MEMBER_STALE_AFTER } else { STALE_AFTER };
     let round = Round { gateway, now, is_stale: !state.freshness.is_within(now, stale_after) };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -109,6 +109,8 @@
     pub quotas: HashMap<TeamName, Quota>,
     /// When the node started; none if the whole system started for the first time.
     pub restarted_at: Option<Stamp>,
+    /// The number of statements of backend servers about their limits that this node received.
+    pub limit_notes: u64,
     /// The retry budget of each service.
     pub retry_budgets: HashMap<ServiceName, WindowedRetryBudget>,
     /// The number of requests started by each team.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod duties;
 pub mod fleet_settings;
 pub mod gateway;
+pub mod limits;
 pub mod meters;
 pub mod node;
 pub mod observed;
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -137,8 +137,10 @@
     let answered = sent.and_then(|(response, connection)| {
         let (parts, body) = response.into_parts();
         let head = gateway.platform.wire.read_response(&parts);
+        if is_response_of(req, &head) {
+            note_announcements(gateway, placement, &head);
+        }
         check_head(req, &head)?;
-        note_announcements(gateway, placement, &head);
         Ok((head, parts, body, connection))
     });
     match answered {
@@ -236,6 +238,12 @@
     Ok(outgoing)
 }
 
+// Another server at the address, or a late response, says nothing about the present state of the server.
+fn is_response_of(req: &IdentifiedRequest, head: &ResponseHead) -> bool {
+    let is_of_other = head.id.as_deref().is_some_and(|id| id != req.call.id);
+    !head.other_backend && !is_of_other
+}
+
 // A late response to an earlier request may arrive first on a pooled connection. If it were forwarded,
 // a caller would read a response that is meant for another.
 fn check_head(req: &IdentifiedRequest, head: &ResponseHead) -> Result<(), SendError> {
@@ -271,6 +279,13 @@
         candidates = placement.candidates,
         wait_ms = placement.wait.as_secs_f64() * 1_000.0
     );
+    if matches!(failed.fault, SendFault::NotOpened(_)) {
+        gateway.with(|state| {
+            if let Some(backend) = state.backends.get_mut(placement.key) {
+                backend.announced.refund_request();
+            }
+        });
+    }
     match failed.fault {
         SendFault::NotRun | SendFault::NotOpened(OpenError::Full) => {}
         SendFault::OtherBackend => gateway.with(|state| {
--- a/crates/gateway/src/pipeline/failure.rs
+++ b/crates/gateway/src/pipeline/failure.rs
@@ -34,6 +34,8 @@
     OverQuota(Duration),
     /// The queueing time would be too long; a retry may succeed after this time.
     Overloaded(Duration),
+    /// The backend servers accept no request now; a retry may succeed after this time.
+    ServersLimited(Duration),
     /// No backend server accepts work.
     NoBackend,
     /// The node is shutting down.
@@ -59,6 +61,7 @@
             Failure::UnknownKey => "unknown_key",
             Failure::OverQuota(_) => "over_quota",
             Failure::Overloaded(_) => "overloaded",
+            Failure::ServersLimited(_) => "servers_limited",
             Failure::NoBackend => "no_backend",
             Failure::Leaving => "leaving",
             Failure::Rejected => "rejected",
@@ -81,7 +84,9 @@
             Failure::NoRoute => (StatusCode::NOT_FOUND, None),
             Failure::UnknownKey => (StatusCode::UNAUTHORIZED, None),
             Failure::OverQuota(after) => (StatusCode::TOO_MANY_REQUESTS, Some(after)),
-            Failure::Overloaded(after) => (StatusCode::SERVICE_UNAVAILABLE, Some(after)),
+            Failure::Overloaded(after) | Failure::ServersLimited(after) => {
+                (StatusCode::SERVICE_UNAVAILABLE, Some(after))
+            }
             Failure::ConfigUnknown | Failure::NoBackend | Failure::Rejected => {
                 (StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_AFTER_UNKNOWN))
             }
--- a/crates/gateway/src/pipeline/placement.rs
+++ b/crates/gateway/src/pipeline/placement.rs
@@ -13,6 +13,8 @@
     server_choice::{ServerView, choose_server},
 };
 
+use rand::{Rng, RngExt};
+
 use crate::{
     adapter::Prompt,
     backends::{Backend, Pool},
@@ -33,6 +35,11 @@
 /// The average age of what relays passed on: half of the gossip interval for each of three hops.
 const RELAYED_REPORT_AGE: Duration = Duration::from_millis(320);
 
+/// The shortest retry delay of a request that no server accepts now.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// The rate of requests that limited servers are assumed to accept at least.
+const MIN_TOTAL_PER_SECOND: f64 = 0.25;
+
 /// A `Placement` is the backend server that was chosen for an attempt.
 #[derive(Clone)]
 pub struct Placement {
@@ -156,7 +163,9 @@
             unseen_tokens: self.unseen_tokens(state),
         };
         let mut random = rand::rng();
-        let chosen = choose_engine(wanted, &views, &mut random).ok_or(Failure::NoBackend)?;
+        let Some(chosen) = choose_engine(wanted, &views, &mut random) else {
+            return Err(self.unavailable(state, filter, &mut random));
+        };
         if self.tried.is_empty() {
             // A refused request counts as demand too: otherwise an overloaded fleet would never grow.
             let demand = state.demand.entry(self.service.clone()).or_default();
@@ -242,7 +251,9 @@
         }
         let mut random = rand::rng();
         let call = state.observed(self.service).calls.median();
-        let (key, wait) = choose_server(&views, call, &mut random).ok_or(Failure::NoBackend)?;
+        let Some((key, wait)) = choose_server(&views, call, &mut random) else {
+            return Err(self.unavailable(state, filter, &mut random));
+        };
         self.latency_budget().check_wait(wait, &mut random).map_err(Failure::Overloaded)?;
         let footprint = Footprint { rank: self.req.rank(), ..Footprint::default() };
         Ok(Chosen { key, wait, footprint, copy_from: None, candidates: views.len() })
@@ -256,7 +267,8 @@
     ) -> Result<Placement, Failure> {
         let calls = &state.observed(self.service).calls;
         let (p95_call, median) = (calls.p95(), calls.median());
-        let backend = state.backends.get(chosen.key).ok_or(Failure::NoBackend)?;
+        let backend = state.backends.get_mut(chosen.key).ok_or(Failure::NoBackend)?;
+        backend.announced.take_request(clock::now());
         Ok(Placement {
             key: chosen.key,
             name: Arc::clone(&backend.name),
@@ -281,16 +293,59 @@
         })
     }
 
+    /// The servers to choose from: those that accept a request now.
     fn untried<'s>(
         &'s self,
         state: &'s State,
         filter: &'s VersionFilter,
+    ) -> impl Iterator<Item = (WorkerKey, &'s Backend)> + 's {
+        let now = clock::now();
+        let servers = self.untried_at_any_time(state, filter);
+        servers.filter(move |(_, backend)| backend.announced.accepts_request(now))
+    }
+
+    fn untried_at_any_time<'s>(
+        &'s self,
+        state: &'s State,
+        filter: &'s VersionFilter,
     ) -> impl Iterator<Item = (WorkerKey, &'s Backend)> + 's {
         state.backends.accepting(self.service).filter(|(key, backend)| {
             !self.tried.contains(key) && filter.selects(&backend.record.version, backend.identity)
         })
     }
 
+    /// Returns why no server can be chosen, with the time after which one may accept a request.
+    fn unavailable(
+        &self,
+        state: &mut State,
+        filter: &VersionFilter,
+        random: &mut dyn Rng,
+    ) -> Failure {
+        let now = clock::now();
+        let mut own_wait: Option<Duration> = None;
+        let (mut per_second, mut cached) = (0.0, 0);
+        for (_, backend) in self.untried_at_any_time(state, filter) {
+            let wait = backend.announced.wait(now);
+            own_wait = own_wait.into_iter().chain(wait).min();
+            per_second += backend.announced.limit().unwrap_or_default();
+            if let Some(prompt) = &self.req.call.prompt {
+                cached = cached.max(backend.parts.cached(&prompt.parts));
+            }
+        }
+        if per_second <= 0.0 && own_wait.is_none() {
+            return Failure::NoBackend;
+        }
+        if let (Some(prompt), true) = (&self.req.call.prompt, self.tried.is_empty()) {
+            let read = f64::from(prompt.tokens.saturating_sub(cached));
+            let demand = state.demand.entry(self.service.clone()).or_default();
+            demand.note(now, Offered { read, answer: f64::from(prompt.answer()) });
+        }
+        // The caller may return to another node, where a server accepts a request sooner.
+        let any_wait = Duration::from_secs_f64(1.0 / per_second.max(MIN_TOTAL_PER_SECOND));
+        let wait = own_wait.map_or(any_wait, |wait| wait.min(any_wait)).max(MIN_RETRY_AFTER);
+        Failure::ServersLimited(wait.mul_f64(random.random_range(1.0..1.5)))
+    }
+
     fn latency_budget(&self) -> LatencyBudget {
         let cfg = &self.req.route.cfg;
         let gap = cfg.target_gap.map(Duration::from).filter(|_| cfg.kind.is_stream());
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod rollout;
 pub mod scheduler;
 pub mod server_choice;
+pub mod server_limit;
 pub mod team_limits;
 pub mod windowed_retry_budget;
 
