--- a/crates/gateway/src/adapter/mod.rs
+++ b/crates/gateway/src/adapter/mod.rs
@@ -3,11 +3,11 @@
 mod call;
 mod orders;
 mod records;
-mod request_limit;
+mod statement;
 mod wire;
 
 pub use call::{Call, Prompt};
 pub use orders::{Authority, Orders};
 pub use records::{BackendRecord, BackendState, RecordError, Records};
-pub use request_limit::RequestLimit;
+pub use statement::Statement;
 pub use wire::{CallProblem, Refusal, ResponseHead, SendHead, Wire};
--- a/crates/gateway/src/adapter/wire.rs
+++ b/crates/gateway/src/adapter/wire.rs
@@ -8,7 +8,7 @@
     http::{request, response},
 };
 
-use crate::adapter::{Call, RequestLimit};
+use crate::adapter::{Call, Statement};
 
 /// A `CallProblem` is the reason why a caller's request is malformed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,8 +55,9 @@
     pub closing: bool,
     /// The idle timeout of the connection, if the backend server announces it.
     pub idle: Option<Duration>,
-    /// The limit that the backend server sets on requests.
-    pub request_limit: RequestLimit,
+    /// The requests per second that the backend server accepts from all nodes together; it accepts any rate
+    /// if it names none.
+    pub request_limit: Statement<f64>,
 }
 
 /// A `Refusal` is a response of a node's own to a caller.
--- a/crates/gateway/src/pipeline/announcements.rs
+++ b/crates/gateway/src/pipeline/announcements.rs
@@ -1,7 +1,7 @@
 //! What backend servers announce in their responses about the requests that they accept.
 
 use crate::{
-    adapter::{RequestLimit, ResponseHead},
+    adapter::{ResponseHead, Statement},
     backends::LimitNote,
     clock,
     gateway::{Gateway, State},
@@ -12,18 +12,12 @@
 
 /// Notes what the head of a backend server's response announces.
 pub fn note_announcements(gateway: &Gateway, placement: &Placement, head: &ResponseHead) {
+    count("limit", head.request_limit);
+    // A rejection without a limit may come from a part of the server that does not know it.
     let per_second = match head.request_limit {
-        RequestLimit::PerSecond(per_second) => {
-            meters::announced("limit");
-            Some(per_second)
-        }
-        // A rejection may come from a part of the server that does not know its limit.
-        RequestLimit::Unlimited if !head.sealed => return,
-        RequestLimit::Unlimited => None,
-        RequestLimit::Malformed => {
-            meters::announced("malformed");
-            return;
-        }
+        Statement::Value(per_second) => Some(per_second),
+        Statement::Absent if head.sealed => None,
+        Statement::Absent | Statement::Malformed => return,
     };
     let has_changed = gateway.with(|state| note_limit(gateway, state, placement, per_second));
     if has_changed {
@@ -31,6 +25,14 @@
     }
 }
 
+fn count<T>(kind: &'static str, statement: Statement<T>) {
+    match statement {
+        Statement::Absent => {}
+        Statement::Value(_) => meters::announced(kind),
+        Statement::Malformed => meters::announced("malformed"),
+    }
+}
+
 fn note_limit(
     gateway: &Gateway,
     state: &mut State,
