Leaving servers: log and count responses that say that a backend server leaves

Cause under investigation: nodes sent requests to a server up to 11.7 s after a response had said that it leaves. No decision uses it yet.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -61,6 +61,8 @@
     BackendLimited,
     /// A backend server no longer limits the requests that it accepts.
     BackendLimitLifted,
+    /// A backend server has said in a response that it is leaving.
+    BackendSaidLeaving,
     /// Another node was discovered, or its record has changed.
     MemberSeen,
     /// Another node was removed.
@@ -129,6 +131,7 @@
         Event::RecordIgnored,
         Event::BackendLimited,
         Event::BackendLimitLifted,
+        Event::BackendSaidLeaving,
         Event::MemberSeen,
         Event::MemberLost,
         Event::RoleChanged,
@@ -180,6 +183,7 @@
             Event::RecordIgnored => 414,
             Event::BackendLimited => 415,
             Event::BackendLimitLifted => 416,
+            Event::BackendSaidLeaving => 417,
             Event::MemberSeen => 420,
             Event::MemberLost => 421,
             Event::RoleChanged => 422,
--- a/crates/gateway/src/adapter/wire.rs
+++ b/crates/gateway/src/adapter/wire.rs
@@ -58,6 +58,8 @@
     /// The requests per second that the backend server accepts from all nodes together; it accepts any rate
     /// if it names none.
     pub request_limit: Statement<f64>,
+    /// Whether the backend server is leaving.
+    pub leaving: Statement<bool>,
 }
 
 /// A `Refusal` is a response of a node's own to a caller.
--- a/crates/gateway/src/backends/announced.rs
+++ b/crates/gateway/src/backends/announced.rs
@@ -12,6 +12,7 @@
 /// An `Announced` is what one incarnation of a backend server has announced about the requests that it accepts.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Announced {
+    leaving: bool,
     limit: Option<LimitNote>,
     part: LimitPart,
     bucket: LimitBucket,
@@ -55,6 +56,16 @@
 }
 
 impl Announced {
+    /// Returns whether it has said that it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Notes that it has said that it is leaving; returns whether that was unknown.
+    pub fn note_leaving(&mut self) -> bool {
+        !std::mem::replace(&mut self.leaving, true)
+    }
+
     /// Returns its limit in requests per second, if it has one.
     pub fn limit(&self) -> Option<f64> {
         self.limit.and_then(|note| note.per_second)
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -60,6 +60,11 @@
     }
 }
 
+/// Logs that a backend server is leaving; `source` is who reported it.
+pub fn log_leaving(backend: &str, source: &'static str) {
+    tracing::info!(event = Event::BackendSaidLeaving.number(), backend, source);
+}
+
 /// Divides the limit of a backend server among the nodes.
 pub fn plan_limit(backend: &mut Backend, members: &Members, own: &NodeName) {
     let Some(per_second) = backend.announced.limit() else { return };
--- a/crates/gateway/src/pipeline/announcements.rs
+++ b/crates/gateway/src/pipeline/announcements.rs
@@ -2,10 +2,10 @@
 
 use crate::{
     adapter::{ResponseHead, Statement},
-    backends::LimitNote,
+    backends::{Announced, LimitNote},
     clock,
     gateway::{Gateway, State},
-    limits::{log_limit, plan_limit},
+    limits::{log_leaving, log_limit, plan_limit},
     meters,
     pipeline::placement::Placement,
 };
@@ -13,6 +13,10 @@
 /// Notes what the head of a backend server's response announces.
 pub fn note_announcements(gateway: &Gateway, placement: &Placement, head: &ResponseHead) {
     count("limit", head.request_limit);
+    count("leaving", head.leaving);
+    if head.leaving == Statement::Value(true) {
+        note_leaving(gateway, placement);
+    }
     // A rejection without a limit may come from a part of the server that does not know it.
     let per_second = match head.request_limit {
         Statement::Value(per_second) => Some(per_second),
@@ -25,6 +29,16 @@
     }
 }
 
+fn note_leaving(gateway: &Gateway, placement: &Placement) {
+    let is_new = gateway.with(|state| {
+        let announced = state.backends.announced_mut(placement.key, &placement.name);
+        announced.is_some_and(Announced::note_leaving)
+    });
+    if is_new {
+        log_leaving(&placement.name, "response");
+    }
+}
+
 fn count<T>(kind: &'static str, statement: Statement<T>) {
     match statement {
         Statement::Absent => {}
