Leaving servers: a response that says that a backend server leaves is as good as its record

Callers saw nothing yet, since the server went on for a while; with a short notice their streams would have broken.

Cause: nodes knew from the record alone that a server leaves (hypothesis 1), and the record did not arrive during the outage of the key-value service. The class is that of the server limits: a statement in a response that was passed on and not acted on. Hypothesis 3: requests reach the server 4 to 9 ms after the node got them.

Change: the statement is kept for the incarnation of the server, never taken back, kept when the record is removed, and spread in digests while the record says that the server is ready. Backend::accepts_work asks it, so placement, the fleet's counts and roll-outs follow.

--- a/crates/gateway/src/backends/backend.rs
+++ b/crates/gateway/src/backends/backend.rs
@@ -81,7 +81,7 @@
 
     /// Returns whether it accepts new work.
     pub fn accepts_work(&self) -> bool {
-        self.record.state == BackendState::Ready && !self.replaced
+        self.record.state == BackendState::Ready && !self.announced.is_leaving() && !self.replaced
     }
 
     /// Notes the load that another node reported.
--- a/crates/gateway/src/backends/directory.rs
+++ b/crates/gateway/src/backends/directory.rs
@@ -193,6 +193,15 @@
         }
     }
 
+    /// Returns the backend servers that have said that they are leaving while their records say that they
+    /// are ready, with their start times.
+    pub fn unrecorded_leaving(&self) -> Vec<(String, Option<u64>)> {
+        let leaving = self.arena.values().filter(|backend| {
+            backend.announced.is_leaving() && backend.record.state == BackendState::Ready
+        });
+        leaving.map(|backend| (backend.name.to_string(), backend.record.born)).collect()
+    }
+
     /// Returns the statements of backend servers about their limits that other nodes should know.
     pub fn limit_reports(&self, now: Stamp) -> Vec<LimitReport> {
         let mut reports = Vec::new();
--- a/crates/gateway/src/cluster/advertise.rs
+++ b/crates/gateway/src/cluster/advertise.rs
@@ -56,6 +56,7 @@
             era: state.eras.current(),
             era_age_ms: state.eras.restored_at().map(|at| as_millis(now.since(at))),
             rollouts: state.rollouts.known.reports(now),
+            leaving_backends: state.backends.unrecorded_leaving(),
             backend_limits: state.backends.limit_reports(now),
             scope,
             reply_scope,
--- a/crates/gateway/src/cluster/digest.rs
+++ b/crates/gateway/src/cluster/digest.rs
@@ -127,6 +127,10 @@
     /// The answers of both versions in the roll-outs that are in progress.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub rollout_counts: Vec<ReportedCounts>,
+    /// The backend servers that have said that they are leaving while their records say that they are ready,
+    /// with their start times.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving_backends: Vec<(String, Option<u64>)>,
     /// The limits of backend servers that the sender knows.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub backend_limits: Vec<LimitReport>,
@@ -167,6 +171,7 @@
             offered: Vec::new(),
             rollouts: Vec::new(),
             rollout_counts: Vec::new(),
+            leaving_backends: Vec::new(),
             backend_limits: Vec::new(),
             latency_models: Vec::new(),
             record_cursor: None,
--- a/crates/gateway/src/cluster/receive.rs
+++ b/crates/gateway/src/cluster/receive.rs
@@ -14,7 +14,7 @@
     clock,
     cluster::{BackendLoad, Digest, DigestScope, LiveNode, MemberUpdates, RecordCursor, as_millis},
     gateway::{Gateway, State},
-    limits::receive_limits,
+    limits::{receive_leaving, receive_limits},
     meters,
     rollouts::{ReportedCounts, note_ended},
     table::RouteTable,
@@ -75,6 +75,7 @@
         member.clock_offset_ms =
             Some(digest.wall_clock_ms as i64 - as_millis(gateway.own_wall_clock()) as i64);
         receive_rollouts(state, now, digest.rollouts.drain(..));
+        receive_leaving(state, std::mem::take(&mut digest.leaving_backends));
         receive_limits(state, now, name, std::mem::take(&mut digest.backend_limits));
         let member = state.members.get_mut(&digest.node)?;
         let address = member.record.peers;
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -24,7 +24,18 @@
     }
 }
 
-/// Applies the statements that another node reports.
+/// Applies what another node reports of backend servers that are leaving, with their start times.
+pub fn receive_leaving(state: &mut State, reports: Vec<(String, Option<u64>)>) {
+    for (name, born) in reports {
+        // A server that is not known yet, or another incarnation of it; the report is repeated.
+        let Some(backend) = state.backends.named_mut(&name) else { continue };
+        if backend.record.born == born && backend.announced.note_leaving() {
+            log_leaving(&name, "node");
+        }
+    }
+}
+
+/// Applies the statements about limits that another node reports.
 pub fn receive_limits(state: &mut State, now: Stamp, own: &NodeName, reports: Vec<LimitReport>) {
     for report in reports {
         let State { backends, members, .. } = &mut *state;
