Resting servers: log and count rejections that name a time of rest

Cause under investigation: servers got up to ten requests from a node while they rested. Line 418 now says when and for how long. No decision uses it yet.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -63,6 +63,8 @@
     BackendLimitLifted,
     /// A backend server has said in a response that it is leaving.
     BackendSaidLeaving,
+    /// A backend server has turned a request away and wants none from this node for a while.
+    BackendResting,
     /// Another node was discovered, or its record has changed.
     MemberSeen,
     /// Another node was removed.
@@ -132,6 +134,7 @@
         Event::BackendLimited,
         Event::BackendLimitLifted,
         Event::BackendSaidLeaving,
+        Event::BackendResting,
         Event::MemberSeen,
         Event::MemberLost,
         Event::RoleChanged,
@@ -184,6 +187,7 @@
             Event::BackendLimited => 415,
             Event::BackendLimitLifted => 416,
             Event::BackendSaidLeaving => 417,
+            Event::BackendResting => 418,
             Event::MemberSeen => 420,
             Event::MemberLost => 421,
             Event::RoleChanged => 422,
--- a/crates/gateway/src/adapter/wire.rs
+++ b/crates/gateway/src/adapter/wire.rs
@@ -60,6 +60,8 @@
     pub request_limit: Statement<f64>,
     /// Whether the backend server is leaving.
     pub leaving: Statement<bool>,
+    /// For how long the backend server, which turned the request away, wants none from this node.
+    pub rest: Statement<Duration>,
 }
 
 /// A `Refusal` is a response of a node's own to a caller.
--- a/crates/gateway/src/backends/announced.rs
+++ b/crates/gateway/src/backends/announced.rs
@@ -9,10 +9,14 @@
 /// How long other nodes are told that a limit was lifted: several exchanges may be lost.
 const LIFTED_REPORTED_FOR: Duration = Duration::from_secs(10);
 
+/// The longest rest: a single response does not take a server out of use for longer.
+const MAX_REST: Duration = Duration::from_secs(600);
+
 /// An `Announced` is what one incarnation of a backend server has announced about the requests that it accepts.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Announced {
     leaving: bool,
+    rests_until: Option<Stamp>,
     limit: Option<LimitNote>,
     part: LimitPart,
     bucket: LimitBucket,
@@ -66,6 +70,13 @@
         !std::mem::replace(&mut self.leaving, true)
     }
 
+    /// Notes that it wants no requests from this node for a time; returns whether it was not resting.
+    pub fn note_rest(&mut self, now: Stamp, rest: Duration) -> bool {
+        let was_resting = self.rests_until.is_some_and(|until| now < until);
+        self.rests_until = self.rests_until.max(Some(now + rest.min(MAX_REST)));
+        !was_resting
+    }
+
     /// Returns its limit in requests per second, if it has one.
     pub fn limit(&self) -> Option<f64> {
         self.limit.and_then(|note| note.per_second)
--- a/crates/gateway/src/pipeline/announcements.rs
+++ b/crates/gateway/src/pipeline/announcements.rs
@@ -1,5 +1,9 @@
 //! What backend servers announce in their responses about the requests that they accept.
 
+use std::time::Duration;
+
+use bulrushhall_core::Event;
+
 use crate::{
     adapter::{ResponseHead, Statement},
     backends::{Announced, LimitNote},
@@ -17,6 +21,10 @@
     if head.leaving == Statement::Value(true) {
         note_leaving(gateway, placement);
     }
+    count("rest", head.rest);
+    if let Statement::Value(rest) = head.rest {
+        note_rest(gateway, placement, rest);
+    }
     // A rejection without a limit may come from a part of the server that does not know it.
     let per_second = match head.request_limit {
         Statement::Value(per_second) => Some(per_second),
@@ -39,6 +47,20 @@
     }
 }
 
+fn note_rest(gateway: &Gateway, placement: &Placement, rest: Duration) {
+    let is_new = gateway.with(|state| {
+        let announced = state.backends.announced_mut(placement.key, &placement.name);
+        announced.is_some_and(|announced| announced.note_rest(clock::now(), rest))
+    });
+    if is_new {
+        tracing::info!(
+            event = Event::BackendResting.number(),
+            backend = &*placement.name,
+            rest_ms = rest.as_secs_f64() * 1_000.0
+        );
+    }
+}
+
 fn count<T>(kind: &'static str, statement: Statement<T>) {
     match statement {
         Statement::Absent => {}
