Resting servers: a node leaves a server out for the time that its rejection names

Callers got 503 although 23 other engines had room: each server that turned requests away for overload got up to 12 requests a second, six times as many as before, and rejected all of them.

Cause: the time in a rejection was not read (hypothesis 1), and a rejection counted for the one request only. That the server answers at once and so looks idle (hypothesis 3) made it worse: placement prefers servers with few requests. The class is that of the server limits and of leaving servers. Ruled out: hypothesis 2, retries; they are not what is sent there (sends 1).

Change: the time is kept for the incarnation of the server, and placement leaves the server out until it is over. If all servers of a service rest, a request is refused at once, with the time until the first of them accepts one. The estimate of that time for limited servers moves to the same place.

--- a/crates/gateway/src/backends/announced.rs
+++ b/crates/gateway/src/backends/announced.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bulrushhall_core::{Incarnation, Stamp};
-use bulrushhall_policy::server_limit::{LimitBucket, LimitPart};
+use bulrushhall_policy::server_limit::{LimitBucket, LimitPart, ServerLimitOptions};
 use serde::{Deserialize, Serialize};
 
 /// How long other nodes are told that a limit was lifted: several exchanges may be lost.
@@ -111,15 +111,26 @@
 
     /// Returns whether a request may be sent to it now.
     pub fn accepts_request(&self, now: Stamp) -> bool {
-        self.limit().is_none() || self.bucket.wait(now, self.part) == Some(Duration::ZERO)
+        self.wait(now) == Some(Duration::ZERO)
     }
 
     /// Returns the time until this node may send it a request; none if this node has no part of its limit.
     pub fn wait(&self, now: Stamp) -> Option<Duration> {
-        if self.limit().is_none() {
-            return Some(Duration::ZERO);
+        let rest = self.rests_until.map_or(Duration::ZERO, |until| until.since(now));
+        match self.limit() {
+            Some(_) => Some(rest.max(self.bucket.wait(now, self.part)?)),
+            None => Some(rest),
         }
-        self.bucket.wait(now, self.part)
+    }
+
+    /// Returns the time until some node may send it a request, as far as is known: the rest that it wants from
+    /// this node, or until its limit allows one.
+    pub fn wait_anywhere(&self, now: Stamp) -> Duration {
+        let rest = self.rests_until.map_or(Duration::ZERO, |until| until.since(now));
+        let Some(per_second) = self.limit() else { return rest };
+        let per_second = per_second.max(ServerLimitOptions::default().min_per_second);
+        let between = Duration::from_secs_f64(1.0 / per_second);
+        rest.max(self.bucket.wait(now, self.part).unwrap_or(between).min(between))
     }
 
     /// Notes a request that is about to be sent to it.
--- a/crates/gateway/src/pipeline/placement.rs
+++ b/crates/gateway/src/pipeline/placement.rs
@@ -37,8 +37,6 @@
 
 /// The shortest retry delay of a request that no server accepts now.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
-/// The rate of requests that limited servers are assumed to accept at least.
-const MIN_TOTAL_PER_SECOND: f64 = 0.25;
 
 /// A `Placement` is the backend server that was chosen for an attempt.
 #[derive(Clone)]
@@ -322,28 +320,21 @@
         random: &mut dyn Rng,
     ) -> Failure {
         let now = clock::now();
-        let mut own_wait: Option<Duration> = None;
-        let (mut per_second, mut cached) = (0.0, 0);
+        let mut waits = Vec::new();
+        let mut cached = 0;
         for (_, backend) in self.untried_at_any_time(state, filter) {
-            let wait = backend.announced.wait(now);
-            own_wait = own_wait.into_iter().chain(wait).min();
-            per_second += backend.announced.limit().unwrap_or_default();
+            waits.push(backend.announced.wait_anywhere(now));
             if let Some(prompt) = &self.req.call.prompt {
                 cached = cached.max(backend.parts.cached(&prompt.parts));
             }
         }
-        if per_second <= 0.0 && own_wait.is_none() {
-            return Failure::NoBackend;
-        }
+        let Some(wait) = waits.into_iter().min() else { return Failure::NoBackend };
         if let (Some(prompt), true) = (&self.req.call.prompt, self.tried.is_empty()) {
             let read = f64::from(prompt.tokens.saturating_sub(cached));
             let demand = state.demand.entry(self.service.clone()).or_default();
             demand.note(now, Offered { read, answer: f64::from(prompt.answer()) });
         }
-        // The caller may return to another node, where a server accepts a request sooner.
-        let any_wait = Duration::from_secs_f64(1.0 / per_second.max(MIN_TOTAL_PER_SECOND));
-        let wait = own_wait.map_or(any_wait, |wait| wait.min(any_wait)).max(MIN_RETRY_AFTER);
-        Failure::ServersLimited(wait.mul_f64(random.random_range(1.0..1.5)))
+        Failure::ServersLimited(wait.max(MIN_RETRY_AFTER).mul_f64(random.random_range(1.0..1.5)))
     }
 
     fn latency_budget(&self) -> LatencyBudget {
