A soak of processes that serve routes, and of what backend servers say about themselves

The soak in the repository plays one process of the own interface; nothing played signals, restarts, changes and the statements of backend servers together against real processes. Callers keep their connections until the node closes them; SIGTERM, SIGKILL, SIGHUP, outages of the key-value service, new configurations, limits, rests and leaving servers come in series and at once by a seeded schedule. Checked are limits, leaving and resting servers, at most once, refusals that say not run, whole answers, requests held or cut off, ends of processes, and service after all faults.

--- /dev/null
+++ b/crates/daemon/tests/soak/checks.rs
@@ -0,0 +1,203 @@
+//! What must hold in a soak.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use super::{
+    caller::{Call, Outcome},
+    server::{Arrival, SoakServer, Statements},
+};
+
+/// How long after a server named a limit it must be kept, and the window in which it is checked.
+const LIMIT_CONTACT: Duration = Duration::from_secs(3);
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// How long after a statement a node may still act without it.
+const NOTICE: Duration = Duration::from_millis(500);
+/// How long after a server said that it leaves a node may still send requests there.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// How many requests a server may get from a node while it rests.
+const MAX_WHILE_RESTING: usize = 2;
+/// How long a request may be held: the timeout of its route and half a second.
+const MAX_HELD: Duration = Duration::from_millis(2_500);
+/// The share of the last requests, after all faults, that must be answered.
+const MIN_SERVED_AT_END: f64 = 0.8;
+
+/// A `Record` is everything that was seen in a soak.
+pub struct Record {
+    pub calls: Vec<Call>,
+    pub servers: Vec<Arc<SoakServer>>,
+    /// When the process of a node was terminated.
+    pub terminated: Vec<(String, Instant)>,
+    /// When the process of a node was killed.
+    pub killed: Vec<(String, Instant)>,
+    /// The limits that servers named, with the time.
+    pub limits: Vec<(String, f64, Instant, Instant)>,
+    /// When the last fault was over.
+    pub calm_since: Instant,
+}
+
+impl Record {
+    /// Returns the violations, one line each.
+    pub fn violations(&self) -> Vec<String> {
+        let mut found = Vec::new();
+        self.check_limits(&mut found);
+        self.check_leaving(&mut found);
+        self.check_rests(&mut found);
+        self.check_runs(&mut found);
+        self.check_answers(&mut found);
+        self.check_end(&mut found);
+        found
+    }
+
+    fn restarted(&self, node: &str, from: Instant, until: Instant) -> bool {
+        self.last_restart(node, until).is_some_and(|at| from <= at)
+    }
+
+    fn last_restart(&self, node: &str, until: Instant) -> Option<Instant> {
+        let restarts = self.terminated.iter().chain(&self.killed);
+        restarts.filter(|(name, at)| name == node && *at <= until).map(|(_, at)| *at).max()
+    }
+
+    /// Returns when the process that sent a request first got a response with a statement.
+    fn told_before(&self, told: &Told, arrival: &Arrival) -> Option<Instant> {
+        let restarted = self.last_restart(&arrival.node, arrival.at);
+        let times = told.get(&arrival.node)?;
+        times.iter().copied().find(|at| restarted.is_none_or(|restarted| restarted < *at))
+    }
+
+    fn check_limits(&self, found: &mut Vec<String>) {
+        for (name, per_second, since, until) in &self.limits {
+            let Some(server) = self.servers.iter().find(|server| server.name == *name) else {
+                continue;
+            };
+            let arrivals = server.arrivals();
+            let told = told(&arrivals, |said| said.limit.is_some());
+            let mut counted = Vec::new();
+            for arrival in &arrivals {
+                let is_told = self
+                    .told_before(&told, arrival)
+                    .is_some_and(|told| told + NOTICE <= arrival.at);
+                if is_told && *since + LIMIT_CONTACT <= arrival.at && arrival.at < *until {
+                    counted.push(arrival.at);
+                }
+            }
+            let allowed = per_second * LIMIT_WINDOW.as_secs_f64() * 1.5 + 5.0;
+            for from in &counted {
+                let window = *from..*from + LIMIT_WINDOW;
+                let got = counted.iter().filter(|at| window.contains(at)).count();
+                if allowed < got as f64 {
+                    found.push(format!("{name} names {per_second} a second and got {got} in 4 s"));
+                    break;
+                }
+            }
+        }
+    }
+
+    fn check_leaving(&self, found: &mut Vec<String>) {
+        for server in &self.servers {
+            let arrivals = server.arrivals();
+            let told = told(&arrivals, |said| said.leaving);
+            for arrival in &arrivals {
+                let Some(told) = self.told_before(&told, arrival) else { continue };
+                let late = arrival.at.saturating_duration_since(told + DRAIN_TIME);
+                if !late.is_zero() {
+                    let Arrival { node, id, .. } = arrival;
+                    let name = &server.name;
+                    found.push(format!("{node} sent {id} to {name}, which leaves, {late:?} late"));
+                }
+            }
+        }
+    }
+
+    fn check_rests(&self, found: &mut Vec<String>) {
+        for server in &self.servers {
+            let arrivals = server.arrivals();
+            for rejected in &arrivals {
+                let Some((at, said)) = rejected.answered else { continue };
+                let Some(rest) = said.rest else { continue };
+                let window = at + NOTICE..at + rest;
+                let of_node = |arrival: &&Arrival| {
+                    arrival.node == rejected.node && window.contains(&arrival.at)
+                };
+                let got = arrivals.iter().filter(of_node).count();
+                if MAX_WHILE_RESTING < got && !self.restarted(&rejected.node, at, window.end) {
+                    let node = &rejected.node;
+                    found.push(format!("{} rests, and {node} sent it {got} requests", server.name));
+                    break;
+                }
+            }
+        }
+    }
+
+    fn check_runs(&self, found: &mut Vec<String>) {
+        let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+        for arrival in self.servers.iter().flat_map(|server| server.arrivals()) {
+            *runs.entry(arrival.id).or_default() += usize::from(arrival.ran);
+        }
+        for call in &self.calls {
+            let runs = runs.get(&call.id).copied().unwrap_or(0);
+            if !call.may_repeat() && 1 < runs {
+                found.push(format!("{} ran {runs} times", call.id));
+            }
+            let refused = matches!(call.outcome, Outcome::Answer(408 | 421 | 429 | 503, _));
+            if !call.may_repeat() && refused && 0 < runs {
+                found.push(format!("{} was refused as not run and ran", call.id));
+            }
+        }
+    }
+
+    fn check_answers(&self, found: &mut Vec<String>) {
+        let passed_on: BTreeSet<String> = self
+            .servers
+            .iter()
+            .flat_map(|server| server.arrivals())
+            .map(|arrival| arrival.id)
+            .collect();
+        for call in &self.calls {
+            let (id, node) = (&call.id, &call.node);
+            let killed = self.killed.iter().any(|(name, at)| name == node && call.sent <= *at);
+            if MAX_HELD < call.ended - call.sent && !killed {
+                found.push(format!("{id} was held for {:?} by {node}", call.ended - call.sent));
+            }
+            match &call.outcome {
+                Outcome::Answer(200, body) if *body != call.expected_body() => {
+                    found.push(format!("{id} got another body: {body:?}"));
+                }
+                Outcome::Answer(401..=404, _) => found.push(format!("{id} was denied by {node}")),
+                Outcome::Cut if passed_on.contains(id) && !killed => {
+                    found.push(format!("{id} was cut off by {node}"));
+                }
+                Outcome::Silent if !killed => found.push(format!("{id} got no answer by {node}")),
+                _ => {}
+            }
+        }
+    }
+
+    fn check_end(&self, found: &mut Vec<String>) {
+        let last: Vec<&Call> =
+            self.calls.iter().filter(|call| self.calm_since <= call.sent).collect();
+        let served =
+            last.iter().filter(|call| matches!(call.outcome, Outcome::Answer(200, _))).count();
+        if (served as f64) < last.len() as f64 * MIN_SERVED_AT_END || last.is_empty() {
+            found.push(format!("{served} of {} requests served after all faults", last.len()));
+        }
+    }
+}
+
+/// When each node got responses with a statement, in order.
+type Told = BTreeMap<String, Vec<Instant>>;
+
+fn told(arrivals: &[Arrival], says: impl Fn(&Statements) -> bool) -> Told {
+    let mut told = Told::new();
+    for arrival in arrivals {
+        let Some((at, said)) = arrival.answered else { continue };
+        if says(&said) {
+            told.entry(arrival.node.clone()).or_default().push(at);
+        }
+    }
+    told.values_mut().for_each(|times| times.sort());
+    told
+}
--- /dev/null
+++ b/crates/daemon/tests/soak/deployment.rs
@@ -0,0 +1,340 @@
+//! Processes of nodes, backend servers and callers, to which the actions of a schedule happen.
+
+use std::{
+    env,
+    fs::File,
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use serde_json::json;
+use tokio::{task::JoinHandle, time::sleep};
+
+use super::{
+    caller::{Call, Caller},
+    checks::Record,
+    schedule::Action,
+    server::SoakServer,
+};
+use crate::harness::{
+    ENGINES, Harness, LEDGER, TestServer,
+    caller::get_status,
+    document::{backend_record, default_config},
+    start_server,
+    store::Fault,
+    wait_until,
+};
+
+/// The backend servers of each service.
+const SERVERS_PER_SERVICE: usize = 3;
+/// How long a process may take from SIGTERM to its end: the grace of its settings and a margin.
+const MAX_STOP: Duration = Duration::from_secs(5);
+/// How long a leaving server serves after its record says that it leaves.
+const DRAIN_TIME: Duration = Duration::from_millis(2_500);
+/// How long the last requests are sent after all faults.
+const CALM: Duration = Duration::from_secs(2);
+
+/// A `NodeProcess` is the place of a node, with its present process.
+struct NodeProcess {
+    name: String,
+    settings: PathBuf,
+    log: PathBuf,
+    callers: SocketAddr,
+    readiness: SocketAddr,
+    child: Mutex<Child>,
+    /// Whether the end of the present process is waited for.
+    stopping: AtomicBool,
+    /// Whether the present process has been killed.
+    killed: AtomicBool,
+}
+
+/// A `SoakDeployment` is a deployment under load.
+pub struct SoakDeployment {
+    harness: Harness,
+    nodes: Vec<Arc<NodeProcess>>,
+    servers: Vec<(Arc<SoakServer>, TestServer)>,
+    /// Servers that have left.
+    left: Vec<Arc<SoakServer>>,
+    calls: Arc<Mutex<Vec<Call>>>,
+    stopped: Arc<AtomicBool>,
+    callers: Vec<JoinHandle<()>>,
+    pending: Vec<JoinHandle<()>>,
+    terminated: Vec<(String, Instant)>,
+    killed: Vec<(String, Instant)>,
+    limits: Vec<(String, f64, Instant, Instant)>,
+    problems: Arc<Mutex<Vec<String>>>,
+    versions: u64,
+}
+
+impl NodeProcess {
+    fn start(harness: &Harness, name: String, directory: &std::path::Path) -> NodeProcess {
+        let text = harness.settings_text(&name);
+        let address = |key: &str| -> SocketAddr {
+            let line = text.lines().find_map(|line| line.strip_prefix(&format!("{key} = ")));
+            line.expect("a setting").parse().expect("an address")
+        };
+        let (callers, readiness) = (address("callers"), address("readiness"));
+        let (settings, log) =
+            (directory.join(format!("{name}.ini")), directory.join(format!("{name}.log")));
+        std::fs::write(&settings, &text).expect("a written file");
+        let child = Mutex::new(spawn(&settings, &log));
+        NodeProcess {
+            name,
+            settings,
+            log,
+            callers,
+            readiness,
+            child,
+            stopping: AtomicBool::new(false),
+            killed: AtomicBool::new(false),
+        }
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.lock().expect("no panic while it is held").id().to_string();
+        // A process that has ended meanwhile can't be signalled.
+        let _ = Command::new("kill").args([name, &pid]).stderr(Stdio::null()).status();
+    }
+
+    /// Waits for the end of the process; returns the problem if it doesn't end well in time.
+    async fn wait_for_end(&self) -> Option<String> {
+        let began = Instant::now();
+        loop {
+            let ended = self.child.lock().expect("no panic while it is held").try_wait();
+            match ended.expect("a child") {
+                Some(status) if status.success() || self.killed.load(Ordering::Relaxed) => {
+                    return None;
+                }
+                Some(status) => return Some(format!("{} ended with {status}", self.name)),
+                None if MAX_STOP < began.elapsed() => {
+                    let _ = self.child.lock().expect("no panic while it is held").kill();
+                    return Some(format!("{} didn't end", self.name));
+                }
+                None => sleep(Duration::from_millis(20)).await,
+            }
+        }
+    }
+
+    fn restart(&self) {
+        self.killed.store(false, Ordering::Relaxed);
+        self.stopping.store(false, Ordering::Relaxed);
+        *self.child.lock().expect("no panic while it is held") = spawn(&self.settings, &self.log);
+    }
+}
+
+fn spawn(settings: &std::path::Path, log: &std::path::Path) -> Child {
+    let log = File::options().create(true).append(true).open(log).expect("a log file");
+    let daemon = env::var("BULRUSH_SOAK_DAEMON");
+    let daemon = daemon.unwrap_or_else(|_| env!("CARGO_BIN_EXE_bulrushd").to_owned());
+    let mut daemon = Command::new(daemon);
+    daemon.arg("--settings").arg(settings).stdout(log).stderr(Stdio::null());
+    daemon.spawn().expect("a started daemon")
+}
+
+impl SoakDeployment {
+    /// Starts a deployment; the nodes write their settings and logs into `directory`.
+    pub async fn start(nodes: usize, directory: &std::path::Path) -> SoakDeployment {
+        std::fs::create_dir_all(directory).expect("a directory");
+        let harness = Harness::without_node().await;
+        let mut deployment = SoakDeployment {
+            harness,
+            nodes: Vec::new(),
+            servers: Vec::new(),
+            left: Vec::new(),
+            calls: Arc::default(),
+            stopped: Arc::default(),
+            callers: Vec::new(),
+            pending: Vec::new(),
+            terminated: Vec::new(),
+            killed: Vec::new(),
+            limits: Vec::new(),
+            problems: Arc::default(),
+            versions: 1,
+        };
+        for number in 0..SERVERS_PER_SERVICE {
+            for service in [LEDGER, ENGINES] {
+                let server = SoakServer::new(&format!("{service}-{number}"), service);
+                deployment.add_server(server);
+            }
+        }
+        for number in 0..nodes {
+            let name = format!("node-{number}");
+            deployment.nodes.push(Arc::new(NodeProcess::start(
+                &deployment.harness,
+                name,
+                directory,
+            )));
+        }
+        for node in &deployment.nodes {
+            wait_until(async || get_status(node.readiness, "/readyz").await == Some(200)).await;
+        }
+        deployment
+    }
+
+    /// Returns the number of backend servers.
+    pub fn server_count(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Starts callers of each node.
+    pub fn start_callers(&mut self, per_node: usize) {
+        for node in &self.nodes {
+            for number in 0..per_node {
+                let name = format!("{}-{number}", node.name);
+                let (calls, stopped) = (&self.calls, &self.stopped);
+                self.callers.push(Caller::start(name, &node.name, node.callers, calls, stopped));
+            }
+        }
+    }
+
+    fn add_server(&mut self, server: Arc<SoakServer>) {
+        let port = start_server(Arc::<SoakServer>::clone(&server));
+        let record = backend_record(server.service, port.address, "ready");
+        self.harness.store.put(&format!("servers/{}", server.name), &record.to_string());
+        self.servers.push((server, port));
+    }
+
+    /// Lets an action happen; what it ends later goes on by itself.
+    pub fn act(&mut self, action: Action) {
+        let now = Instant::now();
+        match action {
+            Action::Terminate(node) => self.stop_node(node, now, "-TERM"),
+            Action::Kill(node) => self.stop_node(node, now, "-KILL"),
+            Action::Hup(node) => self.nodes[node].signal("-HUP"),
+            Action::StoreDown(lasts) => self.fault(Fault::Down, lasts),
+            Action::StoreLosesReplies(lasts) => self.fault(Fault::LostReplies, lasts),
+            Action::Configure => {
+                self.versions += 1;
+                let mut config = default_config(self.versions);
+                config["limits"]["idle_timeout_ms"] = json!(4_000 + 100 * self.versions);
+                self.harness.store.put("op/config", &config.to_string());
+            }
+            Action::Limit(server, per_second, lasts) => {
+                let server = Arc::clone(&self.servers[server].0);
+                server.say(|said| said.limit = Some(per_second));
+                self.limits.push((server.name.clone(), per_second, now, now + lasts));
+            }
+            Action::Rest(server, rest, lasts) => {
+                let server = Arc::clone(&self.servers[server].0);
+                server.say(|said| said.rest = Some(rest));
+                self.later(lasts, move || server.say(|said| said.rest = None));
+            }
+            Action::Leave(server, delay) => self.let_leave(server, delay),
+        }
+    }
+
+    fn later(&mut self, after: Duration, act: impl FnOnce() + Send + 'static) {
+        self.pending.push(tokio::spawn(async move {
+            sleep(after).await;
+            act();
+        }));
+    }
+
+    fn fault(&mut self, fault: Fault, lasts: Duration) {
+        let store = Arc::clone(&self.harness.store);
+        store.set_fault(fault);
+        self.later(lasts, move || store.set_fault(Fault::None));
+    }
+
+    fn stop_node(&mut self, node: usize, now: Instant, signal: &'static str) {
+        let node = Arc::clone(&self.nodes[node]);
+        let is_kill = signal == "-KILL";
+        if is_kill {
+            node.killed.store(true, Ordering::Relaxed);
+        }
+        node.signal(signal);
+        if is_kill {
+            // The signal takes a moment to be sent.
+            self.killed.push((node.name.clone(), Instant::now()));
+        } else {
+            self.terminated.push((node.name.clone(), now));
+        }
+        // A second signal meets a process that is stopping already.
+        if node.stopping.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let problems = Arc::clone(&self.problems);
+        self.pending.push(tokio::spawn(async move {
+            let problem = node.wait_for_end().await;
+            problems.lock().expect("no panic while it is held").extend(problem);
+            node.restart();
+        }));
+    }
+
+    fn let_leave(&mut self, server: usize, delay: Duration) {
+        let (server, port) = self.servers.remove(server);
+        server.say(|said| said.leaving = true);
+        let store = Arc::clone(&self.harness.store);
+        let mut record = backend_record(server.service, port.address, "draining");
+        record["sequence"] = json!(2);
+        let key = format!("servers/{}", server.name);
+        let next = SoakServer::new(&format!("{}-next", server.name), server.service);
+        self.left.push(server);
+        self.pending.push(tokio::spawn(async move {
+            sleep(delay).await;
+            store.put(&key, &record.to_string());
+            sleep(DRAIN_TIME).await;
+            store.remove(&key);
+            // Nodes without the key-value service may still use it.
+            sleep(DRAIN_TIME).await;
+            drop(port);
+        }));
+        self.add_server(next);
+    }
+
+    /// Waits until all actions are over, sends the last requests and returns what was seen.
+    pub async fn finish(mut self) -> (Record, Vec<String>) {
+        for pending in std::mem::take(&mut self.pending) {
+            pending.await.expect("no panic");
+        }
+        self.harness.store.set_fault(Fault::None);
+        for (server, _) in &self.servers {
+            server.say(|said| *said = Default::default());
+        }
+        let mut problems = Vec::new();
+        for node in &self.nodes {
+            let began = Instant::now();
+            while get_status(node.readiness, "/readyz").await != Some(200) {
+                if Duration::from_secs(10) < began.elapsed() {
+                    problems.push(format!("{} isn't ready after all faults", node.name));
+                    break;
+                }
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+        // A rest that a server asked for just before lasts on.
+        sleep(Duration::from_secs(3)).await;
+        let calm_since = Instant::now();
+        sleep(CALM).await;
+        self.stopped.store(true, Ordering::Relaxed);
+        for caller in std::mem::take(&mut self.callers) {
+            caller.await.expect("no panic");
+        }
+        problems.extend(self.problems.lock().expect("no panic while it is held").drain(..));
+        let servers = self.servers.iter().map(|(server, _)| server).chain(&self.left);
+        let record = Record {
+            calls: self.calls.lock().expect("no panic while it is held").clone(),
+            servers: servers.cloned().collect(),
+            terminated: std::mem::take(&mut self.terminated),
+            killed: std::mem::take(&mut self.killed),
+            limits: std::mem::take(&mut self.limits),
+            calm_since,
+        };
+        (record, problems)
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        let child = self.child.get_mut().unwrap_or_else(|poisoned| poisoned.into_inner());
+        // The process may have ended by itself.
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/soak/mod.rs
@@ -0,0 +1,7 @@
+//! Parts of the soak of nodes that serve routes.
+
+pub mod caller;
+pub mod checks;
+pub mod deployment;
+pub mod schedule;
+pub mod server;
--- /dev/null
+++ b/crates/daemon/tests/soak/schedule.rs
@@ -0,0 +1,75 @@
+//! What happens in a soak, and when.
+
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+/// An `Action` is one thing that happens to a deployment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Action {
+    /// The process of a node gets SIGTERM, and starts again when it has ended.
+    Terminate(usize),
+    /// The process of a node is killed, and starts again.
+    Kill(usize),
+    /// The process of a node gets SIGHUP.
+    Hup(usize),
+    /// The key-value service is down for a time.
+    StoreDown(Duration),
+    /// The key-value service doesn't reply to writes for a time.
+    StoreLosesReplies(Duration),
+    /// The operator writes a new version of the configuration.
+    Configure,
+    /// A server names a limit for a time.
+    Limit(usize, f64, Duration),
+    /// A server turns requests away for a time, and asks for rest.
+    Rest(usize, Duration, Duration),
+    /// A server leaves; its record says so after a time, and another one takes its place.
+    Leave(usize, Duration),
+}
+
+/// Returns the actions of a soak in the order of their times.
+pub fn schedule(
+    seed: u64,
+    nodes: usize,
+    servers: usize,
+    length: Duration,
+) -> Vec<(Duration, Action)> {
+    let mut random = Pcg64::seed_from_u64(seed);
+    let seconds = length.as_secs_f64();
+    let mut actions = Vec::new();
+    for _ in 0..random.random_range(8..16) {
+        let at = Duration::from_secs_f64(random.random_range(0.0..seconds * 0.6));
+        let lasts = Duration::from_secs_f64(random.random_range(0.3..3.5));
+        let node = random.random_range(0..nodes);
+        let server = random.random_range(0..servers);
+        actions.push((at, draw(&mut random, node, server, lasts)));
+    }
+    // A limit is kept only where it lasts, so each soak has one from its start.
+    let per_second = random.random_range(1..8);
+    let limited = random.random_range(0..servers);
+    actions.push((Duration::ZERO, Action::Limit(limited, f64::from(per_second), length)));
+    // Nodes restart one after the other in some soaks.
+    if random.random_bool(0.3) {
+        for node in 0..nodes.min(5) {
+            let at = Duration::from_millis(1_000 + 700 * node as u64);
+            actions.push((at, Action::Terminate(node)));
+        }
+    }
+    actions.sort_by_key(|(at, _)| *at);
+    actions
+}
+
+fn draw(random: &mut Pcg64, node: usize, server: usize, lasts: Duration) -> Action {
+    let rest = Duration::from_secs_f64(random.random_range(0.5..3.0));
+    match random.random_range(0..10) {
+        0 | 1 => Action::Terminate(node),
+        2 => Action::Kill(node),
+        3 => Action::Hup(node),
+        4 => Action::StoreDown(lasts),
+        5 => Action::StoreLosesReplies(lasts),
+        6 => Action::Configure,
+        7 => Action::Rest(server, rest, lasts),
+        _ => Action::Leave(server, lasts),
+    }
+}
