Plain services: a VM that has a notice gets no more calls

Callers saw nothing until the VM stopped; then calls that reached it in its last moment were lost, and of an order it was unknown whether it had been placed.

Nodes of the own interface learn of notices and close the VM for model requests, but the list of servers for calls of plain services was made from the configuration and the VM list alone, whether a call may be repeated or not. Change: servers on leaving VMs are left out.

--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -154,11 +154,13 @@
     Ok(Bytes::copy_from_slice(key))
 }
 
-/// Returns the backend servers of a service; those in the node's own zone come first.
+/// Returns the backend servers of a service that accept work; those in the node's own zone come first.
 pub(crate) fn backends_by_distance(cx: &Context, service: &ServiceName) -> Vec<Backend> {
     let zone = &cx.settings.node.zone;
+    let leaving = cx.leaving_vms.load();
     let mut backends: Vec<Backend> =
         cx.backends.of(service).into_iter().map(|(_, backend)| backend).collect();
+    backends.retain(|backend| !leaving.contains(&backend.vm));
     backends.sort_by_key(|backend| (backend.zone != *zone, backend.vm.clone()));
     backends
 }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -4,7 +4,10 @@
     collections::BTreeMap,
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -55,6 +58,7 @@
     options: ServiceOptions,
     ledger: Arc<Ledger>,
     highest_fence: Mutex<u64>,
+    calls: AtomicU64,
     switches: Switches,
 }
 
@@ -96,8 +100,8 @@
     ) -> io::Result<ServiceServer> {
         let seed = xxhash_rust::xxh3::xxh3_64(vm.as_str().as_bytes());
         let switches = Switches::new(seed);
-        let shared =
-            Arc::new(Shared { vm, options, ledger, highest_fence: Mutex::default(), switches });
+        let (highest_fence, calls) = (Mutex::default(), AtomicU64::new(0));
+        let shared = Arc::new(Shared { vm, options, ledger, highest_fence, calls, switches });
         let running = RunningServer::start(Arc::clone(&shared) as Arc<dyn Handler>).await?;
         Ok(ServiceServer { shared, running })
     }
@@ -112,6 +116,11 @@
         &self.shared.vm
     }
 
+    /// Returns the number of calls that reached the backend server.
+    pub fn calls(&self) -> u64 {
+        self.shared.calls.load(Ordering::Relaxed)
+    }
+
     /// Returns the fault switches.
     pub fn switches(&self) -> &Switches {
         &self.shared.switches
@@ -128,6 +137,7 @@
         if req.uri().path() == "/identity" {
             return reply::identity(&self.vm);
         }
+        self.calls.fetch_add(1, Ordering::Relaxed);
         let faults = self.switches.delay_call().await;
         if faults.outage {
             return reply::status(StatusCode::SERVICE_UNAVAILABLE);
