Plain services: a server that asks for rest gets no calls from that node meanwhile

Callers of idempotent calls got 503 although another server had room, and were not told when to return.

A response with Retry-After was passed on without that header and not acted on: the nearest server is always asked first, and any response of it ended the call. Change: the time is kept for the server, which is left out meanwhile; an idempotent call goes on to the next server. If all servers rest, idempotent calls are refused as not run with the shortest time that is left.

--- a/crates/daemon/src/backends.rs
+++ b/crates/daemon/src/backends.rs
@@ -7,7 +7,7 @@
 };
 
 use bulrushhall_core::{
-    Deployment, ServiceName, VmName, ZoneName,
+    Deployment, ServiceName, Stamp, VmName, ZoneName,
     config::{BackendAddress, ServiceType},
 };
 use bulrushhall_external::{
@@ -58,6 +58,8 @@
     arena: SlotMap<WorkerKey, Backend>,
     by_address: HashMap<String, WorkerKey>,
     leaving: BTreeSet<VmName>,
+    /// Until when plain services want no calls.
+    rests: HashMap<WorkerKey, Stamp>,
     listed: Vec<ListedVm>,
 }
 
@@ -86,9 +88,22 @@
         }
         let kept: Vec<WorkerKey> = by_address.values().copied().collect();
         state.arena.retain(|key, _| kept.contains(&key));
+        state.rests.retain(|key, _| kept.contains(key));
         state.by_address = by_address;
     }
 
+    /// Notes that a backend server wants no calls until a time.
+    pub fn note_rest(&self, key: WorkerKey, until: Stamp) {
+        let mut state = self.lock();
+        let known = state.rests.entry(key).or_insert(until);
+        *known = (*known).max(until);
+    }
+
+    /// Returns until when a backend server wants no calls, if it has said so.
+    pub fn rests_until(&self, key: WorkerKey) -> Option<Stamp> {
+        self.lock().rests.get(&key).copied()
+    }
+
     /// Stores a new VM list; returns whether it differs from the last one.
     pub fn set_listed(&self, listed: Vec<ListedVm>) -> bool {
         let mut state = self.lock();
--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -1,6 +1,6 @@
 //! `/v1/services/{service}/{path}`: calls that are forwarded to plain services.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bulrushhall_coord::Attempts;
 use bulrushhall_core::{
@@ -12,8 +12,13 @@
     http::{Body, full},
     service::{ServiceCall, ServiceResponse},
 };
+use bulrushhall_policy::WorkerKey;
 use bytes::Bytes;
-use hyper::{HeaderMap, Response, header::CONTENT_TYPE, http::request::Parts};
+use hyper::{
+    HeaderMap, Response,
+    header::{CONTENT_TYPE, RETRY_AFTER},
+    http::request::Parts,
+};
 
 use crate::{
     backends::{Backend, BackendClient},
@@ -68,9 +73,14 @@
 ) -> Result<Response<Body>, ApiError> {
     let mut attempts = Attempts::default();
     let mut last_error = no_backend_error();
-    for backend in backends_by_distance(cx, service) {
+    let mut turned_away = None;
+    for (key, backend) in backends_by_distance(cx, service)? {
         attempts.begin();
-        match forward(&backend, call.clone()).await {
+        match forward(cx, key, &backend, call.clone()).await {
+            Ok(response) if response.rest().is_some() => {
+                attempts.end(Ran::Unknown);
+                turned_away = Some(response);
+            }
             Ok(response) => return Ok(into_http_response(response)),
             Err(error) => {
                 attempts.end(error.ran);
@@ -78,7 +88,7 @@
             }
         }
     }
-    Err(last_error.ran(attempts.ran()))
+    turned_away.map(into_http_response).ok_or_else(|| last_error.ran(attempts.ran()))
 }
 
 async fn call_at_most_once(
@@ -111,13 +121,19 @@
 
 /// Sends a call to one backend server.
 pub(crate) async fn forward(
+    cx: &Context,
+    key: WorkerKey,
     backend: &Backend,
     call: ServiceCall,
 ) -> Result<ServiceResponse, CallError> {
-    match &backend.client {
-        BackendClient::Plain(service) => service.call(call).await,
-        BackendClient::Engine(_) => Err(CallError::not_done(CallFault::Identity)),
+    let BackendClient::Plain(service) = &backend.client else {
+        return Err(CallError::not_done(CallFault::Identity));
+    };
+    let response = service.call(call).await?;
+    if let Some(rest) = response.rest() {
+        cx.backends.note_rest(key, cx.clock.now() + rest);
     }
+    Ok(response)
 }
 
 fn forwarded_call(parts: &Parts, service: &str, body: Bytes) -> ServiceCall {
@@ -155,14 +171,35 @@
 }
 
 /// Returns the backend servers of a service that accept work; those in the node's own zone come first.
-pub(crate) fn backends_by_distance(cx: &Context, service: &ServiceName) -> Vec<Backend> {
+///
+/// If all of them have asked for rest, the error names the time until the first accepts a call again.
+pub(crate) fn backends_by_distance(
+    cx: &Context,
+    service: &ServiceName,
+) -> Result<Vec<(WorkerKey, Backend)>, ApiError> {
     let zone = &cx.settings.node.zone;
     let leaving = cx.leaving_vms.load();
-    let mut backends: Vec<Backend> =
-        cx.backends.of(service).into_iter().map(|(_, backend)| backend).collect();
-    backends.retain(|backend| !leaving.contains(&backend.vm));
-    backends.sort_by_key(|backend| (backend.zone != *zone, backend.vm.clone()));
-    backends
+    let now = cx.clock.now();
+    let mut backends = Vec::new();
+    let mut shortest_rest: Option<Duration> = None;
+    for (key, backend) in cx.backends.of(service) {
+        if leaving.contains(&backend.vm) {
+            continue;
+        }
+        match cx.backends.rests_until(key).filter(|until| now < *until) {
+            Some(until) => {
+                let rest = until.since(now);
+                shortest_rest = Some(shortest_rest.map_or(rest, |shortest| shortest.min(rest)));
+            }
+            None => backends.push((key, backend)),
+        }
+    }
+    if let (true, Some(rest)) = (backends.is_empty(), shortest_rest) {
+        let message = "all backend servers have asked for rest";
+        return Err(ApiError::not_run(ApiCode::Unavailable, message).retry_after(rest));
+    }
+    backends.sort_by_key(|(_, backend)| (backend.zone != *zone, backend.vm.clone()));
+    Ok(backends)
 }
 
 fn no_backend_error() -> ApiError {
@@ -177,8 +214,9 @@
 fn into_http_response(response: ServiceResponse) -> Response<Body> {
     let mut res = Response::new(full(response.body));
     *res.status_mut() = response.status;
-    if let Some(content_type) = response.headers.get(CONTENT_TYPE) {
-        res.headers_mut().insert(CONTENT_TYPE, content_type.clone());
+    for name in [CONTENT_TYPE, RETRY_AFTER] {
+        let Some(value) = response.headers.get(&name) else { continue };
+        res.headers_mut().insert(name, value.clone());
     }
     res
 }
--- a/crates/daemon/src/keyed/home.rs
+++ b/crates/daemon/src/keyed/home.rs
@@ -216,9 +216,11 @@
 
     // Another attempt is only allowed after one that certainly did not run.
     if let Some(request) = service_call(&call, fence) {
-        for backend in services::backends_by_distance(&cx, &call.service) {
+        // Without a server nothing runs, and the settled claim says so.
+        let backends = services::backends_by_distance(&cx, &call.service).unwrap_or_default();
+        for (key, backend) in backends {
             attempts.begin();
-            let ended = services::forward(&backend, request.clone()).await;
+            let ended = services::forward(&cx, key, &backend, request.clone()).await;
             attempts.end(ran_of(cfg, &ended));
             if let Ok(response) = ended
                 && attempts.ran() == Ran::Yes
--- a/crates/external/src/service.rs
+++ b/crates/external/src/service.rs
@@ -1,8 +1,10 @@
 //! Plain services, to which calls are forwarded.
 
+use std::time::Duration;
+
 use bulrushhall_core::FencingNumber;
 use bytes::Bytes;
-use hyper::{HeaderMap, Method, StatusCode};
+use hyper::{HeaderMap, Method, StatusCode, header::RETRY_AFTER};
 
 use crate::Call;
 
@@ -32,6 +34,21 @@
     pub body: Bytes,
 }
 
+/// The longest rest that a server may ask for.
+const MAX_REST: Duration = Duration::from_secs(600);
+
+impl ServiceResponse {
+    /// Returns for how long the server wants no more calls, if it has turned the call away and says so.
+    pub fn rest(&self) -> Option<Duration> {
+        if ![StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS].contains(&self.status)
+        {
+            return None;
+        }
+        let seconds = self.headers.get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
+        Duration::try_from_secs_f64(seconds).ok().map(|rest| rest.min(MAX_REST))
+    }
+}
+
 /// A `PlainService` is one backend server of a plain service.
 pub trait PlainService: Send + Sync {
     /// Forwards a call and returns the complete response.
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -17,7 +17,11 @@
     clients::FENCING_NUMBER_HEADER,
     http::{Body, Handler},
 };
-use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::Incoming,
+    header::{HeaderValue, RETRY_AFTER},
+};
 use serde::{Deserialize, Serialize};
 
 use crate::{reply, running_server::RunningServer, switches::Switches};
@@ -140,7 +144,7 @@
         self.calls.fetch_add(1, Ordering::Relaxed);
         let faults = self.switches.delay_call().await;
         if faults.outage {
-            return reply::status(StatusCode::SERVICE_UNAVAILABLE);
+            return unavailable(faults.rest_s);
         }
         if !self.accepts_fence(&req) {
             return reply::status(StatusCode::PRECONDITION_FAILED);
@@ -177,6 +181,14 @@
     }
 }
 
+fn unavailable(rest_s: u32) -> Response<Body> {
+    let mut response = reply::status(StatusCode::SERVICE_UNAVAILABLE);
+    if 0 < rest_s {
+        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(rest_s));
+    }
+    response
+}
+
 impl Handler for Shared {
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
         Box::pin(self.respond(req))
--- a/crates/standin/src/switches.rs
+++ b/crates/standin/src/switches.rs
@@ -14,6 +14,8 @@
 pub struct Faults {
     /// Whether every call is refused with status 503.
     pub outage: bool,
+    /// The time in which an unavailable plain service wants no calls, in seconds; 0 if it names none.
+    pub rest_s: u32,
     /// Whether all calls hang until the switch is turned off.
     pub frozen: bool,
     /// The delay of each call, in milliseconds.
