--- a/crates/gateway/src/cluster/gossip.rs
+++ b/crates/gateway/src/cluster/gossip.rs
@@ -21,6 +21,7 @@
 use tokio::time::sleep;
 
 use crate::{
+    announcements::plan_limits,
     clock,
     cluster::{
         Digest, DigestScope, Document, Member, activate_config,
@@ -28,7 +29,6 @@
         receive::{DocumentFetch, receive_digest},
     },
     gateway::{Gateway, State},
-    limits::plan_limits,
     meters,
 };
 
--- a/crates/gateway/src/cluster/receive.rs
+++ b/crates/gateway/src/cluster/receive.rs
@@ -10,11 +10,11 @@
 use bulrushhall_policy::quota::QuotaReport;
 
 use crate::{
+    announcements::{receive_leaving, receive_limits},
     backends::BackendUpdates,
     clock,
     cluster::{BackendLoad, Digest, DigestScope, LiveNode, MemberUpdates, RecordCursor, as_millis},
     gateway::{Gateway, State},
-    limits::{receive_leaving, receive_limits},
     meters,
     rollouts::{ReportedCounts, note_ended},
     table::RouteTable,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //! their own protocols for callers, backend servers and operators.
 
 pub mod adapter;
+pub mod announcements;
 pub mod backends;
 pub mod change_log;
 pub mod clock;
@@ -10,7 +11,6 @@
 pub mod duties;
 pub mod fleet_settings;
 pub mod gateway;
-pub mod limits;
 pub mod meters;
 pub mod node;
 pub mod observed;
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -14,14 +14,12 @@
 
 use crate::{
     adapter::{ResponseHead, SendHead},
+    announcements::note_response,
     backends::{Connection, OpenError},
     clock,
     gateway::Gateway,
     meters,
-    pipeline::{
-        announcements::note_announcements, identify::IdentifiedRequest, in_flight::InFlightGuard,
-        placement::Placement,
-    },
+    pipeline::{identify::IdentifiedRequest, in_flight::InFlightGuard, placement::Placement},
     rollouts::AttemptEnd,
 };
 
@@ -138,7 +136,7 @@
         let (parts, body) = response.into_parts();
         let head = gateway.platform.wire.read_response(&parts);
         if is_response_of(req, &head) {
-            note_announcements(gateway, placement, &head);
+            note_response(gateway, placement.key, &placement.name, &head);
         }
         check_head(req, &head)?;
         Ok((head, parts, body, connection))
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -1,7 +1,6 @@
 //! The stages of a request: identify, route, admit, place, attempt, forward the response, log.
 
 mod access_log;
-mod announcements;
 mod attempt;
 mod events;
 mod failure;
