Soak: a process is excused from what its predecessor was told, from its own start on

Trace: the rejection had reached the process before a SIGTERM or kill, and the requests came from the next process of that node, which starts seconds after the signal; the check counted from the signal. It now counts from the start of the next process, which also binds a process that is stopping.

--- a/crates/daemon/tests/soak/checks.rs
+++ b/crates/daemon/tests/soak/checks.rs
@@ -29,8 +29,8 @@
 pub struct Record {
     pub calls: Vec<Call>,
     pub servers: Vec<Arc<SoakServer>>,
-    /// When the process of a node was terminated.
-    pub terminated: Vec<(String, Instant)>,
+    /// When a node's next process was started.
+    pub restarted: Vec<(String, Instant)>,
     /// When the process of a node was killed.
     pub killed: Vec<(String, Instant)>,
     /// The limits that servers named, with the time.
@@ -52,13 +52,13 @@
         found
     }
 
-    fn restarted(&self, node: &str, from: Instant, until: Instant) -> bool {
+    fn has_restarted(&self, node: &str, from: Instant, until: Instant) -> bool {
         self.last_restart(node, until).is_some_and(|at| from <= at)
     }
 
     fn last_restart(&self, node: &str, until: Instant) -> Option<Instant> {
-        let restarts = self.terminated.iter().chain(&self.killed);
-        restarts.filter(|(name, at)| name == node && *at <= until).map(|(_, at)| *at).max()
+        let restarts = self.restarted.iter().filter(|(name, at)| name == node && *at <= until);
+        restarts.map(|(_, at)| *at).max()
     }
 
     /// Returns when the process that sent a request first got a response with a statement.
@@ -123,7 +123,9 @@
                     arrival.node == rejected.node && window.contains(&arrival.at)
                 };
                 let got = arrivals.iter().filter(of_node).count();
-                if MAX_WHILE_RESTING < got && !self.restarted(&rejected.node, at, window.end) {
+                if MAX_WHILE_RESTING < got
+                    && !self.has_restarted(&rejected.node, rejected.at, window.end)
+                {
                     let node = &rejected.node;
                     found.push(format!("{} rests, and {node} sent it {got} requests", server.name));
                     break;
--- a/crates/daemon/tests/soak/deployment.rs
+++ b/crates/daemon/tests/soak/deployment.rs
@@ -65,8 +65,9 @@
     stopped: Arc<AtomicBool>,
     callers: Vec<JoinHandle<()>>,
     pending: Vec<JoinHandle<()>>,
-    terminated: Vec<(String, Instant)>,
     killed: Vec<(String, Instant)>,
+    /// When a node's next process was started.
+    restarted: Arc<Mutex<Vec<(String, Instant)>>>,
     limits: Vec<(String, f64, Instant, Instant)>,
     problems: Arc<Mutex<Vec<String>>>,
     versions: u64,
@@ -151,8 +152,8 @@
             stopped: Arc::default(),
             callers: Vec::new(),
             pending: Vec::new(),
-            terminated: Vec::new(),
             killed: Vec::new(),
+            restarted: Arc::default(),
             limits: Vec::new(),
             problems: Arc::default(),
             versions: 1,
@@ -204,8 +205,8 @@
     pub fn act(&mut self, action: Action) {
         let now = Instant::now();
         match action {
-            Action::Terminate(node) => self.stop_node(node, now, "-TERM"),
-            Action::Kill(node) => self.stop_node(node, now, "-KILL"),
+            Action::Terminate(node) => self.stop_node(node, "-TERM"),
+            Action::Kill(node) => self.stop_node(node, "-KILL"),
             Action::Hup(node) => self.nodes[node].signal("-HUP"),
             Action::StoreDown(lasts) => self.fault(Fault::Down, lasts),
             Action::StoreLosesReplies(lasts) => self.fault(Fault::LostReplies, lasts),
@@ -242,7 +243,7 @@
         self.later(lasts, move || store.set_fault(Fault::None));
     }
 
-    fn stop_node(&mut self, node: usize, now: Instant, signal: &'static str) {
+    fn stop_node(&mut self, node: usize, signal: &'static str) {
         let node = Arc::clone(&self.nodes[node]);
         let is_kill = signal == "-KILL";
         if is_kill {
@@ -252,17 +253,17 @@
         if is_kill {
             // The signal takes a moment to be sent.
             self.killed.push((node.name.clone(), Instant::now()));
-        } else {
-            self.terminated.push((node.name.clone(), now));
         }
         // A second signal meets a process that is stopping already.
         if node.stopping.swap(true, Ordering::Relaxed) {
             return;
         }
-        let problems = Arc::clone(&self.problems);
+        let (problems, restarted) = (Arc::clone(&self.problems), Arc::clone(&self.restarted));
         self.pending.push(tokio::spawn(async move {
             let problem = node.wait_for_end().await;
             problems.lock().expect("no panic while it is held").extend(problem);
+            let restart = (node.name.clone(), Instant::now());
+            restarted.lock().expect("no panic while it is held").push(restart);
             node.restart();
         }));
     }
@@ -321,7 +322,7 @@
         let record = Record {
             calls: self.calls.lock().expect("no panic while it is held").clone(),
             servers: servers.cloned().collect(),
-            terminated: std::mem::take(&mut self.terminated),
+            restarted: self.restarted.lock().expect("no panic while it is held").clone(),
             killed: std::mem::take(&mut self.killed),
             limits: std::mem::take(&mut self.limits),
             calm_since,
