Server limits: a response that overtook another one does not lift a limit

Callers saw nothing; a server that had just named its limit could get requests without a bound again until the next response, on all nodes, since the newest statement spreads.

Cause: any sealed response without a limit lifted it, also one to a request that the server had received before it was in need. Responses on other connections, and of streams that wait for their first token, arrive later than ones made after them. Change: a limit is lifted only by a response to a request that was sent after the last response with a limit.

--- a/crates/gateway/src/announcements.rs
+++ b/crates/gateway/src/announcements.rs
@@ -35,8 +35,13 @@
     }
 }
 
-/// Notes what the head of a response of a backend server announces.
-pub fn note_response(gateway: &Gateway, key: WorkerKey, name: &str, head: &ResponseHead) {
+/// Notes what the head of a response of a backend server announces; the request was sent at `sent_at` or later.
+pub fn note_response(
+    gateway: &Gateway,
+    (key, name): (WorkerKey, &str),
+    sent_at: Stamp,
+    head: &ResponseHead,
+) {
     count("limit", head.request_limit);
     count("leaving", head.leaving);
     count("rest", head.rest);
@@ -50,8 +55,9 @@
         }
         match head.request_limit {
             Statement::Value(per_second) => note_limit(gateway, state, key, name, Some(per_second)),
-            // A rejection without a limit may come from a part of the server that does not know it.
-            Statement::Absent if head.sealed => note_limit(gateway, state, key, name, None),
+            Statement::Absent if lifts_limit(state, key, name, sent_at, head) => {
+                note_limit(gateway, state, key, name, None);
+            }
             Statement::Absent | Statement::Malformed => {}
         }
     });
@@ -135,6 +141,19 @@
     }
 }
 
+// A response to a request that was sent before the limit was stated may have been made before it too, and a rejection may
+// come from a part of the server that does not know the limit.
+fn lifts_limit(
+    state: &mut State,
+    key: WorkerKey,
+    name: &str,
+    sent_at: Stamp,
+    head: &ResponseHead,
+) -> bool {
+    let stated_at = state.backends.announced_mut(key, name).and_then(|it| it.limit_stated_at());
+    head.sealed && stated_at.is_some_and(|stated_at| stated_at < sent_at)
+}
+
 fn note_limit(
     gateway: &Gateway,
     state: &mut State,
--- a/crates/gateway/src/backends/announced.rs
+++ b/crates/gateway/src/backends/announced.rs
@@ -82,6 +82,11 @@
         self.limit.and_then(|note| note.per_second)
     }
 
+    /// Returns when it stated its limit, if it has one.
+    pub fn limit_stated_at(&self) -> Option<Stamp> {
+        self.limit.filter(|note| note.per_second.is_some()).map(|note| note.at)
+    }
+
     /// Returns the last statement about its limit, as long as other nodes should learn of it.
     pub fn reported_limit(&self, now: Stamp) -> Option<LimitNote> {
         let is_recent = |note: &LimitNote| now.since(note.at) < LIFTED_REPORTED_FOR;
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -131,12 +131,14 @@
     response_timeout: Duration,
 ) -> Result<BackendResponse, SendError> {
     let mut in_flight = InFlightGuard::begin(gateway, placement);
+    let sent_at = clock::now();
     let sent = send(gateway, req, original, placement, resume_after, response_timeout).await;
     let answered = sent.and_then(|(response, connection)| {
         let (parts, body) = response.into_parts();
         let head = gateway.platform.wire.read_response(&parts);
         if is_response_of(req, &head) {
-            note_response(gateway, placement.key, &placement.name, &head);
+            let server = (placement.key, &*placement.name);
+            note_response(gateway, server, sent_at, &head);
         }
         check_head(req, &head)?;
         Ok((head, parts, body, connection))
