Server limits: reports of limits that stay are spread over 32 gossip rounds

With limits of all servers of a large service in each digest, 860 of them were about 90 kB a digest by name and field; a node has 9 kB a second for control. A changed limit is in each digest for 2 s, one that stays in one of 32 rounds: its users state it in each response anyway. Reports are encoded without field names.

--- a/crates/gateway/src/backends/announced.rs
+++ b/crates/gateway/src/backends/announced.rs
@@ -6,8 +6,11 @@
 use bulrushhall_policy::server_limit::{LimitBucket, LimitPart, ServerLimitOptions};
 use serde::{Deserialize, Serialize};
 
-/// How long other nodes are told that a limit was lifted: several exchanges may be lost.
-const LIFTED_REPORTED_FOR: Duration = Duration::from_secs(10);
+/// How long a changed limit is reported in each digest: several may be lost.
+const CHANGE_REPORTED_FOR: Duration = Duration::from_secs(2);
+/// The gossip rounds between two later reports of a limit that is in force. All servers of a large service may have
+/// one, and its users state it in each response anyway.
+const REPORT_INTERVAL: u64 = 32;
 
 /// The longest rest: a single response does not take a server out of use for longer.
 const MAX_REST: Duration = Duration::from_secs(600);
@@ -18,6 +21,7 @@
     leaving: bool,
     rests_until: Option<Stamp>,
     limit: Option<LimitNote>,
+    limit_changed_at: Stamp,
     part: LimitPart,
     bucket: LimitBucket,
 }
@@ -43,7 +47,10 @@
 }
 
 /// A `LimitReport` is a statement of a backend server about its limit, for other nodes.
+///
+/// It is encoded without field names, which would otherwise be repeated for each backend server.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(into = "(String, Option<u64>, Option<f64>, u64, Incarnation, u64)")]
 pub struct LimitReport {
     /// The backend server.
     pub backend: String,
@@ -59,6 +66,13 @@
     pub number: u64,
 }
 
+impl From<LimitReport> for (String, Option<u64>, Option<f64>, u64, Incarnation, u64) {
+    fn from(report: LimitReport) -> Self {
+        let LimitReport { backend, born, per_second, age_ms, author, number } = report;
+        (backend, born, per_second, age_ms, author, number)
+    }
+}
+
 impl Announced {
     /// Returns whether it has said that it is leaving.
     pub fn is_leaving(&self) -> bool {
@@ -87,10 +101,13 @@
         self.limit.filter(|note| note.per_second.is_some()).map(|note| note.at)
     }
 
-    /// Returns the last statement about its limit, as long as other nodes should learn of it.
-    pub fn reported_limit(&self, now: Stamp) -> Option<LimitNote> {
-        let is_recent = |note: &LimitNote| now.since(note.at) < LIFTED_REPORTED_FOR;
-        self.limit.filter(|note| note.per_second.is_some() || is_recent(note))
+    /// Returns the last statement about its limit if it is reported to other nodes in a gossip round.
+    ///
+    /// The server with the hash `identity` has its turn in one of [`REPORT_INTERVAL`] rounds.
+    pub fn reported_limit(&self, now: Stamp, identity: u64, round: u64) -> Option<LimitNote> {
+        let is_new = now.since(self.limit_changed_at) < CHANGE_REPORTED_FOR;
+        let has_turn = identity % REPORT_INTERVAL == round % REPORT_INTERVAL;
+        self.limit.filter(|note| is_new || (has_turn && note.per_second.is_some()))
     }
 
     /// Notes a statement about its limit; returns whether the limit has changed.
@@ -106,7 +123,11 @@
             self.bucket = LimitBucket::empty(now);
         }
         self.limit = Some(note);
-        before != note.per_second
+        let has_changed = before != note.per_second;
+        if has_changed {
+            self.limit_changed_at = now;
+        }
+        has_changed
     }
 
     /// Sets this node's part of the limit.
--- a/crates/gateway/src/backends/directory.rs
+++ b/crates/gateway/src/backends/directory.rs
@@ -202,11 +202,12 @@
         leaving.map(|backend| (backend.name.to_string(), backend.record.born)).collect()
     }
 
-    /// Returns the statements of backend servers about their limits that other nodes should know.
-    pub fn limit_reports(&self, now: Stamp) -> Vec<LimitReport> {
+    /// Returns the statements of backend servers about their limits that are reported in a gossip round.
+    pub fn limit_reports(&self, now: Stamp, round: u64) -> Vec<LimitReport> {
         let mut reports = Vec::new();
         for backend in self.arena.values() {
-            let Some(note) = backend.announced.reported_limit(now) else { continue };
+            let note = backend.announced.reported_limit(now, backend.identity, round);
+            let Some(note) = note else { continue };
             reports.push(LimitReport {
                 backend: backend.name.to_string(),
                 born: backend.record.born,
--- a/crates/gateway/src/cluster/advertise.rs
+++ b/crates/gateway/src/cluster/advertise.rs
@@ -57,7 +57,7 @@
             era_age_ms: state.eras.restored_at().map(|at| as_millis(now.since(at))),
             rollouts: state.rollouts.known.reports(now),
             leaving_backends: state.backends.unrecorded_leaving(),
-            backend_limits: state.backends.limit_reports(now),
+            backend_limits: state.backends.limit_reports(now, state.gossip_rounds),
             scope,
             reply_scope,
             record_cursor: state.relay_cursor(now).filter(|_| reply_scope == DigestScope::Others),
--- a/crates/gateway/tests/announcements.rs
+++ b/crates/gateway/tests/announcements.rs
@@ -104,3 +104,33 @@
     receive_leaving(&mut state, vec![(name.to_owned(), born)]);
     assert!(state.backends.named_mut(SERVER).is_some_and(|backend| backend.accepts_work()));
 }
+
+// Guards against digests that grow with the servers of a large service when all of them set limits, and against nodes that
+// join later and are told nothing.
+#[test]
+fn limited_servers_in_digests() {
+    const SERVERS: u64 = 860;
+    const ROUNDS: u64 = 32;
+    const MAX_BYTES: usize = 2_500;
+    let mut state = State::default();
+    let own = NodeName::new("node-1").expect("a name");
+    let now = Stamp::from_millis(NOW_MS);
+    for number in 0..SERVERS {
+        let name = format!("i-{number:010x}");
+        state.backends.upsert(now, &name, record(BORN));
+        let report = LimitReport { backend: name, ..report(Some(2.5)) };
+        receive_limits(&mut state, now, &own, vec![report]);
+    }
+    let later = Stamp::from_millis(NOW_MS + 5_000);
+    let reports = (0..ROUNDS).map(|round| state.backends.limit_reports(later, round));
+    let mut reported = 0;
+    for reports in reports {
+        reported += reports.len();
+        let bytes = rmp_serde::to_vec_named(&reports).expect("plain reports");
+        assert!(bytes.len() <= MAX_BYTES, "{} bytes in a digest", bytes.len());
+        let read: Vec<LimitReport> = rmp_serde::from_slice(&bytes).expect("the same reports");
+        assert_eq!(read, reports);
+    }
+    assert_eq!(reported as u64, SERVERS);
+    assert_eq!(state.backends.limit_reports(now, 0).len() as u64, SERVERS);
+}
