Server limits: a service goes on when all its servers set limits

Callers would have been refused for seconds: with a limit of 1 a second and three nodes that have a part, the first request was due after 3 s, since buckets began empty.

An empty bucket is no safer than a full one, which the bound on all bursts allows for anyway. Change: buckets begin with one request.

--- a/crates/gateway/src/backends/announced.rs
+++ b/crates/gateway/src/backends/announced.rs
@@ -120,7 +120,7 @@
         }
         let before = self.limit();
         if before.is_none() {
-            self.bucket = LimitBucket::empty(now);
+            self.bucket = LimitBucket::with_one_request(now);
         }
         self.limit = Some(note);
         let has_changed = before != note.per_second;
--- a/crates/policy/src/server_limit.rs
+++ b/crates/policy/src/server_limit.rs
@@ -83,9 +83,10 @@
 }
 
 impl LimitBucket {
-    /// Returns an empty bucket, for a server that has just set a limit.
-    pub fn empty(now: Stamp) -> LimitBucket {
-        LimitBucket { level: 0.0, refilled_at: now }
+    /// Returns a bucket with one request, for a server that has just set a limit: without it, a service whose
+    /// servers all do so would stop until the first refill.
+    pub fn with_one_request(now: Stamp) -> LimitBucket {
+        LimitBucket { level: 1.0, refilled_at: now }
     }
 
     /// Returns the time until a request may be sent; none if `part` allows no requests.
--- a/crates/policy/tests/server_limit.rs
+++ b/crates/policy/tests/server_limit.rs
@@ -54,7 +54,7 @@
     let mut random = Pcg64::seed_from_u64(seed);
     let parts: Vec<LimitPart> =
         (0..load.nodes).map(|own| part(way, load, own, &mut random)).collect();
-    let mut buckets = vec![LimitBucket::empty(Stamp::from_millis(0)); load.nodes];
+    let mut buckets = vec![LimitBucket::with_one_request(Stamp::from_millis(0)); load.nodes];
     let chance = DEMAND_PER_NODE * STEP_MS as f64 / 1_000.0;
     let mut arrivals = Vec::new();
     let idle = u64::try_from(load.idle.as_millis()).expect("a short time");
@@ -116,8 +116,8 @@
 #[test]
 fn refunded_request() {
     let part = LimitPart { per_second: 1.0, burst: 1.0 };
-    let mut bucket = LimitBucket::empty(Stamp::from_millis(0));
     let now = Stamp::from_millis(1_000);
+    let mut bucket = LimitBucket::with_one_request(now);
     assert_eq!(bucket.wait(now, part), Some(Duration::ZERO));
     bucket.take(now, part);
     assert_eq!(bucket.wait(now, part), Some(Duration::from_secs(1)));
