Roll-outs: the evidence of the holder as a metric, and orders that a tool can write

The evidence of a roll-out was in the log lines 441 only, and the adapter could read orders but not write them. No decision changes.

--- a/crates/gateway/src/adapter/records.rs
+++ b/crates/gateway/src/adapter/records.rs
@@ -98,6 +98,13 @@
         value: &Bytes,
     ) -> Result<RolloutOrder, RecordError>;
 
+    /// Returns the record of an order for a roll-out of a service.
+    fn write_rollout(
+        &self,
+        service: &ServiceName,
+        order: &RolloutOrder,
+    ) -> Result<Bytes, RecordError>;
+
     /// Parses the state of a roll-out, with its target version.
     fn read_rollout_status(&self, value: &Bytes) -> Result<(String, RolloutPhase), RecordError>;
 
--- a/crates/gateway/src/duties/rollout.rs
+++ b/crates/gateway/src/duties/rollout.rs
@@ -105,18 +105,18 @@
         match step {
             RolloutStep::Share { share, stage } => {
                 running.grant(gateway, holder, service, share, stage);
-                running.log(service, &seen, verdict);
+                running.report(service, &seen, verdict);
                 Ok(())
             }
             // No request may go to a bad version while its state is being written.
             RolloutStep::Revert => {
-                running.log(service, &seen, verdict);
+                running.report(service, &seen, verdict);
                 end(gateway, service, RolloutPhase::Reverted);
                 let phase = RolloutPhase::Reverted;
                 running.write(gateway, holder, service, rollout, phase).await
             }
             RolloutStep::Complete => {
-                running.log(service, &seen, verdict);
+                running.report(service, &seen, verdict);
                 running.completing = true;
                 // Without a valid grant, requests would go to servers that are about to stop.
                 running.grant(gateway, holder, service, 1.0, RolloutStage::Drain);
@@ -250,14 +250,7 @@
         });
     }
 
-    fn log(&mut self, service: &ServiceName, seen: &RolloutObservation, verdict: Verdict) {
-        let stage = self.controller.stage();
-        let per_mille = (self.controller.share() * 1_000.0) as u16;
-        let logged = Some((stage, verdict, per_mille / 50));
-        if self.logged == logged {
-            return;
-        }
-        self.logged = logged;
+    fn report(&mut self, service: &ServiceName, seen: &RolloutObservation, verdict: Verdict) {
         let sum = |track| {
             let of_track = seen.counts.iter().filter(|((_, group), _)| group.track() == track);
             of_track.fold((0, 0), |(answers, bad), (_, counts): (_, &TrackCounts)| {
@@ -265,6 +258,15 @@
             })
         };
         let (current, target) = (sum(Track::Current), sum(Track::Target));
+        meters::rollout_answers(service, "current", current.0, current.1);
+        meters::rollout_answers(service, "target", target.0, target.1);
+        let stage = self.controller.stage();
+        let per_mille = (self.controller.share() * 1_000.0) as u16;
+        let logged = Some((stage, verdict, per_mille / 50));
+        if self.logged == logged {
+            return;
+        }
+        self.logged = logged;
         tracing::info!(
             event = Event::RolloutAdvanced.number(),
             service = service.as_str(),
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -35,6 +35,8 @@
 const ROLLOUTS_ENDED: &str = "bulrush_route_rollouts_ended_total";
 /// The share of a service's requests that the holder of the duties grants to a target version.
 const ROLLOUT_SHARE: &str = "bulrush_route_rollout_share";
+/// The answers of both versions in a roll-out that is in progress.
+const ROLLOUT_ANSWERS: &str = "bulrush_route_rollout_answers";
 /// Whether the node holds the duties.
 const DUTIES: &str = "bulrush_route_duties_held";
 
@@ -50,7 +52,7 @@
 }
 
 /// Every metric.
-pub const ROUTE_METRICS: [RouteMetric; 15] = [
+pub const ROUTE_METRICS: [RouteMetric; 16] = [
     RouteMetric { name: REQUESTS, kind: "counter", labels: "kind, outcome" },
     RouteMetric { name: REQUEST_SECONDS, kind: "histogram", labels: "kind" },
     RouteMetric { name: FIRST_SECONDS, kind: "histogram", labels: "kind" },
@@ -65,6 +67,7 @@
     RouteMetric { name: DOCUMENTS_READ, kind: "counter", labels: "outcome" },
     RouteMetric { name: ROLLOUTS_ENDED, kind: "counter", labels: "phase" },
     RouteMetric { name: ROLLOUT_SHARE, kind: "gauge", labels: "service" },
+    RouteMetric { name: ROLLOUT_ANSWERS, kind: "gauge", labels: "service, version, result" },
     RouteMetric { name: DUTIES, kind: "gauge", labels: "" },
 ];
 
@@ -155,6 +158,18 @@
     gauge!(ROLLOUT_SHARE, "service" => service.as_str().to_owned()).set(share);
 }
 
+/// Sets the numbers of all and of bad answers of a version, `current` or `target`, in a roll-out of a service.
+pub fn rollout_answers(service: &ServiceName, version: &'static str, answers: u64, bad: u64) {
+    for (result, count) in [("all", answers), ("bad", bad)] {
+        let service = service.as_str().to_owned();
+        let answers = gauge!(
+            ROLLOUT_ANSWERS, "service" => service, "version" => version, "result" => result
+        );
+        // Counts stay far below the numbers that a float can't represent exactly.
+        answers.set(count as f64);
+    }
+}
+
 /// Sets whether the node holds the duties.
 pub fn duties(held: bool) {
     gauge!(DUTIES).set(f64::from(u8::from(held)));
