bulrush rollout: orders, lists, shows and aborts roll-outs on nodes that serve routes

Operators had to write and remove keys of the key-value service by hand, and to read the evidence in the holder's log.

Change: four subcommands over the adapter's formats, so that an order passes the same checks as on the nodes and the same decision. An order is written by compare-and-swap, is refused while another roll-out of the service is in progress, and needs a service of the configuration. show adds share and answers of both versions from the metrics of the holder. Each failure has an exit code; a lost reply is reported as unknown.

--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod diff;
 mod drain;
 mod requests;
+mod rollout;
 mod show;
 mod status;
 
@@ -24,7 +25,7 @@
 };
 
 /// Returns the descriptions of all commands.
-pub fn all() -> [Command; 8] {
+pub fn all() -> [Command; 9] {
     let commands = [
         check::command(),
         apply::command(),
@@ -33,9 +34,10 @@
         status::command(),
         drain::command(),
         requests::command(),
+        rollout::command(),
         completions::command(),
     ];
-    commands.map(|command| command.arg(json_arg()))
+    commands.map(|command| command.arg(json_arg().global(true)))
 }
 
 /// Runs the command with the given name.
@@ -62,6 +64,7 @@
         "status" => status::run(args, out).await,
         "drain" => drain::run(args, out).await,
         "requests" => requests::run(args, out).await,
+        "rollout" => rollout::run(args, out).await,
         "completions" => completions::run(args),
         _ => Ok(ExitStatus::Usage),
     }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -55,6 +55,19 @@
     RequestNotFound(String),
     /// No given node has this name.
     NodeNotFound(String),
+    /// The configuration has no such service.
+    ServiceNotFound(String),
+    /// There is no order for a roll-out of the service.
+    RolloutNotFound(String),
+    /// A roll-out of the service is in progress.
+    RolloutInProgress {
+        /// The service.
+        service: String,
+        /// The target version.
+        target: String,
+    },
+    /// The order for the service was changed by someone else meanwhile.
+    RolloutChanged(String),
     /// The revision was never accepted or has been removed from the history.
     RevisionNotFound(Revision),
     /// Some nodes did not have an accepted revision in force at the timeout.
@@ -80,9 +93,13 @@
                 ExitStatus::Unreachable
             }
             CliError::OutcomeUnknown => ExitStatus::Unknown,
-            CliError::Conflict { .. } => ExitStatus::Conflict,
+            CliError::Conflict { .. }
+            | CliError::RolloutInProgress { .. }
+            | CliError::RolloutChanged(_) => ExitStatus::Conflict,
             CliError::RequestNotFound(_)
             | CliError::NodeNotFound(_)
+            | CliError::ServiceNotFound(_)
+            | CliError::RolloutNotFound(_)
             | CliError::RevisionNotFound(_) => ExitStatus::NotFound,
         }
     }
@@ -125,6 +142,14 @@
                 "finished requests are kept for five minutes; give --node for every node".into()
             }
             CliError::NodeNotFound(_) => "run `bulrush status` to list the nodes".into(),
+            CliError::ServiceNotFound(_) => "name a service of the configuration in force".into(),
+            CliError::RolloutNotFound(_) => "`bulrush rollout list` lists the orders".into(),
+            CliError::RolloutInProgress { .. } => {
+                "wait for its end, run `bulrush rollout abort`, or give --replace".into()
+            }
+            CliError::RolloutChanged(service) => {
+                format!("run `bulrush rollout show {service}` and decide again")
+            }
             CliError::RevisionNotFound(_) => "`bulrush show --history` lists the revisions".into(),
             CliError::NotInForce { .. } => {
                 "the change stays accepted; run `bulrush status` to see the revision of each node"
@@ -161,6 +186,14 @@
             CliError::Refused(why) => write!(f, "the change was refused: {why}"),
             CliError::RequestNotFound(id) => write!(f, "no node knows request {id}"),
             CliError::NodeNotFound(name) => write!(f, "no node is named {name}"),
+            CliError::ServiceNotFound(name) => write!(f, "no service is named {name}"),
+            CliError::RolloutNotFound(name) => write!(f, "no roll-out of {name} is ordered"),
+            CliError::RolloutInProgress { service, target } => {
+                write!(f, "a roll-out of {service} to {target} is in progress; nothing was changed")
+            }
+            CliError::RolloutChanged(service) => {
+                write!(f, "the order for {service} has changed meanwhile; nothing was changed")
+            }
             CliError::RevisionNotFound(revision) => write!(f, "revision {revision} is not stored"),
             CliError::NotInForce { revision, behind } => {
                 write!(f, "revision {revision} is not yet in force at")?;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,10 +5,12 @@
 mod commands;
 mod demo;
 mod error;
+mod evidence;
 mod exit;
 mod load;
 mod output;
 mod remote;
+mod rollouts;
 
 use std::process::ExitCode;
 
