Tests: the platform's names stay in its folder

The soak's servers, callers and schedule move beside the stand-ins of the platform, whose headers they speak; keys of the key-value service that tests write are constants there.

--- a/crates/cli/tests/rollout_commands.rs
+++ b/crates/cli/tests/rollout_commands.rs
@@ -9,7 +9,8 @@
     Harness, LEDGER, TestServer,
     backend::{Backend, Behavior},
     caller::post,
-    document, start_server,
+    document::{CONFIG_KEY, ROLLOUT_KEY, ROLLOUT_STATUS_KEY, default_config},
+    start_server,
     store::Fault,
     wait_until,
 };
@@ -81,7 +82,7 @@
 
     assert_eq!(operator.exit_code(&["order", LEDGER, "v3", "--within", "60s"]).await, 4);
     assert_eq!(operator.exit_code(&["abort", LEDGER]).await, 0);
-    let status = || harness.store.get("status/rollout/ledger").expect("a state");
+    let status = || harness.store.get(ROLLOUT_STATUS_KEY).expect("a state");
     wait_until(async || String::from_utf8_lossy(&status()).contains("reverted")).await;
     assert_eq!(operator.exit_code(&["show", LEDGER]).await, 7);
     assert_eq!(operator.exit_code(&["abort", LEDGER]).await, 7);
@@ -117,7 +118,7 @@
 async fn shows_evidence() {
     let harness = Harness::without_node().await;
     let order = json!({"service": LEDGER, "target": "v2", "duration_s": 60.0});
-    harness.store.put("op/rollout/ledger", &order.to_string());
+    harness.store.put(ROLLOUT_KEY, &order.to_string());
     let page = start_server(Arc::new(Page));
     let operator = Operator::of(&harness);
     let address = page.address.to_string();
@@ -147,7 +148,7 @@
 async fn refused_orders(#[case] args: &[&str], #[case] code: i32) {
     let harness = Harness::without_node().await;
     assert_eq!(Operator::of(&harness).exit_code(args).await, code);
-    assert!(harness.store.get("op/rollout/ledger").is_none());
+    assert!(harness.store.get(ROLLOUT_KEY).is_none());
 }
 
 // Guards against an operator who is told that an order was or was not written although that is unknown, and against a
@@ -156,7 +157,7 @@
 async fn store_fails() {
     let harness = Harness::without_node().await;
     let operator = Operator::of(&harness);
-    harness.store.put("op/rollout/ledger", "{}");
+    harness.store.put(ROLLOUT_KEY, "{}");
     assert_eq!(operator.json(&["list"]).await, json!([]));
     assert_eq!(operator.exit_code(&["order", LEDGER, "v2", "--within", "60s"]).await, 0);
     harness.store.set_fault(Fault::Down);
@@ -165,8 +166,8 @@
     harness.store.set_fault(Fault::LostReplies);
     assert_eq!(operator.exit_code(&["abort", LEDGER]).await, 6);
     sleep(Duration::from_millis(10)).await;
-    let config = document::default_config(2);
+    let config = default_config(2);
     harness.store.set_fault(Fault::None);
-    harness.store.put("op/config", &config.to_string());
+    harness.store.put(CONFIG_KEY, &config.to_string());
     assert_eq!(operator.json(&["list"]).await, json!([]));
 }
--- a/crates/daemon/tests/route_soak.rs
+++ b/crates/daemon/tests/route_soak.rs
@@ -6,6 +6,7 @@
 
 #[path = "../../../platform/tests/harness/mod.rs"]
 mod harness;
+#[path = "../../../platform/tests/soak/mod.rs"]
 mod soak;
 
 use std::{
