--- a/crates/external/src/service.rs
+++ b/crates/external/src/service.rs
@@ -34,8 +34,8 @@
     pub body: Bytes,
 }
 
-/// The longest rest that a server may ask for.
-const MAX_REST: Duration = Duration::from_secs(600);
+/// The longest rest that a server may ask for: one response does not take it out of use for longer.
+pub const MAX_REST: Duration = Duration::from_secs(600);
 
 impl ServiceResponse {
     /// Returns for how long the server wants no more calls, if it has turned the call away and says so.
--- a/crates/gateway/src/backends/announced.rs
+++ b/crates/gateway/src/backends/announced.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bulrushhall_core::{Incarnation, Stamp};
+use bulrushhall_external::service::MAX_REST;
 use bulrushhall_policy::server_limit::{LimitBucket, LimitPart, ServerLimitOptions};
 use serde::{Deserialize, Serialize};
 
@@ -12,9 +13,6 @@
 /// one, and its users state it in each response anyway.
 const REPORT_INTERVAL: u64 = 32;
 
-/// The longest rest: a single response does not take a server out of use for longer.
-const MAX_REST: Duration = Duration::from_secs(600);
-
 /// An `Announced` is what one incarnation of a backend server has announced about the requests that it accepts.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Announced {
--- a/crates/gateway/src/pipeline/placement.rs
+++ b/crates/gateway/src/pipeline/placement.rs
@@ -12,7 +12,6 @@
     rollout::Track,
     server_choice::{ServerView, choose_server},
 };
-
 use rand::{Rng, RngExt};
 
 use crate::{
@@ -291,7 +290,7 @@
         })
     }
 
-    /// The servers to choose from: those that accept a request now.
+    // Returns the servers to choose from: those that accept a request now.
     fn untried<'s>(
         &'s self,
         state: &'s State,
@@ -312,7 +311,7 @@
         })
     }
 
-    /// Returns why no server can be chosen, with the time after which one may accept a request.
+    // Returns why no server can be chosen, with the time after which one may accept a request.
     fn unavailable(
         &self,
         state: &mut State,
