--- a/crates/gateway/src/backends/announced.rs
+++ b/crates/gateway/src/backends/announced.rs
@@ -101,7 +101,7 @@
 
     /// Returns the last statement about its limit if it is reported to other nodes in a gossip round.
     ///
-    /// The server with the hash `identity` has its turn in one of [`REPORT_INTERVAL`] rounds.
+    /// A server has its turn in rounds that follow from its hash `identity`.
     pub fn reported_limit(&self, now: Stamp, identity: u64, round: u64) -> Option<LimitNote> {
         let is_new = now.since(self.limit_changed_at) < CHANGE_REPORTED_FOR;
         let has_turn = identity % REPORT_INTERVAL == round % REPORT_INTERVAL;
