--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -90,6 +90,8 @@
     pub fault: SendFault,
     /// Whether the request may have run.
     pub ran: Ran,
+    /// Whether the connection had carried an earlier request.
+    pub kept: bool,
 }
 
 /// A `BackendResponse` is a backend server's response whose head has arrived.
@@ -159,7 +161,7 @@
             })
         }
         Err(failed) => {
-            note_failure(gateway, req, placement, failed);
+            note_failure(gateway, req, placement, (failed, clock::now().since(sent_at)));
             if matches!(failed.fault, SendFault::Silent | SendFault::Closed | SendFault::Foreign) {
                 in_flight.note_failed();
             }
@@ -200,7 +202,7 @@
         let Ok(sent) = timeout(response_timeout, sending).await else {
             // When a server stops responding, its other connections are usually affected too.
             placement.pool.close_idle();
-            return Err(may_have_run(SendFault::Silent));
+            return Err(SendError { kept: connection.reused, ..may_have_run(SendFault::Silent) });
         };
         match sent {
             Ok(response) => return Ok((response, connection)),
@@ -208,7 +210,10 @@
             Err(mut error) => match error.take_message() {
                 Some(unsent) if connection.reused => outgoing = unsent,
                 Some(_) => return Err(not_run(SendFault::Closed)),
-                None => return Err(may_have_run(SendFault::Closed)),
+                None => {
+                    let kept = connection.reused;
+                    return Err(SendError { kept, ..may_have_run(SendFault::Closed) });
+                }
             },
         }
     }
@@ -267,7 +272,7 @@
     gateway: &Gateway,
     req: &IdentifiedRequest,
     placement: &Placement,
-    failed: SendError,
+    (failed, took): (SendError, Duration),
 ) {
     meters::send_failed(failed.fault.as_str());
     tracing::info!(
@@ -276,6 +281,8 @@
         backend = &*placement.name,
         fault = failed.fault.as_str(),
         ran = failed.ran.as_str(),
+        kept = failed.kept,
+        took_ms = took.as_secs_f64() * 1_000.0,
         candidates = placement.candidates,
         wait_ms = placement.wait.as_secs_f64() * 1_000.0
     );
@@ -301,9 +308,9 @@
 }
 
 fn not_run(fault: SendFault) -> SendError {
-    SendError { fault, ran: Ran::No }
+    SendError { fault, ran: Ran::No, kept: false }
 }
 
 fn may_have_run(fault: SendFault) -> SendError {
-    SendError { fault, ran: Ran::Unknown }
+    SendError { fault, ran: Ran::Unknown, kept: false }
 }
