--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -1,11 +1,11 @@
-//! A simulated network link that can delay data, refuse connections and stall open ones.
+//! A simulated network link that can delay data, refuse connections, stall open ones and be cut.
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
-        TcpListener, TcpStream,
+        TcpListener, TcpSocket, TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
     sync::watch,
@@ -18,6 +18,25 @@
 /// The maximum number of bytes that are forwarded at a time.
 const MAX_CHUNK_BYTES: usize = 16 * 1024;
 
+/// The backlog of the listening socket.
+const BACKLOG: u32 = 1_024;
+/// The backlog while connections hang; Linux accepts one more and drops the packets of the others.
+const HANGING_BACKLOG: u32 = 1;
+/// The number of connections that fill this backlog.
+const HANGING_CONNECTIONS: usize = 2;
+
+/// A `LinkCut` is what happens to connections that are opened while a link is cut.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LinkCut {
+    /// The link is not cut.
+    #[default]
+    None,
+    /// The kernel refuses them.
+    Refusing,
+    /// They are neither accepted nor refused.
+    Hanging,
+}
+
 /// A `LinkState` is the current behavior of a link.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LinkState {
@@ -25,6 +44,10 @@
     pub delay: Duration,
     /// Whether new connections are refused, by closing them as soon as they are accepted.
     pub refusing: bool,
+    /// What happens to new connections while the link is cut.
+    pub cut: LinkCut,
+    /// The number of resets so far; connections opened before the last one are closed.
+    pub resets: u64,
     /// The number of blackholes so far; connections opened before the last one forward no data.
     pub blackholes: u64,
     /// The number of connections that were opened.
@@ -80,6 +103,16 @@
         self.state.send_modify(|state| state.refusing = refusing);
     }
 
+    /// Cuts the link for new connections, or heals it.
+    pub fn set_cut(&self, cut: LinkCut) {
+        self.state.send_modify(|state| state.cut = cut);
+    }
+
+    /// Closes the open connections.
+    pub fn reset_connections(&self) {
+        self.state.send_modify(|state| state.resets += 1);
+    }
+
     /// Stops forwarding the data of open connections without closing them; new ones work.
     pub fn blackhole_connections(&self) {
         self.state.send_modify(|state| state.blackholes += 1);
@@ -93,13 +126,24 @@
 }
 
 async fn accept(
-    listener: TcpListener,
+    mut listener: TcpListener,
     target: SocketAddr,
     bandwidth: Option<Arc<BandwidthLimit>>,
     state: Arc<watch::Sender<LinkState>>,
 ) {
+    let mut changes = state.subscribe();
     loop {
-        let Ok((client, _)) = listener.accept().await else { continue };
+        let cut = changes.borrow_and_update().cut;
+        if cut != LinkCut::None {
+            let Ok(healed) = stay_cut(listener, cut, &mut changes).await else { return };
+            listener = healed;
+            continue;
+        }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = changes.changed() => continue,
+        };
+        let Ok((client, _)) = accepted else { continue };
         if state.borrow().refusing {
             continue;
         }
@@ -109,22 +153,42 @@
         let (client_read, client_write) = client.into_split();
         let (server_read, server_write) = server.into_split();
         state.send_modify(|state| state.opened += 1);
-        let blackholes_at_open = state.borrow().blackholes;
-        tokio::spawn(forward(
-            client_read,
-            server_write,
-            None,
-            state.subscribe(),
-            blackholes_at_open,
-        ));
-        tokio::spawn(forward(
-            server_read,
-            client_write,
-            bandwidth.clone(),
-            state.subscribe(),
-            blackholes_at_open,
-        ));
+        let at_open = *state.borrow();
+        tokio::spawn(forward(client_read, server_write, None, state.subscribe(), at_open));
+        let bandwidth = bandwidth.clone();
+        tokio::spawn(forward(server_read, client_write, bandwidth, state.subscribe(), at_open));
+    }
+}
+
+// Returns a listener at the same address when the link is healed. The port stays bound meanwhile, so that no other
+// socket gets it.
+async fn stay_cut(
+    listener: TcpListener,
+    cut: LinkCut,
+    changes: &mut watch::Receiver<LinkState>,
+) -> io::Result<TcpListener> {
+    let address = listener.local_addr()?;
+    drop(listener);
+    let bound = bind(address)?;
+    if cut == LinkCut::Refusing {
+        let _ = changes.wait_for(|state| state.cut != cut).await;
+        return bound.listen(BACKLOG);
     }
+    let hanging = bound.listen(HANGING_BACKLOG)?;
+    let mut filling = Vec::new();
+    for _ in 0..HANGING_CONNECTIONS {
+        filling.push(TcpStream::connect(address).await?);
+    }
+    let _ = changes.wait_for(|state| state.cut != cut).await;
+    drop(hanging);
+    bind(address)?.listen(BACKLOG)
+}
+
+fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
 }
 
 async fn forward(
@@ -132,15 +196,15 @@
     mut to: OwnedWriteHalf,
     bandwidth: Option<Arc<BandwidthLimit>>,
     mut state: watch::Receiver<LinkState>,
-    blackholes_at_open: u64,
+    at_open: LinkState,
 ) {
     let mut buf = vec![0; MAX_CHUNK_BYTES];
     loop {
         // The blackhole is checked first, so that no data that is sent after it is forwarded.
         let read = tokio::select! {
             biased;
-            blackholed = wait_for_blackhole(&mut state, blackholes_at_open) => {
-                if blackholed {
+            fault = wait_for_fault(&mut state, at_open) => {
+                if fault == Some(OpenFault::Blackhole) {
                     hold_open(from, to).await;
                 }
                 return;
@@ -165,11 +229,22 @@
     }
 }
 
-async fn wait_for_blackhole(
+/// What happens to an open connection.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum OpenFault {
+    Blackhole,
+    Reset,
+}
+
+async fn wait_for_fault(
     state: &mut watch::Receiver<LinkState>,
-    blackholes_at_open: u64,
-) -> bool {
-    state.wait_for(|state| state.blackholes != blackholes_at_open).await.is_ok()
+    at_open: LinkState,
+) -> Option<OpenFault> {
+    let is_faulty = |state: &LinkState| {
+        state.blackholes != at_open.blackholes || state.resets != at_open.resets
+    };
+    let faulty = *state.wait_for(is_faulty).await.ok()?;
+    Some(if faulty.resets == at_open.resets { OpenFault::Blackhole } else { OpenFault::Reset })
 }
 
 // Both halves stay open, so neither peer sees the connection close although no data is forwarded.
