Nodes that lose their way to all servers of a service: other nodes carry their requests

Cause: a node had one way to a server, its own connection, and nothing concluded from single failed connections that it had lost all servers; the directory lists by configuration and shutdown alone.

Change: new connections alone decide that a service is lost, failures and overdue responses begin probes. While it is lost, another node sends the request over its own connections (one hop) and returns the response; all accounts stay with the node that has the request. Where no node reaches the servers, requests are refused at once. A server to which a node could not connect may be chosen again for a carried attempt.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -83,6 +83,10 @@
     RolloutAdvanced,
     /// A roll-out has ended.
     RolloutEnded,
+    /// No connection to any server of a service can be opened; other nodes carry the requests.
+    ServersLost,
+    /// Connections to the servers of a service can be opened again.
+    ServersReached,
     /// A VM was bought.
     VmBought,
     /// The purchase of a VM was refused; no VM is bought in the same place for a while.
@@ -144,6 +148,8 @@
         Event::RolloutOrdered,
         Event::RolloutAdvanced,
         Event::RolloutEnded,
+        Event::ServersLost,
+        Event::ServersReached,
         Event::VmBought,
         Event::PurchaseRefused,
         Event::VmReleased,
@@ -197,6 +203,8 @@
             Event::RolloutOrdered => 440,
             Event::RolloutAdvanced => 441,
             Event::RolloutEnded => 442,
+            Event::ServersLost => 450,
+            Event::ServersReached => 451,
             Event::VmBought => 500,
             Event::PurchaseRefused => 501,
             Event::VmReleased => 502,
--- a/crates/gateway/src/backends/announced.rs
+++ b/crates/gateway/src/backends/announced.rs
@@ -84,11 +84,16 @@
 
     /// Notes that it wants no requests from this node for a time; returns whether it was not resting.
     pub fn note_rest(&mut self, now: Stamp, rest: Duration) -> bool {
-        let was_resting = self.rests_until.is_some_and(|until| now < until);
+        let was_resting = self.is_resting(now);
         self.rests_until = self.rests_until.max(Some(now + rest.min(MAX_REST)));
         !was_resting
     }
 
+    /// Returns whether it wants no requests from this node now.
+    pub fn is_resting(&self, now: Stamp) -> bool {
+        self.rests_until.is_some_and(|until| now < until)
+    }
+
     /// Returns its limit in requests per second, if it has one.
     pub fn limit(&self) -> Option<f64> {
         self.limit.and_then(|note| note.per_second)
--- a/crates/gateway/src/backends/directory.rs
+++ b/crates/gateway/src/backends/directory.rs
@@ -230,6 +230,11 @@
         self.arena.get_mut(key)
     }
 
+    /// Returns the key of the backend server with a name.
+    pub fn key_of(&self, name: &str) -> Option<WorkerKey> {
+        self.names.get(name).copied()
+    }
+
     /// Returns a mutable reference to the backend server with a name.
     pub fn named_mut(&mut self, name: &str) -> Option<&mut Backend> {
         let key = *self.names.get(name)?;
--- a/crates/gateway/src/backends/pool.rs
+++ b/crates/gateway/src/backends/pool.rs
@@ -44,6 +44,13 @@
         Connection::open(self.address, Arc::clone(&self.open), max).await
     }
 
+    /// Opens a connection in addition to those that are open, and keeps it for the next request.
+    pub async fn probe(&self, now: Stamp) -> Result<(), OpenError> {
+        let connection = Connection::open(self.address, Arc::clone(&self.open), u32::MAX).await?;
+        self.keep(now, connection, None);
+        Ok(())
+    }
+
     /// Returns a connection to the pool after its response has ended; `idle` is the server's idle timeout.
     pub fn keep(&self, now: Stamp, mut connection: Connection, idle: Option<Duration>) {
         let idle_time = idle.map_or(DEFAULT_IDLE_TIMEOUT, |idle| idle.saturating_sub(IDLE_MARGIN));
--- a/crates/gateway/src/cluster/advertise.rs
+++ b/crates/gateway/src/cluster/advertise.rs
@@ -58,6 +58,7 @@
             rollouts: state.rollouts.known.reports(now),
             leaving_backends: state.backends.unrecorded_leaving(),
             backend_limits: state.backends.limit_reports(now, state.gossip_rounds),
+            lost_services: own_lost_services(gateway, state),
             scope,
             reply_scope,
             record_cursor: state.relay_cursor(now).filter(|_| reply_scope == DigestScope::Others),
@@ -71,6 +72,11 @@
     })
 }
 
+fn own_lost_services(gateway: &Gateway, state: &State) -> Vec<(Incarnation, Vec<ServiceName>)> {
+    let lost: Vec<ServiceName> = state.reachability.lost_services().cloned().collect();
+    if lost.is_empty() { Vec::new() } else { vec![(gateway.incarnation, lost)] }
+}
+
 struct DigestBuilder<'a> {
     gateway: &'a Gateway,
     now: Stamp,
@@ -79,7 +85,7 @@
 
 impl DigestBuilder<'_> {
     fn fill(&self, state: &mut State, digest: &mut Digest) {
-        digest.live_nodes = self.live_nodes(state);
+        self.fill_live_nodes(state, digest);
         digest.nodes = u32::try_from(digest.live_nodes.len() + 1).unwrap_or(u32::MAX);
         for (team, quota) in &state.quotas {
             let report = match self.options.scope {
@@ -114,7 +120,7 @@
         self.options.to.unwrap_or_default()
     }
 
-    fn live_nodes(&self, state: &State) -> Vec<LiveNode> {
+    fn fill_live_nodes(&self, state: &State, digest: &mut Digest) {
         let mut live_nodes = Vec::new();
         let zone = &self.gateway.settings.gateway.zone;
         for (_, member) in state.members.iter() {
@@ -127,8 +133,12 @@
             let Some(at) = member.last_received.filter(|_| is_included) else { continue };
             let age_ms = u16::try_from(as_millis(self.now.since(at))).unwrap_or(u16::MAX);
             live_nodes.push(LiveNode { incarnation, ready: member.ready, age_ms });
+            if !member.lost_services.is_empty() {
+                let lost = member.lost_services.iter().cloned().collect();
+                digest.lost_services.push((incarnation, lost));
+            }
         }
-        live_nodes
+        digest.live_nodes = live_nodes;
     }
 
     fn loads(&self, state: &mut State) -> Vec<BackendLoad> {
--- /dev/null
+++ b/crates/gateway/src/cluster/carry.rs
@@ -0,0 +1,197 @@
+//! Carrying of other nodes' requests to backend servers that they can't reach.
+
+use std::{sync::Arc, time::Duration};
+
+use bulrushhall_core::{Ran, Stamp};
+use bulrushhall_external::http::{Body, BoxError, full};
+use bulrushhall_policy::placement::WorkerKey;
+use bytes::Bytes;
+use futures_util::stream::unfold;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::{
+    Response, StatusCode,
+    body::{Frame, Incoming},
+    header::HeaderValue,
+};
+use tokio::time::{Instant, timeout, timeout_at};
+
+use crate::{
+    adapter::ResponseHead,
+    announcements::note_response,
+    backends::{Connection, OpenError, Pool},
+    clock,
+    cluster::{CARRIED_HEADER, CarriedRequest, CarryFailure},
+    gateway::{Gateway, Phase},
+    meters,
+    pipeline::connection_share,
+    reachability::{note_opened, note_unreachable},
+};
+
+/// Sends a request of another node to the backend server that it names, over this node's own connections only, and
+/// returns the response. The other node keeps all accounts of the request.
+pub async fn carry(gateway: &Arc<Gateway>, carried: CarriedRequest) -> Response<Body> {
+    let deadline = Instant::now() + carried.left;
+    let sent = match timeout_at(deadline, send(gateway, &carried)).await {
+        Ok(sent) => sent,
+        Err(_) => Err(CarryFailure { ran: Ran::Unknown }),
+    };
+    match sent {
+        Ok(response) => {
+            meters::carried("answered");
+            response.forward(gateway, deadline)
+        }
+        Err(failure) => {
+            meters::carried(if failure.ran == Ran::No { "not_run" } else { "lost" });
+            failure_response(failure)
+        }
+    }
+}
+
+/// Returns the response that tells of a failure.
+pub fn failure_response(failure: CarryFailure) -> Response<Body> {
+    let encoded = rmp_serde::to_vec_named(&failure).unwrap_or_default();
+    let mut response = Response::new(full(encoded));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response
+}
+
+/// A backend server to which this node may send.
+struct Target {
+    key: WorkerKey,
+    pool: Arc<Pool>,
+    connections: u32,
+}
+
+/// A response of a backend server whose head has arrived.
+struct CarriedResponse {
+    response: Response<Incoming>,
+    head: ResponseHead,
+    connection: Connection,
+    pool: Arc<Pool>,
+}
+
+fn target(gateway: &Gateway, carried: &CarriedRequest) -> Option<Target> {
+    let table = gateway.table.load_full()?;
+    let now = clock::now();
+    if gateway.phase() == Phase::Draining {
+        return None;
+    }
+    gateway.with(|state| {
+        let key = state.backends.key_of(&carried.backend)?;
+        let backend = state.backends.get(key)?;
+        let accepts = backend.record.born == carried.born
+            && backend.accepts_work()
+            && !backend.announced.is_resting(now);
+        let service = table.services.get(&backend.record.service)?;
+        let connections = connection_share(service.connections, state.members.count());
+        accepts.then(|| Target { key, pool: Arc::clone(&backend.pool), connections })
+    })
+}
+
+async fn send(
+    gateway: &Arc<Gateway>,
+    carried: &CarriedRequest,
+) -> Result<CarriedResponse, CarryFailure> {
+    let not_run = CarryFailure { ran: Ran::No };
+    let Target { key, pool, connections } = target(gateway, carried).ok_or(not_run)?;
+    let mut req = carried.request().ok_or(not_run)?;
+    let sent_at = clock::now();
+    loop {
+        let mut connection = match pool.take(clock::now(), connections).await {
+            Ok(connection) => connection,
+            Err(OpenError::Full) => return Err(not_run),
+            Err(OpenError::Unreachable) => {
+                note_unreachable(gateway, key);
+                return Err(not_run);
+            }
+        };
+        if !connection.reused {
+            note_opened(gateway, key);
+        }
+        match connection.sender.try_send_request(req).await {
+            Ok(response) => {
+                let head = note_head(gateway, carried, (key, sent_at), &response);
+                return Ok(CarriedResponse { response, head, connection, pool });
+            }
+            Err(mut error) => match error.take_message() {
+                Some(unsent) if connection.reused => req = unsent,
+                Some(_) => return Err(not_run),
+                None => return Err(CarryFailure { ran: Ran::Unknown }),
+            },
+        }
+    }
+}
+
+// What the server says of itself holds for this node too, since it knows the sender by its connection.
+fn note_head(
+    gateway: &Gateway,
+    carried: &CarriedRequest,
+    (key, sent_at): (WorkerKey, Stamp),
+    response: &Response<Incoming>,
+) -> ResponseHead {
+    let mut parts = Response::new(()).into_parts().0;
+    parts.status = response.status();
+    parts.headers = response.headers().clone();
+    let head = gateway.platform.wire.read_response(&parts);
+    if !head.other_backend {
+        note_response(gateway, (key, &carried.backend), sent_at, &head);
+    }
+    head
+}
+
+impl CarriedResponse {
+    // The connection is closed if the other node drops the response, so that the server stops its work.
+    fn forward(self, gateway: &Gateway, deadline: Instant) -> Response<Body> {
+        let (parts, body) = self.response.into_parts();
+        let mut headers = gateway.platform.wire.response_headers(&parts.headers);
+        headers.insert(CARRIED_HEADER, HeaderValue::from_static("1"));
+        let kept = Kept { head: self.head, connection: self.connection, pool: self.pool };
+        let frames = unfold(Some((body, kept)), move |open| next_frame(open, deadline));
+        let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
+        *response.status_mut() = parts.status;
+        *response.headers_mut() = headers;
+        response
+    }
+}
+
+/// The connection of a response, which is kept for other requests after its end.
+struct Kept {
+    head: ResponseHead,
+    connection: Connection,
+    pool: Arc<Pool>,
+}
+
+impl Kept {
+    fn release(self) {
+        if !self.head.closing {
+            self.pool.keep(clock::now(), self.connection, self.head.idle);
+        }
+    }
+}
+
+type Open = Option<(Incoming, Kept)>;
+type Forwarded = Result<Frame<Bytes>, BoxError>;
+
+async fn next_frame(open: Open, deadline: Instant) -> Option<(Forwarded, Open)> {
+    let (mut body, kept) = open?;
+    let left = deadline.saturating_duration_since(Instant::now());
+    let frame = match timeout(left.max(Duration::from_millis(1)), body.frame()).await {
+        Err(late) => return Some((Err(late.into()), None)),
+        Ok(frame) => frame,
+    };
+    match frame {
+        Some(Ok(frame)) => {
+            // hyper does not poll again after the last byte of a body of known length.
+            if hyper::body::Body::is_end_stream(&body) {
+                kept.release();
+                return Some((Ok(frame), None));
+            }
+            Some((Ok(frame), Some((body, kept))))
+        }
+        Some(Err(error)) => Some((Err(error.into()), None)),
+        None => {
+            kept.release();
+            None
+        }
+    }
+}
--- a/crates/gateway/src/cluster/digest.rs
+++ b/crates/gateway/src/cluster/digest.rs
@@ -134,6 +134,10 @@
     /// The limits of backend servers that the sender knows.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub backend_limits: Vec<LimitReport>,
+    /// The services that the sender, and the live nodes of an aggregated digest, have lost their ways to; nodes that
+    /// have lost none are left out.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub lost_services: Vec<(Incarnation, Vec<ServiceName>)>,
     /// The sender's latency models of the engines of each service.
     #[serde(rename = "paces")]
     pub latency_models: Vec<(ServiceName, EngineLatencyModel)>,
@@ -173,6 +177,7 @@
             rollout_counts: Vec::new(),
             leaving_backends: Vec::new(),
             backend_limits: Vec::new(),
+            lost_services: Vec::new(),
             latency_models: Vec::new(),
             record_cursor: None,
             records: None,
--- a/crates/gateway/src/cluster/members.rs
+++ b/crates/gateway/src/cluster/members.rs
@@ -3,13 +3,14 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    sync::Arc,
     time::Duration,
 };
 
 use bulrushhall_core::{Event, Incarnation, NodeName, ServiceName, Stamp, ZoneName};
 use serde::{Deserialize, Serialize};
 
-use crate::{change_log::ChangeLog, cluster::MemberUpdates, demand::Offered};
+use crate::{backends::Pool, change_log::ChangeLog, cluster::MemberUpdates, demand::Offered};
 
 /// The heartbeat timeout of a node: four gossip intervals of 250 ms and a margin.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -56,6 +57,10 @@
     pub clock_offset_ms: Option<i64>,
     /// The load that it, or the nodes that it aggregates, offers to the engines of each service.
     pub offered: BTreeMap<ServiceName, Offered>,
+    /// The services that it has lost its way to, by its last digest.
+    pub lost_services: BTreeSet<ServiceName>,
+    /// The connections over which it carries requests of this node.
+    pub pool: Arc<Pool>,
 }
 
 /// `Members` are the other nodes.
@@ -75,6 +80,7 @@
 impl Member {
     fn new(record: MemberRecord) -> Member {
         Member {
+            pool: Arc::new(Pool::new(record.peers)),
             record,
             listed: false,
             changed_at: 0,
@@ -85,6 +91,7 @@
             ready: false,
             clock_offset_ms: None,
             offered: BTreeMap::new(),
+            lost_services: BTreeSet::new(),
         }
     }
 
@@ -96,12 +103,19 @@
         self.ready = ready;
     }
 
-    /// Notes that a relay received a digest of the node at `at`.
-    pub fn note_relayed(&mut self, at: Stamp, ready: bool) {
-        if self.last_received < Some(at) {
+    /// Notes that a relay received a digest of the node at `at`; returns whether that is the last one.
+    pub fn note_relayed(&mut self, at: Stamp, ready: bool) -> bool {
+        let is_last = self.last_received < Some(at);
+        if is_last {
             self.last_received = Some(at);
             self.ready = ready;
         }
+        is_last
+    }
+
+    /// Returns whether it can carry requests to a service.
+    pub fn carries(&self, now: Stamp, service: &ServiceName) -> bool {
+        self.is_live(now) && self.ready && !self.lost_services.contains(service)
     }
 
     /// Returns whether the node is alive: its last digest, also through a relay, is within the timeout.
@@ -299,17 +313,17 @@
     }
 
     /// Returns the callers' addresses of the other nodes that serve.
+    pub fn serving(&self, now: Stamp) -> Vec<SocketAddr> {
+        self.serving_members(now).map(|member| member.record.callers).collect()
+    }
+
+    /// Returns the other nodes that serve callers.
     ///
     /// A node that receives no digests can't tell which nodes serve and returns all of them: callers try
     /// another address if one does not respond.
-    pub fn serving(&self, now: Stamp) -> Vec<SocketAddr> {
+    pub fn serving_members(&self, now: Stamp) -> impl Iterator<Item = &Member> {
         let isolated = self.live_count(now) == 0;
-        let mut addresses = Vec::new();
-        for member in self.nodes.values() {
-            if isolated || (member.is_live(now) && member.ready) {
-                addresses.push(member.record.callers);
-            }
-        }
-        addresses
+        let serves = move |member: &&Member| isolated || (member.is_live(now) && member.ready);
+        self.nodes.values().filter(serves)
     }
 }
--- a/crates/gateway/src/cluster/mod.rs
+++ b/crates/gateway/src/cluster/mod.rs
@@ -8,6 +8,8 @@
 
 mod advertise;
 mod backends;
+mod carried;
+mod carry;
 mod config;
 mod digest;
 mod follow;
@@ -18,6 +20,7 @@
 mod receive;
 
 pub use backends::follow_backends;
+pub use carried::{CARRIED_HEADER, CARRY_PATH, CarriedRequest, CarryFailure};
 pub use config::{activate_config, follow_config};
 pub use digest::{BackendLoad, Digest, DigestScope, Document, LiveNode, RecordCursor};
 pub use follow::{Follower, follow};
--- a/crates/gateway/src/cluster/peer_port.rs
+++ b/crates/gateway/src/cluster/peer_port.rs
@@ -13,8 +13,9 @@
     backends::BackendUpdates,
     clock,
     cluster::{
-        Digest, DigestScope, Document, MemberUpdates, RecordCursor,
+        CARRY_PATH, CarriedRequest, Digest, DigestScope, Document, MemberUpdates, RecordCursor,
         advertise::{DigestOptions, build_digest},
+        carry::carry,
         gossip::{
             DIGEST_PATH, DOCUMENT_PATH, MAX_MESSAGE_BYTES, RESPONSE_TIMEOUT, endpoint,
             fetch_document,
@@ -24,6 +25,9 @@
     gateway::Gateway,
 };
 
+/// The bytes of a carried request in addition to its body.
+const CARRIED_HEAD_BYTES: usize = 128 * 1024;
+
 /// A `PeerPort` handles the requests of other nodes.
 pub struct PeerPort {
     gateway: Arc<Gateway>,
@@ -37,8 +41,11 @@
 
     async fn respond(&self, req: Request<Incoming>) -> Response<Body> {
         let path = req.uri().path().to_owned();
-        let Ok(body) = read_limited(req.into_body(), MAX_MESSAGE_BYTES, RESPONSE_TIMEOUT).await
-        else {
+        let limit = match path.as_str() {
+            CARRY_PATH => self.max_carried_bytes(),
+            _ => MAX_MESSAGE_BYTES,
+        };
+        let Ok(body) = read_limited(req.into_body(), limit, RESPONSE_TIMEOUT).await else {
             return refuse(StatusCode::BAD_REQUEST);
         };
         match path.as_str() {
@@ -53,10 +60,20 @@
                 let bytes = table.map(|table| table.document.clone()).unwrap_or_default();
                 encoded(&Document { bytes })
             }
+            CARRY_PATH => match rmp_serde::from_slice::<CarriedRequest>(&body) {
+                Ok(carried) => carry(&self.gateway, carried).await,
+                Err(_) => refuse(StatusCode::BAD_REQUEST),
+            },
             _ => refuse(StatusCode::NOT_FOUND),
         }
     }
 
+    fn max_carried_bytes(&self) -> usize {
+        let table = self.gateway.table.load();
+        let body_bytes = table.as_ref().map_or(0, |table| table.limits.body_bytes);
+        body_bytes.saturating_add(CARRIED_HEAD_BYTES)
+    }
+
     fn exchange(&self, digest: Digest) -> Response<Body> {
         let (reply_scope, requester, cursor) =
             (digest.reply_scope, digest.incarnation, digest.record_cursor);
--- a/crates/gateway/src/cluster/receive.rs
+++ b/crates/gateway/src/cluster/receive.rs
@@ -1,12 +1,17 @@
 //! Processing of received digests.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use bulrushhall_coord::{
     CountScope, Role, SourceChoice, UpdateScope,
     rollouts::{RolloutPhase, RolloutReport},
 };
-use bulrushhall_core::{Event, Incarnation, Stamp, TeamName, ZoneName};
+use bulrushhall_core::{Event, Incarnation, ServiceName, Stamp, TeamName, ZoneName};
 use bulrushhall_policy::quota::QuotaReport;
 
 use crate::{
@@ -72,6 +77,7 @@
             return None;
         }
         member.note_digest(now, digest.ready);
+        member.lost_services = lost_services(&digest.lost_services, digest.incarnation);
         member.clock_offset_ms =
             Some(digest.wall_clock_ms as i64 - as_millis(gateway.own_wall_clock()) as i64);
         receive_rollouts(state, now, digest.rollouts.drain(..));
@@ -158,7 +164,7 @@
         if !self.is_source(state, &digest) {
             return;
         }
-        self.apply_live_nodes(state, &digest.live_nodes);
+        self.apply_live_nodes(state, &digest);
         self.apply_quotas(state, &digest);
         if let Some(member) = state.members.get_mut(&digest.node) {
             member.offered = digest.offered.iter().cloned().collect();
@@ -258,11 +264,12 @@
         }
     }
 
-    fn apply_live_nodes(&self, state: &mut State, live_nodes: &[LiveNode]) {
-        for LiveNode { incarnation, ready, age_ms } in live_nodes {
+    fn apply_live_nodes(&self, state: &mut State, digest: &Digest) {
+        for LiveNode { incarnation, ready, age_ms } in &digest.live_nodes {
             let at = self.now - Duration::from_millis((*age_ms).into());
-            if let Some(member) = state.members.by_incarnation_mut(*incarnation) {
-                member.note_relayed(at, *ready);
+            let Some(member) = state.members.by_incarnation_mut(*incarnation) else { continue };
+            if member.note_relayed(at, *ready) {
+                member.lost_services = lost_services(&digest.lost_services, *incarnation);
             }
         }
     }
@@ -300,6 +307,14 @@
     }
 }
 
+fn lost_services(
+    reports: &[(Incarnation, Vec<ServiceName>)],
+    node: Incarnation,
+) -> BTreeSet<ServiceName> {
+    let reported = reports.iter().filter(|(incarnation, _)| *incarnation == node);
+    reported.flat_map(|(_, lost)| lost).cloned().collect()
+}
+
 fn drop_loads(state: &mut State, incarnation: Incarnation) {
     for (_, backend) in state.backends.iter_mut() {
         backend.clear_reported(incarnation);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,6 +28,7 @@
     demand::Demand,
     meters,
     observed::Observed,
+    reachability::ServiceReachability,
     rollouts::RolloutState,
     settings::Settings,
     table::RouteTable,
@@ -117,6 +118,8 @@
     pub usage: UsageCounts,
     /// The load that this node offers to the engines of each service.
     pub demand: HashMap<ServiceName, Demand>,
+    /// The services that this node has lost its way to.
+    pub reachability: ServiceReachability,
     /// The roll-outs of versions.
     pub rollouts: RolloutState,
     /// The latencies observed at the backend servers of each service.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod observed;
 pub mod pipeline;
 pub mod ports;
+pub mod reachability;
 pub mod rollouts;
 pub mod settings;
 pub mod table;
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -17,6 +17,10 @@
 const SENDS_FAILED: &str = "bulrush_route_sends_failed_total";
 /// Statements of backend servers about the requests that they accept, in their responses.
 const ANNOUNCEMENTS: &str = "bulrush_route_announcements_total";
+/// The services that the node has lost its way to.
+const SERVICES_LOST: &str = "bulrush_route_services_lost";
+/// Requests that this node carried to a backend server for another node.
+const CARRIED: &str = "bulrush_route_carried_total";
 /// Outages of the platform's services.
 const DEPENDENCIES_LOST: &str = "bulrush_route_dependencies_lost_total";
 /// Restores of the key-value service from an older copy.
@@ -52,12 +56,14 @@
 }
 
 /// Every metric.
-pub const ROUTE_METRICS: [RouteMetric; 16] = [
+pub const ROUTE_METRICS: [RouteMetric; 18] = [
     RouteMetric { name: REQUESTS, kind: "counter", labels: "kind, outcome" },
     RouteMetric { name: REQUEST_SECONDS, kind: "histogram", labels: "kind" },
     RouteMetric { name: FIRST_SECONDS, kind: "histogram", labels: "kind" },
     RouteMetric { name: SENDS_FAILED, kind: "counter", labels: "fault" },
     RouteMetric { name: ANNOUNCEMENTS, kind: "counter", labels: "kind" },
+    RouteMetric { name: SERVICES_LOST, kind: "gauge", labels: "" },
+    RouteMetric { name: CARRIED, kind: "counter", labels: "outcome" },
     RouteMetric { name: DEPENDENCIES_LOST, kind: "counter", labels: "prefix" },
     RouteMetric { name: STORE_RESTORES, kind: "counter", labels: "" },
     RouteMetric { name: REVISION, kind: "gauge", labels: "" },
@@ -96,6 +102,16 @@
     counter!(ANNOUNCEMENTS, "kind" => kind).increment(1);
 }
 
+/// Sets the number of services that the node has lost its way to.
+pub fn services_lost(count: usize) {
+    gauge!(SERVICES_LOST).set(count as f64);
+}
+
+/// Counts a request that this node carried for another one, by how it ended.
+pub fn carried(outcome: &'static str) {
+    counter!(CARRIED, "outcome" => outcome).increment(1);
+}
+
 /// Counts an outage of a service of the platform, by the prefix of the keys that were requested.
 pub fn dependency_lost(prefix: &'static str) {
     counter!(DEPENDENCIES_LOST, "prefix" => prefix).increment(1);
--- a/crates/gateway/src/pipeline/access_log.rs
+++ b/crates/gateway/src/pipeline/access_log.rs
@@ -118,6 +118,9 @@
             counted = self.counted,
             sends = self.sends,
             backend = placement.map_or("", |placement| &*placement.name),
+            carrier = placement
+                .and_then(|placement| placement.carrier.as_ref())
+                .map(tracing::field::display),
             candidates = placement.map_or(0, |placement| placement.candidates),
             wait_ms = placement.map(|placement| placement.wait.as_secs_f64() * 1_000.0),
             expected_ms = expected.map(|expected| expected.as_secs_f64() * 1_000.0),
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -1,8 +1,9 @@
 //! One attempt to send a request to one backend server.
 
-use std::{sync::Arc, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use bulrushhall_core::{Event, Ran, Stamp};
+use bulrushhall_external::http::read_limited;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
@@ -17,14 +18,23 @@
     announcements::note_response,
     backends::{Connection, OpenError},
     clock,
+    cluster::{CARRIED_HEADER, CARRY_PATH, CarriedRequest, CarryFailure},
     gateway::Gateway,
     meters,
     pipeline::{identify::IdentifiedRequest, in_flight::InFlightGuard, placement::Placement},
+    reachability::{note_opened, note_unreachable, suspect_server},
     rollouts::AttemptEnd,
 };
 
 /// The part of the remaining time that is kept for the way of the response back to the caller.
 const RETURN_MARGIN: Duration = Duration::from_millis(15);
+/// The time beyond the expected response after which the way to a service is checked: servers may be silent for
+/// about a second.
+const OVERDUE_MARGIN: Duration = Duration::from_millis(700);
+/// The maximum size of the reason why a request was not carried, in bytes.
+const MAX_FAILURE_BYTES: usize = 1_024;
+/// The time limit for this reason, whose head has arrived already.
+const FAILURE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// An `OriginalRequest` is a caller's request as it was received, kept for as many attempts as it takes.
 #[derive(Debug)]
@@ -74,6 +84,11 @@
 }
 
 impl SendFault {
+    /// Returns whether no connection could be opened.
+    pub fn is_not_opened(self) -> bool {
+        matches!(self, SendFault::NotOpened(_))
+    }
+
     /// Returns how the attempt ended, for the choice of the next server.
     pub fn attempt_end(self) -> AttemptEnd {
         match self {
@@ -187,7 +202,7 @@
 }
 
 async fn send(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     req: &IdentifiedRequest,
     original: &OriginalRequest,
     placement: &Placement,
@@ -195,17 +210,26 @@
     response_timeout: Duration,
 ) -> Result<(hyper::Response<Incoming>, Connection), SendError> {
     let mut outgoing = backend_request(gateway, req, original, placement, resume_after)?;
+    if placement.carrier.is_some() {
+        outgoing = carried_request(original, placement, &outgoing)?;
+    }
     loop {
-        let taken = placement.pool.take(clock::now(), placement.connections).await;
-        let mut connection = taken.map_err(|error| not_run(SendFault::NotOpened(error)))?;
+        let mut connection = connect(gateway, placement).await?;
         let sending = connection.sender.try_send_request(outgoing);
+        let sending = with_suspicion(gateway, placement, sending);
         let Ok(sent) = timeout(response_timeout, sending).await else {
             // When a server stops responding, its other connections are usually affected too.
             placement.pool.close_idle();
             return Err(SendError { kept: connection.reused, ..may_have_run(SendFault::Silent) });
         };
         match sent {
-            Ok(response) => return Ok((response, connection)),
+            Ok(response) if is_carry_failure(placement, &response) => {
+                return Err(carry_failure(response).await);
+            }
+            Ok(mut response) => {
+                response.headers_mut().remove(CARRIED_HEADER);
+                return Ok((response, connection));
+            }
             // A pooled connection may have been closed before anything was written to it.
             Err(mut error) => match error.take_message() {
                 Some(unsent) if connection.reused => outgoing = unsent,
@@ -219,6 +243,77 @@
     }
 }
 
+// Opens or takes a connection to the server, or to the node that carries the request.
+async fn connect(gateway: &Arc<Gateway>, placement: &Placement) -> Result<Connection, SendError> {
+    let taken = placement.pool.take(clock::now(), placement.connections).await;
+    let is_own = placement.carrier.is_none();
+    match taken {
+        Ok(connection) => {
+            if is_own && !connection.reused {
+                note_opened(gateway, placement.key);
+            }
+            Ok(connection)
+        }
+        Err(error) => {
+            if is_own && error == OpenError::Unreachable {
+                note_unreachable(gateway, placement.key);
+            }
+            Err(not_run(SendFault::NotOpened(error)))
+        }
+    }
+}
+
+// Checks the way to the service if the response is overdue: the connection may hang.
+async fn with_suspicion<T>(
+    gateway: &Arc<Gateway>,
+    placement: &Placement,
+    sending: impl Future<Output = T>,
+) -> T {
+    let mut sending = pin!(sending);
+    let overdue = placement.expected + placement.wait + OVERDUE_MARGIN;
+    if let Ok(sent) = timeout(overdue, &mut sending).await {
+        return sent;
+    }
+    if placement.carrier.is_none() {
+        suspect_server(gateway, placement.key);
+    }
+    sending.await
+}
+
+fn carried_request(
+    original: &OriginalRequest,
+    placement: &Placement,
+    outgoing: &Request<Full<Bytes>>,
+) -> Result<Request<Full<Bytes>>, SendError> {
+    let left = original.deadline.since(clock::now());
+    let backend = (&*placement.name, placement.born);
+    let carried = CarriedRequest::new(backend, left, outgoing, original.body.clone());
+    let message = rmp_serde::to_vec_named(&carried);
+    let message = message.map_err(|_| not_run(SendFault::Foreign))?;
+    let req = Request::post(CARRY_PATH).body(Full::new(Bytes::from(message)));
+    req.map_err(|_| not_run(SendFault::Foreign))
+}
+
+fn is_carry_failure(placement: &Placement, response: &hyper::Response<Incoming>) -> bool {
+    placement.carrier.is_some() && !response.headers().contains_key(CARRIED_HEADER)
+}
+
+// Without a readable reason the request may have run, unless the node did not take it: an earlier version of it does not
+// know the path.
+async fn carry_failure(response: hyper::Response<Incoming>) -> SendError {
+    if response.status().is_client_error() {
+        return not_run(SendFault::NotOpened(OpenError::Unreachable));
+    }
+    let body = read_limited(response.into_body(), MAX_FAILURE_BYTES, FAILURE_TIMEOUT).await;
+    let failure = body.ok().and_then(|body| rmp_serde::from_slice::<CarryFailure>(&body).ok());
+    match failure {
+        Some(CarryFailure { ran: Ran::No }) => {
+            not_run(SendFault::NotOpened(OpenError::Unreachable))
+        }
+        _ => may_have_run(SendFault::Closed),
+    }
+}
+
 fn backend_request(
     gateway: &Gateway,
     req: &IdentifiedRequest,
@@ -280,6 +375,7 @@
         id = req.call.id.as_str(),
         backend = &*placement.name,
         fault = failed.fault.as_str(),
+        carrier = placement.carrier.as_ref().map(tracing::field::display),
         ran = failed.ran.as_str(),
         kept = failed.kept,
         took_ms = took.as_secs_f64() * 1_000.0,
@@ -300,6 +396,8 @@
                 backend.replaced = true;
             }
         }),
+        // It tells nothing of the server that another node did not carry the request.
+        SendFault::NotOpened(_) if placement.carrier.is_some() => {}
         SendFault::NotOpened(OpenError::Unreachable)
         | SendFault::Silent
         | SendFault::Closed
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -4,7 +4,6 @@
 
 use bulrushhall_core::{Event, ServiceName, config::RouteKind};
 use bulrushhall_external::http::{Body, BoxError};
-use bulrushhall_policy::placement::WorkerKey;
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
@@ -19,8 +18,11 @@
         access_log::AccessLogEntry,
         attempt::{BackendResponse, OriginalRequest, SendFault, attempt, note_outcome},
         identify::IdentifiedRequest,
-        placement::{PlacementQuery, place},
-        serve::{MAX_CONNECT_FAILURES, retry_track, service_hash, take_retry},
+        placement::{PlacementQuery, Way, place},
+        serve::{
+            MAX_CONNECT_FAILURES, MAX_OWN_CONNECT_FAILURES, retry_track, service_hash, take_retry,
+        },
+        tried::TriedServers,
     },
     rollouts::AttemptEnd,
 };
@@ -43,7 +45,7 @@
     /// The response; none between a server that failed and the next one.
     pub backend_response: Option<BackendResponse>,
     /// The backend servers that the request was sent to.
-    pub tried: Vec<WorkerKey>,
+    pub tried: TriedServers,
     /// The access log entry.
     pub log_entry: AccessLogEntry,
     splitter: EventSplitter,
@@ -86,7 +88,7 @@
         req: IdentifiedRequest,
         original: OriginalRequest,
         backend_response: BackendResponse,
-        tried: Vec<WorkerKey>,
+        tried: TriedServers,
         log_entry: AccessLogEntry,
     ) -> ResponseForwarder {
         let last_event = req.call.resume_after;
@@ -213,8 +215,9 @@
         // Engines often fail together, and some of them are not known to be dead yet. If no connection
         // could be opened, nothing was sent, so the next engine is tried.
         let mut last_end = AttemptEnd::default();
-        for _ in 0..MAX_CONNECT_FAILURES {
-            match self.resume_at_next(&service, last_end).await {
+        for failures in 0..MAX_CONNECT_FAILURES {
+            let way = if failures < MAX_OWN_CONNECT_FAILURES { Way::Own } else { Way::Carried };
+            match self.resume_at_next(&service, last_end, way).await {
                 Ok(backend_response) => {
                     self.splitter = EventSplitter::after(self.last_event);
                     self.backend_response = Some(backend_response);
@@ -234,13 +237,15 @@
         &mut self,
         service: &ServiceName,
         last_end: AttemptEnd,
+        way: Way,
     ) -> Result<BackendResponse, SendFault> {
         let left = self.original.deadline.since(clock::now());
         let track = retry_track(&self.gateway, service, last_end);
-        let query = PlacementQuery { req: &self.req, service, tried: &self.tried, left, track };
+        let query =
+            PlacementQuery { req: &self.req, service, tried: &self.tried, left, track, way };
         // Without a backend server the request is not run again.
         let placement = place(&self.gateway, query).map_err(|_| SendFault::NotRun)?;
-        self.tried.push(placement.key);
+        self.tried.note(placement.key);
         self.log_entry.note_attempt(&placement);
         tracing::info!(
             event = Event::StreamResumed.number(),
@@ -251,6 +256,10 @@
         let sent =
             attempt(&self.gateway, &self.req, &self.original, &placement, self.last_event, left)
                 .await;
+        let is_unopened = matches!(&sent, Err(failed) if failed.fault.is_not_opened());
+        if is_unopened && placement.carrier.is_none() {
+            self.tried.note_unopened();
+        }
         let backend_response = sent.map_err(|failed| failed.fault)?;
         // An error response can't follow the events that the caller already has.
         if backend_response.head.status.is_success() {
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -10,8 +10,10 @@
 mod placement;
 mod serve;
 mod stream_gaps;
+mod tried;
 
 pub use events::{CompleteEvents, EventSplitter};
 pub use failure::Failure;
+pub use placement::connection_share;
 pub use serve::serve;
 pub use stream_gaps::StreamGaps;
--- a/crates/gateway/src/pipeline/placement.rs
+++ b/crates/gateway/src/pipeline/placement.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bulrushhall_coord::Role;
-use bulrushhall_core::{ServiceName, ZoneName};
+use bulrushhall_core::{NodeName, ServiceName, ZoneName};
 use bulrushhall_policy::{
     copy_source::{MIN_COPIED_TOKENS, SourceView, choose_source, max_cached_tokens},
     engine_choice::{EngineChoice, EngineRequest, EngineView, choose_engine},
@@ -12,7 +12,7 @@
     rollout::Track,
     server_choice::{ServerView, choose_server},
 };
-use rand::{Rng, RngExt};
+use rand::{Rng, RngExt, seq::IteratorRandom};
 
 use crate::{
     adapter::Prompt,
@@ -20,7 +20,7 @@
     clock,
     demand::Offered,
     gateway::{Gateway, State},
-    pipeline::{Failure, identify::IdentifiedRequest, in_flight::Footprint},
+    pipeline::{Failure, identify::IdentifiedRequest, in_flight::Footprint, tried::TriedServers},
     rollouts::{AnswerKey, VersionFilter},
     table::{EngineSizes, ServiceEntry},
 };
@@ -34,6 +34,9 @@
 /// The average age of what relays passed on: half of the gossip interval for each of three hops.
 const RELAYED_REPORT_AGE: Duration = Duration::from_millis(320);
 
+/// The maximum number of connections to a node that carries requests: each is busy for as long as a response.
+const MAX_CARRIER_CONNECTIONS: u32 = 256;
+
 /// The shortest retry delay of a request that no server accepts now.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -44,10 +47,14 @@
     pub key: WorkerKey,
     /// Its name.
     pub name: Arc<str>,
-    /// Its connections.
+    /// Its start time.
+    pub born: Option<u64>,
+    /// The connections over which the request is sent: to the server, or to the node that carries it.
     pub pool: Arc<Pool>,
-    /// The maximum number of connections from this node to it.
+    /// The maximum number of these connections.
     pub connections: u32,
+    /// The node that carries the request, if this one has no way to the server.
+    pub carrier: Option<NodeName>,
     /// The resources that the request uses there.
     pub footprint: Footprint,
     /// The engine from whose prefix cache it copies the parts of the prompt that it lacks.
@@ -72,11 +79,22 @@
     /// The service that it goes to.
     pub service: &'a ServiceName,
     /// The backend servers that it was sent to already.
-    pub tried: &'a [WorkerKey],
+    pub tried: &'a TriedServers,
     /// The time until its deadline.
     pub left: Duration,
     /// The version of the service that it goes to, if one is being rolled out.
     pub track: Track,
+    /// How it gets to the backend server.
+    pub way: Way,
+}
+
+/// A `Way` is how a request gets to a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// Over a connection of this node, unless it has lost its way to the service.
+    Own,
+    /// Over another node if one can carry it.
+    Carried,
 }
 
 /// Chooses a backend server that the request was not sent to yet, or refuses the request.
@@ -84,6 +102,8 @@
     let entry = query.req.table.services.get(query.service).ok_or(Failure::NoBackend)?;
     let zone = &gateway.settings.gateway.zone;
     gateway.with(|state| {
+        let is_lost = state.reachability.is_lost(query.service);
+        let query = PlacementQuery { way: if is_lost { Way::Carried } else { query.way }, ..query };
         let placed = query.place(state, entry, zone);
         // The current version takes what the target version can't.
         match (placed, query.track) {
@@ -264,13 +284,23 @@
     ) -> Result<Placement, Failure> {
         let calls = &state.observed(self.service).calls;
         let (p95_call, median) = (calls.p95(), calls.median());
+        let carrier = self.carrier(state)?;
         let backend = state.backends.get_mut(chosen.key).ok_or(Failure::NoBackend)?;
         backend.announced.take_request(clock::now());
+        let (pool, connections, carrier) = match carrier {
+            None => {
+                let share = connection_share(entry.connections, state.members.count());
+                (Arc::clone(&backend.pool), share, None)
+            }
+            Some((node, pool)) => (pool, MAX_CARRIER_CONNECTIONS, Some(node)),
+        };
         Ok(Placement {
             key: chosen.key,
             name: Arc::clone(&backend.name),
-            pool: Arc::clone(&backend.pool),
-            connections: connection_share(entry.connections, state.members.count()),
+            born: backend.record.born,
+            pool,
+            connections,
+            carrier,
             footprint: chosen.footprint,
             copy_from: chosen.copy_from,
             wait: chosen.wait,
@@ -290,6 +320,21 @@
         })
     }
 
+    // Returns the node that carries the request, if one has to; refuses the request if none can.
+    fn carrier(&self, state: &State) -> Result<Option<(NodeName, Arc<Pool>)>, Failure> {
+        if self.way == Way::Own {
+            return Ok(None);
+        }
+        let now = clock::now();
+        let carriers = state.members.iter();
+        let carriers = carriers.filter(|(_, member)| member.carries(now, self.service));
+        match carriers.choose(&mut rand::rng()) {
+            Some((node, member)) => Ok(Some((node.clone(), Arc::clone(&member.pool)))),
+            None if state.reachability.is_lost(self.service) => Err(Failure::NoBackend),
+            None => Ok(None),
+        }
+    }
+
     // Returns the servers to choose from: those that accept a request now.
     fn untried<'s>(
         &'s self,
@@ -307,7 +352,8 @@
         filter: &'s VersionFilter,
     ) -> impl Iterator<Item = (WorkerKey, &'s Backend)> + 's {
         state.backends.accepting(self.service).filter(|(key, backend)| {
-            !self.tried.contains(key) && filter.selects(&backend.record.version, backend.identity)
+            self.tried.allows(*key, self.way)
+                && filter.selects(&backend.record.version, backend.identity)
         })
     }
 
@@ -368,9 +414,10 @@
     if backend.record.zone == *own { Duration::ZERO } else { OTHER_ZONE_LATENCY }
 }
 
-// The connections that a backend server accepts are divided evenly among all nodes. One share is kept
-// free for a node that this one does not know yet.
-fn connection_share(connections: u32, nodes: usize) -> u32 {
+/// Returns the maximum number of connections of one of several nodes to a backend server that accepts `connections`.
+///
+/// They are divided evenly among all nodes. One share is kept free for a node that this one does not know yet.
+pub fn connection_share(connections: u32, nodes: usize) -> u32 {
     let nodes = u32::try_from(nodes).unwrap_or(u32::MAX).saturating_add(1);
     (connections / nodes).max(2)
 }
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -5,7 +5,7 @@
 use bulrushhall_coord::Attempts;
 use bulrushhall_core::{Event, Ran, ServiceName, Stamp, config::RouteKind};
 use bulrushhall_external::http::{Body, BodyError, empty, read_limited};
-use bulrushhall_policy::{placement::WorkerKey, rollout::Track};
+use bulrushhall_policy::rollout::Track;
 use bytes::Bytes;
 use hyper::{
     Request, Response,
@@ -23,7 +23,8 @@
         attempt::{BackendResponse, OriginalRequest, SendFault, attempt},
         forward::ResponseForwarder,
         identify::{IdentifiedRequest, identify},
-        placement::{Placement, PlacementQuery, place},
+        placement::{Placement, PlacementQuery, Way, place},
+        tried::TriedServers,
     },
     rollouts::AttemptEnd,
     table::QuotaUnit,
@@ -45,6 +46,8 @@
 const TRACK_SEED: u64 = 1;
 /// The number of failed connection attempts after which a request is given up.
 pub const MAX_CONNECT_FAILURES: usize = 4;
+/// The number of failed connection attempts after which another node carries a request.
+pub const MAX_OWN_CONNECT_FAILURES: usize = 2;
 
 /// Returns the response to a caller's request.
 pub async fn serve(gateway: Arc<Gateway>, req: Request<Incoming>) -> Response<Body> {
@@ -74,8 +77,8 @@
 }
 
 /// A response and the backend servers that the request was sent to.
-type Sent = (BackendResponse, Vec<WorkerKey>);
-type Handled = (OriginalRequest, IdentifiedRequest, BackendResponse, Vec<WorkerKey>);
+type Sent = (BackendResponse, TriedServers);
+type Handled = (OriginalRequest, IdentifiedRequest, BackendResponse, TriedServers);
 
 async fn handle(
     gateway: &Arc<Gateway>,
@@ -176,7 +179,7 @@
     (attempts, error_response): (&mut Attempts, &mut Option<Sent>),
     log_entry: &mut AccessLogEntry,
 ) -> Result<Sent, Failure> {
-    let mut tried = Vec::new();
+    let mut tried = TriedServers::default();
     let mut connect_failures = 0;
     let mut last_end = AttemptEnd::default();
     loop {
@@ -188,10 +191,12 @@
             true => first_track(gateway, req, service),
             false => retry_track(gateway, service, last_end),
         };
-        let query = PlacementQuery { req, service, tried: &tried, left, track };
+        // Another server may be unreachable as well, and each attempt to connect takes time.
+        let way = if connect_failures < MAX_OWN_CONNECT_FAILURES { Way::Own } else { Way::Carried };
+        let query = PlacementQuery { req, service, tried: &tried, left, track, way };
         let placement = place(gateway, query);
         let placement = placement.map_err(|failure| unless_run(failure, attempts))?;
-        tried.push(placement.key);
+        tried.note(placement.key);
         log_entry.note_attempt(&placement);
         attempts.begin();
         let response_timeout = response_timeout(req, &placement, log_entry.sends, left).min(left);
@@ -216,6 +221,9 @@
         if matches!(failed.fault, SendFault::NotOpened(_)) {
             // Nothing reached a backend server, so this does not count as an attempt.
             log_entry.note_unsent();
+            if placement.carrier.is_none() {
+                tried.note_unopened();
+            }
             connect_failures += 1;
             if connect_failures < MAX_CONNECT_FAILURES {
                 continue;
@@ -300,7 +308,7 @@
     original: OriginalRequest,
     req: IdentifiedRequest,
     mut backend_response: BackendResponse,
-    tried: Vec<WorkerKey>,
+    tried: TriedServers,
     mut log_entry: AccessLogEntry,
 ) -> Response<Body> {
     let headers = gateway.platform.wire.response_headers(&backend_response.parts.headers);
--- /dev/null
+++ b/crates/gateway/src/pipeline/tried.rs
@@ -0,0 +1,37 @@
+//! The backend servers that a request was sent to.
+
+use bulrushhall_policy::placement::WorkerKey;
+
+use crate::pipeline::placement::Way;
+
+/// `TriedServers` are the backend servers that a request does not go to again.
+#[derive(Clone, Debug, Default)]
+pub struct TriedServers {
+    /// The servers that may have received the request.
+    sent: Vec<WorkerKey>,
+    /// The servers to which this node could not open a connection; another node may reach them.
+    unopened: Vec<WorkerKey>,
+}
+
+impl TriedServers {
+    /// Notes that the request is sent to a server.
+    pub fn note(&mut self, key: WorkerKey) {
+        self.sent.push(key);
+    }
+
+    /// Notes that this node could not open a connection to the server that was noted last.
+    pub fn note_unopened(&mut self) {
+        self.unopened.extend(self.sent.pop());
+    }
+
+    /// Returns whether no server was tried yet.
+    pub fn is_empty(&self) -> bool {
+        self.sent.is_empty() && self.unopened.is_empty()
+    }
+
+    /// Returns whether the request may go to a server on a way.
+    pub fn allows(&self, key: WorkerKey, way: Way) -> bool {
+        let is_unopened = way == Way::Own && self.unopened.contains(&key);
+        !is_unopened && !self.sent.contains(&key)
+    }
+}
