Brittle backend servers: nodes divide the room that rejections have shown

What callers saw: four servers that said that they were brittle fell 8 times in 4 s under more load than they could run, and took the load of each other with them.

Cause: nothing read the statement. A rejection counted for one request, and each node sent by its own view, so at a little over the room all nodes together had more turned away than a server bears.

Change: the room of a server, in requests at once, begins with its slots, falls by rejections and grows slowly; what is learned goes round in digests. Nodes divide it by rendezvous hashing, so that parts add up to it without messages. A node without a free part lets another one carry the request; what finds no room is refused at once. A server that appears while its service is brittle begins with a quarter.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -87,6 +87,12 @@
     ServersLost,
     /// Connections to the servers of a service can be opened again.
     ServersReached,
+    /// The servers of a service say that they are brittle: nodes keep to the room that they know to be there.
+    ServiceBrittle,
+    /// The servers of a service no longer say that they are brittle.
+    ServiceSound,
+    /// A brittle server has rejected a request, so that nodes send it fewer at once.
+    RoomLowered,
     /// A VM was bought.
     VmBought,
     /// The purchase of a VM was refused; no VM is bought in the same place for a while.
@@ -150,6 +156,9 @@
         Event::RolloutEnded,
         Event::ServersLost,
         Event::ServersReached,
+        Event::ServiceBrittle,
+        Event::ServiceSound,
+        Event::RoomLowered,
         Event::VmBought,
         Event::PurchaseRefused,
         Event::VmReleased,
@@ -205,6 +214,9 @@
             Event::RolloutEnded => 442,
             Event::ServersLost => 450,
             Event::ServersReached => 451,
+            Event::ServiceBrittle => 452,
+            Event::ServiceSound => 453,
+            Event::RoomLowered => 454,
             Event::VmBought => 500,
             Event::PurchaseRefused => 501,
             Event::VmReleased => 502,
--- a/crates/gateway/src/adapter/wire.rs
+++ b/crates/gateway/src/adapter/wire.rs
@@ -62,6 +62,8 @@
     pub leaving: Statement<bool>,
     /// For how long the backend server, which turned the request away, wants none from this node.
     pub rest: Statement<Duration>,
+    /// The requests that the backend server, which is brittle, may turn away in a second without falling.
+    pub brittle: Statement<u32>,
 }
 
 /// A `Refusal` is a response of a node's own to a caller.
--- a/crates/gateway/src/announcements.rs
+++ b/crates/gateway/src/announcements.rs
@@ -45,6 +45,7 @@
     count("limit", head.request_limit);
     count("leaving", head.leaving);
     count("rest", head.rest);
+    count("brittle", head.brittle);
     let now = clock::now();
     gateway.with(|state| {
         if head.leaving == Statement::Value(true) {
--- a/crates/gateway/src/backends/backend.rs
+++ b/crates/gateway/src/backends/backend.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     adapter::{BackendRecord, BackendState},
-    backends::{Announced, Load, Pool},
+    backends::{Announced, Load, Pool, ServerRoom},
 };
 
 /// How long a load that another node reported is valid: four digests at 250 ms may be lost or late.
@@ -51,6 +51,8 @@
     pub own: Load,
     /// What it has announced about the requests that it accepts.
     pub announced: Announced,
+    /// The room there while its service is brittle.
+    pub room: ServerRoom,
     /// Its connections.
     pub pool: Arc<Pool>,
     reported: HashMap<Incarnation, (Stamp, Load)>,
@@ -75,6 +77,7 @@
             slowness: 1.0,
             own: Load::default(),
             announced: Announced::default(),
+            room: ServerRoom::default(),
             reported: HashMap::new(),
         }
     }
--- a/crates/gateway/src/backends/directory.rs
+++ b/crates/gateway/src/backends/directory.rs
@@ -13,7 +13,9 @@
 
 use crate::{
     adapter::{BackendRecord, BackendState},
-    backends::{Announced, Backend, BackendUpdates, LimitReport, removed::RemovedRecords},
+    backends::{
+        Announced, Backend, BackendUpdates, LimitReport, ServerRoom, removed::RemovedRecords,
+    },
     change_log::ChangeLog,
 };
 
@@ -80,6 +82,7 @@
         // Records expire in an outage although their servers are alive, and what these said remains true.
         let announced = self.removed.announced(name, &backend.record);
         backend.announced = announced.unwrap_or_default();
+        backend.room = ServerRoom::new(now);
         let name = Arc::clone(&backend.name);
         let key = self.arena.insert(backend);
         self.names.insert(Arc::clone(&name), key);
--- a/crates/gateway/src/backends/mod.rs
+++ b/crates/gateway/src/backends/mod.rs
@@ -7,6 +7,7 @@
 mod load;
 mod pool;
 mod removed;
+mod room;
 
 pub use announced::{Announced, LimitNote, LimitReport};
 pub use backend::Backend;
@@ -14,6 +15,7 @@
 pub use directory::Backends;
 pub use load::{Load, RANKS};
 pub use pool::Pool;
+pub use room::{AuthoredRoom, Brittleness, RoomReport, ServerRoom};
 
 use crate::{adapter::BackendRecord, change_log::Updates};
 
--- a/crates/gateway/src/cluster/advertise.rs
+++ b/crates/gateway/src/cluster/advertise.rs
@@ -7,6 +7,7 @@
 use bulrushhall_policy::{parts::PromptPart, quota::QuotaReport};
 
 use crate::{
+    brittle::room_reports,
     clock,
     cluster::{BackendLoad, Digest, DigestScope, LiveNode, as_millis},
     demand::Offered,
@@ -58,6 +59,8 @@
             rollouts: state.rollouts.known.reports(now),
             leaving_backends: state.backends.unrecorded_leaving(),
             backend_limits: state.backends.limit_reports(now, state.gossip_rounds),
+            brittle_services: state.brittle.reports(now, state.gossip_rounds),
+            rooms: room_reports(state, now),
             lost_services: own_lost_services(gateway, state),
             scope,
             reply_scope,
--- a/crates/gateway/src/cluster/carried.rs
+++ b/crates/gateway/src/cluster/carried.rs
@@ -44,6 +44,9 @@
 pub struct CarryFailure {
     /// Whether the backend server may have run the request.
     pub ran: Ran,
+    /// Whether the carrier has no room there that it may use.
+    #[serde(default)]
+    pub full: bool,
 }
 
 impl CarriedRequest {
--- a/crates/gateway/src/cluster/carry.rs
+++ b/crates/gateway/src/cluster/carry.rs
@@ -19,21 +19,26 @@
     adapter::ResponseHead,
     announcements::note_response,
     backends::{Connection, OpenError, Pool},
-    clock,
+    brittle, clock,
     cluster::{CARRIED_HEADER, CarriedRequest, CarryFailure},
-    gateway::{Gateway, Phase},
+    gateway::{Gateway, Phase, State},
     meters,
     pipeline::connection_share,
     reachability::{note_opened, note_unreachable},
 };
 
+/// The failure of a request that the server did not get.
+const NOT_RUN: CarryFailure = CarryFailure { ran: Ran::No, full: false };
+/// The failure of a request that the server may have run.
+const LOST: CarryFailure = CarryFailure { ran: Ran::Unknown, full: false };
+
 /// Sends a request of another node to the backend server that it names, over this node's own connections only, and
 /// returns the response. The other node keeps all accounts of the request.
 pub async fn carry(gateway: &Arc<Gateway>, carried: CarriedRequest) -> Response<Body> {
     let deadline = Instant::now() + carried.left;
     let sent = match timeout_at(deadline, send(gateway, &carried)).await {
         Ok(sent) => sent,
-        Err(_) => Err(CarryFailure { ran: Ran::Unknown }),
+        Err(_) => Err(LOST),
     };
     match sent {
         Ok(response) => {
@@ -60,6 +65,23 @@
     key: WorkerKey,
     pool: Arc<Pool>,
     connections: u32,
+    in_flight: CarriedInFlight,
+}
+
+/// Counts a carried request as in flight at a backend server until it is dropped.
+struct CarriedInFlight {
+    gateway: Arc<Gateway>,
+    key: WorkerKey,
+}
+
+impl Drop for CarriedInFlight {
+    fn drop(&mut self) {
+        self.gateway.with(|state| {
+            if let Some(backend) = state.backends.get_mut(self.key) {
+                backend.room.end();
+            }
+        });
+    }
 }
 
 /// A response of a backend server whose head has arrived.
@@ -68,23 +90,35 @@
     head: ResponseHead,
     connection: Connection,
     pool: Arc<Pool>,
+    in_flight: CarriedInFlight,
 }
 
-fn target(gateway: &Gateway, carried: &CarriedRequest) -> Option<Target> {
-    let table = gateway.table.load_full()?;
+fn target(gateway: &Arc<Gateway>, carried: &CarriedRequest) -> Result<Target, CarryFailure> {
+    let table = gateway.table.load_full().ok_or(NOT_RUN)?;
     let now = clock::now();
     if gateway.phase() == Phase::Draining {
-        return None;
+        return Err(NOT_RUN);
     }
     gateway.with(|state| {
-        let key = state.backends.key_of(&carried.backend)?;
-        let backend = state.backends.get(key)?;
+        let key = state.backends.key_of(&carried.backend).ok_or(NOT_RUN)?;
+        let State { backends, brittle, members, .. } = state;
+        let backend = backends.get_mut(key).ok_or(NOT_RUN)?;
         let accepts = backend.record.born == carried.born
             && backend.accepts_work()
             && !backend.announced.is_resting(now);
-        let service = table.services.get(&backend.record.service)?;
-        let connections = connection_share(service.connections, state.members.count());
-        accepts.then(|| Target { key, pool: Arc::clone(&backend.pool), connections })
+        if !accepts {
+            return Err(NOT_RUN);
+        }
+        let brittleness = brittle.get(&backend.record.service);
+        let slots = backend.record.slots;
+        if brittleness.is_some_and(|it| !backend.room.has_part(now, it, slots)) {
+            return Err(CarryFailure { full: true, ..NOT_RUN });
+        }
+        let service = table.services.get(&backend.record.service).ok_or(NOT_RUN)?;
+        let connections = connection_share(service.connections, members.count());
+        backend.room.begin();
+        let in_flight = CarriedInFlight { gateway: Arc::clone(gateway), key };
+        Ok(Target { key, pool: Arc::clone(&backend.pool), connections, in_flight })
     })
 }
 
@@ -92,17 +126,16 @@
     gateway: &Arc<Gateway>,
     carried: &CarriedRequest,
 ) -> Result<CarriedResponse, CarryFailure> {
-    let not_run = CarryFailure { ran: Ran::No };
-    let Target { key, pool, connections } = target(gateway, carried).ok_or(not_run)?;
-    let mut req = carried.request().ok_or(not_run)?;
+    let Target { key, pool, connections, in_flight } = target(gateway, carried)?;
+    let mut req = carried.request().ok_or(NOT_RUN)?;
     let sent_at = clock::now();
     loop {
         let mut connection = match pool.take(clock::now(), connections).await {
             Ok(connection) => connection,
-            Err(OpenError::Full) => return Err(not_run),
+            Err(OpenError::Full) => return Err(CarryFailure { full: true, ..NOT_RUN }),
             Err(OpenError::Unreachable) => {
                 note_unreachable(gateway, key);
-                return Err(not_run);
+                return Err(NOT_RUN);
             }
         };
         if !connection.reused {
@@ -111,12 +144,12 @@
         match connection.sender.try_send_request(req).await {
             Ok(response) => {
                 let head = note_head(gateway, carried, (key, sent_at), &response);
-                return Ok(CarriedResponse { response, head, connection, pool });
+                return Ok(CarriedResponse { response, head, connection, pool, in_flight });
             }
             Err(mut error) => match error.take_message() {
                 Some(unsent) if connection.reused => req = unsent,
-                Some(_) => return Err(not_run),
-                None => return Err(CarryFailure { ran: Ran::Unknown }),
+                Some(_) => return Err(NOT_RUN),
+                None => return Err(LOST),
             },
         }
     }
@@ -135,6 +168,7 @@
     let head = gateway.platform.wire.read_response(&parts);
     if !head.other_backend {
         note_response(gateway, (key, &carried.backend), sent_at, &head);
+        brittle::note_response(gateway, key, sent_at, &head);
     }
     head
 }
@@ -145,7 +179,12 @@
         let (parts, body) = self.response.into_parts();
         let mut headers = gateway.platform.wire.response_headers(&parts.headers);
         headers.insert(CARRIED_HEADER, HeaderValue::from_static("1"));
-        let kept = Kept { head: self.head, connection: self.connection, pool: self.pool };
+        let kept = Kept {
+            head: self.head,
+            connection: self.connection,
+            pool: self.pool,
+            _in_flight: self.in_flight,
+        };
         let frames = unfold(Some((body, kept)), move |open| next_frame(open, deadline));
         let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
         *response.status_mut() = parts.status;
@@ -159,6 +198,7 @@
     head: ResponseHead,
     connection: Connection,
     pool: Arc<Pool>,
+    _in_flight: CarriedInFlight,
 }
 
 impl Kept {
--- a/crates/gateway/src/cluster/digest.rs
+++ b/crates/gateway/src/cluster/digest.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    backends::{BackendUpdates, LimitReport, Load, RANKS},
+    backends::{BackendUpdates, LimitReport, Load, RANKS, RoomReport},
+    brittle::BrittleReport,
     cluster::{MemberRecord, MemberUpdates},
     demand::Offered,
     rollouts::ReportedCounts,
@@ -134,6 +135,12 @@
     /// The limits of backend servers that the sender knows.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub backend_limits: Vec<LimitReport>,
+    /// The last statements of the servers of brittle services.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub brittle_services: Vec<BrittleReport>,
+    /// What nodes have learned of the room at their servers.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rooms: Vec<RoomReport>,
     /// The services that the sender, and the live nodes of an aggregated digest, have lost their ways to; nodes that
     /// have lost none are left out.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
@@ -177,6 +184,8 @@
             rollout_counts: Vec::new(),
             leaving_backends: Vec::new(),
             backend_limits: Vec::new(),
+            brittle_services: Vec::new(),
+            rooms: Vec::new(),
             lost_services: Vec::new(),
             latency_models: Vec::new(),
             record_cursor: None,
--- a/crates/gateway/src/cluster/gossip.rs
+++ b/crates/gateway/src/cluster/gossip.rs
@@ -22,6 +22,7 @@
 
 use crate::{
     announcements::plan_limits,
+    brittle::plan_rooms,
     clock,
     cluster::{
         Digest, DigestScope, Document, Member, activate_config,
@@ -119,6 +120,7 @@
     }
     plan_relays(gateway, state, now);
     plan_limits(state, &gateway.settings.gateway.name);
+    plan_rooms(state, &gateway.settings.gateway.name);
     let is_member = state.relays.role == Role::Member;
     let stale_after = if is_member { MEMBER_STALE_AFTER } else { STALE_AFTER };
     let round = Round { gateway, now, is_stale: !state.freshness.is_within(now, stale_after) };
--- a/crates/gateway/src/cluster/receive.rs
+++ b/crates/gateway/src/cluster/receive.rs
@@ -17,7 +17,7 @@
 use crate::{
     announcements::{receive_leaving, receive_limits},
     backends::BackendUpdates,
-    clock,
+    brittle, clock,
     cluster::{BackendLoad, Digest, DigestScope, LiveNode, MemberUpdates, RecordCursor, as_millis},
     gateway::{Gateway, State},
     meters,
@@ -83,6 +83,9 @@
         receive_rollouts(state, now, digest.rollouts.drain(..));
         receive_leaving(state, std::mem::take(&mut digest.leaving_backends));
         receive_limits(state, now, name, std::mem::take(&mut digest.backend_limits));
+        let brittle_services = std::mem::take(&mut digest.brittle_services);
+        let rooms = std::mem::take(&mut digest.rooms);
+        brittle::receive(state, now, name, brittle_services, rooms);
         let member = state.members.get_mut(&digest.node)?;
         let address = member.record.peers;
         let zone = member.record.zone.clone();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use crate::{
     adapter::{Orders, Records, Wire},
     backends::Backends,
+    brittle::BrittleServices,
     clock,
     cluster::{MemberRecord, Members, RecordCursor},
     demand::Demand,
@@ -118,6 +119,8 @@
     pub usage: UsageCounts,
     /// The load that this node offers to the engines of each service.
     pub demand: HashMap<ServiceName, Demand>,
+    /// The services whose servers say that they are brittle.
+    pub brittle: BrittleServices,
     /// The services that this node has lost its way to.
     pub reachability: ServiceReachability,
     /// The roll-outs of versions.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod adapter;
 pub mod announcements;
 pub mod backends;
+pub mod brittle;
 pub mod change_log;
 pub mod clock;
 pub mod cluster;
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -17,7 +17,7 @@
     adapter::{ResponseHead, SendHead},
     announcements::note_response,
     backends::{Connection, OpenError},
-    clock,
+    brittle, clock,
     cluster::{CARRIED_HEADER, CARRY_PATH, CarriedRequest, CarryFailure},
     gateway::Gateway,
     meters,
@@ -156,6 +156,9 @@
         if is_response_of(req, &head) {
             let server = (placement.key, &*placement.name);
             note_response(gateway, server, sent_at, &head);
+            if placement.carrier.is_none() {
+                brittle::note_response(gateway, placement.key, sent_at, &head);
+            }
         }
         check_head(req, &head)?;
         Ok((head, parts, body, connection))
@@ -307,8 +310,9 @@
     let body = read_limited(response.into_body(), MAX_FAILURE_BYTES, FAILURE_TIMEOUT).await;
     let failure = body.ok().and_then(|body| rmp_serde::from_slice::<CarryFailure>(&body).ok());
     match failure {
-        Some(CarryFailure { ran: Ran::No }) => {
-            not_run(SendFault::NotOpened(OpenError::Unreachable))
+        Some(CarryFailure { ran: Ran::No, full }) => {
+            let error = if full { OpenError::Full } else { OpenError::Unreachable };
+            not_run(SendFault::NotOpened(error))
         }
         _ => may_have_run(SendFault::Closed),
     }
--- a/crates/gateway/src/pipeline/in_flight.rs
+++ b/crates/gateway/src/pipeline/in_flight.rs
@@ -37,17 +37,23 @@
     since: Stamp,
     expected: Duration,
     answer_key: Option<AnswerKey>,
+    /// Whether the request is sent over a connection of this node.
+    is_own: bool,
 }
 
 impl InFlightGuard {
     /// Counts a request that is about to be sent.
     pub fn begin(gateway: &Arc<Gateway>, placement: &Placement) -> InFlightGuard {
         let Placement { key, footprint, expected, .. } = *placement;
+        let is_own = placement.carrier.is_none();
         gateway.with(|state| {
             let Some(backend) = state.backends.get_mut(key) else { return };
             backend.own.requests += 1;
             backend.own.waiting[usize::from(footprint.rank)] += footprint.prefill_tokens;
             backend.own.held += footprint.held;
+            if is_own {
+                backend.room.begin();
+            }
         });
         let since = clock::now();
         let guard = InFlightGuard {
@@ -59,6 +65,7 @@
             since,
             expected,
             answer_key: placement.answer_key.clone(),
+            is_own,
         };
         guard.count(|counts, is_bound| {
             counts.sent += 1;
@@ -164,6 +171,9 @@
             let Some(backend) = state.backends.get_mut(self.key) else { return };
             backend.own.requests -= 1;
             backend.own.held -= held;
+            if self.is_own {
+                backend.room.end();
+            }
             if !self.started {
                 backend.own.waiting[usize::from(rank)] -= prefill_tokens;
             }
--- a/crates/gateway/src/pipeline/placement.rs
+++ b/crates/gateway/src/pipeline/placement.rs
@@ -11,13 +11,16 @@
     placement::WorkerKey,
     rollout::Track,
     server_choice::{ServerView, choose_server},
+    server_room::room_owners,
 };
 use rand::{Rng, RngExt, seq::IteratorRandom};
 
 use crate::{
     adapter::Prompt,
     backends::{Backend, Pool},
+    brittle::node_hash,
     clock,
+    cluster::Member,
     demand::Offered,
     gateway::{Gateway, State},
     pipeline::{Failure, identify::IdentifiedRequest, in_flight::Footprint, tried::TriedServers},
@@ -37,6 +40,9 @@
 /// The maximum number of connections to a node that carries requests: each is busy for as long as a response.
 const MAX_CARRIER_CONNECTIONS: u32 = 256;
 
+/// The retry delay of a request for which brittle servers have no room: their requests end within this order of time.
+pub const BRITTLE_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// The shortest retry delay of a request that no server accepts now.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -102,8 +108,7 @@
     let entry = query.req.table.services.get(query.service).ok_or(Failure::NoBackend)?;
     let zone = &gateway.settings.gateway.zone;
     gateway.with(|state| {
-        let is_lost = state.reachability.is_lost(query.service);
-        let query = PlacementQuery { way: if is_lost { Way::Carried } else { query.way }, ..query };
+        let query = PlacementQuery { way: query.effective_way(state), ..query };
         let placed = query.place(state, entry, zone);
         // The current version takes what the target version can't.
         match (placed, query.track) {
@@ -284,7 +289,7 @@
     ) -> Result<Placement, Failure> {
         let calls = &state.observed(self.service).calls;
         let (p95_call, median) = (calls.p95(), calls.median());
-        let carrier = self.carrier(state)?;
+        let carrier = self.carrier(state, chosen.key)?;
         let backend = state.backends.get_mut(chosen.key).ok_or(Failure::NoBackend)?;
         backend.announced.take_request(clock::now());
         let (pool, connections, carrier) = match carrier {
@@ -320,21 +325,60 @@
         })
     }
 
+    // Returns how the request gets to a server: over another node if this one has no way there, or no part of the room at
+    // brittle servers.
+    fn effective_way(&self, state: &State) -> Way {
+        if state.reachability.is_lost(self.service) {
+            return Way::Carried;
+        }
+        let Some(brittleness) = state.brittle.get(self.service) else { return self.way };
+        let now = clock::now();
+        let mut servers = state.backends.accepting(self.service);
+        let has_room = servers.any(|(key, backend)| {
+            self.tried.allows(key, Way::Own)
+                && backend.room.has_part(now, brittleness, backend.record.slots)
+        });
+        if has_room { self.way } else { Way::Carried }
+    }
+
     // Returns the node that carries the request, if one has to; refuses the request if none can.
-    fn carrier(&self, state: &State) -> Result<Option<(NodeName, Arc<Pool>)>, Failure> {
+    fn carrier(
+        &self,
+        state: &State,
+        server: WorkerKey,
+    ) -> Result<Option<(NodeName, Arc<Pool>)>, Failure> {
         if self.way == Way::Own {
             return Ok(None);
         }
         let now = clock::now();
-        let carriers = state.members.iter();
+        let carriers = self.room_owners(state, server).into_iter();
         let carriers = carriers.filter(|(_, member)| member.carries(now, self.service));
         match carriers.choose(&mut rand::rng()) {
             Some((node, member)) => Ok(Some((node.clone(), Arc::clone(&member.pool)))),
             None if state.reachability.is_lost(self.service) => Err(Failure::NoBackend),
+            None if state.brittle.get(self.service).is_some() => {
+                Err(Failure::ServersLimited(BRITTLE_RETRY_AFTER))
+            }
             None => Ok(None),
         }
     }
 
+    // Returns the nodes that have a part of the room at a brittle server; all nodes if it is not brittle.
+    fn room_owners<'s>(
+        &self,
+        state: &'s State,
+        server: WorkerKey,
+    ) -> Vec<(&'s NodeName, &'s Member)> {
+        let members = state.members.iter();
+        let brittleness = state.brittle.get(self.service);
+        let (Some(brittleness), Some(backend)) = (brittleness, state.backends.get(server)) else {
+            return members.collect();
+        };
+        let room = backend.room.room(clock::now(), brittleness, backend.record.slots);
+        let hashed = members.map(|(name, member)| (node_hash(name), (name, member)));
+        room_owners(room, backend.identity, hashed)
+    }
+
     // Returns the servers to choose from: those that accept a request now.
     fn untried<'s>(
         &'s self,
@@ -343,7 +387,11 @@
     ) -> impl Iterator<Item = (WorkerKey, &'s Backend)> + 's {
         let now = clock::now();
         let servers = self.untried_at_any_time(state, filter);
-        servers.filter(move |(_, backend)| backend.announced.accepts_request(now))
+        let servers = servers.filter(move |(_, backend)| backend.announced.accepts_request(now));
+        let brittleness = state.brittle.get(self.service).filter(|_| self.way == Way::Own);
+        servers.filter(move |(_, backend)| {
+            brittleness.is_none_or(|it| backend.room.has_part(now, it, backend.record.slots))
+        })
     }
 
     fn untried_at_any_time<'s>(
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -15,6 +15,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
+    backends::OpenError,
     clock,
     gateway::{Gateway, Phase},
     pipeline::{
@@ -23,7 +24,7 @@
         attempt::{BackendResponse, OriginalRequest, SendFault, attempt},
         forward::ResponseForwarder,
         identify::{IdentifiedRequest, identify},
-        placement::{Placement, PlacementQuery, Way, place},
+        placement::{BRITTLE_RETRY_AFTER, Placement, PlacementQuery, Way, place},
         tried::TriedServers,
     },
     rollouts::AttemptEnd,
@@ -46,6 +47,8 @@
 const TRACK_SEED: u64 = 1;
 /// The number of failed connection attempts after which a request is given up.
 pub const MAX_CONNECT_FAILURES: usize = 4;
+/// The number of nodes without room for a request after which it is refused.
+const MAX_FULL_FAILURES: usize = 6;
 /// The number of failed connection attempts after which another node carries a request.
 pub const MAX_OWN_CONNECT_FAILURES: usize = 2;
 
@@ -181,6 +184,7 @@
 ) -> Result<Sent, Failure> {
     let mut tried = TriedServers::default();
     let mut connect_failures = 0;
+    let mut full_failures = 0;
     let mut last_end = AttemptEnd::default();
     loop {
         let left = original.deadline.since(clock::now());
@@ -224,6 +228,17 @@
             if placement.carrier.is_none() {
                 tried.note_unopened();
             }
+            // The room at a brittle server is used up at one node, and may not be at the next one.
+            if failed.fault == SendFault::NotOpened(OpenError::Full) && placement.carrier.is_some()
+            {
+                tried.forget_last();
+                full_failures += 1;
+                if full_failures < MAX_FULL_FAILURES {
+                    continue;
+                }
+                let after = Failure::ServersLimited(BRITTLE_RETRY_AFTER);
+                return Err(unless_run(after, attempts));
+            }
             connect_failures += 1;
             if connect_failures < MAX_CONNECT_FAILURES {
                 continue;
--- a/crates/gateway/src/pipeline/tried.rs
+++ b/crates/gateway/src/pipeline/tried.rs
@@ -24,6 +24,11 @@
         self.unopened.extend(self.sent.pop());
     }
 
+    /// Forgets the server that was noted last, to which the request may go again.
+    pub fn forget_last(&mut self) {
+        self.sent.pop();
+    }
+
     /// Returns whether no server was tried yet.
     pub fn is_empty(&self) -> bool {
         self.sent.is_empty() && self.unopened.is_empty()
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod scheduler;
 pub mod server_choice;
 pub mod server_limit;
+pub mod server_room;
 pub mod team_limits;
 pub mod windowed_retry_budget;
 
