Reachability: nothing is probed within half a second after a connection was opened

A response that is overdue begins a probe of two connections. Where servers are overloaded many responses are overdue, and each probe opens connections that nobody needs. A connection that was opened just before is evidence enough. Found by reading; the test fails without it.

--- a/crates/gateway/src/reachability.rs
+++ b/crates/gateway/src/reachability.rs
@@ -42,9 +42,10 @@
 
 /// Notes that a new connection to a backend server was opened.
 pub fn note_opened(gateway: &Gateway, key: WorkerKey) {
+    let now = clock::now();
     let regained = gateway.with(|state| {
         let service = state.backends.get(key)?.record.service.clone();
-        let is_regained = state.reachability.of(&service).note_opened();
+        let is_regained = state.reachability.of(&service).note_opened(now);
         is_regained.then_some(service)
     });
     let Some(service) = regained else { return };
@@ -87,7 +88,8 @@
 
 /// Begins to probe a service that may have been lost, unless that is going on.
 pub fn suspect(gateway: &Arc<Gateway>, service: &ServiceName) {
-    if gateway.with(|state| state.reachability.of(service).begin_probing()) {
+    let (now, options) = (clock::now(), ReachabilityOptions::default());
+    if gateway.with(|state| state.reachability.of(service).begin_probing(now, options)) {
         tokio::spawn(probe_service(Arc::clone(gateway), service.clone()));
     }
 }
--- a/crates/policy/src/reachability.rs
+++ b/crates/policy/src/reachability.rs
@@ -16,11 +16,19 @@
     pub probes: usize,
     /// The pause between two probes of a service that is lost.
     pub pause: Duration,
+    /// How long after a connection was opened nothing is probed: overdue responses come in numbers where servers are
+    /// overloaded.
+    pub trusted: Duration,
 }
 
 impl Default for ReachabilityOptions {
     fn default() -> Self {
-        ReachabilityOptions { lost_after: 4, probes: 2, pause: Duration::from_millis(250) }
+        ReachabilityOptions {
+            lost_after: 4,
+            probes: 2,
+            pause: Duration::from_millis(250),
+            trusted: Duration::from_millis(500),
+        }
     }
 }
 
@@ -32,6 +40,7 @@
 pub struct Reachability {
     unreachable: BTreeSet<WorkerKey>,
     lost_since: Option<Stamp>,
+    opened_at: Option<Stamp>,
     probing: bool,
 }
 
@@ -48,7 +57,8 @@
 
 impl Reachability {
     /// Notes that a connection to a server of the service was opened; returns whether the service was lost until then.
-    pub fn note_opened(&mut self) -> bool {
+    pub fn note_opened(&mut self, now: Stamp) -> bool {
+        self.opened_at = Some(now);
         self.unreachable.clear();
         self.lost_since.take().is_some()
     }
@@ -80,8 +90,11 @@
         self.lost_since.is_some()
     }
 
-    /// Begins to probe the service; returns false if it is being probed already.
-    pub fn begin_probing(&mut self) -> bool {
+    /// Begins to probe the service; returns false if it is being probed already, or a connection was opened just before.
+    pub fn begin_probing(&mut self, now: Stamp, options: ReachabilityOptions) -> bool {
+        if self.opened_at.is_some_and(|at| now.since(at) < options.trusted) {
+            return false;
+        }
         !std::mem::replace(&mut self.probing, true)
     }
 
--- a/crates/policy/tests/reachability.rs
+++ b/crates/policy/tests/reachability.rs
@@ -15,6 +15,9 @@
 /// The most rounds of probes until a lost service is known: each may take 300 ms, of 3 s.
 const MAX_ROUNDS: u32 = 4;
 
+/// A moment long after a connection was opened at the start.
+const LATER: Stamp = Stamp::from_millis(60_000);
+
 fn servers(count: usize) -> Vec<WorkerKey> {
     let mut arena: SlotMap<WorkerKey, ()> = SlotMap::with_key();
     (0..count).map(|_| arena.insert(())).collect()
@@ -25,8 +28,8 @@
     let options = ReachabilityOptions::default();
     let mut random = Pcg64::seed_from_u64(seed);
     let mut reachability = Reachability::default();
-    assert!(reachability.begin_probing());
-    assert!(!reachability.begin_probing());
+    assert!(reachability.begin_probing(LATER, options));
+    assert!(!reachability.begin_probing(LATER, options));
     for round in 0..100 {
         let known = || known.iter().copied();
         match reachability.next_probe(round, known(), options, &mut random) {
@@ -35,7 +38,7 @@
             ProbeStep::Probe(probed) => {
                 for key in probed {
                     if reached.contains(&key) {
-                        reachability.note_opened();
+                        reachability.note_opened(Stamp(0));
                     } else {
                         reachability.note_unreachable(Stamp(0), key, known(), options);
                     }
@@ -76,14 +79,14 @@
     }
     assert!(reachability.is_lost());
     let mut random = Pcg64::seed_from_u64(1);
-    assert!(reachability.begin_probing());
+    assert!(reachability.begin_probing(LATER, options));
     let step = reachability.next_probe(0, known.iter().copied(), options, &mut random);
     assert!(matches!(step, ProbeStep::ProbeAfter(..)));
-    assert!(reachability.note_opened());
+    assert!(reachability.note_opened(Stamp(0)));
     assert!(!reachability.is_lost());
     let step = reachability.next_probe(1, known.iter().copied(), options, &mut random);
     assert_eq!(step, ProbeStep::End);
-    assert!(reachability.begin_probing());
+    assert!(reachability.begin_probing(LATER, options));
 }
 
 // Guards against a service that is lost for good after its servers have been replaced.
@@ -98,3 +101,13 @@
     assert!(!reachability.note_unreachable(Stamp(0), after[0], after.iter().copied(), options));
     assert!(!reachability.is_lost());
 }
+
+// Guards against connections that are opened for nothing while many responses are overdue.
+#[test]
+fn opened_connections_are_trusted() {
+    let options = ReachabilityOptions::default();
+    let mut reachability = Reachability::default();
+    reachability.note_opened(LATER);
+    assert!(!reachability.begin_probing(LATER, options));
+    assert!(reachability.begin_probing(LATER + options.trusted, options));
+}
