--- a/crates/policy/src/reachability.rs
+++ b/crates/policy/src/reachability.rs
@@ -72,6 +72,7 @@
         options: ReachabilityOptions,
     ) -> bool {
         self.unreachable.insert(server);
+        self.opened_at = None;
         if self.lost_since.is_some() {
             return false;
         }
--- a/crates/policy/tests/reachability.rs
+++ b/crates/policy/tests/reachability.rs
@@ -111,3 +111,17 @@
     assert!(!reachability.begin_probing(LATER, options));
     assert!(reachability.begin_probing(LATER + options.trusted, options));
 }
+
+// Guards against a service that is lost right after a connection was opened, and is never probed again.
+#[test]
+fn lost_service_is_probed() {
+    let options = ReachabilityOptions::default();
+    let known = servers(4);
+    let mut reachability = Reachability::default();
+    reachability.note_opened(LATER);
+    for key in &known {
+        reachability.note_unreachable(LATER, *key, known.iter().copied(), options);
+    }
+    assert!(reachability.is_lost());
+    assert!(reachability.begin_probing(LATER, options));
+}
