Roll-outs: a pulse shows versions that are bad under load, and doubt keeps a version from being completed

Change: the first share takes at most half of what the drain leaves; if the share that can be kept loads no server fully, it is raised that far for 0.8 s; a version with a ratio from 2.5 on is not completed.

--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -10,7 +10,9 @@
     rollouts::{OrderId, Rollout, RolloutPhase, Rollouts},
 };
 use bulrushhall_core::{Event, Incarnation, ServiceName, Stamp, ZoneName};
-use bulrushhall_policy::rollout::{SlowBar, Track, TrackCounts, TrackGroup, cohort};
+use bulrushhall_policy::rollout::{
+    SlowBar, Track, TrackCounts, TrackGroup, cohort, min_target_servers,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::{backends::Backends, meters};
@@ -19,10 +21,6 @@
 const MAX_COUNTED_ROUTES: usize = 16;
 /// The name under which the others are counted; no route has it.
 const OTHER_ROUTES: &str = "*";
-/// The bounds of the number of servers that the target version's requests go to, however few these are.
-const MIN_TARGET_SERVERS: (usize, usize) = (2, 4);
-/// One in this number of the target version's servers is used at least.
-const MIN_TARGET_DIVISOR: usize = 8;
 
 /// The key of a count: a route and a group of servers.
 pub type CountKey = (String, TrackGroup);
@@ -317,8 +315,7 @@
     let mut identities: Vec<u64> = target.map(|backend| backend.identity).collect();
     identities.sort_unstable();
     let share = rollout.grant(now).map_or(0.0, |grant| f64::from(grant.per_mille) / 1_000.0);
-    let (least, most) = MIN_TARGET_SERVERS;
-    let least = (identities.len() / MIN_TARGET_DIVISOR).clamp(least, most);
+    let least = min_target_servers(identities.len());
     let used = ((identities.len() as f64 * share).ceil() as usize).max(least);
     let last = used.min(identities.len()).checked_sub(1);
     let max_identity = last.map_or(0, |last| identities[last]);
--- a/crates/policy/src/rollout/controller.rs
+++ b/crates/policy/src/rollout/controller.rs
@@ -8,10 +8,17 @@
 use bulrushhall_coord::Count;
 use bulrushhall_core::Stamp;
 
-use super::{Judge, RolloutCounts, RolloutOptions, Track, TrackCounts, Verdict};
+use super::{
+    Judge, RolloutCounts, RolloutOptions, Track, TrackCounts, Verdict, min_target_servers,
+};
 
-/// The part of the allowed exposure that the first share may use.
+/// The part of what the drain leaves of the allowed exposure that the first share may use.
+const CANARY_REST_PART: f64 = 0.5;
+/// The bounds of that, as parts of all of the allowed exposure.
+const MIN_CANARY_PART: f64 = 0.15;
 const CANARY_PART: f64 = 0.35;
+/// How long the share is raised so far that a server of the target version has as much load as one of the current.
+const PULSE: Duration = Duration::from_millis(800);
 /// The greatest first share.
 const MAX_CANARY_SHARE: f64 = 0.5;
 /// The part of the allowed exposure that all shares together may use before the end.
@@ -112,6 +119,8 @@
     share: f64,
     share_since: Stamp,
     doubtful_at: Option<Stamp>,
+    pulse_until: Option<Stamp>,
+    pulsed: bool,
     history: VecDeque<(Stamp, RolloutCounts)>,
 }
 
@@ -134,6 +143,8 @@
             share: 0.0,
             share_since: ordered_at,
             doubtful_at: None,
+            pulse_until: None,
+            pulsed: false,
             history: VecDeque::new(),
         }
     }
@@ -189,7 +200,12 @@
         let last_moment = self.end_at - self.options.margin;
         if last_moment <= now && MIN_ANSWERS <= load.answers {
             // At the last moment a version that is probably bad must not take over.
-            return if self.is_doubted(now) { RolloutStep::Revert } else { RolloutStep::Complete };
+            let is_suspect = verdict == Verdict::Suspect;
+            return if is_suspect || self.is_doubted(now) {
+                RolloutStep::Revert
+            } else {
+                RolloutStep::Complete
+            };
         }
         if verdict == Verdict::Doubtful {
             // More answers settle the doubt, but they must not cost many callers.
@@ -217,6 +233,14 @@
             RolloutStage::Ramp => {
                 if self.drain_from(&load) <= now {
                     self.enter(now, RolloutStage::Drain);
+                } else if let Some(share) = self.pulse_share(now, &load) {
+                    self.set_share(now, share);
+                    self.pulse_until = Some(now + PULSE);
+                } else if self.pulse_until.is_some_and(|until| now < until) {
+                    // Kept.
+                } else if self.pulse_until.take().is_some() {
+                    self.set_share(now, load.usable_share(self, now));
+                    self.pulsed = true;
                 } else if self.may_grow(now, &load) {
                     let grown = (self.share * RAMP_FACTOR).clamp(MIN_RAMP_SHARE, MAX_RAMP_SHARE);
                     self.set_share(now, grown.min(load.usable_share(self, now)).max(self.share));
@@ -226,7 +250,8 @@
                 let drained = load.bound_in_flight == 0;
                 let spent = load.affordable_share(self) <= 0.0;
                 let ended = drained || spent;
-                if ended && MIN_DRAIN <= now.since(self.stage_since) && !self.is_doubted(now) {
+                let is_sound = verdict == Verdict::Good && !self.is_doubted(now);
+                if ended && is_sound && MIN_DRAIN <= now.since(self.stage_since) {
                     return RolloutStep::Complete;
                 }
             }
@@ -248,6 +273,19 @@
         self.share_since = now;
     }
 
+    // Some versions are bad only where their servers have as much load as those of the current version. If the share that
+    // can be kept is less, it is raised that far for a moment.
+    fn pulse_share(&self, now: Stamp, load: &Load) -> Option<f64> {
+        if self.pulsed || self.pulse_until.is_some() {
+            return None;
+        }
+        let needed = load.full_share()?;
+        let cost = needed * load.per_second * PULSE.as_secs_f64();
+        let is_due = self.options.reaction + PULSE <= self.drain_from(load).since(now);
+        let is_affordable = cost <= load.left_before_drain(&self.options);
+        (is_due && is_affordable && load.usable_share(self, now) < needed).then_some(needed)
+    }
+
     // There has to be evidence about each share before the end.
     fn may_grow(&self, now: Stamp, load: &Load) -> bool {
         RAMP_INTERVAL <= now.since(self.share_since)
@@ -272,7 +310,10 @@
 
     fn canary_share(&self, now: Stamp, load: &Load) -> f64 {
         let length = self.ramp_from(load).since(now).max(self.options.reaction).as_secs_f64();
-        let left = load.allowed * CANARY_PART - load.exposed;
+        let rest = load.allowed * USABLE_PART - load.drain_cost(&self.options);
+        let bounds = (load.allowed * MIN_CANARY_PART, load.allowed * CANARY_PART);
+        let budget = (rest * CANARY_REST_PART).clamp(bounds.0, bounds.1);
+        let left = budget - load.exposed;
         (left / (load.per_second * length).max(1.0)).clamp(0.0, MAX_CANARY_SHARE)
     }
 
@@ -338,6 +379,8 @@
     bound_in_flight: u32,
     /// The share of such requests among all.
     bound_share: f64,
+    /// The servers of the target version that accept work.
+    target_servers: usize,
 }
 
 impl Load {
@@ -361,6 +404,7 @@
             answers: target.answers,
             bound_in_flight: current.bound.in_flight(),
             bound_share: f64::from(current.bound.begun) / (current.sent.max(1) as f64),
+            target_servers: seen.target_servers,
         }
     }
 
@@ -373,11 +417,25 @@
 
     // The share that keeps the exposure within its bound until the first evidence about the drain.
     fn usable_share(&self, controller: &RolloutController, now: Stamp) -> f64 {
-        let left = self.allowed * USABLE_PART - self.exposed;
         let reaction = controller.options.reaction.as_secs_f64();
-        let drain = MIN_DRAIN + controller.options.reaction;
-        let drained = self.per_second * self.bound_share * drain.as_secs_f64();
         let length = controller.drain_from(self).since(now).as_secs_f64() + reaction;
-        ((left - drained) / (self.per_second * length).max(1.0)).clamp(0.0, 1.0)
+        let left = self.left_before_drain(&controller.options);
+        (left / (self.per_second * length).max(1.0)).clamp(0.0, 1.0)
+    }
+
+    // The requests that the target version gets from the begin of the drain to the first evidence about it.
+    fn drain_cost(&self, options: &RolloutOptions) -> f64 {
+        let drain = MIN_DRAIN + options.reaction;
+        self.per_second * self.bound_share * drain.as_secs_f64()
+    }
+
+    fn left_before_drain(&self, options: &RolloutOptions) -> f64 {
+        self.allowed * USABLE_PART - self.exposed - self.drain_cost(options)
+    }
+
+    // The share at which the fewest servers that are used have as much load as those of the current version.
+    fn full_share(&self) -> Option<f64> {
+        let servers = self.target_servers;
+        (0 < servers).then(|| (min_target_servers(servers) as f64 / servers as f64).min(1.0))
     }
 }
--- a/crates/policy/src/rollout/judge.rs
+++ b/crates/policy/src/rollout/judge.rs
@@ -8,6 +8,8 @@
 const BAD_LOG_RATIO: f64 = 12.0;
 /// The same from which a version is doubtful.
 const DOUBTFUL_LOG_RATIO: f64 = 4.6;
+/// The same from which a version is not completed: one in twelve by chance.
+const SUSPECT_LOG_RATIO: f64 = 2.5;
 /// The increases of the share of bad answers that are looked for: a small one takes many answers to find, a
 /// large one few.
 const INCREASES: [f64; 2] = [0.12, 0.35];
@@ -27,6 +29,8 @@
 pub enum Verdict {
     /// Nothing speaks against it.
     Good,
+    /// Its answers are somewhat worse, as often happens by chance.
+    Suspect,
     /// Its answers are worse, but that may be chance.
     Doubtful,
     /// Its answers are worse.
@@ -63,6 +67,8 @@
             Verdict::Bad
         } else if DOUBTFUL_LOG_RATIO <= log_ratio {
             Verdict::Doubtful
+        } else if SUSPECT_LOG_RATIO <= log_ratio {
+            Verdict::Suspect
         } else {
             Verdict::Good
         }
--- a/crates/policy/src/rollout/mod.rs
+++ b/crates/policy/src/rollout/mod.rs
@@ -10,4 +10,6 @@
 pub use judge::{Judge, SequentialJudge, ThresholdJudge, Verdict, judge_named};
 pub use options::RolloutOptions;
 pub use slow_bar::SlowBar;
-pub use track::{COHORTS, RolloutCounts, Track, TrackCounts, TrackGroup, cohort};
+pub use track::{
+    COHORTS, RolloutCounts, Track, TrackCounts, TrackGroup, cohort, min_target_servers,
+};
--- a/crates/policy/src/rollout/track.rs
+++ b/crates/policy/src/rollout/track.rs
@@ -9,6 +9,17 @@
 /// reasons of its own spoils one cohort, not the evidence about the version.
 pub const COHORTS: u8 = 8;
 
+/// The bounds of the number of servers that the target version's requests go to, however few these are.
+const MIN_TARGET_SERVERS: (usize, usize) = (2, 4);
+/// One in this number of the target version's servers is used at least.
+const MIN_TARGET_DIVISOR: usize = 8;
+
+/// Returns the fewest servers of the target version that are used, of all of them.
+pub fn min_target_servers(servers: usize) -> usize {
+    let (least, most) = MIN_TARGET_SERVERS;
+    (servers / MIN_TARGET_DIVISOR).clamp(least, most)
+}
+
 /// A `Track` is one of the two versions of a service in a roll-out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Track {
--- a/crates/policy/tests/rollout_model.rs
+++ b/crates/policy/tests/rollout_model.rs
@@ -14,6 +14,8 @@
 use rand_pcg::Pcg64Mcg;
 
 const ROLLOUTS: u64 = 1_000;
+/// The first of the seeds by which no constant was chosen.
+const OTHER_FIRST: u64 = 10_000;
 const STEP: Duration = Duration::from_millis(20);
 const TICK_STEPS: u64 = 10;
 const NODES: usize = 12;
@@ -256,8 +258,12 @@
 }
 
 fn tally(judge: &str, rates: Range<f64>) -> Tally {
+    tally_from(0, judge, rates)
+}
+
+fn tally_from(first: u64, judge: &str, rates: Range<f64>) -> Tally {
     let mut tally = Tally::default();
-    for seed in 0..ROLLOUTS {
+    for seed in first..first + ROLLOUTS {
         let mut random = Pcg64Mcg::seed_from_u64(seed);
         let plan = draw(&mut random, rates.clone());
         let outcome = play(&plan, judge, &mut random);
@@ -323,6 +329,14 @@
     assert_eq!(KEPT.completed_bad, 0);
 }
 
+// Guards against constants that fit the drawn roll-outs above alone.
+#[test]
+fn other_bad_versions_revert() {
+    let other = tally_from(OTHER_FIRST, "sequential", 15.0..500.0);
+    println!("sequential, other seeds: {other:?}");
+    assert_eq!(other.completed_bad, 0);
+}
+
 // With a few requests a second, a dozen answers have to decide. What must hold for callers holds still.
 #[test]
 fn quiet_services() {
