Brittle servers: nodes that have lost their way have no part of the room

Cause: the room at a brittle server is divided among all nodes that are known. Now only nodes that have not lost the service have a part. Just after a partition nodes may divide the room differently for half a second, until their digests arrive.

lost_nodes_have_no_part failed before (16 of 64 usable by the only node with a way).

--- a/crates/gateway/src/brittle.rs
+++ b/crates/gateway/src/brittle.rs
@@ -254,8 +254,11 @@
     }
 }
 
+// A node that has lost its way to the service can't use a part: other nodes carry its requests in theirs.
 fn plan_room(backend: &mut Backend, members: &Members, own: &NodeName) {
-    let others = members.iter().map(|(name, _)| node_hash(name));
+    let service = &backend.record.service;
+    let others = members.iter().filter(|(_, member)| !member.lost_services.contains(service));
+    let others = others.map(|(name, _)| node_hash(name));
     backend.room.set_rank(RoomRank::of(backend.identity, node_hash(own), others));
 }
 
--- a/crates/gateway/src/pipeline/placement.rs
+++ b/crates/gateway/src/pipeline/placement.rs
@@ -370,6 +370,7 @@
         server: WorkerKey,
     ) -> Vec<(&'s NodeName, &'s Member)> {
         let members = state.members.iter();
+        let members = members.filter(|(_, member)| !member.lost_services.contains(self.service));
         let brittleness = state.brittle.get(self.service);
         let (Some(brittleness), Some(backend)) = (brittleness, state.backends.get(server)) else {
             return members.collect();
--- a/crates/gateway/tests/brittle_reports.rs
+++ b/crates/gateway/tests/brittle_reports.rs
@@ -6,7 +6,8 @@
 use bulrushhall_gateway::{
     adapter::{BackendRecord, BackendState},
     backends::RoomReport,
-    brittle::{BrittleReport, receive},
+    brittle::{BrittleReport, plan_rooms, receive},
+    cluster::MemberRecord,
     gateway::State,
 };
 use rstest::rstest;
@@ -139,3 +140,45 @@
     assert!(room(1) < SLOTS);
     assert_eq!(room(10), SLOTS);
 }
+
+fn member(number: u64) -> (NodeName, MemberRecord) {
+    let address = "127.0.0.1:9".parse().expect("an address");
+    let record = MemberRecord {
+        incarnation: Incarnation(number),
+        zone: ZoneName::new("zone-a").expect("a name"),
+        callers: address,
+        peers: address,
+    };
+    (NodeName::new(format!("node-{number}")).expect("a name"), record)
+}
+
+fn usable(state: &mut State) -> u32 {
+    let own = NodeName::new("node-1").expect("a name");
+    plan_rooms(state, &own);
+    let brittleness = state.brittle.get(&service()).expect("brittle");
+    let backend = state.backends.named_mut(SERVER).expect("known");
+    let mut room = backend.room;
+    let mut used = 0;
+    while room.has_part(Stamp::from_millis(NOW_MS), brittleness, SLOTS) {
+        room.begin();
+        used += 1;
+    }
+    used
+}
+
+// Guards against room that is left unused since it is the part of nodes without a way to the servers.
+#[test]
+fn lost_nodes_have_no_part() {
+    let mut state = state();
+    for number in 2..=4 {
+        let (name, record) = member(number);
+        state.members.note_listed(&name, record);
+    }
+    assert_eq!(usable(&mut state), SLOTS / 4);
+    for number in 2..=4 {
+        let name = member(number).0;
+        let member = state.members.get_mut(&name).expect("known");
+        member.lost_services.insert(service());
+    }
+    assert_eq!(usable(&mut state), SLOTS);
+}
