Brittle servers: a node that has no room for a request is not asked again, and the search for room ends in time

Cause: a request asked up to six nodes for a free part, one after the other, drawn with repetition, and nothing bounded the time. In the log of one such request the same node answered six times that it had no room at the same server, 32 to 98 ms each. Ruled out: connections that hang (139 failed, 33 ms each), and a fault of the test's clock (the access log says the same times). Change: a request remembers which nodes were full at which server, asks each once, leaves servers without a node to ask, and ends the search 150 ms after its begin. Before: full_nodes_are_asked_once asked 6 times where 1 and 5 are right, slow_refusals_are_not_awaited held 737 ms with nodes that take 120 ms each; refusals_are_prompt failed in 8 of 8 processes at once beside eight busy loops (with logs written), in 1 of 6 without logs. After: all pass; refusals_are_prompt in 22 of 22 processes, 8 and 14 at once, beside eight busy loops.

--- a/crates/gateway/src/pipeline/placement.rs
+++ b/crates/gateway/src/pipeline/placement.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bulrushhall_coord::Role;
-use bulrushhall_core::{NodeName, ServiceName, ZoneName};
+use bulrushhall_core::{NodeName, ServiceName, Stamp, ZoneName};
 use bulrushhall_policy::{
     copy_source::{MIN_COPIED_TOKENS, SourceView, choose_source, max_cached_tokens},
     engine_choice::{EngineChoice, EngineRequest, EngineView, choose_engine},
@@ -351,9 +351,7 @@
             return Ok(None);
         }
         let now = clock::now();
-        let carriers = self.room_owners(state, server).into_iter();
-        let carriers = carriers.filter(|(_, member)| member.carries(now, self.service));
-        match carriers.choose(&mut rand::rng()) {
+        match self.carriers(state, now, server).choose(&mut rand::rng()) {
             Some((node, member)) => Ok(Some((node.clone(), Arc::clone(&member.pool)))),
             None if state.reachability.is_lost(self.service) => Err(Failure::NoBackend),
             None if state.brittle.get(self.service).is_some() => {
@@ -363,6 +361,19 @@
         }
     }
 
+    // Returns the nodes that can carry the request to a server, without those that had no room there.
+    fn carriers<'s>(
+        &self,
+        state: &'s State,
+        now: Stamp,
+        server: WorkerKey,
+    ) -> impl Iterator<Item = (&'s NodeName, &'s Member)> {
+        let owners = self.room_owners(state, server).into_iter();
+        owners.filter(move |(node, member)| {
+            member.carries(now, self.service) && !self.tried.is_full(server, node)
+        })
+    }
+
     // Returns the nodes that have a part of the room at a brittle server; all nodes if it is not brittle.
     fn room_owners<'s>(
         &self,
@@ -389,12 +400,19 @@
         let now = clock::now();
         let servers = self.untried_at_any_time(state, filter);
         let servers = servers.filter(move |(_, backend)| backend.announced.accepts_request(now));
-        let brittleness = state.brittle.get(self.service).filter(|_| self.way == Way::Own);
-        servers.filter(move |(_, backend)| {
-            brittleness.is_none_or(|it| backend.room.has_part(now, it, backend.record.slots))
+        let brittleness = state.brittle.get(self.service);
+        servers.filter(move |(key, backend)| match (self.way, brittleness) {
+            (Way::Own, Some(it)) => backend.room.has_part(now, it, backend.record.slots),
+            (Way::Carried, Some(_)) => self.may_be_carried(state, now, *key),
+            (_, None) => true,
         })
     }
 
+    // Returns whether some node may have room at a server where others had none.
+    fn may_be_carried(&self, state: &State, now: Stamp, server: WorkerKey) -> bool {
+        !self.tried.was_full(server) || self.carriers(state, now, server).next().is_some()
+    }
+
     fn untried_at_any_time<'s>(
         &'s self,
         state: &'s State,
@@ -428,7 +446,9 @@
             let demand = state.demand.entry(self.service.clone()).or_default();
             demand.note(now, Offered { read, answer: f64::from(prompt.answer()) });
         }
-        Failure::ServersLimited(wait.max(MIN_RETRY_AFTER).mul_f64(random.random_range(1.0..1.5)))
+        let is_brittle = state.brittle.get(self.service).is_some();
+        let min = if is_brittle { BRITTLE_RETRY_AFTER } else { MIN_RETRY_AFTER };
+        Failure::ServersLimited(wait.max(min).mul_f64(random.random_range(1.0..1.5)))
     }
 
     fn latency_budget(&self) -> LatencyBudget {
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -49,6 +49,8 @@
 pub const MAX_CONNECT_FAILURES: usize = 4;
 /// The number of nodes without room for a request after which it is refused.
 const MAX_FULL_FAILURES: usize = 6;
+/// The time after which no other node is asked for room: slow answers come from nodes that are busy themselves.
+const MAX_ROOM_SEARCH: Duration = Duration::from_millis(150);
 /// The number of failed connection attempts after which another node carries a request.
 pub const MAX_OWN_CONNECT_FAILURES: usize = 2;
 
@@ -184,7 +186,7 @@
 ) -> Result<Sent, Failure> {
     let mut tried = TriedServers::default();
     let mut connect_failures = 0;
-    let mut full_failures = 0;
+    let search_end = clock::now() + MAX_ROOM_SEARCH;
     let mut last_end = AttemptEnd::default();
     loop {
         let left = original.deadline.since(clock::now());
@@ -229,11 +231,10 @@
                 tried.note_unopened();
             }
             // The room at a brittle server is used up at one node, and may not be at the next one.
-            if failed.fault == SendFault::NotOpened(OpenError::Full) && placement.carrier.is_some()
-            {
-                tried.forget_last();
-                full_failures += 1;
-                if full_failures < MAX_FULL_FAILURES {
+            let is_full = failed.fault == SendFault::NotOpened(OpenError::Full);
+            if let Some(node) = placement.carrier.filter(|_| is_full) {
+                tried.note_full(node);
+                if tried.full_count() < MAX_FULL_FAILURES && clock::now() < search_end {
                     continue;
                 }
                 let after = Failure::ServersLimited(BRITTLE_RETRY_AFTER);
--- a/crates/gateway/src/pipeline/tried.rs
+++ b/crates/gateway/src/pipeline/tried.rs
@@ -1,5 +1,6 @@
 //! The backend servers that a request was sent to.
 
+use bulrushhall_core::NodeName;
 use bulrushhall_policy::placement::WorkerKey;
 
 use crate::pipeline::placement::Way;
@@ -11,6 +12,8 @@
     sent: Vec<WorkerKey>,
     /// The servers to which this node could not open a connection; another node may reach them.
     unopened: Vec<WorkerKey>,
+    /// The nodes that had no room for the request at a server.
+    full: Vec<(WorkerKey, NodeName)>,
 }
 
 impl TriedServers {
@@ -24,9 +27,25 @@
         self.unopened.extend(self.sent.pop());
     }
 
-    /// Forgets the server that was noted last, to which the request may go again.
-    pub fn forget_last(&mut self) {
-        self.sent.pop();
+    /// Notes that a node had no room at the server that was noted last, to which another node may carry the request.
+    pub fn note_full(&mut self, node: NodeName) {
+        let server = self.sent.pop();
+        self.full.extend(server.map(|server| (server, node)));
+    }
+
+    /// Returns the number of times that a node had no room.
+    pub fn full_count(&self) -> usize {
+        self.full.len()
+    }
+
+    /// Returns whether some node had no room at a server.
+    pub fn was_full(&self, server: WorkerKey) -> bool {
+        self.full.iter().any(|(key, _)| *key == server)
+    }
+
+    /// Returns whether a node had no room at a server.
+    pub fn is_full(&self, server: WorkerKey, node: &NodeName) -> bool {
+        self.full.iter().any(|(key, name)| *key == server && name == node)
     }
 
     /// Returns whether no server was tried yet.
--- a/crates/policy/tests/server_room.rs
+++ b/crates/policy/tests/server_room.rs
@@ -168,21 +168,31 @@
         if self.way != Way::Parts {
             return;
         }
+        let mut full = Vec::new();
         for _ in 0..CARRIED_TRIES {
-            let server = self.random.random_range(0..self.load.servers);
+            let Some((server, owner)) = self.choose_carrier(node, &full) else { return };
+            if self.has_part(owner, server) {
+                self.send(owner, server);
+                return;
+            }
+            full.push((server, owner));
+        }
+    }
+
+    // Which nodes have a part follows from their names; whether it is free does not.
+    fn choose_carrier(&mut self, node: usize, full: &[(usize, usize)]) -> Option<(usize, usize)> {
+        let mut carriers = Vec::new();
+        for server in 0..self.load.servers {
             if self.now < self.servers[server].down_until {
                 continue;
             }
-            // Which nodes have a part follows from their names; whether it is free does not.
             let room = self.room(node, server);
             let owners = 0..self.load.nodes;
             let owners = owners.filter(|owner| 0 < self.ranks[*owner][server].part(room));
-            let Some(owner) = owners.choose(&mut self.random) else { continue };
-            if self.has_part(owner, server) {
-                self.send(owner, server);
-                return;
-            }
+            let owners = owners.filter(|owner| !full.contains(&(server, *owner)));
+            carriers.extend(owners.choose(&mut self.random).map(|owner| (server, owner)));
         }
+        carriers.into_iter().choose(&mut self.random)
     }
 
     fn send(&mut self, node: usize, server: usize) {
