Calls of plain services in the own interface: another node carries them if no server can be reached

Callers: at a node that could open a connection to none of the servers, each call ended with 503 (unavailable, not run), though another node reached them. Change: such a call goes to another node, which uses its own connections alone. The home of a key still claims it and settles it, and both interfaces' rule decides what may be sent again; the two loops over servers (calls that may and may not repeat) are one. Ways weighed: a carrier for each server that can't be reached, or one for the service once none can. The first doubles the time that a dead server costs each call, since its connection hangs at every node; the second is kept. The chat dialect is left: its requests belong to nodes, which would have to hand them over.

--- a/crates/daemon/src/backends.rs
+++ b/crates/daemon/src/backends.rs
@@ -60,6 +60,8 @@
     leaving: BTreeSet<VmName>,
     /// Until when plain services want no calls.
     rests: HashMap<WorkerKey, Stamp>,
+    /// Until when services whose servers could not be reached are not tried.
+    lost: HashMap<ServiceName, Stamp>,
     listed: Vec<ListedVm>,
 }
 
@@ -104,6 +106,21 @@
         self.lock().rests.get(&key).copied()
     }
 
+    /// Notes that no server of a service could be reached, and until when it is not tried; returns whether one could before.
+    pub fn note_lost(&self, service: &ServiceName, until: Stamp) -> bool {
+        self.lock().lost.insert(service.clone(), until).is_none()
+    }
+
+    /// Notes that a server of a service was reached; returns whether none could be before.
+    pub fn note_reached(&self, service: &ServiceName) -> bool {
+        self.lock().lost.remove(service).is_some()
+    }
+
+    /// Returns whether the servers of a service could not be reached just before.
+    pub fn is_lost(&self, service: &ServiceName, now: Stamp) -> bool {
+        self.lock().lost.get(service).is_some_and(|until| now < *until)
+    }
+
     /// Stores a new VM list; returns whether it differs from the last one.
     pub fn set_listed(&self, listed: Vec<ListedVm>) -> bool {
         let mut state = self.lock();
@@ -122,6 +139,13 @@
         self.lock().arena.get(key).cloned()
     }
 
+    /// Replaces the client of a backend server.
+    pub fn replace_client(&self, key: WorkerKey, client: BackendClient) {
+        if let Some(backend) = self.lock().arena.get_mut(key) {
+            backend.client = client;
+        }
+    }
+
     /// Returns the backend servers of a service.
     pub fn of(&self, service: &ServiceName) -> Vec<(WorkerKey, Backend)> {
         let state = self.lock();
--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -15,14 +15,17 @@
 use bulrushhall_policy::WorkerKey;
 use bytes::Bytes;
 use hyper::{
-    HeaderMap, Response,
+    HeaderMap, Response, StatusCode,
     header::{CONTENT_TYPE, RETRY_AFTER},
     http::request::Parts,
 };
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     backends::{Backend, BackendClient},
     callers::{ApiCode, ApiError, identify::identify},
+    carried,
     context::Context,
     keyed::{self, KeyedCall, StoredResponse},
 };
@@ -36,6 +39,46 @@
 /// The maximum length of an idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 256;
 
+/// A `Repeat` tells after which attempts a call may be sent to another server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Repeat {
+    /// After any.
+    Allowed,
+    /// After one that certainly did not run it.
+    AfterNotRun,
+}
+
+/// A `Sent` is what came of a call at the backend servers of its service.
+#[derive(Debug)]
+pub(crate) struct Sent {
+    /// Whether it has run.
+    pub(crate) ran: Ran,
+    /// The last response.
+    pub(crate) response: Option<ServiceResponse>,
+    /// The last error.
+    pub(crate) error: Option<CallError>,
+    /// Whether no connection to any server could be opened.
+    pub(crate) is_lost: bool,
+}
+
+impl Default for Sent {
+    fn default() -> Self {
+        Sent { ran: Ran::No, response: None, error: None, is_lost: false }
+    }
+}
+
+impl Sent {
+    /// Returns the end of a call for which no server could be reached.
+    pub(crate) fn lost(error: CallError) -> Sent {
+        Sent { error: Some(error), is_lost: true, ..Sent::default() }
+    }
+
+    /// Returns the end of a call without a response.
+    pub(crate) fn failed(error: CallError) -> Sent {
+        Sent { ran: error.ran, error: Some(error), ..Sent::default() }
+    }
+}
+
 /// Forwards a caller's request to a plain service and returns its response.
 pub async fn call(
     cx: &Arc<Context>,
@@ -71,24 +114,10 @@
     service: &ServiceName,
     call: ServiceCall,
 ) -> Result<Response<Body>, ApiError> {
-    let mut attempts = Attempts::default();
-    let mut last_error = no_backend_error();
-    let mut turned_away = None;
-    for (key, backend) in backends_by_distance(cx, service)? {
-        attempts.begin();
-        match forward(cx, key, &backend, call.clone()).await {
-            Ok(response) if response.rest().is_some() => {
-                attempts.end(Ran::Unknown);
-                turned_away = Some(response);
-            }
-            Ok(response) => return Ok(into_http_response(response)),
-            Err(error) => {
-                attempts.end(error.ran);
-                last_error = call_error(&error);
-            }
-        }
-    }
-    turned_away.map(into_http_response).ok_or_else(|| last_error.ran(attempts.ran()))
+    let Sent { ran, response, error, .. } =
+        carried::send(cx, service, call, Repeat::Allowed).await?;
+    let failed = error.as_ref().map_or_else(no_backend_error, call_error);
+    response.map(into_http_response).ok_or_else(|| failed.ran(ran))
 }
 
 async fn call_at_most_once(
@@ -119,8 +148,60 @@
     ticket.ok_or_else(malformed)?.parse().map(Some).map_err(|_| malformed())
 }
 
-/// Sends a call to one backend server.
-pub(crate) async fn forward(
+/// Sends a call to the backend servers that this node reaches, one after the other, until one responds.
+pub(crate) async fn send(
+    cx: &Context,
+    service: &ServiceName,
+    call: &ServiceCall,
+    repeat: Repeat,
+) -> Result<Sent, ApiError> {
+    let mut attempts = Attempts::default();
+    let mut sent = Sent::default();
+    let mut unreachable = 0;
+    let backends = backends_by_distance(cx, service)?;
+    let count = backends.len();
+    for (key, backend) in backends {
+        attempts.begin();
+        let ended = forward(cx, key, &backend, call.clone()).await;
+        attempts.end(ran_of(call, &ended));
+        sent.ran = attempts.ran();
+        match ended {
+            Ok(response) => {
+                let is_turned_away = response.rest().is_some();
+                sent.response = Some(response);
+                if repeat == Repeat::Allowed && !is_turned_away {
+                    return Ok(sent);
+                }
+            }
+            Err(error) => {
+                unreachable += usize::from(error == CallError::not_done(CallFault::Connect));
+                sent.error = Some(error);
+            }
+        }
+        if repeat == Repeat::AfterNotRun && !attempts.may_retry() {
+            break;
+        }
+    }
+    sent.is_lost = 0 < count && unreachable == count;
+    Ok(sent)
+}
+
+// A backend server that checks fencing numbers refuses the call before it runs anything.
+fn ran_of(call: &ServiceCall, ended: &Result<ServiceResponse, CallError>) -> Ran {
+    match ended {
+        Err(error) => error.ran,
+        Ok(response)
+            if call.fence.is_some() && response.status == StatusCode::PRECONDITION_FAILED =>
+        {
+            Ran::No
+        }
+        Ok(response) if response.status.is_server_error() => Ran::Unknown,
+        Ok(_) => Ran::Yes,
+    }
+}
+
+// Sends a call to one backend server.
+async fn forward(
     cx: &Context,
     key: WorkerKey,
     backend: &Backend,
@@ -170,10 +251,10 @@
     Ok(Bytes::copy_from_slice(key))
 }
 
-/// Returns the backend servers of a service that accept work; those in the node's own zone come first.
-///
-/// If all of them have asked for rest, the error names the time until the first accepts a call again.
-pub(crate) fn backends_by_distance(
+// Returns the backend servers of a service that accept work; those in the node's own zone come first.
+//
+// If all of them have asked for rest, the error names the time until the first accepts a call again.
+fn backends_by_distance(
     cx: &Context,
     service: &ServiceName,
 ) -> Result<Vec<(WorkerKey, Backend)>, ApiError> {
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -81,6 +81,8 @@
     pub members: Members,
     /// The client that sends messages to other nodes.
     pub peers: PeerClient,
+    /// The client that asks other nodes to carry calls.
+    pub carriers: PeerClient,
     /// The highest configuration revision that any message reported.
     pub highest_revision: watch::Sender<Revision>,
     /// The VMs of nodes and backend servers that are known to be leaving; no later report removes an entry.
--- a/crates/daemon/src/keyed/home.rs
+++ b/crates/daemon/src/keyed/home.rs
@@ -5,17 +5,11 @@
     time::Duration,
 };
 
-use bulrushhall_coord::{Attempts, Claim, ClaimRefusal, ClaimsOptions, KeyHash, Ledger};
-use bulrushhall_core::{
-    FencingNumber, Incarnation, Ran,
-    config::{Fencing, ServiceConfig},
-};
-use bulrushhall_external::{
-    CallError, CallFault,
-    service::{ServiceCall, ServiceResponse},
-};
+use bulrushhall_coord::{Claim, ClaimRefusal, ClaimsOptions, KeyHash, Ledger};
+use bulrushhall_core::{FencingNumber, Incarnation, Ran, config::Fencing};
+use bulrushhall_external::{CallFault, service::ServiceCall};
 use bytes::Bytes;
-use hyper::{HeaderMap, Method, StatusCode, header::HeaderName, header::HeaderValue};
+use hyper::{HeaderMap, Method, header::HeaderName, header::HeaderValue};
 use tokio::{
     sync::oneshot,
     time::{Instant, sleep},
@@ -23,7 +17,11 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
-    callers::{ApiCode, ApiError, services},
+    callers::{
+        ApiCode, ApiError,
+        services::{Repeat, Sent},
+    },
+    carried,
     context::Context,
     keyed::{Bind, ClaimKey, KeyedCall, KeyedReply, StoredResponse},
     members::Member,
@@ -211,40 +209,16 @@
     let cfg = in_force.deployment.services.get(&call.service);
     let fence = cfg.filter(|cfg| cfg.fencing == Fencing::Checked);
     let fence = fence.map(|_| FencingNumber(in_force.revision.0));
-    let mut attempts = Attempts::default();
-    let mut stored = None;
-
-    // Another attempt is only allowed after one that certainly did not run.
+    let mut ended = Sent::default();
     if let Some(request) = service_call(&call, fence) {
         // Without a server nothing runs, and the settled claim says so.
-        let backends = services::backends_by_distance(&cx, &call.service).unwrap_or_default();
-        for (key, backend) in backends {
-            attempts.begin();
-            let ended = services::forward(&cx, key, &backend, request.clone()).await;
-            attempts.end(ran_of(cfg, &ended));
-            if let Ok(response) = ended
-                && attempts.ran() == Ran::Yes
-            {
-                stored = Some(StoredResponse::of(&response).encode());
-            }
-            if !attempts.may_retry() {
-                break;
-            }
-        }
+        let sent = carried::send(&cx, &call.service, request, Repeat::AfterNotRun).await;
+        ended = sent.unwrap_or_default();
     }
+    let stored = ended.response.filter(|_| ended.ran == Ran::Yes);
+    let stored = stored.map(|response| StoredResponse::of(&response).encode());
     let now = cx.clock.now();
-    ledger(&cx).settle(now, &call.team, &call.key, attempts.ran(), stored);
-}
-
-fn ran_of(cfg: Option<&ServiceConfig>, ended: &Result<ServiceResponse, CallError>) -> Ran {
-    let fenced = cfg.is_some_and(|cfg| cfg.fencing == Fencing::Checked);
-    match ended {
-        Err(error) => error.ran,
-        // A backend server that checks fencing numbers refuses the call before it runs anything.
-        Ok(response) if fenced && response.status == StatusCode::PRECONDITION_FAILED => Ran::No,
-        Ok(response) if response.status.is_server_error() => Ran::Unknown,
-        Ok(_) => Ran::Yes,
-    }
+    ledger(&cx).settle(now, &call.team, &call.key, ended.ran, stored);
 }
 
 fn service_call(call: &KeyedCall, fence: Option<FencingNumber>) -> Option<ServiceCall> {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod backends;
 pub mod budgeted;
 pub mod callers;
+pub mod carried;
 mod certificates;
 pub mod clock;
 pub mod config_chain;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -32,7 +32,7 @@
     answers::Answers,
     backends::Backends,
     callers::CallerPort,
-    certificates,
+    carried, certificates,
     clock::Clock,
     config_watch,
     context::{Context, InForce},
@@ -101,6 +101,7 @@
             key_value,
             members: Members::default(),
             peers: PeerClient::new(tls.clone()),
+            carriers: PeerClient::for_long_replies(tls.clone()),
             highest_revision: watch::Sender::new(Revision(0)),
             leaving_vms: ArcSwap::default(),
             notices: Mutex::default(),
@@ -124,6 +125,7 @@
         notices::register(&mut peer_port);
         handoff::register(&mut peer_port);
         keyed::register(&mut peer_port);
+        carried::register(&mut peer_port);
         config_watch::register(&mut peer_port);
         discovery::register(&mut peer_port);
 
--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -23,6 +23,8 @@
 
 /// The maximum time until a reply begins.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The maximum time until a reply that waits for a service begins; the sender gives up earlier.
+const LONG_REPLY_TIMEOUT: Duration = Duration::from_secs(600);
 /// The timeouts of a reply's body, which may contain a whole configuration.
 const REPLY_BODY_TIMEOUTS: BodyTimeouts =
     BodyTimeouts { idle: REPLY_TIMEOUT, total: Duration::from_secs(10) };
@@ -30,16 +32,21 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// A `PeerClient` is the client for messages to other nodes; it reuses connections.
-#[derive(Default)]
 pub struct PeerClient {
     endpoints: Mutex<HashMap<SocketAddr, Arc<Endpoint>>>,
     tls: Option<Arc<Tls>>,
+    reply_timeout: Duration,
 }
 
 impl PeerClient {
     /// Returns a client that uses TLS if `tls` is given.
     pub fn new(tls: Option<Arc<Tls>>) -> PeerClient {
-        PeerClient { endpoints: Mutex::default(), tls }
+        PeerClient { endpoints: Mutex::default(), tls, reply_timeout: REPLY_TIMEOUT }
+    }
+
+    /// Returns a client for messages whose replies take as long as a call of a service.
+    pub fn for_long_replies(tls: Option<Arc<Tls>>) -> PeerClient {
+        PeerClient { reply_timeout: LONG_REPLY_TIMEOUT, ..PeerClient::new(tls) }
     }
 
     /// Sends a message to the node at `address`, only to the incarnation `to` if given.
@@ -94,7 +101,7 @@
         let endpoint = endpoints.entry(address).or_insert_with(|| {
             let options = EndpointOptions {
                 connect_timeout: CONNECT_TIMEOUT,
-                response_timeout: REPLY_TIMEOUT,
+                response_timeout: self.reply_timeout,
                 tls: self.tls.clone(),
                 ..EndpointOptions::default()
             };
