--- a/crates/daemon/src/keyed/home.rs
+++ b/crates/daemon/src/keyed/home.rs
@@ -19,7 +19,7 @@
 use crate::{
     callers::{
         ApiCode, ApiError,
-        services::{Repeat, Sent},
+        sent::{Repeat, Sent},
     },
     carried,
     context::Context,
@@ -222,11 +222,7 @@
 }
 
 fn service_call(call: &KeyedCall, fence: Option<FencingNumber>) -> Option<ServiceCall> {
-    let mut headers = HeaderMap::new();
-    for (name, value) in &call.headers {
-        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
-        headers.insert(name, HeaderValue::from_bytes(value).ok()?);
-    }
+    let headers = headers_of(&call.headers)?;
     let method = Method::from_bytes(call.method.as_bytes()).ok()?;
     let (path, body) = (call.path.clone(), call.body.clone());
     Some(ServiceCall { method, path, headers, body, fence })
@@ -256,6 +252,16 @@
     cx.ledger.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
+/// Returns headers that were forwarded by a node; none if one is malformed.
+pub(crate) fn headers_of(pairs: &[(String, Bytes)]) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::new();
+    for (name, value) in pairs {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_bytes(value).ok()?);
+    }
+    Some(headers)
+}
+
 /// Returns the headers of a call in the form in which nodes forward them.
 pub(crate) fn portable_headers(headers: &HeaderMap) -> Vec<(String, Bytes)> {
     let pairs = headers.iter();
--- a/crates/daemon/src/keyed/mod.rs
+++ b/crates/daemon/src/keyed/mod.rs
@@ -7,7 +7,7 @@
 mod stored;
 
 pub use claimer::{Bind, Claimer, ClaimerTick, ReadDone, SwapDone, run_timer};
-pub(crate) use home::portable_headers;
 pub use home::{KeyedResult, call};
+pub(crate) use home::{headers_of, portable_headers};
 pub use messages::{ClaimKey, KeyedCall, KeyedReply, register};
 pub use stored::StoredResponse;
--- a/crates/daemon/tests/carried_calls.rs
+++ b/crates/daemon/tests/carried_calls.rs
@@ -7,12 +7,16 @@
 
 use bulrushhall_bench::{Caller, CallerError, Testbed, TestbedOptions, testbed::LEDGER};
 use bulrushhall_core::{Ran, ServiceName};
-use bulrushhall_daemon::backends::BackendClient;
+use bulrushhall_daemon::{
+    backends::BackendClient,
+    carried::{CarriedCall, Repeat},
+};
 use bulrushhall_external::{
     Call, CallError, CallFault, PlainService,
     service::{ServiceCall, ServiceResponse},
 };
 use bulrushhall_standin::switches::Faults;
+use bytes::Bytes;
 use hyper::Method;
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -120,6 +124,29 @@
     assert_eq!(runs(&testbed), before);
 }
 
+// Guards against a node that fails on a malformed call, or sends what it did not understand.
+#[rstest]
+#[case::method("a method", "accept", "/stock")]
+#[case::header_name("GET", "a name", "/stock")]
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_calls(#[case] method: &str, #[case] header: &str, #[case] path: &str) {
+    let testbed = start(0, Duration::ZERO).await;
+    let call = CarriedCall {
+        service: ServiceName::new(LEDGER).expect("a name"),
+        repeat: Repeat::Allowed,
+        method: method.to_owned(),
+        path: path.to_owned(),
+        headers: vec![(header.to_owned(), Bytes::from_static(b"a"))],
+        body: Bytes::new(),
+        fence: None,
+    };
+    let cx = testbed.nodes[0].context();
+    let peers = testbed.nodes[1].context().settings.node.peers;
+    let reply = cx.carriers.send(cx, peers, None, call).await.expect("a reply");
+    assert_eq!((reply.ran, reply.response.is_some()), (Ran::No, false));
+    assert_eq!(runs(&testbed), 0);
+}
+
 // Guards against calls that are carried to a server which has asked the carrying node for rest.
 #[tokio::test(flavor = "multi_thread")]
 async fn resting_servers_rest() {
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -186,10 +186,11 @@
 ) -> Result<Sent, Failure> {
     let mut tried = TriedServers::default();
     let mut connect_failures = 0;
-    let search_end = clock::now() + MAX_ROOM_SEARCH;
+    let mut search_end = None;
     let mut last_end = AttemptEnd::default();
     loop {
-        let left = original.deadline.since(clock::now());
+        let began = clock::now();
+        let left = original.deadline.since(began);
         if left.is_zero() {
             return Err(Failure::TimedOut(attempts.ran()));
         }
@@ -234,6 +235,7 @@
             let is_full = failed.fault == SendFault::NotOpened(OpenError::Full);
             if let Some(node) = placement.carrier.filter(|_| is_full) {
                 tried.note_full(node);
+                let search_end = *search_end.get_or_insert(began + MAX_ROOM_SEARCH);
                 if tried.full_count() < MAX_FULL_FAILURES && clock::now() < search_end {
                     continue;
                 }
