--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -8,6 +8,7 @@
 mod identify;
 mod in_flight;
 mod placement;
+mod room_search;
 mod serve;
 mod stream_gaps;
 mod tried;
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -25,6 +25,7 @@
         forward::ResponseForwarder,
         identify::{IdentifiedRequest, identify},
         placement::{BRITTLE_RETRY_AFTER, Placement, PlacementQuery, Way, place},
+        room_search::RoomSearch,
         tried::TriedServers,
     },
     rollouts::AttemptEnd,
@@ -49,8 +50,6 @@
 pub const MAX_CONNECT_FAILURES: usize = 4;
 /// The number of nodes without room for a request after which it is refused.
 const MAX_FULL_FAILURES: usize = 6;
-/// The time after which no other node is asked for room: slow answers come from nodes that are busy themselves.
-const MAX_ROOM_SEARCH: Duration = Duration::from_millis(150);
 /// The number of failed connection attempts after which another node carries a request.
 pub const MAX_OWN_CONNECT_FAILURES: usize = 2;
 
@@ -186,7 +185,7 @@
 ) -> Result<Sent, Failure> {
     let mut tried = TriedServers::default();
     let mut connect_failures = 0;
-    let mut search_end = None;
+    let mut search = RoomSearch::default();
     let mut last_end = AttemptEnd::default();
     loop {
         let began = clock::now();
@@ -225,6 +224,9 @@
         };
         last_end = failed.fault.attempt_end();
         attempts.end(failed.ran);
+        let is_searching = is_refused_for_room(gateway, service, failed.fault, &placement);
+        let is_search_over = is_searching && search.note_refusal(began, clock::now());
+        let no_room = Failure::ServersLimited(BRITTLE_RETRY_AFTER);
         if matches!(failed.fault, SendFault::NotOpened(_)) {
             // Nothing reached a backend server, so this does not count as an attempt.
             log_entry.note_unsent();
@@ -235,12 +237,13 @@
             let is_full = failed.fault == SendFault::NotOpened(OpenError::Full);
             if let Some(node) = placement.carrier.filter(|_| is_full) {
                 tried.note_full(node);
-                let search_end = *search_end.get_or_insert(began + MAX_ROOM_SEARCH);
-                if tried.full_count() < MAX_FULL_FAILURES && clock::now() < search_end {
+                if tried.full_count() < MAX_FULL_FAILURES && !is_search_over {
                     continue;
                 }
-                let after = Failure::ServersLimited(BRITTLE_RETRY_AFTER);
-                return Err(unless_run(after, attempts));
+                return Err(unless_run(no_room, attempts));
+            }
+            if is_search_over {
+                return Err(unless_run(no_room, attempts));
             }
             connect_failures += 1;
             if connect_failures < MAX_CONNECT_FAILURES {
@@ -251,6 +254,9 @@
         if original.deadline <= clock::now() {
             return Err(Failure::TimedOut(attempts.ran()));
         }
+        if is_search_over {
+            return Err(unless_run(no_room, attempts));
+        }
         let allowed = attempts.may_retry() || req.route.cfg.kind.may_run_again();
         if !allowed || !take_retry(gateway, req, service, log_entry) {
             return Err(unless_run(Failure::Rejected, attempts));
@@ -258,6 +264,22 @@
     }
 }
 
+// Returns whether a brittle server, or a node that was to carry the request there, has refused it. That this node could not
+// open a connection says nothing of the room.
+fn is_refused_for_room(
+    gateway: &Gateway,
+    service: &ServiceName,
+    fault: SendFault,
+    placement: &Placement,
+) -> bool {
+    let is_refused = match fault {
+        SendFault::NotRun => true,
+        SendFault::NotOpened(_) => placement.carrier.is_some(),
+        _ => false,
+    };
+    is_refused && gateway.with(|state| state.brittle.get(service).is_some())
+}
+
 // Only the first attempt may go to a version that is being rolled out: retries would add to its share.
 fn first_track(gateway: &Gateway, req: &IdentifiedRequest, service: &ServiceName) -> Track {
     let hash = xxh3_64_with_seed(req.call.id.as_bytes(), TRACK_SEED);
