Log lines name the software version of engines, and the stream that a request takes up

Before, the logs could not tell a node's own resumption within an answer from one of a caller that returned, nor that two versions were joined.

--- a/crates/gateway/src/backends/directory.rs
+++ b/crates/gateway/src/backends/directory.rs
@@ -287,6 +287,7 @@
                 backend = name,
                 service,
                 zone,
+                version = record.version.as_str(),
                 address = %record.address,
                 reclaimable = record.reclaimable
             );
--- a/crates/gateway/src/pipeline/access_log.rs
+++ b/crates/gateway/src/pipeline/access_log.rs
@@ -118,6 +118,9 @@
             counted = self.counted,
             sends = self.sends,
             backend = placement.map_or("", |placement| &*placement.name),
+            version = placement.map_or("", |placement| &*placement.version),
+            after = req.and_then(|req| req.call.resume_after),
+            resumes = req.and_then(|req| req.call.resumes.as_deref()),
             carrier = placement
                 .and_then(|placement| placement.carrier.as_ref())
                 .map(tracing::field::display),
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -251,6 +251,7 @@
             event = Event::StreamResumed.number(),
             id = self.req.call.id.as_str(),
             backend = &*placement.name,
+            version = &*placement.version,
             after = self.last_event
         );
         let sent =
--- a/crates/gateway/src/pipeline/placement.rs
+++ b/crates/gateway/src/pipeline/placement.rs
@@ -55,6 +55,8 @@
     pub name: Arc<str>,
     /// Its start time.
     pub born: Option<u64>,
+    /// The version of its software.
+    pub version: Arc<str>,
     /// The connections over which the request is sent: to the server, or to the node that carries it.
     pub pool: Arc<Pool>,
     /// The maximum number of these connections.
@@ -303,6 +305,7 @@
             key: chosen.key,
             name: Arc::clone(&backend.name),
             born: backend.record.born,
+            version: backend.record.version.as_str().into(),
             pool,
             connections,
             carrier,
