A stream goes on within an answer only at the version of its first event

Callers saw: a whole answer whose events come from two software versions (ORDER). Cause: the engine at which a broken or stalled answer goes on was chosen among all engines of the service; versions were told apart in roll-outs alone, and there resumptions were sent to the current version on purpose, whichever had begun. Ruled out: the placement as what binds. Change: the forwarder binds a stream to the version of the first event that it passes on, and places it again only there; without a server of it the answer ends. In a roll-out the target version's streams need a valid grant and end with a revert.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod relays;
 pub mod rollouts;
 mod roster;
+pub mod streams;
 pub mod update_sources;
 pub mod usage;
 
--- a/crates/gateway/src/pipeline/failure.rs
+++ b/crates/gateway/src/pipeline/failure.rs
@@ -38,6 +38,8 @@
     ServersLimited(Duration),
     /// No backend server accepts work.
     NoBackend,
+    /// It continues a stream, and no backend server of the version that the stream began at accepts work.
+    VersionGone,
     /// The node is shutting down.
     Leaving,
     /// No backend server that got it ran it, and it may not be sent to another one.
@@ -63,6 +65,7 @@
             Failure::Overloaded(_) => "overloaded",
             Failure::ServersLimited(_) => "servers_limited",
             Failure::NoBackend => "no_backend",
+            Failure::VersionGone => "version_gone",
             Failure::Leaving => "leaving",
             Failure::Rejected => "rejected",
             Failure::ResponseLost => "lost",
@@ -87,9 +90,10 @@
             Failure::Overloaded(after) | Failure::ServersLimited(after) => {
                 (StatusCode::SERVICE_UNAVAILABLE, Some(after))
             }
-            Failure::ConfigUnknown | Failure::NoBackend | Failure::Rejected => {
-                (StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_AFTER_UNKNOWN))
-            }
+            Failure::ConfigUnknown
+            | Failure::NoBackend
+            | Failure::VersionGone
+            | Failure::Rejected => (StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_AFTER_UNKNOWN)),
             Failure::Leaving => (StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_AFTER_LEAVING)),
             Failure::TimedOut(Ran::No) => {
                 (StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_AFTER_UNKNOWN))
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -17,6 +17,7 @@
         EventSplitter, StreamGaps,
         access_log::AccessLogEntry,
         attempt::{BackendResponse, OriginalRequest, SendFault, attempt, note_outcome},
+        binding::Binding,
         identify::IdentifiedRequest,
         placement::{PlacementQuery, Way, place},
         serve::{
@@ -51,6 +52,7 @@
     splitter: EventSplitter,
     gaps: StreamGaps,
     last_event: Option<u64>,
+    binding: Binding,
     ended: bool,
 }
 
@@ -102,6 +104,7 @@
             splitter: EventSplitter::default(),
             gaps: StreamGaps::default(),
             last_event,
+            binding: Binding::Free,
             ended: false,
         }
     }
@@ -171,10 +174,21 @@
         }
         let Some(split) = split else { return Step::Nothing };
         self.last_event = split.last_id.or(self.last_event);
+        self.bind();
         self.gaps.note(clock::now(), split.events);
         Step::Frame(split.bytes)
     }
 
+    // Binds the stream to the version of the event that is about to be passed on, if it is the first one.
+    fn bind(&mut self) {
+        let Some(backend_response) = &self.backend_response else { return };
+        if self.binding != Binding::Free || self.req.route.cfg.kind != RouteKind::ResumableStream {
+            return;
+        }
+        let placement = &backend_response.placement;
+        self.binding = self.gateway.with(|state| Binding::of_first_event(state, placement));
+    }
+
     fn is_complete(&self) -> bool {
         let ended = self
             .backend_response
@@ -204,7 +218,7 @@
     }
 
     async fn resume(&mut self) -> bool {
-        if !self.may_resume() {
+        if !self.may_resume() || self.binding == Binding::Uncertain {
             return false;
         }
         let hash = service_hash(&self.req);
@@ -241,8 +255,8 @@
     ) -> Result<BackendResponse, SendFault> {
         let left = self.original.deadline.since(clock::now());
         let track = retry_track(&self.gateway, service, last_end);
-        let query =
-            PlacementQuery { req: &self.req, service, tried: &self.tried, left, track, way };
+        let (req, tried, origin) = (&self.req, &self.tried, self.binding.origin());
+        let query = PlacementQuery { req, service, tried, left, track, way, origin };
         // Without a backend server the request is not run again.
         let placement = place(&self.gateway, query).map_err(|_| SendFault::NotRun)?;
         self.tried.note(placement.key);
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -2,6 +2,7 @@
 
 mod access_log;
 mod attempt;
+mod binding;
 mod events;
 mod failure;
 mod forward;
--- a/crates/gateway/src/pipeline/placement.rs
+++ b/crates/gateway/src/pipeline/placement.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bulrushhall_coord::Role;
+use bulrushhall_coord::{Role, streams::StreamOrigin};
 use bulrushhall_core::{NodeName, ServiceName, Stamp, ZoneName};
 use bulrushhall_policy::{
     copy_source::{MIN_COPIED_TOKENS, SourceView, choose_source, max_cached_tokens},
@@ -55,6 +55,8 @@
     pub name: Arc<str>,
     /// Its start time.
     pub born: Option<u64>,
+    /// Its service.
+    pub service: ServiceName,
     /// The version of its software.
     pub version: Arc<str>,
     /// The connections over which the request is sent: to the server, or to the node that carries it.
@@ -94,6 +96,8 @@
     pub track: Track,
     /// How it gets to the backend server.
     pub way: Way,
+    /// Where the stream began that it continues, if it continues one.
+    pub origin: Option<&'a StreamOrigin>,
 }
 
 /// A `Way` is how a request gets to a backend server.
@@ -139,7 +143,7 @@
         zone: &ZoneName,
     ) -> Result<Placement, Failure> {
         let now = clock::now();
-        let filter = state.rollouts.filter(now, self.service, self.track, &state.backends);
+        let filter = self.filter(state, now);
         let chosen = match (entry.engine, &self.req.call.prompt) {
             (Some(sizes), Some(prompt)) => {
                 self.choose_engine_server(state, zone, sizes, prompt, &filter)?
@@ -149,6 +153,14 @@
         self.placement(state, entry, chosen)
     }
 
+    fn filter(&self, state: &State, now: Stamp) -> VersionFilter {
+        let State { rollouts, backends, .. } = state;
+        match self.origin {
+            Some(origin) => rollouts.bound_filter(now, self.service, &origin.version, backends),
+            None => rollouts.filter(now, self.service, self.track, backends),
+        }
+    }
+
     fn choose_engine_server(
         &self,
         state: &mut State,
@@ -305,6 +317,7 @@
             key: chosen.key,
             name: Arc::clone(&backend.name),
             born: backend.record.born,
+            service: backend.record.service.clone(),
             version: backend.record.version.as_str().into(),
             pool,
             connections,
@@ -336,9 +349,11 @@
         }
         let Some(brittleness) = state.brittle.get(self.service) else { return self.way };
         let now = clock::now();
+        let filter = self.filter(state, now);
         let mut servers = state.backends.accepting(self.service);
         let has_room = servers.any(|(key, backend)| {
             self.tried.allows(key, Way::Own)
+                && filter.selects(&backend.record.version, backend.identity)
                 && backend.room.has_part(now, brittleness, backend.record.slots)
         });
         if has_room { self.way } else { Way::Carried }
@@ -443,7 +458,9 @@
                 cached = cached.max(backend.parts.cached(&prompt.parts));
             }
         }
-        let Some(wait) = waits.into_iter().min() else { return Failure::NoBackend };
+        let Some(wait) = waits.into_iter().min() else {
+            return if self.origin.is_some() { Failure::VersionGone } else { Failure::NoBackend };
+        };
         if let (Some(prompt), true) = (&self.req.call.prompt, self.tried.is_empty()) {
             let read = f64::from(prompt.tokens.saturating_sub(cached));
             let demand = state.demand.entry(self.service.clone()).or_default();
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -199,7 +199,8 @@
         };
         // Another server may be unreachable as well, and each attempt to connect takes time.
         let way = if connect_failures < MAX_OWN_CONNECT_FAILURES { Way::Own } else { Way::Carried };
-        let query = PlacementQuery { req, service, tried: &tried, left, track, way };
+        let (tried_servers, origin) = (&tried, None);
+        let query = PlacementQuery { req, service, tried: tried_servers, left, track, way, origin };
         let placement = place(gateway, query);
         let placement = placement.map_err(|failure| unless_run(failure, attempts))?;
         tried.note(placement.key);
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -103,6 +103,8 @@
     },
     /// Those of all versions but some.
     Except(Vec<String>),
+    /// None.
+    Nothing,
 }
 
 impl VersionFilter {
@@ -114,6 +116,7 @@
                 only == version && identity <= *max_identity
             }
             VersionFilter::Except(versions) => versions.iter().all(|except| except != version),
+            VersionFilter::Nothing => false,
         }
     }
 }
@@ -171,6 +174,25 @@
         }
     }
 
+    /// Returns the servers at which a stream that began at a version may go on.
+    pub fn bound_filter(
+        &self,
+        now: Stamp,
+        service: &ServiceName,
+        version: &str,
+        backends: &Backends,
+    ) -> VersionFilter {
+        let is_current = self.filter(now, service, Track::Current, backends).selects(version, 0);
+        let rollout = self.known.get(service).filter(|rollout| rollout.target == version);
+        let grant = rollout.and_then(|rollout| rollout.grant(now));
+        let is_granted = grant.is_some_and(|grant| 0 < grant.per_mille || grant.drains);
+        if is_current || is_granted {
+            VersionFilter::Only { version: version.to_owned(), max_identity: u64::MAX }
+        } else {
+            VersionFilter::Nothing
+        }
+    }
+
     /// Returns where the answer of a request is counted; none unless a roll-out of the service is in progress.
     pub fn answer_key(
         &self,
--- a/crates/gateway/tests/rollout_state.rs
+++ b/crates/gateway/tests/rollout_state.rs
@@ -161,3 +161,26 @@
     let expected = TrackCounts { sent: 1, ..TrackCounts::default() };
     assert_eq!(counts, [(("look".to_owned(), TrackGroup::CURRENT), expected)]);
 }
+
+// Guards against a stream that a roll-out moves to another version, and against one that goes on at a version that a
+// roll-out has withdrawn.
+#[test]
+fn streams_keep_version() {
+    let backends = servers(3, 2);
+    let bound = |state: &RolloutState, version: &str| {
+        let filter = state.bound_filter(T0, &service(), version, &backends);
+        selected(&backends, &filter).into_iter().collect::<Vec<_>>()
+    };
+    let of = |version: &str, count| vec![(version.to_owned(), count)];
+    let mut state = RolloutState::default();
+    assert_eq!((bound(&state, "v1"), bound(&state, "v2")), (of("v1", 3), of("v2", 2)));
+    state = in_progress();
+    assert_eq!((bound(&state, "v1"), bound(&state, "v2")), (of("v1", 3), vec![]));
+    grant(&mut state, 30, false);
+    assert_eq!((bound(&state, "v1"), bound(&state, "v2")), (of("v1", 3), of("v2", 2)));
+    state.end(&service(), RolloutPhase::Reverted, &backends);
+    assert_eq!((bound(&state, "v1"), bound(&state, "v2")), (of("v1", 3), vec![]));
+    state = in_progress();
+    state.end(&service(), RolloutPhase::Completed, &backends);
+    assert_eq!((bound(&state, "v1"), bound(&state, "v2")), (vec![], of("v2", 2)));
+}
