A stream that a caller takes up goes on only at the version that began it, at any node

Cause: `Resumes` was not read, and no node knew at which version another node's streams began. A split route could send the caller's next attempt to another service for the same reason. Change: a node keeps the origin of each stream whose first event it passed on, under a hash of the team and the attempt, and copies it in batches to two nodes chosen by hash; a node that does not know a stream asks up to four. All that is unknown, of another team or ambiguous is refused at once, unless the service has had one version only for as long as the stream may have lasted, as nodes in touch know together. New versions get no new streams in their first 0.6 s, so that no node takes an older one for the only one. Ruled out: version of the placement; trust in a node that has just started or was alone.

--- /dev/null
+++ b/crates/coord/src/streams/versions.rs
@@ -0,0 +1,168 @@
+//! The software versions of each service that nodes have seen lately.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bulrushhall_core::{ServiceName, Stamp};
+use serde::{Deserialize, Serialize};
+
+/// How long a version has to be known before it gets new streams, if others serve: within this time all nodes in touch
+/// hear of it, so that none takes the service to have one version only.
+const SETTLING_TIME: Duration = Duration::from_millis(600);
+/// How long versions are remembered.
+const MEMORY: Duration = Duration::from_secs(600);
+
+/// A `SeenVersion` is when servers of a version were known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Seen {
+    first: Stamp,
+    last: Stamp,
+}
+
+/// A `SeenVersion` is a version as one node reports it to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeenVersion {
+    /// The service.
+    pub service: ServiceName,
+    /// The version.
+    pub version: String,
+    /// The time since its servers were first known, in milliseconds.
+    pub first_ms: u64,
+    /// The time since its servers were last known, in milliseconds.
+    pub last_ms: u64,
+}
+
+/// A `VersionsReport` is all that a node knows of versions.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionsReport {
+    /// How far back the sender's knowledge reaches, in milliseconds; none if there were no streams before it.
+    pub known_ms: Option<u64>,
+    /// The versions.
+    pub versions: Vec<SeenVersion>,
+}
+
+/// How far back the knowledge of a node reaches.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+enum Known {
+    /// To the first start of the system.
+    Always,
+    /// To a moment.
+    Since(Stamp),
+    /// Nowhere.
+    #[default]
+    Never,
+}
+
+/// `ServiceVersions` are the versions of each service that nodes have seen.
+///
+/// A stream of which nothing else is known began at one of them.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceVersions {
+    services: BTreeMap<ServiceName, BTreeMap<String, Seen>>,
+    known: Known,
+}
+
+impl ServiceVersions {
+    /// Returns the knowledge of a node that starts when the whole system starts for the first time.
+    pub fn at_first_start() -> ServiceVersions {
+        ServiceVersions { known: Known::Always, ..ServiceVersions::default() }
+    }
+
+    /// Notes that servers of a version are known.
+    pub fn note(&mut self, now: Stamp, service: &ServiceName, version: &str) {
+        if self.known == Known::Never {
+            self.known = Known::Since(now);
+        }
+        self.note_seen(service, version, Seen { first: now, last: now });
+    }
+
+    /// Notes that this node was out of touch: others may have seen versions that it has not.
+    pub fn note_isolated(&mut self, now: Stamp) {
+        self.known = Known::Since(now);
+    }
+
+    fn note_seen(&mut self, service: &ServiceName, version: &str, seen: Seen) {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.clone(), BTreeMap::new());
+        }
+        let Some(versions) = self.services.get_mut(service) else { return };
+        match versions.get_mut(version) {
+            Some(known) => {
+                *known =
+                    Seen { first: known.first.min(seen.first), last: known.last.max(seen.last) }
+            }
+            None => {
+                versions.insert(version.to_owned(), seen);
+            }
+        }
+        versions.retain(|_, known| seen.last.since(known.last) < MEMORY);
+    }
+
+    /// Returns the only version of a service within `horizon`; none if there were several, or if others may have been.
+    pub fn only(&self, now: Stamp, service: &ServiceName, horizon: Duration) -> Option<&str> {
+        if !self.reaches_back(now, horizon) {
+            return None;
+        }
+        let versions = self.services.get(service)?.iter();
+        let mut recent = versions.filter(|(_, seen)| now.since(seen.last) <= horizon);
+        let (version, _) = recent.next()?;
+        recent.next().is_none().then_some(version.as_str())
+    }
+
+    fn reaches_back(&self, now: Stamp, horizon: Duration) -> bool {
+        match self.known {
+            Known::Always => true,
+            Known::Since(since) => horizon <= now.since(since),
+            Known::Never => false,
+        }
+    }
+
+    /// Returns whether a version has been known for long enough to get new streams.
+    pub fn is_settled(&self, now: Stamp, service: &ServiceName, version: &str) -> bool {
+        let seen = self.services.get(service).and_then(|versions| versions.get(version));
+        seen.is_some_and(|seen| SETTLING_TIME <= now.since(seen.first))
+    }
+
+    /// Returns whether there is a version that has not settled yet, which other nodes have to hear of soon.
+    pub fn has_unsettled(&self, now: Stamp) -> bool {
+        let mut seen = self.services.values().flat_map(BTreeMap::values);
+        seen.any(|seen| now.since(seen.first) < SETTLING_TIME)
+    }
+
+    /// Returns what this node reports to others.
+    pub fn report(&self, now: Stamp) -> Option<VersionsReport> {
+        let known_ms = match self.known {
+            Known::Always => None,
+            Known::Since(since) => Some(millis(now.since(since))),
+            Known::Never => return None,
+        };
+        let mut versions = Vec::new();
+        for (service, of_service) in &self.services {
+            for (version, seen) in of_service {
+                versions.push(SeenVersion {
+                    service: service.clone(),
+                    version: version.clone(),
+                    first_ms: millis(now.since(seen.first)),
+                    last_ms: millis(now.since(seen.last)),
+                });
+            }
+        }
+        Some(VersionsReport { known_ms, versions })
+    }
+
+    /// Adds what another node reports.
+    pub fn receive(&mut self, now: Stamp, report: &VersionsReport) {
+        let known = report
+            .known_ms
+            .map_or(Known::Always, |known_ms| Known::Since(now - Duration::from_millis(known_ms)));
+        self.known = self.known.min(known);
+        for SeenVersion { service, version, first_ms, last_ms } in &report.versions {
+            let first = now - Duration::from_millis(*first_ms);
+            let last = now - Duration::from_millis(*last_ms);
+            self.note_seen(service, version, Seen { first, last });
+        }
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/external/src/http/endpoint.rs
+++ b/crates/external/src/http/endpoint.rs
@@ -63,6 +63,7 @@
 }
 
 /// An `Endpoint` is a client of one server, with a pool of idle connections.
+#[derive(Debug)]
 pub struct Endpoint {
     address: SocketAddr,
     host: HeaderValue,
--- a/crates/gateway/src/cluster/advertise.rs
+++ b/crates/gateway/src/cluster/advertise.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use bulrushhall_coord::{Role, TeamCounts, Window, usage::WindowSelection};
+use bulrushhall_coord::{
+    Role, TeamCounts, Window, streams::VersionsReport, usage::WindowSelection,
+};
 use bulrushhall_core::{Incarnation, ServiceName, Stamp, TeamName};
 use bulrushhall_policy::{parts::PromptPart, quota::QuotaReport};
 
@@ -62,6 +64,7 @@
             brittle_services: state.brittle.reports(now, state.gossip_rounds),
             rooms: room_reports(state, now),
             lost_services: own_lost_services(gateway, state),
+            versions: versions_report(state, now),
             scope,
             reply_scope,
             record_cursor: state.relay_cursor(now).filter(|_| reply_scope == DigestScope::Others),
@@ -75,6 +78,11 @@
     })
 }
 
+fn versions_report(state: &State, now: Stamp) -> Option<VersionsReport> {
+    let is_due = state.streams.reports_versions(now, state.gossip_rounds);
+    is_due.then(|| state.streams.versions.report(now)).flatten()
+}
+
 fn own_lost_services(gateway: &Gateway, state: &State) -> Vec<(Incarnation, Vec<ServiceName>)> {
     let lost: Vec<ServiceName> = state.reachability.lost_services().cloned().collect();
     if lost.is_empty() { Vec::new() } else { vec![(gateway.incarnation, lost)] }
--- a/crates/gateway/src/cluster/digest.rs
+++ b/crates/gateway/src/cluster/digest.rs
@@ -1,6 +1,6 @@
 //! The messages that nodes exchange.
 
-use bulrushhall_coord::{TeamCounts, Window, rollouts::RolloutReport};
+use bulrushhall_coord::{TeamCounts, Window, rollouts::RolloutReport, streams::VersionsReport};
 use bulrushhall_core::{Era, Incarnation, NodeName, Revision, ServiceName, TeamName};
 use bulrushhall_policy::{observed::EngineLatencyModel, parts::PromptPart};
 use bytes::Bytes;
@@ -145,6 +145,9 @@
     /// have lost none are left out.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub lost_services: Vec<(Incarnation, Vec<ServiceName>)>,
+    /// The versions of services that the sender knows; nodes of an earlier version do not send them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub versions: Option<VersionsReport>,
     /// The sender's latency models of the engines of each service.
     #[serde(rename = "paces")]
     pub latency_models: Vec<(ServiceName, EngineLatencyModel)>,
@@ -187,6 +190,7 @@
             brittle_services: Vec::new(),
             rooms: Vec::new(),
             lost_services: Vec::new(),
+            versions: None,
             latency_models: Vec::new(),
             record_cursor: None,
             records: None,
--- a/crates/gateway/src/cluster/gossip.rs
+++ b/crates/gateway/src/cluster/gossip.rs
@@ -31,6 +31,7 @@
     },
     gateway::{Gateway, State},
     meters,
+    streams::{note_isolation, note_versions},
 };
 
 /// The gossip interval without relays: all nodes see a burst before an engine has prefilled more than a
@@ -118,6 +119,8 @@
     for quota in state.quotas.values_mut() {
         quota.retain(|peer| members.is_known(peer));
     }
+    note_versions(state, now);
+    note_isolation(state, now);
     plan_relays(gateway, state, now);
     plan_limits(state, &gateway.settings.gateway.name);
     plan_rooms(state, &gateway.settings.gateway.name);
@@ -292,7 +295,8 @@
     Endpoint::new(address, options)
 }
 
-async fn call<T: DeserializeOwned>(
+/// Sends an encoded message to a node and returns its reply.
+pub async fn call<T: DeserializeOwned>(
     endpoint: &Endpoint,
     path: &str,
     message: Bytes,
--- a/crates/gateway/src/cluster/members.rs
+++ b/crates/gateway/src/cluster/members.rs
@@ -8,9 +8,15 @@
 };
 
 use bulrushhall_core::{Event, Incarnation, NodeName, ServiceName, Stamp, ZoneName};
+use bulrushhall_external::http::Endpoint;
 use serde::{Deserialize, Serialize};
 
-use crate::{backends::Pool, change_log::ChangeLog, cluster::MemberUpdates, demand::Offered};
+use crate::{
+    backends::Pool,
+    change_log::ChangeLog,
+    cluster::{MemberUpdates, gossip::endpoint},
+    demand::Offered,
+};
 
 /// The heartbeat timeout of a node: four gossip intervals of 250 ms and a margin.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -61,6 +67,8 @@
     pub lost_services: BTreeSet<ServiceName>,
     /// The connections over which it carries requests of this node.
     pub pool: Arc<Pool>,
+    /// The client by which it is asked for streams and gets copies of them.
+    pub endpoint: Arc<Endpoint>,
 }
 
 /// `Members` are the other nodes.
@@ -81,6 +89,7 @@
     fn new(record: MemberRecord) -> Member {
         Member {
             pool: Arc::new(Pool::new(record.peers)),
+            endpoint: Arc::new(endpoint(record.peers)),
             record,
             listed: false,
             changed_at: 0,
--- a/crates/gateway/src/cluster/mod.rs
+++ b/crates/gateway/src/cluster/mod.rs
@@ -18,6 +18,7 @@
 mod membership;
 mod peer_port;
 mod receive;
+mod stream_copies;
 
 pub use backends::follow_backends;
 pub use carried::{CARRIED_HEADER, CARRY_PATH, CarriedRequest, CarryFailure};
@@ -28,6 +29,9 @@
 pub use members::{Member, MemberRecord, Members};
 pub use membership::{DUTY_KEY, follow_members, register};
 pub use peer_port::PeerPort;
+pub use stream_copies::{
+    COPIES_PATH, CopiesTaken, FIND_PATH, FindStreams, copy_streams, find_stream, hand_over_streams,
+};
 
 /// `MemberUpdates` are updates of the records of nodes in the key-value service.
 pub type MemberUpdates = Updates<NodeName, MemberRecord>;
--- a/crates/gateway/src/cluster/peer_port.rs
+++ b/crates/gateway/src/cluster/peer_port.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bulrushhall_coord::streams::StreamBatch;
 use bulrushhall_external::{
     BoxFuture,
     http::{Body, Handler, empty, full, read_limited},
@@ -13,7 +14,8 @@
     backends::BackendUpdates,
     clock,
     cluster::{
-        CARRY_PATH, CarriedRequest, Digest, DigestScope, Document, MemberUpdates, RecordCursor,
+        CARRY_PATH, COPIES_PATH, CarriedRequest, Digest, DigestScope, Document, FIND_PATH,
+        FindStreams, MemberUpdates, RecordCursor,
         advertise::{DigestOptions, build_digest},
         carry::carry,
         gossip::{
@@ -21,6 +23,7 @@
             fetch_document,
         },
         receive::receive_digest,
+        stream_copies::{known_streams, take_copies},
     },
     gateway::Gateway,
 };
@@ -64,6 +67,14 @@
                 Ok(carried) => carry(&self.gateway, carried).await,
                 Err(_) => refuse(StatusCode::BAD_REQUEST),
             },
+            COPIES_PATH => match rmp_serde::from_slice::<StreamBatch>(&body) {
+                Ok(batch) => encoded(&take_copies(&self.gateway, &batch)),
+                Err(_) => refuse(StatusCode::BAD_REQUEST),
+            },
+            FIND_PATH => match rmp_serde::from_slice::<FindStreams>(&body) {
+                Ok(asked) => encoded(&known_streams(&self.gateway, &asked)),
+                Err(_) => refuse(StatusCode::BAD_REQUEST),
+            },
             _ => refuse(StatusCode::NOT_FOUND),
         }
     }
--- a/crates/gateway/src/cluster/receive.rs
+++ b/crates/gateway/src/cluster/receive.rs
@@ -80,6 +80,9 @@
         member.lost_services = lost_services(&digest.lost_services, digest.incarnation);
         member.clock_offset_ms =
             Some(digest.wall_clock_ms as i64 - as_millis(gateway.own_wall_clock()) as i64);
+        if let Some(versions) = &digest.versions {
+            state.streams.versions.receive(now, versions);
+        }
         receive_rollouts(state, now, digest.rollouts.drain(..));
         receive_leaving(state, std::mem::take(&mut digest.leaving_backends));
         receive_limits(state, now, name, std::mem::take(&mut digest.backend_limits));
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,7 +18,7 @@
     windowed_retry_budget::{RetryLimit, WindowedRetryBudget},
 };
 use rand::RngExt;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     adapter::{Orders, Records, Wire},
@@ -32,6 +32,7 @@
     reachability::ServiceReachability,
     rollouts::RolloutState,
     settings::Settings,
+    streams::StreamState,
     table::RouteTable,
 };
 
@@ -125,6 +126,8 @@
     pub reachability: ServiceReachability,
     /// The roll-outs of versions.
     pub rollouts: RolloutState,
+    /// The versions at which streams began.
+    pub streams: StreamState,
     /// The latencies observed at the backend servers of each service.
     pub observed: HashMap<ServiceName, Observed>,
 }
@@ -173,6 +176,8 @@
     pub table: ArcSwapOption<RouteTable>,
     /// The stage of its shutdown.
     pub phase: watch::Sender<Phase>,
+    /// Notified when origins of streams have to be copied to other nodes.
+    pub copies_due: Notify,
     state: Mutex<State>,
     /// The wall clock at the monotonic clock's zero, as of the start.
     wall_clock_offset: Duration,
@@ -185,13 +190,15 @@
         let started = u64::try_from(wall_clock.as_millis()).unwrap_or(u64::MAX);
         let incarnation = Incarnation((started << 12) | rand::rng().random_range(0..1 << 12));
         let restarted_at = (!settings.gateway.first_start).then(clock::now);
-        let state = State { restarted_at, ..State::default() };
+        let streams = StreamState::at_start(settings.gateway.first_start);
+        let state = State { restarted_at, streams, ..State::default() };
         Gateway {
             settings,
             incarnation,
             platform,
             table: ArcSwapOption::empty(),
             phase: watch::Sender::new(Phase::Serving),
+            copies_due: Notify::new(),
             state: Mutex::new(state),
             // The wall clock may jump while the node runs; the monotonic clock does not.
             wall_clock_offset: wall_clock.saturating_sub(clock::now().since(Stamp(0))),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod reachability;
 pub mod rollouts;
 pub mod settings;
+pub mod streams;
 pub mod table;
 
 pub use gateway::{Gateway, Phase, Platform};
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -21,6 +21,12 @@
 const SERVICES_LOST: &str = "bulrush_route_services_lost";
 /// Requests that this node carried to a backend server for another node.
 const CARRIED: &str = "bulrush_route_carried_total";
+/// Streams that callers took up, by how their version was found.
+const STREAMS_TAKEN_UP: &str = "bulrush_route_streams_taken_up_total";
+/// Streams whose versions were copied to other nodes.
+const STREAMS_COPIED: &str = "bulrush_route_streams_copied_total";
+/// The time that other nodes took to answer at which version a stream began.
+const STREAM_ASKED_SECONDS: &str = "bulrush_route_stream_asked_seconds";
 /// Outages of the platform's services.
 const DEPENDENCIES_LOST: &str = "bulrush_route_dependencies_lost_total";
 /// Restores of the key-value service from an older copy.
@@ -56,7 +62,7 @@
 }
 
 /// Every metric.
-pub const ROUTE_METRICS: [RouteMetric; 18] = [
+pub const ROUTE_METRICS: [RouteMetric; 21] = [
     RouteMetric { name: REQUESTS, kind: "counter", labels: "kind, outcome" },
     RouteMetric { name: REQUEST_SECONDS, kind: "histogram", labels: "kind" },
     RouteMetric { name: FIRST_SECONDS, kind: "histogram", labels: "kind" },
@@ -64,6 +70,9 @@
     RouteMetric { name: ANNOUNCEMENTS, kind: "counter", labels: "kind" },
     RouteMetric { name: SERVICES_LOST, kind: "gauge", labels: "" },
     RouteMetric { name: CARRIED, kind: "counter", labels: "outcome" },
+    RouteMetric { name: STREAMS_TAKEN_UP, kind: "counter", labels: "outcome" },
+    RouteMetric { name: STREAMS_COPIED, kind: "counter", labels: "outcome" },
+    RouteMetric { name: STREAM_ASKED_SECONDS, kind: "histogram", labels: "outcome" },
     RouteMetric { name: DEPENDENCIES_LOST, kind: "counter", labels: "prefix" },
     RouteMetric { name: STORE_RESTORES, kind: "counter", labels: "" },
     RouteMetric { name: REVISION, kind: "gauge", labels: "" },
@@ -112,6 +121,23 @@
     counter!(CARRIED, "outcome" => outcome).increment(1);
 }
 
+/// Counts a stream that a caller took up, by how its version was found.
+pub fn stream_taken_up(outcome: &'static str) {
+    counter!(STREAMS_TAKEN_UP, "outcome" => outcome).increment(1);
+}
+
+/// Counts streams whose versions were sent to another node.
+pub fn streams_copied(is_taken: bool, streams: usize) {
+    let outcome = if is_taken { "taken" } else { "refused" };
+    counter!(STREAMS_COPIED, "outcome" => outcome).increment(streams as u64);
+}
+
+/// Records how long other nodes took to answer at which version a stream began.
+pub fn stream_asked(is_found: bool, took: Duration) {
+    let outcome = if is_found { "found" } else { "unknown" };
+    histogram!(STREAM_ASKED_SECONDS, "outcome" => outcome).record(took.as_secs_f64());
+}
+
 /// Counts an outage of a service of the platform, by the prefix of the keys that were requested.
 pub fn dependency_lost(prefix: &'static str) {
     counter!(DEPENDENCIES_LOST, "prefix" => prefix).increment(1);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -8,7 +8,10 @@
 use tokio::{sync::watch, task::JoinHandle, time::sleep};
 
 use crate::{
-    cluster::{PeerPort, follow_backends, follow_config, follow_members, gossip, register},
+    cluster::{
+        PeerPort, copy_streams, follow_backends, follow_config, follow_members, gossip,
+        hand_over_streams, register,
+    },
     duties::{Holder, keep_lease, run_duties},
     gateway::{Gateway, Phase, Platform},
     ports::{CallerPort, DirectoryPort, ReadinessPort},
@@ -75,6 +78,7 @@
         tasks.push(tokio::spawn(follow_members(Arc::clone(&gateway))));
         tasks.push(tokio::spawn(register(Arc::clone(&gateway))));
         tasks.push(tokio::spawn(gossip(Arc::clone(&gateway))));
+        tasks.push(tokio::spawn(copy_streams(Arc::clone(&gateway))));
         let holder = Arc::new(Holder::new(Arc::clone(&gateway)));
         tasks.push(tokio::spawn(keep_lease(Arc::clone(&holder))));
         tasks.push(tokio::spawn(run_duties(Arc::clone(&gateway), holder)));
@@ -103,6 +107,7 @@
         self.stop.send_replace(true);
         let left = grace.saturating_sub(leaving + GRACE_MARGIN);
         let ended = tokio::time::timeout(left, self.callers).await.is_ok();
+        hand_over_streams(&self.gateway).await;
         for task in &self.tasks {
             task.abort();
         }
--- a/crates/gateway/src/pipeline/failure.rs
+++ b/crates/gateway/src/pipeline/failure.rs
@@ -38,6 +38,8 @@
     ServersLimited(Duration),
     /// No backend server accepts work.
     NoBackend,
+    /// It takes up a stream, and it is not known at which version that began.
+    StreamUnknown,
     /// It continues a stream, and no backend server of the version that the stream began at accepts work.
     VersionGone,
     /// The node is shutting down.
@@ -65,6 +67,7 @@
             Failure::Overloaded(_) => "overloaded",
             Failure::ServersLimited(_) => "servers_limited",
             Failure::NoBackend => "no_backend",
+            Failure::StreamUnknown => "stream_unknown",
             Failure::VersionGone => "version_gone",
             Failure::Leaving => "leaving",
             Failure::Rejected => "rejected",
@@ -92,6 +95,7 @@
             }
             Failure::ConfigUnknown
             | Failure::NoBackend
+            | Failure::StreamUnknown
             | Failure::VersionGone
             | Failure::Rejected => (StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_AFTER_UNKNOWN)),
             Failure::Leaving => (StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_AFTER_LEAVING)),
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -20,12 +20,11 @@
         binding::Binding,
         identify::IdentifiedRequest,
         placement::{PlacementQuery, Way, place},
-        serve::{
-            MAX_CONNECT_FAILURES, MAX_OWN_CONNECT_FAILURES, retry_track, service_hash, take_retry,
-        },
+        serve::{MAX_CONNECT_FAILURES, MAX_OWN_CONNECT_FAILURES, retry_track, take_retry},
         tried::TriedServers,
     },
     rollouts::AttemptEnd,
+    streams::note_first_event,
 };
 
 /// The longest pause in a resumable stream, as a multiple of the route's target gap; it is at least
@@ -53,6 +52,8 @@
     gaps: StreamGaps,
     last_event: Option<u64>,
     binding: Binding,
+    /// Whether one of its events was passed on in this response.
+    is_begun: bool,
     ended: bool,
 }
 
@@ -94,6 +95,7 @@
         log_entry: AccessLogEntry,
     ) -> ResponseForwarder {
         let last_event = req.call.resume_after;
+        let binding = req.origin.clone().map_or(Binding::Free, Binding::Bound);
         ResponseForwarder {
             gateway,
             req,
@@ -104,7 +106,8 @@
             splitter: EventSplitter::default(),
             gaps: StreamGaps::default(),
             last_event,
-            binding: Binding::Free,
+            binding,
+            is_begun: false,
             ended: false,
         }
     }
@@ -182,11 +185,15 @@
     // Binds the stream to the version of the event that is about to be passed on, if it is the first one.
     fn bind(&mut self) {
         let Some(backend_response) = &self.backend_response else { return };
-        if self.binding != Binding::Free || self.req.route.cfg.kind != RouteKind::ResumableStream {
+        if self.is_begun || self.req.route.cfg.kind != RouteKind::ResumableStream {
             return;
         }
-        let placement = &backend_response.placement;
-        self.binding = self.gateway.with(|state| Binding::of_first_event(state, placement));
+        self.is_begun = true;
+        if self.binding == Binding::Free {
+            let placement = &backend_response.placement;
+            self.binding = self.gateway.with(|state| Binding::of_first_event(state, placement));
+        }
+        note_first_event(&self.gateway, &self.req, &self.binding);
     }
 
     fn is_complete(&self) -> bool {
@@ -221,8 +228,7 @@
         if !self.may_resume() || self.binding == Binding::Uncertain {
             return false;
         }
-        let hash = service_hash(&self.req);
-        let Some(service) = self.req.route.cfg.service(hash).cloned() else { return false };
+        let Some(service) = self.req.service().cloned() else { return false };
         if !take_retry(&self.gateway, &self.req, &service, &self.log_entry) {
             return false;
         }
--- a/crates/gateway/src/pipeline/identify.rs
+++ b/crates/gateway/src/pipeline/identify.rs
@@ -2,13 +2,14 @@
 
 use std::sync::Arc;
 
-use bulrushhall_core::config::RouteKind;
+use bulrushhall_coord::streams::StreamOrigin;
+use bulrushhall_core::{ServiceName, config::RouteKind};
 use hyper::http::request;
 
 use crate::{
     adapter::Call,
     gateway::Gateway,
-    pipeline::Failure,
+    pipeline::{Failure, serve::service_hash},
     table::{Route, RouteTable, TeamEntry},
 };
 
@@ -26,6 +27,8 @@
     pub route: Arc<Route>,
     /// The team that the key belongs to.
     pub team: Option<Arc<TeamEntry>>,
+    /// Where the stream began that it takes up, if it takes one up.
+    pub origin: Option<StreamOrigin>,
 }
 
 impl IdentifiedRequest {
@@ -35,6 +38,14 @@
         team_priority.unwrap_or(self.route.cfg.priority).min(9)
     }
 
+    /// Returns the service that it goes to: that of the stream that it takes up, or the one that the traffic split chooses.
+    pub fn service(&self) -> Option<&ServiceName> {
+        match &self.origin {
+            Some(origin) => Some(&origin.service),
+            None => self.route.cfg.service(service_hash(self)),
+        }
+    }
+
     /// Returns whether it can only end at the backend server where it runs.
     pub fn is_bound(&self) -> bool {
         matches!(self.route.cfg.kind, RouteKind::AtMostOnce | RouteKind::Stream)
@@ -71,7 +82,7 @@
             return Err(Failure::ConfigUnknown);
         }
     }
-    Ok(IdentifiedRequest { call: Arc::new(call), table, route, team })
+    Ok(IdentifiedRequest { call: Arc::new(call), table, route, team, origin: None })
 }
 
 // The size of a head on the wire.
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -12,10 +12,13 @@
 mod room_search;
 mod serve;
 mod stream_gaps;
+mod taken_up;
 mod tried;
 
+pub use binding::Binding;
 pub use events::{CompleteEvents, EventSplitter};
 pub use failure::Failure;
+pub use identify::IdentifiedRequest;
 pub use placement::connection_share;
 pub use serve::serve;
 pub use stream_gaps::StreamGaps;
--- a/crates/gateway/src/pipeline/placement.rs
+++ b/crates/gateway/src/pipeline/placement.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bulrushhall_coord::{Role, streams::StreamOrigin};
-use bulrushhall_core::{NodeName, ServiceName, Stamp, ZoneName};
+use bulrushhall_core::{NodeName, ServiceName, Stamp, ZoneName, config::RouteKind};
 use bulrushhall_policy::{
     copy_source::{MIN_COPIED_TOKENS, SourceView, choose_source, max_cached_tokens},
     engine_choice::{EngineChoice, EngineRequest, EngineView, choose_engine},
@@ -157,8 +157,42 @@
         let State { rollouts, backends, .. } = state;
         match self.origin {
             Some(origin) => rollouts.bound_filter(now, self.service, &origin.version, backends),
-            None => rollouts.filter(now, self.service, self.track, backends),
+            None => {
+                let filter = rollouts.filter(now, self.service, self.track, backends);
+                self.without_new_versions(state, now, filter)
+            }
+        }
+    }
+
+    // Leaves out the versions that other nodes may not have heard of yet, if there are others: a node that knows of one
+    // version only takes all streams to have begun there.
+    fn without_new_versions(
+        &self,
+        state: &State,
+        now: Stamp,
+        filter: VersionFilter,
+    ) -> VersionFilter {
+        if self.req.route.cfg.kind != RouteKind::ResumableStream {
+            return filter;
+        }
+        let mut versions: Vec<&str> = Vec::new();
+        for (_, backend) in state.backends.accepting(self.service) {
+            let version = backend.record.version.as_str();
+            if filter.selects(version, backend.identity) && !versions.contains(&version) {
+                versions.push(version);
+            }
+        }
+        if versions.len() < 2 {
+            return filter;
+        }
+        let is_settled =
+            |version: &&str| state.streams.versions.is_settled(now, self.service, version);
+        let (settled, unsettled): (Vec<&str>, Vec<&str>) =
+            versions.into_iter().partition(is_settled);
+        if settled.is_empty() {
+            return filter;
         }
+        filter.without(unsettled.into_iter().map(str::to_owned).collect())
     }
 
     fn choose_engine_server(
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -26,6 +26,7 @@
         identify::{IdentifiedRequest, identify},
         placement::{BRITTLE_RETRY_AFTER, Placement, PlacementQuery, Way, place},
         room_search::RoomSearch,
+        taken_up::taken_up_origin,
         tried::TriedServers,
     },
     rollouts::AttemptEnd,
@@ -74,10 +75,10 @@
     response
 }
 
-/// Returns the hash by which the traffic split chooses the service of a request; all its attempts go to
-/// the same service.
+/// Returns the hash by which the traffic split chooses the service of a request; all its attempts, and all attempts of
+/// its caller for the same stream, go to the same service.
 pub fn service_hash(req: &IdentifiedRequest) -> u64 {
-    xxh3_64(req.call.id.as_bytes())
+    xxh3_64(req.call.resumes.as_deref().unwrap_or(&req.call.id).as_bytes())
 }
 
 /// A response and the backend servers that the request was sent to.
@@ -91,7 +92,7 @@
     log_entry: &mut AccessLogEntry,
 ) -> Result<Handled, Failure> {
     let (head, body) = req.into_parts();
-    let req = identify(gateway, &head)?;
+    let mut req = identify(gateway, &head)?;
     log_entry.note_identified(&req);
     if gateway.phase() == Phase::Draining {
         return Err(Failure::Leaving);
@@ -105,8 +106,14 @@
     let amount = quota_amount(&req);
     log_entry.counted = amount;
     take_quota(gateway, &req, amount)?;
-    let hash = service_hash(&req);
-    let service = req.route.cfg.service(hash).cloned().ok_or(Failure::NoBackend)?;
+    match taken_up_origin(gateway, &req).await {
+        Ok(origin) => req.origin = origin,
+        Err(failure) => {
+            refund_quota(gateway, &req, amount);
+            return Err(failure);
+        }
+    }
+    let service = req.service().cloned().ok_or(Failure::NoBackend)?;
     let limit = gateway.retry_limit();
     gateway.with(|state| {
         state.retry_budgets.entry(service.clone()).or_default().note_first(clock::now(), limit);
@@ -193,13 +200,14 @@
         if left.is_zero() {
             return Err(Failure::TimedOut(attempts.ran()));
         }
-        let track = match tried.is_empty() {
-            true => first_track(gateway, req, service),
-            false => retry_track(gateway, service, last_end),
+        let track = match (&req.origin, tried.is_empty()) {
+            (Some(_), _) => Track::Current,
+            (None, true) => first_track(gateway, req, service),
+            (None, false) => retry_track(gateway, service, last_end),
         };
         // Another server may be unreachable as well, and each attempt to connect takes time.
         let way = if connect_failures < MAX_OWN_CONNECT_FAILURES { Way::Own } else { Way::Carried };
-        let (tried_servers, origin) = (&tried, None);
+        let (tried_servers, origin) = (&tried, req.origin.as_ref());
         let query = PlacementQuery { req, service, tried: tried_servers, left, track, way, origin };
         let placement = place(gateway, query);
         let placement = placement.map_err(|failure| unless_run(failure, attempts))?;
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -108,6 +108,15 @@
 }
 
 impl VersionFilter {
+    /// Returns the filter without some versions; one version stays as it is.
+    pub fn without(self, versions: Vec<String>) -> VersionFilter {
+        match self {
+            VersionFilter::Any => VersionFilter::Except(versions),
+            VersionFilter::Except(except) => VersionFilter::Except([except, versions].concat()),
+            VersionFilter::Only { .. } | VersionFilter::Nothing => self,
+        }
+    }
+
     /// Returns whether a server of a version and with a hash of its name is selected.
     pub fn selects(&self, version: &str, identity: u64) -> bool {
         match self {
