Fleet orders leave servers of each software version that serves streams

Callers would see: streams that can go on nowhere, since an order took the last servers of their version. Cause: an order names a count and the platform chooses which servers go; nothing looked at versions. Change: a reduction is limited so that two servers of each version remain whichever the platform takes (or all, where there are fewer); orders of one plan add up, and a limited one is planned again later. With one version nothing changes.

--- a/crates/gateway/src/duties/fleet.rs
+++ b/crates/gateway/src/duties/fleet.rs
@@ -9,10 +9,11 @@
 use bulrushhall_core::{Event, ServiceName, ZoneName};
 use bulrushhall_external::CallError;
 use bulrushhall_policy::fleet_counts::{
-    CountLimits, CountMarket, CountOrder, CountPlanner, ZoneServers,
+    CountLimits, CountMarket, CountOrder, CountPlanner, VersionReserve, ZoneServers,
 };
 
 use crate::{
+    adapter::BackendRecord,
     clock,
     demand::Offered,
     duties::{Holder, holder::ORDER_TIMEOUT, within},
@@ -43,6 +44,8 @@
 #[derive(Debug, Default)]
 pub struct FleetDuty {
     planners: HashMap<ServiceName, CountPlanner>,
+    /// The last orders that were given while several versions served.
+    limited: HashMap<ServiceName, BTreeMap<(ZoneName, CountMarket), CountOrder>>,
 }
 
 impl FleetDuty {
@@ -93,14 +96,44 @@
         let now = clock::now();
         let mut due = Vec::new();
         for PlanInput { service, limits, busy, servers } in plan_inputs(gateway, table) {
+            let mut reserve = gateway.with(|state| version_reserve(state, service));
+            for given in self.limited.get(service).into_iter().flat_map(BTreeMap::values) {
+                reserve.note_ordered(given);
+            }
             for order in self.planner(gateway, service).plan(now, limits, busy, &servers) {
                 let Some(order) = with_rollout(gateway, service, order) else { continue };
+                let Some(order) = self.with_versions(gateway, service, &mut reserve, order) else {
+                    continue;
+                };
                 due.push(DueOrder { service: service.clone(), busy, order });
             }
         }
         due
     }
 
+    // Returns the order with as many servers as each version needs for its streams; none if it was given already. The
+    // planner asks again later.
+    fn with_versions(
+        &mut self,
+        gateway: &Gateway,
+        service: &ServiceName,
+        reserve: &mut VersionReserve,
+        order: CountOrder,
+    ) -> Option<CountOrder> {
+        let limited = reserve.limited(order.clone());
+        reserve.note_ordered(&limited);
+        let place = (order.zone.clone(), order.market);
+        let given = self.limited.entry(service.clone()).or_default();
+        if limited == order {
+            given.remove(&place);
+            return Some(order);
+        }
+        self.planner(gateway, service).refused(clock::now(), &order);
+        let given = self.limited.entry(service.clone()).or_default();
+        let before = given.insert(place, limited.clone());
+        (before.as_ref() != Some(&limited)).then_some(limited)
+    }
+
     fn planned_for(&self, service: &ServiceName) -> f64 {
         self.planners.get(service).map_or(0.0, CountPlanner::planned_for)
     }
@@ -163,11 +196,7 @@
         }
         let (mut current, mut target) = (0, 0);
         for (_, backend) in state.backends.accepting(service) {
-            let market = match backend.record.reclaimable {
-                true => CountMarket::Reclaimable,
-                false => CountMarket::OnDemand,
-            };
-            if market != order.market || backend.record.zone != order.zone {
+            if market(&backend.record) != order.market || backend.record.zone != order.zone {
                 continue;
             }
             let is_target = backend.record.version == rollout.target;
@@ -181,6 +210,21 @@
     })
 }
 
+fn version_reserve(state: &State, service: &ServiceName) -> VersionReserve {
+    let mut reserve = VersionReserve::default();
+    for (_, backend) in state.backends.accepting(service) {
+        reserve.add(&backend.record.zone, market(&backend.record), &backend.record.version);
+    }
+    reserve
+}
+
+fn market(record: &BackendRecord) -> CountMarket {
+    match record.reclaimable {
+        true => CountMarket::Reclaimable,
+        false => CountMarket::OnDemand,
+    }
+}
+
 fn servers(state: &State, service: &ServiceName) -> BTreeMap<ZoneName, ZoneServers> {
     let mut servers: BTreeMap<ZoneName, ZoneServers> = BTreeMap::new();
     let rollout = state.rollouts.known.get(service);
--- a/crates/policy/src/fleet_counts/mod.rs
+++ b/crates/policy/src/fleet_counts/mod.rs
@@ -6,10 +6,12 @@
 mod planner;
 mod recent_peak;
 mod sizing_rule;
+mod version_reserve;
 mod zone_servers;
 
 pub use limits::CountLimits;
 pub use order::{CountMarket, CountOrder};
 pub use planner::CountPlanner;
 pub use sizing_rule::SizingRule;
+pub use version_reserve::VersionReserve;
 pub use zone_servers::ZoneServers;
