Own interface: an answer goes on only at the software version of its first token

Callers would see: an answer whose tokens come from two versions of an engine's software. The engine of the next attempt was chosen among all of the service, and a node that took the answer over knew the tokens alone. Change: the VM list and the identity of a server name its version; the copy of an accepted request carries the version of the first token; later attempts, moves and takeovers go to engines of it. Where other versions serve and none of it is left, the answer fails at once. From an owner of an earlier build the version is unknown, and the answer goes on only if there is one version.

--- a/crates/bench/src/capacity/measure/codec.rs
+++ b/crates/bench/src/capacity/measure/codec.rs
@@ -93,10 +93,17 @@
 
 fn copy(size: usize) -> Message {
     let body = Bytes::from(vec![b'x'; size]);
-    Message::Copy { id: id(), version: version(), body, tokens: Vec::new(), end: None }
+    Message::Copy {
+        id: id(),
+        version: version(),
+        body,
+        tokens: Vec::new(),
+        origin: None,
+        end: None,
+    }
 }
 
 fn progress() -> Message {
     let tokens = vec!["cobalt7 ".to_owned()];
-    Message::Progress { id: id(), version: version(), from: 150, tokens, end: None }
+    Message::Progress { id: id(), version: version(), from: 150, tokens, origin: None, end: None }
 }
--- a/crates/bench/src/testbed/machines.rs
+++ b/crates/bench/src/testbed/machines.rs
@@ -67,13 +67,19 @@
     /// Registers a VM with its server and adds backend servers to the VM list.
     pub fn run(&self, vm: VmName, zone: ZoneName, machine: Machine) {
         let listed = match &machine {
-            Machine::Engine(engine) => Some((&self.service, engine.address())),
-            Machine::Service(service) => Some((&self.plain, service.address())),
+            Machine::Engine(engine) => Some((&self.service, engine.address(), engine.version())),
+            Machine::Service(service) => Some((&self.plain, service.address(), "")),
             Machine::Node(_) => None,
         };
-        if let Some((service, address)) = listed {
-            let service = Some(service.clone());
-            self.list.put(ListedVm { vm: vm.clone(), zone, service, address, leaving: false });
+        if let Some((service, address, version)) = listed {
+            self.list.put(ListedVm {
+                vm: vm.clone(),
+                zone,
+                service: Some(service.clone()),
+                address,
+                leaving: false,
+                version: version.to_owned(),
+            });
         }
         self.lock().running.insert(vm, machine);
     }
--- a/crates/bench/tests/bad_input.rs
+++ b/crates/bench/tests/bad_input.rs
@@ -72,8 +72,8 @@
     let id = RequestId { origin: Incarnation(7), sequence: 3 };
     let (tokens, body) = (vec!["clay1 ".to_owned()], Bytes::from_static(b"body"));
     let messages = vec![
-        Message::Copy { id, version, body, tokens: tokens.clone(), end: None },
-        Message::Progress { id, version, from: 1, tokens, end: Some(Bytes::new()) },
+        Message::Copy { id, version, body, tokens: tokens.clone(), origin: None, end: None },
+        Message::Progress { id, version, from: 1, tokens, origin: None, end: Some(Bytes::new()) },
         Message::Ask { id, version },
     ];
     let node = NodeName::new("entry-1").expect("a name");
--- a/crates/coord/src/ownership/machine.rs
+++ b/crates/coord/src/ownership/machine.rs
@@ -9,6 +9,7 @@
     message::{Message, Version},
     options::OwnershipOptions,
     peers::{Peer, Peers},
+    produced::Produced,
     state::{Holder, Owned, Stage, State, Tombstone},
 };
 
@@ -32,6 +33,8 @@
         body: Bytes,
         /// The tokens produced so far.
         tokens: Vec<String>,
+        /// The software version of the engine that produced the first token, if it is known.
+        origin: Option<String>,
     },
     /// Stop running the request; it is being offered to another node.
     Stop(RequestId),
@@ -88,7 +91,7 @@
     pub fn accept(&mut self, now: Stamp, id: RequestId, body: Bytes) -> Vec<Action> {
         let version = Version { epoch: 1, generation: 0, owner: self.own };
         let mut out = Vec::new();
-        self.take_ownership(now, id, version, body, Vec::new(), None, &mut out);
+        self.take_ownership(now, id, version, Produced::new(body), None, &mut out);
         out
     }
 
@@ -103,6 +106,14 @@
         true
     }
 
+    /// Records the software version of the engine that is about to produce the first token under `version`.
+    pub fn note_origin(&mut self, id: RequestId, version: Version, origin: &str) {
+        let Some(owned) = self.current_run(id, version) else { return };
+        if owned.tokens.is_empty() {
+            owned.origin = Some(origin.to_owned());
+        }
+    }
+
     /// Records the end of the response that was produced under `version`; returns false once that
     /// run is over.
     pub fn finish(&mut self, id: RequestId, version: Version, end: Bytes) -> bool {
@@ -238,21 +249,21 @@
         (is_current && owned.handover.is_none() && owned.end.is_none()).then_some(owned)
     }
 
-    #[allow(clippy::too_many_arguments)]
     pub(super) fn take_ownership(
         &mut self,
         now: Stamp,
         id: RequestId,
         version: Version,
-        body: Bytes,
-        tokens: Vec<String>,
+        produced: Produced,
         previous_owner: Option<Incarnation>,
         out: &mut Vec<Action>,
     ) {
+        let Produced { body, tokens, origin } = produced;
         let owned = Owned {
             version,
             body,
             tokens,
+            origin,
             end: None,
             released: 0,
             stage: Stage::Copying,
@@ -388,18 +399,21 @@
         holder.in_flight_since = Some(now);
         holder.last_sent = now;
         holder.awaiting_since = holder.awaiting_since.or(Some(now));
+        let (peer, has_copy, acked) = (holder.peer, holder.has_copy, holder.acked);
         let (version, end) = (owned.version, owned.end.clone());
-        let message = match holder.has_copy {
+        let message = match has_copy {
             true => {
-                let tokens = owned.tokens[holder.acked..].to_vec();
-                Message::Progress { id, version, from: holder.acked, tokens, end }
+                let tokens = owned.tokens[acked..].to_vec();
+                // A holder that has tokens has their origin.
+                let origin = owned.origin.clone().filter(|_| acked == 0);
+                Message::Progress { id, version, from: acked, tokens, origin, end }
             }
             false => {
-                let (body, tokens) = (owned.body.clone(), owned.tokens.clone());
-                Message::Copy { id, version, body, tokens, end }
+                let Produced { body, tokens, origin } = Produced::of(owned);
+                Message::Copy { id, version, body, tokens, origin, end }
             }
         };
-        out.push(Action::Send(holder.peer, message));
+        out.push(Action::Send(peer, message));
     }
 
     /// Shows readers the tokens up to index `until`, exclusive.
--- a/crates/coord/src/ownership/message.rs
+++ b/crates/coord/src/ownership/message.rs
@@ -28,6 +28,9 @@
         body: Bytes,
         /// The tokens produced so far.
         tokens: Vec<String>,
+        /// The software version of the engine that produced the first token, if it is known.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        origin: Option<String>,
         /// The end of the response, once it has ended.
         end: Option<Bytes>,
     },
@@ -41,6 +44,9 @@
         from: usize,
         /// The tokens from that index on.
         tokens: Vec<String>,
+        /// The software version of the engine that produced the first token, if it is known.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        origin: Option<String>,
         /// The end of the response, once it has ended.
         end: Option<Bytes>,
     },
@@ -72,6 +78,9 @@
         body: Bytes,
         /// The tokens produced so far.
         tokens: Vec<String>,
+        /// The software version of the engine that produced the first token, if it is known.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        origin: Option<String>,
     },
     /// Names the owner that the sender knows of; a new owner sends it once its request is copied.
     Claim {
--- a/crates/coord/src/ownership/mod.rs
+++ b/crates/coord/src/ownership/mod.rs
@@ -5,6 +5,7 @@
 mod message;
 mod options;
 mod peers;
+mod produced;
 mod receive;
 mod state;
 mod sweep;
--- a/crates/coord/src/ownership/receive.rs
+++ b/crates/coord/src/ownership/receive.rs
@@ -6,6 +6,7 @@
 use super::{
     machine::{Action, Ownership},
     message::{Message, Version},
+    produced::Produced,
     state::{Held, Stage, State, Tombstone},
 };
 
@@ -14,19 +15,21 @@
     pub fn receive(&mut self, now: Stamp, from: Incarnation, message: Message) -> Vec<Action> {
         let mut out = Vec::new();
         match message {
-            Message::Copy { id, version, body, tokens, end } => {
-                self.on_copy(now, from, id, version, CopiedState { body, tokens, end }, &mut out);
+            Message::Copy { id, version, body, tokens, origin, end } => {
+                let copied = CopiedState { produced: Produced { body, tokens, origin }, end };
+                self.on_copy(now, from, id, version, copied, &mut out);
             }
-            Message::Progress { id, version, from: first, tokens, end } => {
-                let added = AddedTokens { first, tokens, end };
+            Message::Progress { id, version, from: first, tokens, origin, end } => {
+                let added = AddedTokens { first, tokens, origin, end };
                 self.on_progress(now, from, id, version, added, &mut out);
             }
             Message::Ack { id, version, count, ended } => {
                 self.on_ack(now, from, id, version, (count, ended), &mut out);
             }
             Message::Missing { id, version } => self.on_missing(now, from, id, version, &mut out),
-            Message::Offer { id, version, body, tokens } => {
-                self.on_offer(now, from, id, version, (body, tokens), &mut out);
+            Message::Offer { id, version, body, tokens, origin } => {
+                let produced = Produced { body, tokens, origin };
+                self.on_offer(now, from, id, version, produced, &mut out);
             }
             Message::Claim { id, version } => self.on_claim(now, from, id, version, &mut out),
             Message::PassedOn { id, version, to } => {
@@ -70,8 +73,9 @@
             }
             Some(State::Held(held)) if held.version == version => {
                 held.last_received = now;
-                if held.tokens.len() < copied.tokens.len() {
-                    held.tokens = copied.tokens;
+                if held.tokens.len() < copied.produced.tokens.len() {
+                    held.tokens = copied.produced.tokens;
+                    held.origin = copied.produced.origin;
                 }
                 self.finish_held(now, id, copied.end, out);
                 self.send_ack(from, id, version, out);
@@ -84,11 +88,12 @@
             Some(State::Owned(_)) => self.yield_to(now, id, version, out),
             Some(State::Tombstone(_) | State::Held(_)) | None => {}
         }
-        let CopiedState { body, tokens, end } = copied;
+        let CopiedState { produced: Produced { body, tokens, origin }, end } = copied;
         let held = Held {
             version,
             body,
             tokens,
+            origin,
             last_received: now,
             owner_missing_since: None,
             passed_to: None,
@@ -116,6 +121,7 @@
                 held.last_received = now;
                 if added.first <= held.tokens.len() {
                     let known = held.tokens.len() - added.first;
+                    held.origin = held.origin.take().or(added.origin);
                     held.tokens.extend(added.tokens.into_iter().skip(known));
                     self.finish_held(now, id, added.end, out);
                 }
@@ -245,7 +251,7 @@
         from: Incarnation,
         id: RequestId,
         version: Version,
-        (body, tokens): (Bytes, Vec<String>),
+        produced: Produced,
         out: &mut Vec<Action>,
     ) {
         if version.owner != self.own {
@@ -263,9 +269,8 @@
                 self.yield_to(now, id, version, out);
             }
         }
-        let start = Action::Start { id, version, body: body.clone(), tokens: tokens.clone() };
-        out.push(start);
-        self.take_ownership(now, id, version, body, tokens, Some(from), out);
+        out.push(produced.start(id, version));
+        self.take_ownership(now, id, version, produced, Some(from), out);
     }
 
     fn on_claim(
@@ -397,13 +402,13 @@
 }
 
 struct CopiedState {
-    body: Bytes,
-    tokens: Vec<String>,
+    produced: Produced,
     end: Option<Bytes>,
 }
 
 struct AddedTokens {
     first: usize,
     tokens: Vec<String>,
+    origin: Option<String>,
     end: Option<Bytes>,
 }
--- a/crates/coord/src/ownership/state.rs
+++ b/crates/coord/src/ownership/state.rs
@@ -22,6 +22,8 @@
     pub(super) version: Version,
     pub(super) body: Bytes,
     pub(super) tokens: Vec<String>,
+    /// The software version of the engine that produced the first token.
+    pub(super) origin: Option<String>,
     pub(super) end: Option<Bytes>,
     /// The number of tokens that readers have been shown.
     pub(super) released: usize,
@@ -86,6 +88,8 @@
     pub(super) version: Version,
     pub(super) body: Bytes,
     pub(super) tokens: Vec<String>,
+    /// The software version of the engine that produced the first token.
+    pub(super) origin: Option<String>,
     pub(super) last_received: Stamp,
     /// Since when the owner has been absent from the membership.
     pub(super) owner_missing_since: Option<Stamp>,
--- a/crates/coord/src/ownership/sweep.rs
+++ b/crates/coord/src/ownership/sweep.rs
@@ -6,7 +6,8 @@
     machine::{Action, MAX_UNDELIVERED, Ownership},
     message::{Message, Version},
     peers::Peer,
-    state::{Handover, Held, Stage, State},
+    produced::Produced,
+    state::{Handover, Stage, State},
 };
 
 impl Ownership {
@@ -50,15 +51,12 @@
             self.pass_on(now, id, out);
             return;
         }
-        let Some(State::Held(Held { version, body, tokens, .. })) = self.requests.remove(&id)
-        else {
-            return;
-        };
+        let Some(State::Held(held)) = self.requests.remove(&id) else { return };
+        let (version, produced) = (held.version, Produced::of_held(&held));
         let previous_owner = version.owner;
         let version = Version { epoch: version.epoch + 1, owner: self.own, ..version };
-        let start = Action::Start { id, version, body: body.clone(), tokens: tokens.clone() };
-        out.push(start);
-        self.take_ownership(now, id, version, body, tokens, Some(previous_owner), out);
+        out.push(produced.start(id, version));
+        self.take_ownership(now, id, version, produced, Some(previous_owner), out);
     }
 
     // The owner may fail after its holder has been asked to leave and before it has copied the
@@ -78,8 +76,10 @@
         let best = || self.peers.best_holder(id, &[held.version.owner]);
         let Some(to) = earlier.or_else(best) else { return };
         held.passed_to = Some((to, now));
-        let (version, body, tokens) = (held.version, held.body.clone(), held.tokens.clone());
-        out.push(Action::Send(to, Message::Copy { id, version, body, tokens, end: None }));
+        let version = held.version;
+        let Produced { body, tokens, origin } = Produced::of_held(held);
+        let copy = Message::Copy { id, version, body, tokens, origin, end: None };
+        out.push(Action::Send(to, copy));
     }
 
     pub(super) fn sweep_owned(&mut self, now: Stamp, id: RequestId, out: &mut Vec<Action>) {
@@ -153,8 +153,9 @@
         let same_peer = owned.handover.as_ref().filter(|it| it.version.owner == version.owner);
         let undelivered = same_peer.map_or(0, |it| it.undelivered);
         owned.handover = Some(Handover { version, started_at, last_sent: now, undelivered });
-        let (body, tokens) = (owned.body.clone(), owned.tokens.clone());
-        out.push(Action::Send(version.owner, Message::Offer { id, version, body, tokens }));
+        let Produced { body, tokens, origin } = Produced::of(owned);
+        let offer = Message::Offer { id, version, body, tokens, origin };
+        out.push(Action::Send(version.owner, offer));
     }
 
     // The peer that was offered the request is unavailable and there is no other one, so the
@@ -165,8 +166,8 @@
             return;
         }
         owned.version = Version { owner: self.own, ..version };
-        let (version, body, tokens) = (owned.version, owned.body.clone(), owned.tokens.clone());
-        out.push(Action::Start { id, version, body, tokens });
+        let (version, produced) = (owned.version, Produced::of(owned));
+        out.push(produced.start(id, version));
         self.choose_holder(now, id, out);
     }
 }
--- a/crates/daemon/src/backends.rs
+++ b/crates/daemon/src/backends.rs
@@ -34,6 +34,8 @@
     pub vm: VmName,
     /// The availability zone of the VM.
     pub zone: ZoneName,
+    /// The version of its software; empty if none is known.
+    pub version: String,
     /// The client.
     pub client: BackendClient,
 }
@@ -72,16 +74,22 @@
         let mut by_address = HashMap::new();
         for (service, cfg) in &deployment.services {
             let listed = state.listed.iter().filter(|vm| vm.service.as_ref() == Some(service));
-            let listed: Vec<BackendAddress> = listed.map(address_of).collect();
-            for address in cfg.backends.iter().chain(&listed) {
-                let id = format!("{service} {address}");
+            let listed: Vec<(BackendAddress, String)> =
+                listed.map(|vm| (address_of(vm), vm.version.clone())).collect();
+            let fixed = cfg.backends.iter().map(|address| (address, ""));
+            let listed = listed.iter().map(|(address, version)| (address, version.as_str()));
+            for (address, version) in fixed.chain(listed) {
+                // A server that starts anew with another version is another one.
+                let id = format!("{service} {address} {version}");
                 let known = by_address.get(&id).or_else(|| state.by_address.get(&id)).copied();
                 let key = known.unwrap_or_else(|| {
-                    let client = client(cfg.service_type, address, limits, cfg.timeout.into());
+                    let server = (address, version);
+                    let client = client(cfg.service_type, server, limits, cfg.timeout.into());
                     state.arena.insert(Backend {
                         service: service.clone(),
                         vm: address.vm.clone(),
                         zone: address.zone.clone(),
+                        version: version.to_owned(),
                         client,
                     })
                 });
@@ -201,14 +209,15 @@
 
 fn client(
     service_type: ServiceType,
-    address: &BackendAddress,
+    (address, version): (&BackendAddress, &str),
     limits: &LimitSettings,
     timeout: Duration,
 ) -> BackendClient {
     let vm = Some(address.vm.clone());
     match service_type {
         ServiceType::Model => {
-            let options = EndpointOptions { vm, ..EndpointOptions::default() };
+            let version = version.to_owned();
+            let options = EndpointOptions { vm, version, ..EndpointOptions::default() };
             let endpoint = Endpoint::new(address.address, options);
             BackendClient::Engine(Arc::new(HttpEngine::new(
                 endpoint,
--- a/crates/daemon/src/callers/admit.rs
+++ b/crates/daemon/src/callers/admit.rs
@@ -35,7 +35,8 @@
         return Err(ApiError::not_run(ApiCode::Leaving, "the node takes no new work"));
     }
     let mut reservation = TeamReservation::reserve(cx, &team, &request)?;
-    let queued = enqueue(cx, &team, &request, AdmissionStatus::New, &[]).await?;
+    let engines = EligibleEngines::default();
+    let queued = enqueue(cx, &team, &request, AdmissionStatus::New, &engines).await?;
     let id = cx.next_request();
     let portable = Portable { team, request, trace_parent: trace_parent() };
     let answer = portable.answer(id);
@@ -49,7 +50,8 @@
     cx.ownership.send(accept).await.map_err(stopping)?;
     let version = Version { epoch: 1, generation: 0, owner: cx.incarnation };
     let emitted = Vec::new();
-    let run = Run { portable, answer: Arc::clone(&answer), version, emitted, cause: Cause::Engine };
+    let (answer_of_run, cause) = (Arc::clone(&answer), Cause::Engine);
+    let run = Run { portable, answer: answer_of_run, version, emitted, origin: None, cause };
     reservation.commit();
     let running = relay::run_traced(Arc::clone(cx), run, Some(queued));
     tokio::spawn(
@@ -91,13 +93,22 @@
     Accepted,
 }
 
+/// `EligibleEngines` are the engines on which a request may be run.
+#[derive(Clone, Debug, Default)]
+pub struct EligibleEngines {
+    /// The engines that already failed for it.
+    pub avoid: Vec<WorkerKey>,
+    /// The engines that may run it; all if there are none.
+    pub only: Vec<WorkerKey>,
+}
+
 /// Submits a request to the queue.
 pub async fn enqueue(
     cx: &Context,
     team: &TeamName,
     request: &Classified,
     status: AdmissionStatus,
-    avoid: &[WorkerKey],
+    engines: &EligibleEngines,
 ) -> Result<QueuedRequest, ApiError> {
     let now = cx.clock.now();
     let (accepted_tx, accepted) = oneshot::channel();
@@ -116,7 +127,8 @@
             prefix: block_hashes(&request.prompt),
             prompt_tokens: request.prompt_tokens,
             answer_tokens: request.max_tokens,
-            avoid: avoid.to_vec(),
+            avoid: engines.avoid.clone(),
+            only: engines.only.clone(),
             ..PlacementRequest::default()
         },
         accepted: accepted_tx,
--- a/crates/daemon/src/callers/relay.rs
+++ b/crates/daemon/src/callers/relay.rs
@@ -18,7 +18,7 @@
     backends::BackendClient,
     callers::{
         ApiCode, ApiError,
-        admit::{self, AdmissionStatus, QueuedRequest},
+        admit::{self, AdmissionStatus, EligibleEngines, QueuedRequest},
         classify::Classified,
         settle,
     },
@@ -45,6 +45,8 @@
     pub version: Version,
     /// The tokens that earlier attempts and owners have produced.
     pub emitted: Vec<String>,
+    /// The software version of the engine that produced the first of them; none if there are none, or if it is not known.
+    pub origin: Option<String>,
     /// Why the run was last resumed; `Cause::Engine` if it has not been.
     pub cause: Cause,
 }
@@ -61,7 +63,7 @@
 pub async fn run(cx: Arc<Context>, mut run: Run, mut queued: Option<QueuedRequest>) {
     let answer = Arc::clone(&run.answer);
     let deadline = cx.clock.now() + run.portable.request.deadline;
-    let mut avoid = Vec::new();
+    let mut engines = EligibleEngines::default();
     let mut attempt = 0;
     let mut kv_cache = None;
 
@@ -70,11 +72,19 @@
             settle::fail(&cx, &answer, deadline_error(&answer)).await;
             return;
         }
+        match eligible_engines(&cx, &mut run) {
+            Some(only) => engines.only = only,
+            None => {
+                settle::fail(&cx, &answer, version_gone(&answer)).await;
+                return;
+            }
+        }
         let request = &run.portable.request;
         let queued_request = match queued.take() {
             Some(queued) => Ok(queued),
             None => {
-                admit::enqueue(&cx, answer.team(), request, AdmissionStatus::Accepted, &avoid).await
+                let status = AdmissionStatus::Accepted;
+                admit::enqueue(&cx, answer.team(), request, status, &engines).await
             }
         };
         let Ok(queued_request) = queued_request else {
@@ -126,19 +136,51 @@
             AttemptEnd::Evacuated(exported) => {
                 run.cause = Cause::Reclaim;
                 kv_cache = exported;
-                avoid.extend(worker);
+                engines.avoid.extend(worker);
             }
             AttemptEnd::Failed(error) => {
                 cx.meters.count(Metric::FailedAttempts, &[("class", answer.class().as_str())], 1);
                 tracing::info!(event = Event::AttemptFailed.number(), request = %answer.id(), %error);
                 run.cause = Cause::Engine;
-                avoid.extend(worker);
+                engines.avoid.extend(worker);
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
     }
 }
 
+// Returns the engines on which a run may go on, an empty list being all of them: the tokens of two software versions do not
+// fit together. Returns none if no engine of the version that began the answer is left.
+fn eligible_engines(cx: &Context, run: &mut Run) -> Option<Vec<WorkerKey>> {
+    if run.emitted.is_empty() {
+        return Some(Vec::new());
+    }
+    let known = cx.backends.of(&run.portable.request.service);
+    let has_other = |version: &str| known.iter().any(|(_, backend)| backend.version != version);
+    if run.origin.is_none() {
+        // An owner of an earlier version of the daemon does not tell where the answer began.
+        let (_, first) = known.first()?;
+        run.origin = (!has_other(&first.version)).then(|| first.version.clone());
+    }
+    let origin = run.origin.as_deref()?;
+    if !has_other(origin) {
+        return Some(Vec::new());
+    }
+    let mut engines = Vec::new();
+    for (key, backend) in &known {
+        if backend.version == origin && !cx.backends.is_closed(&backend.vm) {
+            engines.push(*key);
+        }
+    }
+    (!engines.is_empty()).then_some(engines)
+}
+
+fn version_gone(answer: &Answer) -> AnswerEnd {
+    let message = "no engine of the software version that began the answer is left";
+    let error = ApiError::not_run(ApiCode::BackendFailed, message);
+    AnswerEnd::Failed(error.ran(answer.ran()))
+}
+
 fn generate(run: &Run, attempt: u32) -> Generate {
     let Classified { model, prompt, .. } = &run.portable.request;
     let Classified { max_tokens, priority, .. } = run.portable.request;
@@ -179,6 +221,10 @@
     let no_engine = || AttemptEnd::Failed(CallError::not_done(CallFault::Connect));
     let Some(backend) = cx.backends.get(key) else { return no_engine() };
     let BackendClient::Engine(engine) = backend.client else { return no_engine() };
+    // The server may have started anew with another version since it was chosen.
+    if !run.emitted.is_empty() && run.origin.as_ref() != Some(&backend.version) {
+        return no_engine();
+    }
     run.answer.set_started();
     let mut frames = match engine.generate(generate).await {
         Ok(frames) => frames,
@@ -198,8 +244,13 @@
                 if let Some(first) = first.take() {
                     let _ = cx.dispatcher.send(first).await;
                 }
+                if run.emitted.is_empty() {
+                    run.origin = Some(backend.version.clone());
+                }
                 run.emitted.push(token.clone());
-                let generated = TokenGenerated { id: answer.id(), version: run.version, token };
+                let origin = backend.version.clone();
+                let (id, version) = (answer.id(), run.version);
+                let generated = TokenGenerated { id, version, token, origin };
                 if !cx.ownership.send(generated).await.unwrap_or(false) {
                     answer.halt();
                     return AttemptEnd::failed(CallFault::Closed);
--- a/crates/daemon/src/handoff/ownership_actor.rs
+++ b/crates/daemon/src/handoff/ownership_actor.rs
@@ -51,6 +51,8 @@
     pub version: Version,
     /// The token.
     pub token: String,
+    /// The software version of the engine that produced the first token of the answer.
+    pub origin: String,
 }
 
 /// An `Ended` reports how the answer to an owned request ended.
@@ -127,8 +129,8 @@
                     let Some(tx) = self.waiting_for_copy.remove(&id) else { continue };
                     let _ = tx.send(copied);
                 }
-                Action::Start { id, version, body, tokens } => {
-                    self.start_run(id, version, &body, tokens);
+                Action::Start { id, version, body, tokens, origin } => {
+                    self.start_run(id, version, &body, (tokens, origin));
                 }
                 Action::Stop(id) => {
                     let Some(answer) = self.cx.answers.get(id) else { continue };
@@ -180,7 +182,13 @@
         });
     }
 
-    fn start_run(&self, id: RequestId, version: Version, body: &[u8], tokens: Vec<String>) {
+    fn start_run(
+        &self,
+        id: RequestId,
+        version: Version,
+        body: &[u8],
+        (tokens, origin): (Vec<String>, Option<String>),
+    ) {
         // A body that cannot be decoded was encoded by another version of the daemon.
         let Ok(portable) = Portable::decode(body) else {
             tracing::error!(event = Event::HandoffFailed.number(), request = %id);
@@ -195,7 +203,7 @@
         let answer = portable.answer(id);
         answer.set_may_have_run();
         self.cx.answers.insert(Arc::clone(&answer));
-        let run = relay::Run { portable, answer, version, emitted: tokens, cause };
+        let run = relay::Run { portable, answer, version, emitted: tokens, origin, cause };
         tokio::spawn(relay::run_traced(Arc::clone(&self.cx), run, None));
     }
 
@@ -234,7 +242,9 @@
     type Return = bool;
 
     async fn handle(&mut self, generated: TokenGenerated, _cx: &mut xtra::Context<Self>) -> bool {
-        self.machine.token(generated.id, generated.version, generated.token)
+        let TokenGenerated { id, version, token, origin } = generated;
+        self.machine.note_origin(id, version, &origin);
+        self.machine.token(id, version, token)
     }
 }
 
--- a/crates/external/src/http/endpoint.rs
+++ b/crates/external/src/http/endpoint.rs
@@ -28,11 +28,14 @@
 /// The maximum size of the identity response, in bytes.
 const MAX_IDENTITY_BYTES: usize = 1_024;
 
-/// An `Identity` states which VM a backend server runs on.
+/// An `Identity` states which VM a backend server runs on, and the version of its software.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Identity {
     /// The VM.
     pub vm: VmName,
+    /// The version of its software; empty if it names none.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub version: String,
 }
 
 /// `EndpointOptions` are the limits and TLS settings of the connections to one server.
@@ -46,6 +49,8 @@
     pub max_idle: usize,
     /// The VM whose identity is checked on each new connection, if it is known.
     pub vm: Option<VmName>,
+    /// The software version that is checked with it; a server that names none passes.
+    pub version: String,
     /// The TLS configuration, if connections use TLS.
     pub tls: Option<Arc<Tls>>,
 }
@@ -57,6 +62,7 @@
             response_timeout: Duration::from_secs(10),
             max_idle: 64,
             vm: None,
+            version: String::new(),
             tls: None,
         }
     }
@@ -183,7 +189,9 @@
                 .await;
         let body = body.map_err(|_| mismatch())?;
         let identity: Identity = serde_json::from_slice(&body).map_err(|_| mismatch())?;
-        if identity.vm != *vm {
+        let is_other_version =
+            !identity.version.is_empty() && identity.version != self.options.version;
+        if identity.vm != *vm || is_other_version {
             return Err(mismatch());
         }
         sender.ready().await.map_err(|_| CallError::not_done(CallFault::Closed))?;
--- a/crates/external/src/vm_list.rs
+++ b/crates/external/src/vm_list.rs
@@ -20,6 +20,9 @@
     pub address: SocketAddr,
     /// Whether the VM is leaving.
     pub leaving: bool,
+    /// The version of the backend server's software; empty if the list names none.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub version: String,
 }
 
 /// A `VmList` lists the live VMs; it may still contain a dead one or not yet contain a new one.
--- a/crates/policy/src/placement/baselines.rs
+++ b/crates/policy/src/placement/baselines.rs
@@ -106,7 +106,8 @@
     req: &'a PlacementRequest,
     workers: &'a [WorkerView],
 ) -> impl Iterator<Item = &'a WorkerView> {
-    let fits = |worker: &&WorkerView| worker.open && req.stage.fits(worker.role);
+    let fits =
+        |worker: &&WorkerView| worker.open && req.stage.fits(worker.role) && req.allows(worker.key);
     let has_others = workers.iter().filter(fits).any(|worker| !req.avoid.contains(&worker.key));
     workers
         .iter()
--- a/crates/policy/src/placement/request.rs
+++ b/crates/policy/src/placement/request.rs
@@ -25,10 +25,19 @@
     pub answer_tokens: u32,
     /// The engines that already failed for this request.
     pub avoid: Vec<WorkerKey>,
+    /// The engines that may run it; all if there are none.
+    pub only: Vec<WorkerKey>,
     /// The stage that is placed.
     pub stage: Stage,
 }
 
+impl PlacementRequest {
+    /// Returns whether an engine may run it.
+    pub fn allows(&self, engine: WorkerKey) -> bool {
+        self.only.is_empty() || self.only.contains(&engine)
+    }
+}
+
 impl Stage {
     /// Returns whether an engine with the given role can run this stage.
     pub fn fits(self, role: WorkerRole) -> bool {
--- a/crates/standin/src/engine/options.rs
+++ b/crates/standin/src/engine/options.rs
@@ -35,6 +35,8 @@
     pub speed: f64,
     /// The initial role of the engine.
     pub role: EngineRole,
+    /// The version of its software.
+    pub version: String,
 }
 
 impl Default for EngineOptions {
@@ -54,6 +56,7 @@
             checks_fence: false,
             speed: 1.0,
             role: EngineRole::Both,
+            version: String::new(),
         }
     }
 }
--- a/crates/standin/src/engine/server.rs
+++ b/crates/standin/src/engine/server.rs
@@ -133,6 +133,11 @@
         &self.shared.vm
     }
 
+    /// Returns the version of its software.
+    pub fn version(&self) -> &str {
+        &self.shared.options.version
+    }
+
     /// Returns the fault switches.
     pub fn switches(&self) -> &Switches {
         &self.shared.switches
@@ -264,7 +269,7 @@
     async fn respond(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
         let path = req.uri().path().to_owned();
         if path == "/identity" {
-            return reply::identity(&self.vm);
+            return reply::identity(&self.vm, &self.options.version);
         }
         let faults = self.switches.delay_call().await;
         if faults.outage {
--- a/crates/standin/src/reply.rs
+++ b/crates/standin/src/reply.rs
@@ -28,9 +28,9 @@
     }
 }
 
-/// Returns the response to an identity request: the name of the VM.
-pub fn identity(vm: &VmName) -> Response<Body> {
-    json(&Identity { vm: vm.clone() })
+/// Returns the response to an identity request: the name of the VM, and the version of the software.
+pub fn identity(vm: &VmName, version: &str) -> Response<Body> {
+    json(&Identity { vm: vm.clone(), version: version.to_owned() })
 }
 
 /// Reads the whole body of a request.
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -139,7 +139,7 @@
 impl Shared {
     async fn respond(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
         if req.uri().path() == "/identity" {
-            return reply::identity(&self.vm);
+            return reply::identity(&self.vm, "");
         }
         self.calls.fetch_add(1, Ordering::Relaxed);
         let faults = self.switches.delay_call().await;
