--- a/crates/daemon/tests/route_soak.rs
+++ b/crates/daemon/tests/route_soak.rs
@@ -1,7 +1,7 @@
 //! A soak of processes that serve routes, with signals, restarts, changes and statements of backend servers in
 //! series and at once.
 //!
-//! `BULRUSH_SOAK_SEEDS=50 BULRUSH_SOAK_NODES=20` runs 50 seeds with 20 processes each; without them one seed runs.
+//! `BULRUSH_SOAK_SEEDS=50 BULRUSH_SOAK_NODES=20` runs 50 seeds with 20 processes each; without them two seeds run.
 //! `BULRUSH_SOAK_FIRST` is the first seed, and `BULRUSH_SOAK_DAEMON` the path of another build of the daemon.
 
 #[path = "../../../platform/tests/harness/mod.rs"]
@@ -22,6 +22,7 @@
 const LENGTH: Duration = Duration::from_secs(9);
 const CALLERS_PER_NODE: usize = 2;
 const FIRST_SEED: u64 = 1;
+const DEFAULT_SEEDS: u64 = 2;
 
 fn number(name: &str, default: u64) -> u64 {
     env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
@@ -44,7 +45,12 @@
     sleep_until(began + LENGTH).await;
     let (record, mut problems) = deployment.finish().await;
     problems.extend(record.violations());
-    report(&format!("seed {seed}: {} requests, {} problems", record.calls.len(), problems.len()));
+    let (calls, streams, (returns, gone_on)) =
+        (record.calls.len(), record.streams.len(), record.taken_up());
+    let found = problems.len();
+    report(&format!(
+        "seed {seed}: {calls} requests, {streams} streams, {gone_on} of {returns} taken up, {found} problems"
+    ));
     if problems.is_empty() {
         // The logs are of use only where something was found.
         let _ = std::fs::remove_dir_all(&directory);
@@ -60,7 +66,7 @@
     let nodes = number("BULRUSH_SOAK_NODES", 5) as usize;
     let first = number("BULRUSH_SOAK_FIRST", FIRST_SEED);
     let mut broken = Vec::new();
-    for seed in first..first + number("BULRUSH_SOAK_SEEDS", 1) {
+    for seed in first..first + number("BULRUSH_SOAK_SEEDS", DEFAULT_SEEDS) {
         if !run(seed, nodes).await.is_empty() {
             broken.push(seed);
         }
