Streams that are taken up are refused only if their callers would leave first

Callers would see: few returns go on while few servers of their version are left, although new streams begin elsewhere (LOST). Cause: a stream that is taken up was held to the latency target like a new one, but it may go on at one version only.

--- a/crates/gateway/src/pipeline/placement.rs
+++ b/crates/gateway/src/pipeline/placement.rs
@@ -241,9 +241,7 @@
             let demand = state.demand.entry(self.service.clone()).or_default();
             let (read, answer) = (f64::from(chosen.prefill_tokens), f64::from(prompt.answer()));
             demand.note(now, Offered { read, answer });
-            self.latency_budget()
-                .check_wait(chosen.wait, &mut random)
-                .map_err(Failure::Overloaded)?;
+            self.check_wait(chosen.wait, &mut random)?;
         }
         let copy_from = copy_from(state, chosen, sources);
         let backend = state.backends.get_mut(chosen.key).ok_or(Failure::NoBackend)?;
@@ -324,7 +322,7 @@
         let Some((key, wait)) = choose_server(&views, call, &mut random) else {
             return Err(self.unavailable(state, filter, &mut random));
         };
-        self.latency_budget().check_wait(wait, &mut random).map_err(Failure::Overloaded)?;
+        self.check_wait(wait, &mut random)?;
         let footprint = Footprint { rank: self.req.rank(), ..Footprint::default() };
         Ok(Chosen { key, wait, footprint, copy_from: None, candidates: views.len() })
     }
@@ -505,6 +503,15 @@
         Failure::ServersLimited(wait.max(min).mul_f64(random.random_range(1.0..1.5)))
     }
 
+    fn check_wait(&self, wait: Duration, random: &mut dyn Rng) -> Result<(), Failure> {
+        let budget = self.latency_budget();
+        let checked = match self.origin {
+            Some(_) => budget.check_resumed_wait(wait, random),
+            None => budget.check_wait(wait, random),
+        };
+        checked.map_err(Failure::Overloaded)
+    }
+
     fn latency_budget(&self) -> LatencyBudget {
         let cfg = &self.req.route.cfg;
         let gap = cfg.target_gap.map(Duration::from).filter(|_| cfg.kind.is_stream());
--- a/crates/policy/src/latency_budget.rs
+++ b/crates/policy/src/latency_budget.rs
@@ -45,11 +45,25 @@
     /// delay is at least the time until the queue is short enough, plus jitter. The processing time
     /// of the request itself does not count, or large requests would starve.
     pub fn check_wait(&self, wait: Duration, random: &mut dyn Rng) -> Result<(), Duration> {
-        let max_wait = self.target.min(self.first_event_timeout().mul_f64(MAX_WAIT_SHARE));
-        if wait <= max_wait {
-            return Ok(());
-        }
-        let retry_after = (wait - max_wait).max(MIN_RETRY_AFTER);
-        Err(retry_after.mul_f64(random.random_range(1.0..1.5)))
+        check(wait, self.target.min(self.patience()), random)
     }
+
+    /// Checks the expected wait of a request that takes up a stream.
+    ///
+    /// The stream may go on at the servers of one version only, so it is refused only if its caller would leave first.
+    pub fn check_resumed_wait(&self, wait: Duration, random: &mut dyn Rng) -> Result<(), Duration> {
+        check(wait, self.patience(), random)
+    }
+
+    fn patience(&self) -> Duration {
+        self.first_event_timeout().mul_f64(MAX_WAIT_SHARE)
+    }
+}
+
+fn check(wait: Duration, max_wait: Duration, random: &mut dyn Rng) -> Result<(), Duration> {
+    if wait <= max_wait {
+        return Ok(());
+    }
+    let retry_after = (wait - max_wait).max(MIN_RETRY_AFTER);
+    Err(retry_after.mul_f64(random.random_range(1.0..1.5)))
 }
