Streams: no bool parameters; versions are remembered for an hour

Cause: house style; and a route with a timeout above 200 s would have had streams that outlast the ten minutes for which versions were remembered.

--- a/crates/coord/src/streams/versions.rs
+++ b/crates/coord/src/streams/versions.rs
@@ -8,10 +8,10 @@
 /// How long a version has to be known before it gets new streams, if others serve: within this time all nodes in touch
 /// hear of it, so that none takes the service to have one version only.
 const SETTLING_TIME: Duration = Duration::from_millis(600);
-/// How long versions are remembered.
-const MEMORY: Duration = Duration::from_secs(600);
+/// How long versions are remembered: longer than any stream lasts.
+const MEMORY: Duration = Duration::from_secs(3_600);
 
-/// A `SeenVersion` is when servers of a version were known.
+/// When servers of a version were known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Seen {
     first: Stamp,
--- a/crates/gateway/src/cluster/stream_copies.rs
+++ b/crates/gateway/src/cluster/stream_copies.rs
@@ -106,7 +106,8 @@
         None
     };
     let found = timeout(FIND_TIMEOUT, first).await.ok().flatten();
-    meters::stream_asked(found.is_some(), clock::now().since(began));
+    let outcome = if found.is_some() { "found" } else { "unknown" };
+    meters::stream_asked(outcome, clock::now().since(began));
     found
 }
 
@@ -150,7 +151,7 @@
         let taken: Option<CopiesTaken> = send(&endpoint, COPIES_PATH, &delivery.batch).await;
         let streams = delivery.batch.streams.len();
         let is_taken = taken.is_some_and(|taken| taken.streams == streams);
-        meters::streams_copied(is_taken, streams);
+        meters::streams_copied(if is_taken { "taken" } else { "refused" }, streams);
         if is_taken {
             return;
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -190,7 +190,10 @@
         let started = u64::try_from(wall_clock.as_millis()).unwrap_or(u64::MAX);
         let incarnation = Incarnation((started << 12) | rand::rng().random_range(0..1 << 12));
         let restarted_at = (!settings.gateway.first_start).then(clock::now);
-        let streams = StreamState::at_start(settings.gateway.first_start);
+        let streams = match settings.gateway.first_start {
+            true => StreamState::at_first_start(),
+            false => StreamState::default(),
+        };
         let state = State { restarted_at, streams, ..State::default() };
         Gateway {
             settings,
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -126,15 +126,13 @@
     counter!(STREAMS_TAKEN_UP, "outcome" => outcome).increment(1);
 }
 
-/// Counts streams whose versions were sent to another node.
-pub fn streams_copied(is_taken: bool, streams: usize) {
-    let outcome = if is_taken { "taken" } else { "refused" };
+/// Counts streams whose versions were sent to another node, by whether it took them.
+pub fn streams_copied(outcome: &'static str, streams: usize) {
     counter!(STREAMS_COPIED, "outcome" => outcome).increment(streams as u64);
 }
 
-/// Records how long other nodes took to answer at which version a stream began.
-pub fn stream_asked(is_found: bool, took: Duration) {
-    let outcome = if is_found { "found" } else { "unknown" };
+/// Records how long other nodes took to answer at which version a stream began, by whether one knew it.
+pub fn stream_asked(outcome: &'static str, took: Duration) {
     histogram!(STREAM_ASKED_SECONDS, "outcome" => outcome).record(took.as_secs_f64());
 }
 
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -30,12 +30,9 @@
 }
 
 impl StreamState {
-    /// Returns what a node knows when it starts.
-    pub fn at_start(is_first_start: bool) -> StreamState {
-        let versions = match is_first_start {
-            true => ServiceVersions::at_first_start(),
-            false => ServiceVersions::default(),
-        };
+    /// Returns what a node knows that starts when the whole system starts for the first time.
+    pub fn at_first_start() -> StreamState {
+        let versions = ServiceVersions::at_first_start();
         StreamState { versions, ..StreamState::default() }
     }
 
