--- a/crates/coord/src/streams/versions.rs
+++ b/crates/coord/src/streams/versions.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 /// How long a version has to be known before it gets new streams, if others serve: within this time all nodes in touch
-/// hear of it, so that none takes the service to have one version only.
+/// learn of it, so that none takes the service to have one version only.
 const SETTLING_TIME: Duration = Duration::from_millis(600);
 /// How long versions are remembered: longer than any stream lasts.
 const MEMORY: Duration = Duration::from_secs(3_600);
@@ -122,7 +122,7 @@
         seen.is_some_and(|seen| SETTLING_TIME <= now.since(seen.first))
     }
 
-    /// Returns whether there is a version that has not settled yet, which other nodes have to hear of soon.
+    /// Returns whether there is a version that has not settled yet, which other nodes have to learn of soon.
     pub fn has_unsettled(&self, now: Stamp) -> bool {
         let mut seen = self.services.values().flat_map(BTreeMap::values);
         seen.any(|seen| now.since(seen.first) < SETTLING_TIME)
--- a/crates/coord/tests/stream_model/outcome.rs
+++ b/crates/coord/tests/stream_model/outcome.rs
@@ -1,6 +1,6 @@
 //! What was seen in a model.
 
-/// An `Outcome` is what happened to the streams that callers took up again.
+/// An `Outcome` is what happened to the streams that callers resumed.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Outcome {
     /// The streams that began.
--- a/crates/daemon/src/callers/relay.rs
+++ b/crates/daemon/src/callers/relay.rs
@@ -75,7 +75,7 @@
         match eligible_engines(&cx, &mut run) {
             Some(only) => engines.only = only,
             None => {
-                settle::fail(&cx, &answer, version_gone(&answer)).await;
+                settle::fail(&cx, &answer, version_unavailable(&answer)).await;
                 return;
             }
         }
@@ -175,7 +175,7 @@
     (!engines.is_empty()).then_some(engines)
 }
 
-fn version_gone(answer: &Answer) -> AnswerEnd {
+fn version_unavailable(answer: &Answer) -> AnswerEnd {
     let message = "no engine of the software version that began the answer is left";
     let error = ApiError::not_run(ApiCode::BackendFailed, message);
     AnswerEnd::Failed(error.ran(answer.ran()))
--- a/crates/daemon/tests/route_soak.rs
+++ b/crates/daemon/tests/route_soak.rs
@@ -46,10 +46,10 @@
     let (record, mut problems) = deployment.finish().await;
     problems.extend(record.violations());
     let (calls, streams, (returns, gone_on)) =
-        (record.calls.len(), record.streams.len(), record.taken_up());
+        (record.calls.len(), record.streams.len(), record.resumptions());
     let found = problems.len();
     report(&format!(
-        "seed {seed}: {calls} requests, {streams} streams, {gone_on} of {returns} taken up, {found} problems"
+        "seed {seed}: {calls} requests, {streams} streams, {gone_on} of {returns} resumed, {found} problems"
     ));
     if problems.is_empty() {
         // The logs are of use only where something was found.
--- a/crates/gateway/src/adapter/call.rs
+++ b/crates/gateway/src/adapter/call.rs
@@ -48,6 +48,6 @@
     pub prompt: Option<Prompt>,
     /// The id of the last event that the caller received from an earlier response.
     pub resume_after: Option<u64>,
-    /// The id of the caller's attempt that brought the first event of the stream, if the caller takes one up.
+    /// The id of the caller's attempt that brought the first event of the stream, if the caller resumes one.
     pub resumes: Option<String>,
 }
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -21,8 +21,8 @@
 const SERVICES_LOST: &str = "bulrush_route_services_lost";
 /// Requests that this node carried to a backend server for another node.
 const CARRIED: &str = "bulrush_route_carried_total";
-/// Streams that callers took up, by how their version was found.
-const STREAMS_TAKEN_UP: &str = "bulrush_route_streams_taken_up_total";
+/// Streams that callers resumed, by how their version was found.
+const STREAM_RESUMPTIONS: &str = "bulrush_route_stream_resumptions_total";
 /// Streams whose versions were copied to other nodes.
 const STREAMS_COPIED: &str = "bulrush_route_streams_copied_total";
 /// The time that other nodes took to answer at which version a stream began.
@@ -70,7 +70,7 @@
     RouteMetric { name: ANNOUNCEMENTS, kind: "counter", labels: "kind" },
     RouteMetric { name: SERVICES_LOST, kind: "gauge", labels: "" },
     RouteMetric { name: CARRIED, kind: "counter", labels: "outcome" },
-    RouteMetric { name: STREAMS_TAKEN_UP, kind: "counter", labels: "outcome" },
+    RouteMetric { name: STREAM_RESUMPTIONS, kind: "counter", labels: "outcome" },
     RouteMetric { name: STREAMS_COPIED, kind: "counter", labels: "outcome" },
     RouteMetric { name: STREAM_ASKED_SECONDS, kind: "histogram", labels: "outcome" },
     RouteMetric { name: DEPENDENCIES_LOST, kind: "counter", labels: "prefix" },
@@ -121,9 +121,9 @@
     counter!(CARRIED, "outcome" => outcome).increment(1);
 }
 
-/// Counts a stream that a caller took up, by how its version was found.
-pub fn stream_taken_up(outcome: &'static str) {
-    counter!(STREAMS_TAKEN_UP, "outcome" => outcome).increment(1);
+/// Counts a stream that a caller resumed, by how its version was found.
+pub fn stream_resumption(outcome: &'static str) {
+    counter!(STREAM_RESUMPTIONS, "outcome" => outcome).increment(1);
 }
 
 /// Counts streams whose versions were sent to another node, by whether it took them.
--- a/crates/gateway/src/pipeline/failure.rs
+++ b/crates/gateway/src/pipeline/failure.rs
@@ -38,10 +38,10 @@
     ServersLimited(Duration),
     /// No backend server accepts work.
     NoBackend,
-    /// It takes up a stream, and it is not known at which version that began.
+    /// It resumes a stream, and it is not known at which version that began.
     StreamUnknown,
     /// It continues a stream, and no backend server of the version that the stream began at accepts work.
-    VersionGone,
+    VersionUnavailable,
     /// The node is shutting down.
     Leaving,
     /// No backend server that got it ran it, and it may not be sent to another one.
@@ -68,7 +68,7 @@
             Failure::ServersLimited(_) => "servers_limited",
             Failure::NoBackend => "no_backend",
             Failure::StreamUnknown => "stream_unknown",
-            Failure::VersionGone => "version_gone",
+            Failure::VersionUnavailable => "version_unavailable",
             Failure::Leaving => "leaving",
             Failure::Rejected => "rejected",
             Failure::ResponseLost => "lost",
@@ -96,7 +96,7 @@
             Failure::ConfigUnknown
             | Failure::NoBackend
             | Failure::StreamUnknown
-            | Failure::VersionGone
+            | Failure::VersionUnavailable
             | Failure::Rejected => (StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_AFTER_UNKNOWN)),
             Failure::Leaving => (StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_AFTER_LEAVING)),
             Failure::TimedOut(Ran::No) => {
--- a/crates/gateway/src/pipeline/identify.rs
+++ b/crates/gateway/src/pipeline/identify.rs
@@ -27,7 +27,7 @@
     pub route: Arc<Route>,
     /// The team that the key belongs to.
     pub team: Option<Arc<TeamEntry>>,
-    /// Where the stream began that it takes up, if it takes one up.
+    /// Where the stream began that it resumes, if it resumes one.
     pub origin: Option<StreamOrigin>,
 }
 
@@ -38,7 +38,7 @@
         team_priority.unwrap_or(self.route.cfg.priority).min(9)
     }
 
-    /// Returns the service that it goes to: that of the stream that it takes up, or the one that the traffic split chooses.
+    /// Returns the service that it goes to: that of the stream that it resumes, or the one that the traffic split chooses.
     pub fn service(&self) -> Option<&ServiceName> {
         match &self.origin {
             Some(origin) => Some(&origin.service),
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -9,10 +9,10 @@
 mod identify;
 mod in_flight;
 mod placement;
+mod resumption;
 mod room_search;
 mod serve;
 mod stream_gaps;
-mod taken_up;
 mod tried;
 
 pub use binding::Binding;
--- a/crates/gateway/src/pipeline/placement.rs
+++ b/crates/gateway/src/pipeline/placement.rs
@@ -164,7 +164,7 @@
         }
     }
 
-    // Leaves out the versions that other nodes may not have heard of yet, if there are others: a node that knows of one
+    // Leaves out the versions that other nodes may not know yet, if there are others: a node that knows of one
     // version only takes all streams to have begun there.
     fn without_new_versions(
         &self,
@@ -491,7 +491,11 @@
             }
         }
         let Some(wait) = waits.into_iter().min() else {
-            return if self.origin.is_some() { Failure::VersionGone } else { Failure::NoBackend };
+            return if self.origin.is_some() {
+                Failure::VersionUnavailable
+            } else {
+                Failure::NoBackend
+            };
         };
         if let (Some(prompt), true) = (&self.req.call.prompt, self.tried.is_empty()) {
             let read = f64::from(prompt.tokens.saturating_sub(cached));
--- a/crates/gateway/src/pipeline/taken_up.rs
+++ b/crates/gateway/src/pipeline/resumption.rs
@@ -1,4 +1,4 @@
-//! The origin of a stream that a caller takes up again.
+//! The origin of a stream that a caller resumes.
 
 use bulrushhall_coord::streams::{Found, StreamOrigin};
 use bulrushhall_core::config::RouteKind;
@@ -12,16 +12,16 @@
     streams::{lifetime, note_versions, stream_key},
 };
 
-/// Returns where the stream began that a request takes up; none if it begins a stream.
+/// Returns where the stream began that a request resumes; none if it begins a stream.
 ///
 /// Without the certainty where it began it is refused: events of two versions do not fit together.
-pub async fn taken_up_origin(
+pub async fn resumed_origin(
     gateway: &Gateway,
     req: &IdentifiedRequest,
 ) -> Result<Option<StreamOrigin>, Failure> {
     let call = &req.call;
-    let takes_up = call.resume_after.is_some() || call.resumes.is_some();
-    if req.route.cfg.kind != RouteKind::ResumableStream || !takes_up {
+    let is_resumption = call.resume_after.is_some() || call.resumes.is_some();
+    if req.route.cfg.kind != RouteKind::ResumableStream || !is_resumption {
         return Ok(None);
     }
     let key = call.resumes.as_deref().map(|attempt| stream_key(req, attempt));
@@ -31,7 +31,7 @@
         return served_origin(req, found, "known").map(Some);
     }
     if let Some(only) = only_origin(gateway, req) {
-        meters::stream_taken_up("only_version");
+        meters::stream_resumption("only_version");
         return Ok(Some(only));
     }
     let Some(key) = key else { return Err(unknown()) };
@@ -40,7 +40,7 @@
 }
 
 fn unknown() -> Failure {
-    meters::stream_taken_up("unknown");
+    meters::stream_resumption("unknown");
     Failure::StreamUnknown
 }
 
@@ -52,10 +52,10 @@
 ) -> Result<StreamOrigin, Failure> {
     let Found::Origin(origin) = found else { return Err(unknown()) };
     if req.route.cfg.services.iter().all(|share| share.service != origin.service) {
-        meters::stream_taken_up("service_gone");
-        return Err(Failure::VersionGone);
+        meters::stream_resumption("not_routed");
+        return Err(Failure::VersionUnavailable);
     }
-    meters::stream_taken_up(outcome);
+    meters::stream_resumption(outcome);
     Ok(origin)
 }
 
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -25,8 +25,8 @@
         forward::ResponseForwarder,
         identify::{IdentifiedRequest, identify},
         placement::{BRITTLE_RETRY_AFTER, Placement, PlacementQuery, Way, place},
+        resumption::resumed_origin,
         room_search::RoomSearch,
-        taken_up::taken_up_origin,
         tried::TriedServers,
     },
     rollouts::AttemptEnd,
@@ -106,7 +106,7 @@
     let amount = quota_amount(&req);
     log_entry.counted = amount;
     take_quota(gateway, &req, amount)?;
-    match taken_up_origin(gateway, &req).await {
+    match resumed_origin(gateway, &req).await {
         Ok(origin) => req.origin = origin,
         Err(failure) => {
             refund_quota(gateway, &req, amount);
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -11,7 +11,7 @@
     pipeline::{Binding, IdentifiedRequest},
 };
 
-/// The time for which a stream may be taken up again, as a multiple of its route's timeout: a caller tries a few times.
+/// The time for which a stream may be resumed, as a multiple of its route's timeout: a caller tries a few times.
 const LIFETIME_FACTOR: u32 = 3;
 /// The age of the configuration from which a node without other nodes counts as isolated.
 const ISOLATED_AFTER: Duration = Duration::from_secs(5);
@@ -42,7 +42,7 @@
     }
 }
 
-/// Returns the time for which a stream of a route may be taken up again.
+/// Returns the time for which a stream of a route may be resumed.
 pub fn lifetime(route: &RouteConfig) -> Duration {
     Duration::from(route.timeout) * LIFETIME_FACTOR
 }
--- a/crates/policy/src/latency_budget.rs
+++ b/crates/policy/src/latency_budget.rs
@@ -48,7 +48,7 @@
         check(wait, self.target.min(self.patience()), random)
     }
 
-    /// Checks the expected wait of a request that takes up a stream.
+    /// Checks the expected wait of a request that resumes a stream.
     ///
     /// The stream may go on at the servers of one version only, so it is refused only if its caller would leave first.
     pub fn check_resumed_wait(&self, wait: Duration, random: &mut dyn Rng) -> Result<(), Duration> {
--- a/crates/policy/tests/latency_budget.rs
+++ b/crates/policy/tests/latency_budget.rs
@@ -49,12 +49,12 @@
     assert!(budget.check_wait(millis(150), &mut random).is_ok());
 }
 
-// Guards against streams that are refused when they are taken up while their version has few servers, which have long queues:
+// Guards against streams that are refused when they are resumed while their version has few servers, which have long queues:
 // they can go on nowhere else.
 #[rstest]
 #[case::beyond_target(1_800, true)]
 #[case::beyond_patience(2_300, false)]
-fn taken_up_streams(#[case] wait: u64, #[case] accepted: bool) {
+fn resumed_streams(#[case] wait: u64, #[case] accepted: bool) {
     let mut random = Pcg64::seed_from_u64(1);
     assert!(STREAM.check_wait(millis(wait), &mut random).is_err());
     assert_eq!(STREAM.check_resumed_wait(millis(wait), &mut random).is_ok(), accepted);
