--- /dev/null
+++ b/crates/coord/src/crashes/mod.rs
@@ -0,0 +1,5 @@
+//! Prompt parts under which backend servers crash: evidence, decisions, and what is refused because of them.
+
+mod part;
+
+pub use part::{PartId, PartIds};
--- /dev/null
+++ b/crates/coord/src/crashes/part.rs
@@ -0,0 +1,31 @@
+//! Ids of prompt parts.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// A `PartId` is the hash that identifies a prompt part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PartId(pub u64);
+
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+/// `PartIds` are several ids, which are written with commas between them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PartIds(pub Vec<PartId>);
+
+impl fmt::Display for PartIds {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (at, part) in self.0.iter().enumerate() {
+            let separator = if at == 0 { "" } else { "," };
+            write!(f, "{separator}{part}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod catch_up;
 pub mod chain;
 pub mod claims;
+pub mod crashes;
 pub mod entries;
 pub mod eras;
 pub mod evacuation;
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -45,6 +45,8 @@
     RepeatRefused,
     /// A stream was resumed at another backend server after the last received event.
     StreamResumed,
+    /// A backend server closed its connection before the end of its answer.
+    AnswerBroken,
     /// A newer configuration is in force on this node.
     ConfigInForce,
     /// A backend server accepts work.
@@ -93,6 +95,8 @@
     ServiceSound,
     /// A brittle server has rejected a request, so that nodes send it fewer at once.
     RoomLowered,
+    /// A backend server closed its connections in the middle of answers and refuses new ones.
+    ServerCrashed,
     /// A VM was bought.
     VmBought,
     /// The purchase of a VM was refused; no VM is bought in the same place for a while.
@@ -135,6 +139,7 @@
         Event::SendFailed,
         Event::RepeatRefused,
         Event::StreamResumed,
+        Event::AnswerBroken,
         Event::ConfigInForce,
         Event::BackendReady,
         Event::BackendLeaving,
@@ -159,6 +164,7 @@
         Event::ServiceBrittle,
         Event::ServiceSound,
         Event::RoomLowered,
+        Event::ServerCrashed,
         Event::VmBought,
         Event::PurchaseRefused,
         Event::VmReleased,
@@ -193,6 +199,7 @@
             Event::SendFailed => 221,
             Event::RepeatRefused => 222,
             Event::StreamResumed => 223,
+            Event::AnswerBroken => 224,
             Event::ConfigInForce => 400,
             Event::BackendReady => 410,
             Event::BackendLeaving => 411,
@@ -217,6 +224,7 @@
             Event::ServiceBrittle => 452,
             Event::ServiceSound => 453,
             Event::RoomLowered => 454,
+            Event::ServerCrashed => 455,
             Event::VmBought => 500,
             Event::PurchaseRefused => 501,
             Event::VmReleased => 502,
--- a/crates/gateway/src/adapter/call.rs
+++ b/crates/gateway/src/adapter/call.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bulrushhall_coord::crashes::{PartId, PartIds};
 use bulrushhall_policy::parts::PromptPart;
 
 /// A `Prompt` is what a caller's request announces about its prompt.
@@ -31,6 +32,17 @@
             parts => parts,
         }
     }
+
+    /// Returns the ids of the parts that other prompts have too: all but the last one.
+    pub fn common_parts(&self) -> impl Iterator<Item = PartId> {
+        let common = self.parts.split_last().map_or(&[][..], |(_, common)| common);
+        common.iter().map(|part| PartId(part.id))
+    }
+
+    /// Returns the ids of all parts, for logs.
+    pub fn part_ids(&self) -> PartIds {
+        PartIds(self.parts.iter().map(|part| PartId(part.id)).collect())
+    }
 }
 
 /// A `Call` is a caller's request.
--- a/crates/gateway/src/backends/connection.rs
+++ b/crates/gateway/src/backends/connection.rs
@@ -1,6 +1,7 @@
 //! One connection to a backend server.
 
 use std::{
+    io,
     net::SocketAddr,
     sync::{
         Arc,
@@ -102,3 +103,25 @@
         }
     }
 }
+
+/// A `ListenerState` is whether anything accepts connections at an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListenerState {
+    /// A connection was opened.
+    Accepting,
+    /// The connection was refused: the VM runs, and nothing listens.
+    Refusing,
+    /// No response arrived in time.
+    Unknown,
+}
+
+/// Opens a connection to an address and closes it again.
+pub async fn listener_state(address: SocketAddr) -> ListenerState {
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => ListenerState::Accepting,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            ListenerState::Refusing
+        }
+        _ => ListenerState::Unknown,
+    }
+}
--- a/crates/gateway/src/backends/mod.rs
+++ b/crates/gateway/src/backends/mod.rs
@@ -11,7 +11,7 @@
 
 pub use announced::{Announced, LimitNote, LimitReport};
 pub use backend::Backend;
-pub use connection::{Connection, OpenError};
+pub use connection::{Connection, ListenerState, OpenError, listener_state};
 pub use directory::Backends;
 pub use load::{Load, RANKS};
 pub use pool::Pool;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -26,6 +26,7 @@
     brittle::BrittleServices,
     clock,
     cluster::{MemberRecord, Members, RecordCursor},
+    crashes::CrashState,
     demand::Demand,
     meters,
     observed::Observed,
@@ -128,6 +129,8 @@
     pub rollouts: RolloutState,
     /// The versions at which streams began.
     pub streams: StreamState,
+    /// The answers that backend servers broke off.
+    pub crashes: CrashState,
     /// The latencies observed at the backend servers of each service.
     pub observed: HashMap<ServiceName, Observed>,
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod change_log;
 pub mod clock;
 pub mod cluster;
+pub mod crashes;
 pub mod demand;
 pub mod duties;
 pub mod fleet_settings;
--- a/crates/gateway/src/pipeline/access_log.rs
+++ b/crates/gateway/src/pipeline/access_log.rs
@@ -121,15 +121,15 @@
             version = placement.map_or("", |placement| &*placement.version),
             after = req.and_then(|req| req.call.resume_after),
             resumes = req.and_then(|req| req.call.resumes.as_deref()),
-            carrier = placement
-                .and_then(|placement| placement.carrier.as_ref())
-                .map(tracing::field::display),
+            parts = req
+                .and_then(|req| req.call.prompt.as_ref())
+                .map(|prompt| display(prompt.part_ids())),
+            carrier = placement.and_then(|placement| placement.carrier.as_ref()).map(display),
             candidates = placement.map_or(0, |placement| placement.candidates),
             wait_ms = placement.map(|placement| placement.wait.as_secs_f64() * 1_000.0),
             expected_ms = expected.map(|expected| expected.as_secs_f64() * 1_000.0),
             to_read = placement.map_or(0, |placement| placement.footprint.prefill_tokens),
-            copied_from =
-                placement.and_then(|placement| placement.copy_from).map(tracing::field::display),
+            copied_from = placement.and_then(|placement| placement.copy_from).map(display),
             first_ms = self.first_at.map(|at| millis(self.started, at)),
             took_ms = millis(self.started, now),
             after_ms = self.retry_after.map(|after| after.as_secs_f64() * 1_000.0),
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -19,6 +19,7 @@
     backends::{Connection, OpenError},
     brittle, clock,
     cluster::{CARRIED_HEADER, CARRY_PATH, CarriedRequest, CarryFailure},
+    crashes::note_broken_answer,
     gateway::Gateway,
     meters,
     pipeline::{identify::IdentifiedRequest, in_flight::InFlightGuard, placement::Placement},
@@ -123,6 +124,8 @@
     pub in_flight: InFlightGuard,
     /// The backend server that sends it.
     pub placement: Placement,
+    /// When the first bytes of its body arrived.
+    pub began_at: Option<Stamp>,
 }
 
 impl OriginalRequest {
@@ -176,6 +179,7 @@
                 connection,
                 in_flight,
                 placement: placement.clone(),
+                began_at: None,
             })
         }
         Err(failed) => {
@@ -183,6 +187,9 @@
             if matches!(failed.fault, SendFault::Silent | SendFault::Closed | SendFault::Foreign) {
                 in_flight.note_failed();
             }
+            if failed.fault == SendFault::Closed && failed.ran != Ran::No {
+                note_broken_answer(gateway, req, placement, None);
+            }
             Err(failed)
         }
     }
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     clock,
+    crashes::note_broken_answer,
     gateway::Gateway,
     pipeline::{
         EventSplitter, StreamGaps,
@@ -160,13 +161,14 @@
         };
         let frame = match frame {
             Some(Ok(frame)) => frame,
-            Some(Err(_)) => return Step::Broken,
+            Some(Err(_)) => return self.broken_off(),
             // A partial event at the end means that the stream was cut, even if the body ended regularly.
-            None if self.splitter.has_partial_event() => return Step::Broken,
+            None if self.splitter.has_partial_event() => return self.broken_off(),
             None => return Step::End,
         };
         let Ok(bytes) = frame.into_data() else { return Step::Nothing };
         backend_response.in_flight.note_started();
+        backend_response.began_at.get_or_insert_with(clock::now);
         self.log_entry.note_started();
         if !self.req.route.cfg.kind.is_stream() || !backend_response.head.status.is_success() {
             return Step::Frame(bytes);
@@ -182,6 +184,14 @@
         Step::Frame(split.bytes)
     }
 
+    fn broken_off(&self) -> Step {
+        if let Some(backend_response) = &self.backend_response {
+            let BackendResponse { placement, began_at, .. } = backend_response;
+            note_broken_answer(&self.gateway, &self.req, placement, *began_at);
+        }
+        Step::Broken
+    }
+
     // Binds the stream to the version of the event that is about to be passed on, if it is the first one.
     fn bind(&mut self) {
         let Some(backend_response) = &self.backend_response else { return };
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -19,6 +19,6 @@
 pub use events::{CompleteEvents, EventSplitter};
 pub use failure::Failure;
 pub use identify::IdentifiedRequest;
-pub use placement::connection_share;
+pub use placement::{Placement, connection_share};
 pub use serve::serve;
 pub use stream_gaps::StreamGaps;
