Requests with a prompt part under which servers crash are refused, at all nodes

Cause: nodes kept nothing of what a request did to its server beyond the request itself, so each new one was placed as if none had come before. Ruled out: repeats (all were sent once) and load (no queues).

Change: a node that gets an answer broken off checks whether the server still accepts connections. If not, it notes a crash with the common parts of the prompts whose answers were broken off within their first two seconds. Digests carry crashes, and how many sound answers nodes have seen to prompts with suspected parts. A part is blamed by a likelihood ratio: crashes at separate moments against the share of answers that break off anyway, sound answers speaking against it. Crashes that a block explains count against no other part, and parts that no request told apart are blocked together. Blocks go to all nodes by digests, which carry a mark of all blocks, and into the key-value service, which keeps them when all nodes end; one node lets a probe through after 30 s and after an hour, by compare-and-swap. First sends, retries, resumptions and carried requests ask; what is refused gets 503 with the reason and has not run. A request whose answer was broken off is not sent again if another server has crashed under a part of its prompt that nobody has seen answered.

--- /dev/null
+++ b/crates/coord/src/crashes/blocks.rs
@@ -0,0 +1,193 @@
+//! The prompt parts that a node refuses.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use bulrushhall_core::Stamp;
+
+use super::{Blame, Block, BlockState, PartId, PartIds};
+
+/// The maximum number of blocks that are remembered; those that were lifted yield first, then the oldest ones.
+const MAX_BLOCKS: usize = 4_096;
+
+/// A `ProbeSchedule` says after which times blocked requests are let through to see whether they still crash their servers.
+#[derive(Clone, Copy, Debug)]
+pub struct ProbeSchedule {
+    /// The times since the block, or since the probe before; there are no more probes than times.
+    pub after: [Duration; 2],
+}
+
+impl Default for ProbeSchedule {
+    fn default() -> ProbeSchedule {
+        ProbeSchedule { after: [Duration::from_secs(30), Duration::from_secs(3_600)] }
+    }
+}
+
+/// A `Received` is what a record of another node or of the key-value service changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Received {
+    /// Nothing.
+    Nothing,
+    /// A block is in force that was not.
+    InForce,
+    /// A block was lifted.
+    Lifted,
+    /// A probe was sent.
+    Probed,
+}
+
+/// `Blocks` are the prompt parts that a node refuses, and those that it no longer refuses.
+#[derive(Debug, Default)]
+pub struct Blocks {
+    schedule: ProbeSchedule,
+    entries: BTreeMap<PartIds, Entry>,
+    /// The blocks in force by each of their parts.
+    by_part: HashMap<PartId, Vec<PartIds>>,
+    mark: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    block: Block,
+    learned_at: Stamp,
+}
+
+impl Blocks {
+    /// Returns no blocks, whose probes follow a schedule.
+    pub fn new(schedule: ProbeSchedule) -> Blocks {
+        Blocks { schedule, ..Blocks::default() }
+    }
+
+    /// Returns the parts of a block in force that a prompt with these parts has, if there is one.
+    pub fn matching(&self, parts: &[PartId]) -> Option<&[PartId]> {
+        if self.by_part.is_empty() {
+            return None;
+        }
+        for part in parts {
+            for ids in self.by_part.get(part).into_iter().flatten() {
+                if ids.0.iter().all(|id| parts.contains(id)) {
+                    return Some(&ids.0);
+                }
+            }
+        }
+        None
+    }
+
+    /// Returns whether all prompts with a part are refused.
+    pub fn is_alone(&self, part: PartId) -> bool {
+        self.by_part.get(&part).into_iter().flatten().any(|ids| ids.0 == [part])
+    }
+
+    /// Returns the record of some parts.
+    pub fn get(&self, parts: &PartIds) -> Option<&Block> {
+        self.entries.get(parts).map(|entry| &entry.block)
+    }
+
+    /// Returns all records.
+    pub fn iter(&self) -> impl Iterator<Item = &Block> {
+        self.entries.values().map(|entry| &entry.block)
+    }
+
+    /// Returns a number that is equal at nodes that have the same records.
+    pub fn mark(&self) -> u64 {
+        self.mark
+    }
+
+    /// Returns whether any block is in force.
+    pub fn is_any_in_force(&self) -> bool {
+        !self.by_part.is_empty()
+    }
+
+    /// Returns the number of blocks in force.
+    pub fn count_in_force(&self) -> usize {
+        self.iter().filter(|block| block.state() == BlockState::InForce).count()
+    }
+
+    /// Puts a block in force; returns its record unless it is in force already.
+    pub fn put(&mut self, now: Stamp, blame: &Blame, since_unix_ms: u64) -> Option<Block> {
+        let parts = PartIds(blame.parts.clone());
+        let before = self.get(&parts);
+        if before.is_some_and(|block| block.state() == BlockState::InForce) {
+            return None;
+        }
+        let generation = before.map_or(0, |block| block.generation) + 1;
+        let block = Block { parts, generation, crashes: blame.crashes, probes: 0, since_unix_ms };
+        self.insert(now, block.clone());
+        Some(block)
+    }
+
+    /// Lifts a block; returns its record unless it is not in force.
+    pub fn lift(&mut self, now: Stamp, parts: &PartIds) -> Option<Block> {
+        let before = self.get(parts).filter(|block| block.state() == BlockState::InForce)?;
+        let block = Block { generation: before.generation + 1, probes: 0, ..before.clone() };
+        self.insert(now, block.clone());
+        Some(block)
+    }
+
+    /// Applies a record of another node or of the key-value service.
+    pub fn receive(&mut self, now: Stamp, block: Block) -> Received {
+        if block.parts.0.is_empty() || !block.parts.0.is_sorted() {
+            return Received::Nothing;
+        }
+        let known = self.get(&block.parts);
+        if known.is_some_and(|known| !block.is_after(known)) {
+            return Received::Nothing;
+        }
+        let state_before = known.map_or(BlockState::Lifted, Block::state);
+        let received = match (state_before, block.state()) {
+            (BlockState::InForce, BlockState::InForce) => Received::Probed,
+            (_, BlockState::InForce) => Received::InForce,
+            (BlockState::InForce, BlockState::Lifted) => Received::Lifted,
+            (BlockState::Lifted, BlockState::Lifted) => Received::Nothing,
+        };
+        self.insert(now, block);
+        received
+    }
+
+    /// Returns the record that claims a probe of a block, if one is due: the node that writes it to the key-value service
+    /// may let one request through.
+    pub fn due_probe(&self, now: Stamp, parts: &[PartId]) -> Option<Block> {
+        let entry = self.entries.get(&PartIds(parts.to_vec()))?;
+        let after = self.schedule.after.get(usize::try_from(entry.block.probes).ok()?)?;
+        let is_due = *after <= now.since(entry.learned_at);
+        is_due.then(|| Block { probes: entry.block.probes + 1, ..entry.block.clone() })
+    }
+
+    fn insert(&mut self, now: Stamp, block: Block) {
+        let ids = block.parts.clone();
+        self.remove(&ids);
+        if MAX_BLOCKS <= self.entries.len() {
+            self.drop_one();
+        }
+        self.mark ^= block.mark();
+        if block.state() == BlockState::InForce {
+            for part in &ids.0 {
+                self.by_part.entry(*part).or_default().push(ids.clone());
+            }
+        }
+        self.entries.insert(ids, Entry { block, learned_at: now });
+    }
+
+    fn remove(&mut self, ids: &PartIds) {
+        let Some(entry) = self.entries.remove(ids) else { return };
+        self.mark ^= entry.block.mark();
+        for part in &ids.0 {
+            if let Some(of_part) = self.by_part.get_mut(part) {
+                of_part.retain(|other| other != ids);
+                if of_part.is_empty() {
+                    self.by_part.remove(part);
+                }
+            }
+        }
+    }
+
+    fn drop_one(&mut self) {
+        let least = self.entries.iter().min_by_key(|(_, entry)| {
+            (entry.block.state() == BlockState::InForce, entry.learned_at)
+        });
+        let Some(ids) = least.map(|(ids, _)| ids.clone()) else { return };
+        self.remove(&ids);
+    }
+}
--- /dev/null
+++ b/crates/coord/src/crashes/evidence.rs
@@ -0,0 +1,371 @@
+//! The crashes that nodes have seen, and what the requests in them have in common.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    time::Duration,
+};
+
+use bulrushhall_core::{Incarnation, Stamp};
+
+use super::{
+    Background, Blocks, CrashReport, CrashedRequest, Judge, LikelihoodRatio, PartId, PartOutcomes,
+    PartTally, SoundReport,
+};
+
+/// `EvidenceOptions` are the limits of what is remembered and when it is judged.
+#[derive(Clone, Copy, Debug)]
+pub struct EvidenceOptions {
+    /// How long crashes are remembered.
+    pub window: Duration,
+    /// The maximum number of reports that are remembered.
+    pub max_reports: usize,
+    /// The maximum number of requests in a report.
+    pub max_requests: usize,
+    /// How long a report is sent to other nodes: several digests may be lost.
+    pub reported_for: Duration,
+    /// Crashes that follow each other faster than this count as one, as do crashes of requests that were sent before the
+    /// last one: what ends many servers at once is no request.
+    pub moment: Duration,
+    /// The number of crashes from which a part is suspected, and nodes tell its sound answers.
+    pub suspected_from: u32,
+    /// The time after which all nodes have told the sound answers of a part that is suspected.
+    pub settling: Duration,
+    /// The number of sound answers from which nodes need not tell theirs as well.
+    pub enough_sound: u32,
+}
+
+impl Default for EvidenceOptions {
+    fn default() -> EvidenceOptions {
+        EvidenceOptions {
+            window: Duration::from_secs(3_600),
+            max_reports: 512,
+            max_requests: 64,
+            reported_for: Duration::from_millis(1_000),
+            moment: Duration::from_millis(250),
+            suspected_from: 2,
+            settling: Duration::from_millis(700),
+            enough_sound: 8,
+        }
+    }
+}
+
+/// A `Blame` is the parts that together are found to crash servers: requests that have all of them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Blame {
+    /// The parts, in ascending order. There are several only if no request had one without the others.
+    pub parts: Vec<PartId>,
+    /// The crashes.
+    pub crashes: u32,
+}
+
+/// `CrashEvidence` is what one node knows of the crashes that all nodes have seen.
+pub struct CrashEvidence {
+    options: EvidenceOptions,
+    judge: Box<dyn Judge>,
+    reports: VecDeque<Known>,
+    sound: HashMap<PartId, BTreeMap<Incarnation, Told>>,
+    written: u32,
+}
+
+struct Known {
+    at: Stamp,
+    learned_at: Stamp,
+    report: CrashReport,
+}
+
+#[derive(Clone, Copy)]
+struct Told {
+    answers: u32,
+    learned_at: Stamp,
+}
+
+/// The crashes under one part.
+#[derive(Clone, Debug, Default)]
+struct Suspect {
+    servers: BTreeSet<u64>,
+    requests: BTreeSet<u64>,
+    crashes: u32,
+    last_moment: Option<Stamp>,
+    suspected_at: Option<Stamp>,
+}
+
+impl Default for CrashEvidence {
+    fn default() -> CrashEvidence {
+        CrashEvidence::new(EvidenceOptions::default(), Box::new(LikelihoodRatio::default()))
+    }
+}
+
+impl std::fmt::Debug for CrashEvidence {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("CrashEvidence")
+            .field("reports", &self.reports.len())
+            .finish_non_exhaustive()
+    }
+}
+
+impl CrashEvidence {
+    /// Returns no evidence, which a judge will decide on.
+    pub fn new(options: EvidenceOptions, judge: Box<dyn Judge>) -> CrashEvidence {
+        CrashEvidence {
+            options,
+            judge,
+            reports: VecDeque::new(),
+            sound: HashMap::new(),
+            written: 0,
+        }
+    }
+
+    /// Notes a crash that this node has seen.
+    pub fn note_crash(
+        &mut self,
+        now: Stamp,
+        author: Incarnation,
+        server: u64,
+        mut requests: Vec<CrashedRequest>,
+    ) {
+        requests.truncate(self.options.max_requests);
+        self.written += 1;
+        let number = self.written;
+        self.add(now, CrashReport { author, number, age_ms: 0, server, requests });
+    }
+
+    /// Notes a crash that another node has seen; returns whether it was not known.
+    pub fn receive(&mut self, now: Stamp, report: CrashReport) -> bool {
+        let is_of_window = Duration::from_millis(report.age_ms) < self.options.window;
+        let is_known = self.reports.iter().any(|known| {
+            (known.report.author, known.report.number) == (report.author, report.number)
+        });
+        if is_known || !is_of_window || self.options.max_requests < report.requests.len() {
+            return false;
+        }
+        self.add(now, report);
+        true
+    }
+
+    /// Notes how many sound answers another node has seen.
+    pub fn receive_sound(&mut self, now: Stamp, report: SoundReport) {
+        if self.suspects().contains(&report.part) {
+            self.note_sound(now, report);
+        }
+    }
+
+    /// Returns the reports that other nodes may not have yet.
+    pub fn reports(&self, now: Stamp) -> Vec<CrashReport> {
+        let mut reports = Vec::new();
+        for known in &self.reports {
+            if now.since(known.learned_at) < self.options.reported_for {
+                reports.push(CrashReport {
+                    age_ms: millis(now.since(known.at)),
+                    ..known.report.clone()
+                });
+            }
+        }
+        reports
+    }
+
+    /// Returns the sound answers that other nodes may not have yet.
+    pub fn sound_reports(&self, now: Stamp) -> Vec<SoundReport> {
+        let mut reports = Vec::new();
+        for (part, told) in &self.sound {
+            for (author, told) in told {
+                if now.since(told.learned_at) < self.options.reported_for {
+                    reports.push(SoundReport {
+                        author: *author,
+                        part: *part,
+                        answers: told.answers,
+                    });
+                }
+            }
+        }
+        reports
+    }
+
+    /// Notes this node's own sound answers to prompts with parts that are suspected.
+    pub fn note_own_sound(&mut self, now: Stamp, own: Incarnation, outcomes: &PartOutcomes) {
+        for part in self.suspects() {
+            let answers = outcomes.sound(part);
+            let told = self.sound.get(&part);
+            let own_told = told.and_then(|told| told.get(&own)).map_or(0, |told| told.answers);
+            let is_enough = self.options.enough_sound <= self.sound_answers(part);
+            if 0 < answers && !is_enough && own_told.saturating_mul(2) <= answers {
+                self.note_sound(now, SoundReport { author: own, part, answers });
+            }
+        }
+    }
+
+    /// Returns the number of sound answers to prompts with a part that nodes have told.
+    pub fn sound_answers(&self, part: PartId) -> u32 {
+        let told = self.sound.get(&part).into_iter().flat_map(BTreeMap::values);
+        told.fold(0, |sum: u32, told| sum.saturating_add(told.answers))
+    }
+
+    /// Returns whether a server has crashed under a part of which nodes have told no sound answer.
+    pub fn is_suspect(&self, part: PartId) -> bool {
+        let mut requests = self.reports.iter().flat_map(|known| &known.report.requests);
+        requests.any(|req| req.parts.contains(&part)) && self.sound_answers(part) == 0
+    }
+
+    /// Returns whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.reports.is_empty()
+    }
+
+    /// Drops what is too old.
+    pub fn expire(&mut self, now: Stamp) {
+        let window = self.options.window;
+        self.reports.retain(|known| now.since(known.at) < window);
+        let suspects = self.suspects();
+        self.sound.retain(|part, _| suspects.contains(part));
+    }
+
+    /// Forgets what speaks against a part, since it is no longer blamed.
+    pub fn forget(&mut self, part: PartId) {
+        for known in &mut self.reports {
+            for req in &mut known.report.requests {
+                req.parts.retain(|other| *other != part);
+            }
+        }
+    }
+
+    /// Returns the parts that the evidence speaks against most, if it suffices.
+    pub fn judge(&self, now: Stamp, crash_share: f64, blocks: &Blocks) -> Option<Blame> {
+        let suspects = self.tally(blocks);
+        let background = Background { crash_share, suspects: suspects.len() };
+        let mut most: Option<(PartTally, PartId)> = None;
+        for (part, suspect) in &suspects {
+            let tally = PartTally { crashes: suspect.crashes, sound: self.sound_answers(*part) };
+            let is_settled =
+                suspect.suspected_at.is_some_and(|at| self.options.settling <= now.since(at));
+            if !is_settled || self.judge.excess(tally, background) < 0.0 {
+                continue;
+            }
+            let is_more = most.is_none_or(|(most, _)| {
+                (most.crashes, Reverse(most.sound)) < (tally.crashes, Reverse(tally.sound))
+            });
+            if is_more {
+                most = Some((tally, *part));
+            }
+        }
+        let (tally, part) = most?;
+        let parts = self.inseparable(part, tally, &suspects)?;
+        Some(Blame { parts, crashes: tally.crashes })
+    }
+
+    // Returns the part with those that the evidence does not tell apart from it; none if these are of other requests, so
+    // that another crash will tell.
+    fn inseparable(
+        &self,
+        part: PartId,
+        tally: PartTally,
+        suspects: &BTreeMap<PartId, Suspect>,
+    ) -> Option<Vec<PartId>> {
+        let suspect = suspects.get(&part)?;
+        let mut parts = vec![part];
+        for (other, its) in suspects {
+            let is_alike = *other != part
+                && its.crashes == tally.crashes
+                && self.sound_answers(*other) == tally.sound
+                && its.servers == suspect.servers;
+            if !is_alike {
+                continue;
+            }
+            if its.requests != suspect.requests {
+                return None;
+            }
+            parts.push(*other);
+        }
+        parts.sort_unstable();
+        Some(parts)
+    }
+
+    fn add(&mut self, now: Stamp, report: CrashReport) {
+        let at = now - Duration::from_millis(report.age_ms);
+        while self.options.max_reports <= self.reports.len() {
+            self.reports.pop_front();
+        }
+        self.reports.push_back(Known { at, learned_at: now, report });
+    }
+
+    fn note_sound(&mut self, now: Stamp, report: SoundReport) {
+        let told = self.sound.entry(report.part).or_default();
+        let known = told.get(&report.author).map_or(0, |known| known.answers);
+        if known < report.answers {
+            told.insert(report.author, Told { answers: report.answers, learned_at: now });
+        }
+    }
+
+    // Returns the parts that are suspected, also those that are blocked.
+    fn suspects(&self) -> BTreeSet<PartId> {
+        let tally = self.tally(&Blocks::default());
+        let from = self.options.suspected_from;
+        tally.into_iter().filter(|(_, it)| from <= it.crashes).map(|(part, _)| part).collect()
+    }
+
+    // Returns the crashes under each part. Those of a server that had a request that is blocked count only against the
+    // parts of that block: it is known what crashed the server.
+    fn tally(&self, blocks: &Blocks) -> BTreeMap<PartId, Suspect> {
+        let mut crashes: BTreeMap<u64, Crash<'_>> = BTreeMap::new();
+        for known in &self.reports {
+            let crash = crashes.entry(known.report.server).or_insert_with(|| Crash::new(known.at));
+            crash.at = crash.at.min(known.at);
+            crash.requests.extend(known.report.requests.iter().map(|req| (req, known.learned_at)));
+        }
+        let mut crashes: Vec<(u64, Crash<'_>)> = crashes.into_iter().collect();
+        crashes.sort_by_key(|(server, crash)| (crash.at, *server));
+        let mut suspects: BTreeMap<PartId, Suspect> = BTreeMap::new();
+        for (server, crash) in crashes {
+            let explained = crash.requests.iter().find_map(|(req, _)| blocks.matching(&req.parts));
+            for (req, learned_at) in crash.requests {
+                for part in &req.parts {
+                    let is_explained = explained.is_some_and(|parts| !parts.contains(part));
+                    if is_explained || blocks.is_alone(*part) {
+                        continue;
+                    }
+                    let suspect = suspects.entry(*part).or_default();
+                    suspect.add((server, crash.at), req, learned_at, &self.options);
+                }
+            }
+        }
+        suspects
+    }
+}
+
+struct Crash<'a> {
+    at: Stamp,
+    requests: Vec<(&'a CrashedRequest, Stamp)>,
+}
+
+impl Crash<'_> {
+    fn new(at: Stamp) -> Self {
+        Crash { at, requests: Vec::new() }
+    }
+}
+
+impl Suspect {
+    fn add(
+        &mut self,
+        (server, at): (u64, Stamp),
+        req: &CrashedRequest,
+        learned_at: Stamp,
+        options: &EvidenceOptions,
+    ) {
+        self.requests.insert(req.request);
+        let is_new_server = self.servers.insert(server);
+        let sent_at = at - Duration::from_millis(req.age_ms);
+        let is_same_moment =
+            self.last_moment.is_some_and(|last| sent_at < last || at.since(last) < options.moment);
+        if !is_new_server || is_same_moment {
+            return;
+        }
+        self.last_moment = Some(at);
+        self.crashes += 1;
+        if self.crashes == options.suspected_from {
+            self.suspected_at = Some(learned_at);
+        }
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/coord/src/crashes/outcomes.rs
@@ -0,0 +1,88 @@
+//! What became of the answers of one node.
+
+use std::{collections::HashMap, time::Duration};
+
+use bulrushhall_core::Stamp;
+
+use super::PartId;
+
+/// The maximum number of parts that are remembered; the least recently used of them yield.
+const MAX_PARTS: usize = 16_384;
+/// The number of parts that are dropped at once when there are too many.
+const DROPPED_PARTS: usize = 2_048;
+/// The time for which answers count in the share that is broken off: for this long at least, and at most for twice as long.
+const WINDOW: Duration = Duration::from_secs(60);
+/// The answers that a node without any is taken to have seen, and those of them that were broken off.
+const PRIOR: (f64, f64) = (20.0, 1.0);
+
+/// `PartOutcomes` are the answers that one node has seen, by the parts of their prompts.
+#[derive(Debug, Default)]
+pub struct PartOutcomes {
+    parts: HashMap<PartId, Sound>,
+    current: Window,
+    previous: Window,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Sound {
+    answers: u32,
+    last_at: Stamp,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Window {
+    began_at: Option<Stamp>,
+    answers: u32,
+    broken: u32,
+}
+
+impl PartOutcomes {
+    /// Notes an answer that came to its end.
+    pub fn note_sound(&mut self, now: Stamp, parts: impl IntoIterator<Item = PartId>) {
+        self.window(now).answers += 1;
+        for part in parts {
+            let sound = self.parts.entry(part).or_insert(Sound { answers: 0, last_at: now });
+            sound.answers = sound.answers.saturating_add(1);
+            sound.last_at = now;
+        }
+        if MAX_PARTS < self.parts.len() {
+            self.drop_oldest();
+        }
+    }
+
+    /// Notes an answer that was broken off by the crash of its server.
+    pub fn note_broken(&mut self, now: Stamp) {
+        let window = self.window(now);
+        window.answers += 1;
+        window.broken += 1;
+    }
+
+    /// Returns the number of answers to prompts with a part that came to their end.
+    pub fn sound(&self, part: PartId) -> u32 {
+        self.parts.get(&part).map_or(0, |sound| sound.answers)
+    }
+
+    /// Returns the share of the latest answers that were broken off.
+    pub fn crash_share(&self) -> f64 {
+        let answers = f64::from(self.current.answers + self.previous.answers);
+        let broken = f64::from(self.current.broken + self.previous.broken);
+        let (prior_answers, prior_broken) = PRIOR;
+        (prior_broken + broken) / (prior_answers + answers)
+    }
+
+    fn window(&mut self, now: Stamp) -> &mut Window {
+        let began_at = *self.current.began_at.get_or_insert(now);
+        if WINDOW <= now.since(began_at) {
+            self.previous = std::mem::take(&mut self.current);
+            self.current.began_at = Some(now);
+        }
+        &mut self.current
+    }
+
+    fn drop_oldest(&mut self) {
+        let mut used: Vec<Stamp> = self.parts.values().map(|sound| sound.last_at).collect();
+        let (_, limit, _) = used.select_nth_unstable(DROPPED_PARTS);
+        let limit = *limit;
+        self.parts.retain(|_, sound| limit < sound.last_at);
+    }
+}
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -97,6 +97,12 @@
     RoomLowered,
     /// A backend server closed its connections in the middle of answers and refuses new ones.
     ServerCrashed,
+    /// Requests with some prompt parts are refused, since backend servers crash under them.
+    PartBlocked,
+    /// Requests with some prompt parts are no longer refused.
+    PartUnblocked,
+    /// One request with prompt parts that are refused was let through, to see whether its server crashes.
+    PartProbed,
     /// A VM was bought.
     VmBought,
     /// The purchase of a VM was refused; no VM is bought in the same place for a while.
@@ -165,6 +171,9 @@
         Event::ServiceSound,
         Event::RoomLowered,
         Event::ServerCrashed,
+        Event::PartBlocked,
+        Event::PartUnblocked,
+        Event::PartProbed,
         Event::VmBought,
         Event::PurchaseRefused,
         Event::VmReleased,
@@ -225,6 +234,9 @@
             Event::ServiceSound => 453,
             Event::RoomLowered => 454,
             Event::ServerCrashed => 455,
+            Event::PartBlocked => 456,
+            Event::PartUnblocked => 457,
+            Event::PartProbed => 458,
             Event::VmBought => 500,
             Event::PurchaseRefused => 501,
             Event::VmReleased => 502,
--- a/crates/gateway/src/cluster/carried.rs
+++ b/crates/gateway/src/cluster/carried.rs
@@ -47,6 +47,9 @@
     /// Whether the carrier has no room there that it may use.
     #[serde(default)]
     pub full: bool,
+    /// Whether it refuses the request because of a part of its prompt.
+    #[serde(default)]
+    pub blocked: bool,
 }
 
 impl CarriedRequest {
--- a/crates/gateway/src/cluster/carry.rs
+++ b/crates/gateway/src/cluster/carry.rs
@@ -2,14 +2,15 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bulrushhall_coord::crashes::PartId;
 use bulrushhall_core::{Ran, Stamp};
 use bulrushhall_external::http::{Body, BoxError, full};
 use bulrushhall_policy::placement::WorkerKey;
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::{
-    Response, StatusCode,
+    Request, Response, StatusCode,
     body::{Frame, Incoming},
     header::HeaderValue,
 };
@@ -21,6 +22,7 @@
     backends::{Connection, OpenError, Pool},
     brittle, clock,
     cluster::{CARRIED_HEADER, CarriedRequest, CarryFailure},
+    crashes::{is_blocked, note_broken},
     gateway::{Gateway, Phase, State},
     meters,
     pipeline::connection_share,
@@ -28,9 +30,9 @@
 };
 
 /// The failure of a request that the server did not get.
-const NOT_RUN: CarryFailure = CarryFailure { ran: Ran::No, full: false };
+const NOT_RUN: CarryFailure = CarryFailure { ran: Ran::No, full: false, blocked: false };
 /// The failure of a request that the server may have run.
-const LOST: CarryFailure = CarryFailure { ran: Ran::Unknown, full: false };
+const LOST: CarryFailure = CarryFailure { ran: Ran::Unknown, full: false, blocked: false };
 
 /// Sends a request of another node to the backend server that it names, over this node's own connections only, and
 /// returns the response. The other node keeps all accounts of the request.
@@ -91,6 +93,35 @@
     connection: Connection,
     pool: Arc<Pool>,
     in_flight: CarriedInFlight,
+    subject: Subject,
+}
+
+/// What a carried request is about.
+struct Subject {
+    id: String,
+    sent_at: Stamp,
+    /// The parts of its prompt that other prompts have too.
+    parts: Vec<PartId>,
+}
+
+impl Subject {
+    fn note_broken(&self, gateway: &Arc<Gateway>, key: WorkerKey) {
+        if !self.parts.is_empty() {
+            note_broken(gateway, key, (&self.id, self.sent_at), self.parts.clone());
+        }
+    }
+}
+
+// A head that can't be read is the server's to reject.
+fn subject(gateway: &Gateway, req: &Request<Full<Bytes>>) -> Subject {
+    let mut parts = Request::new(()).into_parts().0;
+    parts.uri = req.uri().clone();
+    parts.headers = req.headers().clone();
+    let call = gateway.platform.wire.read_call(&parts).ok();
+    let prompt = call.as_ref().and_then(|call| call.prompt.as_ref());
+    let parts = prompt.map(|prompt| prompt.common_parts().collect()).unwrap_or_default();
+    let id = call.map(|call| call.id).unwrap_or_default();
+    Subject { id, sent_at: clock::now(), parts }
 }
 
 fn target(gateway: &Arc<Gateway>, carried: &CarriedRequest) -> Result<Target, CarryFailure> {
@@ -128,6 +159,10 @@
 ) -> Result<CarriedResponse, CarryFailure> {
     let Target { key, pool, connections, in_flight } = target(gateway, carried)?;
     let mut req = carried.request().ok_or(NOT_RUN)?;
+    let subject = subject(gateway, &carried.request().ok_or(NOT_RUN)?);
+    if gateway.with(|state| is_blocked(state, subject.parts.iter().copied())) {
+        return Err(CarryFailure { blocked: true, ..NOT_RUN });
+    }
     let sent_at = clock::now();
     loop {
         let mut connection = match pool.take(clock::now(), connections).await {
@@ -144,12 +179,22 @@
         match connection.sender.try_send_request(req).await {
             Ok(response) => {
                 let head = note_head(gateway, carried, (key, sent_at), &response);
-                return Ok(CarriedResponse { response, head, connection, pool, in_flight });
+                return Ok(CarriedResponse {
+                    response,
+                    head,
+                    connection,
+                    pool,
+                    in_flight,
+                    subject,
+                });
             }
             Err(mut error) => match error.take_message() {
                 Some(unsent) if connection.reused => req = unsent,
                 Some(_) => return Err(NOT_RUN),
-                None => return Err(LOST),
+                None => {
+                    subject.note_broken(gateway, key);
+                    return Err(LOST);
+                }
             },
         }
     }
@@ -183,7 +228,8 @@
             head: self.head,
             connection: self.connection,
             pool: self.pool,
-            _in_flight: self.in_flight,
+            in_flight: self.in_flight,
+            subject: self.subject,
         };
         let frames = unfold(Some((body, kept)), move |open| next_frame(open, deadline));
         let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
@@ -198,7 +244,8 @@
     head: ResponseHead,
     connection: Connection,
     pool: Arc<Pool>,
-    _in_flight: CarriedInFlight,
+    in_flight: CarriedInFlight,
+    subject: Subject,
 }
 
 impl Kept {
@@ -228,7 +275,10 @@
             }
             Some((Ok(frame), Some((body, kept))))
         }
-        Some(Err(error)) => Some((Err(error.into()), None)),
+        Some(Err(error)) => {
+            kept.subject.note_broken(&kept.in_flight.gateway, kept.in_flight.key);
+            Some((Err(error.into()), None))
+        }
         None => {
             kept.release();
             None
--- a/crates/gateway/src/cluster/digest.rs
+++ b/crates/gateway/src/cluster/digest.rs
@@ -10,6 +10,7 @@
     backends::{BackendUpdates, LimitReport, Load, RANKS, RoomReport},
     brittle::BrittleReport,
     cluster::{MemberRecord, MemberUpdates},
+    crashes::CrashDigest,
     demand::Offered,
     rollouts::ReportedCounts,
 };
@@ -148,6 +149,9 @@
     /// The versions of services that the sender knows; nodes of an earlier version do not send them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub versions: Option<VersionsReport>,
+    /// What the sender knows of crashes of backend servers; nodes of an earlier version do not send it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub crashes: Option<CrashDigest>,
     /// The sender's latency models of the engines of each service.
     #[serde(rename = "paces")]
     pub latency_models: Vec<(ServiceName, EngineLatencyModel)>,
@@ -191,6 +195,7 @@
             rooms: Vec::new(),
             lost_services: Vec::new(),
             versions: None,
+            crashes: None,
             latency_models: Vec::new(),
             record_cursor: None,
             records: None,
--- a/crates/gateway/src/cluster/gossip.rs
+++ b/crates/gateway/src/cluster/gossip.rs
@@ -29,6 +29,7 @@
         advertise::{DigestOptions, build_digest},
         receive::{DocumentFetch, receive_digest},
     },
+    crashes::plan_blocks,
     gateway::{Gateway, State},
     meters,
     streams::{note_touch, note_versions},
@@ -124,6 +125,7 @@
     plan_relays(gateway, state, now);
     plan_limits(state, &gateway.settings.gateway.name);
     plan_rooms(state, &gateway.settings.gateway.name);
+    plan_blocks(gateway, state, now);
     let is_member = state.relays.role == Role::Member;
     let stale_after = if is_member { MEMBER_STALE_AFTER } else { STALE_AFTER };
     let round = Round { gateway, now, is_stale: !state.freshness.is_within(now, stale_after) };
--- a/crates/gateway/src/cluster/members.rs
+++ b/crates/gateway/src/cluster/members.rs
@@ -65,6 +65,8 @@
     pub offered: BTreeMap<ServiceName, Offered>,
     /// The services that it has lost its way to, by its last digest.
     pub lost_services: BTreeSet<ServiceName>,
+    /// The mark of the blocks that it has, by its last digest; none for nodes of an earlier version.
+    pub block_mark: Option<u64>,
     /// The connections over which it carries requests of this node.
     pub pool: Arc<Pool>,
     /// The client by which it is asked for streams and gets copies of them.
@@ -100,6 +102,7 @@
             ready: false,
             clock_offset_ms: None,
             offered: BTreeMap::new(),
+            block_mark: None,
             lost_services: BTreeSet::new(),
         }
     }
--- a/crates/gateway/src/cluster/membership.rs
+++ b/crates/gateway/src/cluster/membership.rs
@@ -12,7 +12,11 @@
 
 use crate::{
     clock,
-    cluster::{Follower, MemberRecord, follow},
+    cluster::{
+        Follower, MemberRecord,
+        block_records::{apply_block, restore_blocks},
+        follow,
+    },
     gateway::{Gateway, Phase},
 };
 
@@ -108,6 +112,7 @@
             self.note_duty(present.is_some());
             return None;
         }
+        apply_block(&self.gateway, change);
         let name = NodeName::new(change.key.strip_prefix(NODE_PREFIX)?).ok()?;
         if name == self.gateway.settings.gateway.name {
             self.gateway.with(|state| state.members.own_record_missing = present.is_none());
@@ -147,6 +152,7 @@
         self.note_duty(changes.iter().any(|change| change.key == DUTY_KEY));
         let listed: BTreeSet<NodeName> =
             changes.iter().filter_map(|change| self.apply(change)).collect();
+        restore_blocks(&self.gateway, &changes);
         let own = &self.gateway.settings.gateway.name;
         self.gateway.with(|state| {
             state.members.own_record_missing = !listed.contains(own);
--- a/crates/gateway/src/cluster/mod.rs
+++ b/crates/gateway/src/cluster/mod.rs
@@ -8,6 +8,7 @@
 
 mod advertise;
 mod backends;
+mod block_records;
 mod carried;
 mod carry;
 mod config;
@@ -21,6 +22,7 @@
 mod stream_copies;
 
 pub use backends::follow_backends;
+pub use block_records::{claim_probe, store_blocks};
 pub use carried::{CARRIED_HEADER, CARRY_PATH, CarriedRequest, CarryFailure};
 pub use config::{activate_config, follow_config};
 pub use digest::{BackendLoad, Digest, DigestScope, Document, LiveNode, RecordCursor};
--- a/crates/gateway/src/cluster/receive.rs
+++ b/crates/gateway/src/cluster/receive.rs
@@ -19,6 +19,7 @@
     backends::BackendUpdates,
     brittle, clock,
     cluster::{BackendLoad, Digest, DigestScope, LiveNode, MemberUpdates, RecordCursor, as_millis},
+    crashes::receive_crashes,
     gateway::{Gateway, State},
     meters,
     rollouts::{ReportedCounts, note_ended},
@@ -83,6 +84,10 @@
         if let Some(versions) = &digest.versions {
             state.streams.versions.receive(now, versions);
         }
+        member.block_mark = digest.crashes.as_ref().map(|crashes| crashes.mark);
+        if let Some(crashes) = digest.crashes.take() {
+            receive_crashes(gateway, state, now, crashes);
+        }
         receive_rollouts(state, now, digest.rollouts.drain(..));
         receive_leaving(state, std::mem::take(&mut digest.leaving_backends));
         receive_limits(state, now, name, std::mem::take(&mut digest.backend_limits));
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -129,7 +129,7 @@
     pub rollouts: RolloutState,
     /// The versions at which streams began.
     pub streams: StreamState,
-    /// The answers that backend servers broke off.
+    /// The crashes of backend servers, and the prompt parts that are refused because of them.
     pub crashes: CrashState,
     /// The latencies observed at the backend servers of each service.
     pub observed: HashMap<ServiceName, Observed>,
@@ -181,6 +181,8 @@
     pub phase: watch::Sender<Phase>,
     /// Notified when origins of streams have to be copied to other nodes.
     pub copies_due: Notify,
+    /// Notified when blocks of prompt parts have to be written to the key-value service.
+    pub blocks_due: Notify,
     state: Mutex<State>,
     /// The wall clock at the monotonic clock's zero, as of the start.
     wall_clock_offset: Duration,
@@ -205,6 +207,7 @@
             table: ArcSwapOption::empty(),
             phase: watch::Sender::new(Phase::Serving),
             copies_due: Notify::new(),
+            blocks_due: Notify::new(),
             state: Mutex::new(state),
             // The wall clock may jump while the node runs; the monotonic clock does not.
             wall_clock_offset: wall_clock.saturating_sub(clock::now().since(Stamp(0))),
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -27,6 +27,12 @@
 const STREAMS_COPIED: &str = "bulrush_route_streams_copied_total";
 /// The time that other nodes took to answer at which version a stream began.
 const STREAM_ASKED_SECONDS: &str = "bulrush_route_stream_asked_seconds";
+/// Crashes of backend servers in the middle of answers.
+const SERVERS_CRASHED: &str = "bulrush_route_servers_crashed_total";
+/// The blocks of prompt parts that are in force.
+const PARTS_BLOCKED: &str = "bulrush_route_parts_blocked";
+/// Requests that were refused because of such a block.
+const PARTS_REFUSED: &str = "bulrush_route_parts_refused_total";
 /// Outages of the platform's services.
 const DEPENDENCIES_LOST: &str = "bulrush_route_dependencies_lost_total";
 /// Restores of the key-value service from an older copy.
@@ -62,7 +68,7 @@
 }
 
 /// Every metric.
-pub const ROUTE_METRICS: [RouteMetric; 21] = [
+pub const ROUTE_METRICS: [RouteMetric; 24] = [
     RouteMetric { name: REQUESTS, kind: "counter", labels: "kind, outcome" },
     RouteMetric { name: REQUEST_SECONDS, kind: "histogram", labels: "kind" },
     RouteMetric { name: FIRST_SECONDS, kind: "histogram", labels: "kind" },
@@ -73,6 +79,9 @@
     RouteMetric { name: STREAM_RESUMPTIONS, kind: "counter", labels: "outcome" },
     RouteMetric { name: STREAMS_COPIED, kind: "counter", labels: "outcome" },
     RouteMetric { name: STREAM_ASKED_SECONDS, kind: "histogram", labels: "outcome" },
+    RouteMetric { name: SERVERS_CRASHED, kind: "counter", labels: "" },
+    RouteMetric { name: PARTS_BLOCKED, kind: "gauge", labels: "" },
+    RouteMetric { name: PARTS_REFUSED, kind: "counter", labels: "" },
     RouteMetric { name: DEPENDENCIES_LOST, kind: "counter", labels: "prefix" },
     RouteMetric { name: STORE_RESTORES, kind: "counter", labels: "" },
     RouteMetric { name: REVISION, kind: "gauge", labels: "" },
@@ -224,3 +233,18 @@
         Some(RouteKind::ResumableStream) => "resumable-stream",
     }
 }
+
+/// Counts a crash of a backend server in the middle of answers.
+pub fn server_crashed() {
+    counter!(SERVERS_CRASHED).increment(1);
+}
+
+/// Sets the number of blocks of prompt parts that are in force.
+pub fn parts_blocked(count: usize) {
+    gauge!(PARTS_BLOCKED).set(count as f64);
+}
+
+/// Counts a request that was refused because of a block.
+pub fn part_refused() {
+    counter!(PARTS_REFUSED).increment(1);
+}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -10,7 +10,7 @@
 use crate::{
     cluster::{
         PeerPort, copy_streams, follow_backends, follow_config, follow_members, gossip,
-        hand_over_streams, register,
+        hand_over_streams, register, store_blocks,
     },
     duties::{Holder, keep_lease, run_duties},
     gateway::{Gateway, Phase, Platform},
@@ -79,6 +79,7 @@
         tasks.push(tokio::spawn(register(Arc::clone(&gateway))));
         tasks.push(tokio::spawn(gossip(Arc::clone(&gateway))));
         tasks.push(tokio::spawn(copy_streams(Arc::clone(&gateway))));
+        tasks.push(tokio::spawn(store_blocks(Arc::clone(&gateway))));
         let holder = Arc::new(Holder::new(Arc::clone(&gateway)));
         tasks.push(tokio::spawn(keep_lease(Arc::clone(&holder))));
         tasks.push(tokio::spawn(run_duties(Arc::clone(&gateway), holder)));
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -9,6 +9,7 @@
 use hyper::{
     HeaderMap, Method, Request, Uri,
     body::Incoming,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
     http::{request, response},
 };
 use tokio::time::timeout;
@@ -57,6 +58,8 @@
 pub enum SendFault {
     /// No connection could be opened.
     NotOpened(OpenError),
+    /// The node that was to carry the request refuses it because of a part of its prompt.
+    Blocked,
     /// The backend server reports that it did not run the request.
     NotRun,
     /// Another backend server listens at the address.
@@ -75,6 +78,7 @@
         match self {
             SendFault::NotOpened(OpenError::Unreachable) => "unreachable",
             SendFault::NotOpened(OpenError::Full) => "too_many_connections",
+            SendFault::Blocked => "blocked",
             SendFault::NotRun => "not_run",
             SendFault::OtherBackend => "other_backend",
             SendFault::Silent => "silent",
@@ -124,10 +128,20 @@
     pub in_flight: InFlightGuard,
     /// The backend server that sends it.
     pub placement: Placement,
+    /// When the request was sent.
+    pub sent_at: Stamp,
     /// When the first bytes of its body arrived.
     pub began_at: Option<Stamp>,
 }
 
+impl BackendResponse {
+    /// Returns whether the end of the body is marked: one without a length or chunks ends with its connection.
+    pub fn is_delimited(&self) -> bool {
+        let headers = &self.parts.headers;
+        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+    }
+}
+
 impl OriginalRequest {
     /// Returns a caller's request with its complete body.
     pub fn new(head: request::Parts, body: Bytes, deadline: Stamp) -> OriginalRequest {
@@ -179,6 +193,7 @@
                 connection,
                 in_flight,
                 placement: placement.clone(),
+                sent_at,
                 began_at: None,
             })
         }
@@ -188,7 +203,7 @@
                 in_flight.note_failed();
             }
             if failed.fault == SendFault::Closed && failed.ran != Ran::No {
-                note_broken_answer(gateway, req, placement, None);
+                note_broken_answer(gateway, req, placement, (sent_at, None));
             }
             Err(failed)
         }
@@ -317,7 +332,8 @@
     let body = read_limited(response.into_body(), MAX_FAILURE_BYTES, FAILURE_TIMEOUT).await;
     let failure = body.ok().and_then(|body| rmp_serde::from_slice::<CarryFailure>(&body).ok());
     match failure {
-        Some(CarryFailure { ran: Ran::No, full }) => {
+        Some(CarryFailure { ran: Ran::No, blocked: true, .. }) => not_run(SendFault::Blocked),
+        Some(CarryFailure { ran: Ran::No, full, .. }) => {
             let error = if full { OpenError::Full } else { OpenError::Unreachable };
             not_run(SendFault::NotOpened(error))
         }
@@ -401,7 +417,7 @@
         });
     }
     match failed.fault {
-        SendFault::NotRun | SendFault::NotOpened(OpenError::Full) => {}
+        SendFault::Blocked | SendFault::NotRun | SendFault::NotOpened(OpenError::Full) => {}
         SendFault::OtherBackend => gateway.with(|state| {
             if let Some(backend) = state.backends.get_mut(placement.key) {
                 backend.replaced = true;
--- a/crates/gateway/src/pipeline/failure.rs
+++ b/crates/gateway/src/pipeline/failure.rs
@@ -13,6 +13,9 @@
 /// request at once.
 const RETRY_AFTER_LEAVING: Duration = Duration::from_millis(50);
 
+/// The retry delay that a caller is given whose prompt crashes backend servers.
+const RETRY_AFTER_BLOCKED: Duration = Duration::from_secs(30);
+
 /// A `Failure` is the reason why a request ends without a backend server's response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -42,6 +45,8 @@
     StreamUnknown,
     /// It continues a stream, and no backend server of the version that the stream began at accepts work.
     VersionUnavailable,
+    /// A part of its prompt crashes backend servers.
+    PartBlocked,
     /// The node is shutting down.
     Leaving,
     /// No backend server that got it ran it, and it may not be sent to another one.
@@ -69,6 +74,7 @@
             Failure::NoBackend => "no_backend",
             Failure::StreamUnknown => "stream_unknown",
             Failure::VersionUnavailable => "version_unavailable",
+            Failure::PartBlocked => "part_blocked",
             Failure::Leaving => "leaving",
             Failure::Rejected => "rejected",
             Failure::ResponseLost => "lost",
@@ -76,6 +82,14 @@
         }
     }
 
+    /// Returns the reason in words, for callers who can do something about it.
+    pub fn reason(self) -> Option<&'static str> {
+        match self {
+            Failure::PartBlocked => Some("backend servers crash under a part of this prompt\n"),
+            _ => None,
+        }
+    }
+
     /// Returns the response that the caller gets.
     ///
     /// The statuses 408, 421, 429 and 503 guarantee that the request was not run and never will be, so
@@ -98,6 +112,7 @@
             | Failure::StreamUnknown
             | Failure::VersionUnavailable
             | Failure::Rejected => (StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_AFTER_UNKNOWN)),
+            Failure::PartBlocked => (StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_AFTER_BLOCKED)),
             Failure::Leaving => (StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_AFTER_LEAVING)),
             Failure::TimedOut(Ran::No) => {
                 (StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_AFTER_UNKNOWN))
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     clock,
-    crashes::note_broken_answer,
+    crashes::{may_repeat, may_send, note_broken_answer, note_whole_answer},
     gateway::Gateway,
     pipeline::{
         EventSplitter, StreamGaps,
@@ -186,8 +186,8 @@
 
     fn broken_off(&self) -> Step {
         if let Some(backend_response) = &self.backend_response {
-            let BackendResponse { placement, began_at, .. } = backend_response;
-            note_broken_answer(&self.gateway, &self.req, placement, *began_at);
+            let BackendResponse { placement, sent_at, began_at, .. } = backend_response;
+            note_broken_answer(&self.gateway, &self.req, placement, (*sent_at, *began_at));
         }
         Step::Broken
     }
@@ -235,7 +235,9 @@
     }
 
     async fn resume(&mut self) -> bool {
-        if !self.may_resume() || self.binding == Binding::Uncertain {
+        let may_send = may_send(&self.gateway, &self.req, self.log_entry.sends)
+            && may_repeat(&self.gateway, &self.req);
+        if !may_send || !self.may_resume() || self.binding == Binding::Uncertain {
             return false;
         }
         let Some(service) = self.req.service().cloned() else { return false };
@@ -311,6 +313,9 @@
         self.log_entry.note_complete();
         self.note_gaps();
         let Some(backend_response) = self.backend_response.take() else { return };
+        if backend_response.head.status.is_success() {
+            note_whole_answer(&self.gateway, &self.req, backend_response.is_delimited());
+        }
         let BackendResponse { head, connection, placement, .. } = backend_response;
         if !head.closing {
             placement.pool.keep(clock::now(), connection, head.idle);
--- a/crates/gateway/src/pipeline/identify.rs
+++ b/crates/gateway/src/pipeline/identify.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bulrushhall_coord::streams::StreamOrigin;
+use bulrushhall_coord::{crashes::PartIds, streams::StreamOrigin};
 use bulrushhall_core::{ServiceName, config::RouteKind};
 use hyper::http::request;
 
@@ -29,6 +29,8 @@
     pub team: Option<Arc<TeamEntry>>,
     /// Where the stream began that it resumes, if it resumes one.
     pub origin: Option<StreamOrigin>,
+    /// The prompt parts that are refused, if it is to show whether they still crash its server.
+    pub probe: Option<PartIds>,
 }
 
 impl IdentifiedRequest {
@@ -82,7 +84,7 @@
             return Err(Failure::ConfigUnknown);
         }
     }
-    Ok(IdentifiedRequest { call: Arc::new(call), table, route, team, origin: None })
+    Ok(IdentifiedRequest { call: Arc::new(call), table, route, team, origin: None, probe: None })
 }
 
 // The size of a head on the wire.
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -4,7 +4,7 @@
 
 use bulrushhall_coord::Attempts;
 use bulrushhall_core::{Event, Ran, ServiceName, Stamp, config::RouteKind};
-use bulrushhall_external::http::{Body, BodyError, empty, read_limited};
+use bulrushhall_external::http::{Body, BodyError, empty, full, read_limited};
 use bulrushhall_policy::rollout::Track;
 use bytes::Bytes;
 use hyper::{
@@ -17,6 +17,7 @@
 use crate::{
     backends::OpenError,
     clock,
+    crashes::{admit, may_repeat, may_send},
     gateway::{Gateway, Phase},
     pipeline::{
         Failure,
@@ -66,7 +67,8 @@
         }
         Err(failure) => {
             log_entry.note_failure(failure);
-            gateway.platform.wire.refusal(failure.refusal()).map(|()| empty())
+            let body = failure.reason().map_or_else(empty, full);
+            gateway.platform.wire.refusal(failure.refusal()).map(|()| body)
         }
     };
     if Phase::Serving < gateway.phase() {
@@ -103,6 +105,7 @@
     let deadline = started + time_limit;
     let body = read_body(&req, body, time_limit).await?;
     let original = OriginalRequest::new(head, body, deadline);
+    req.probe = admit(gateway, &req).await?;
     let amount = quota_amount(&req);
     log_entry.counted = amount;
     take_quota(gateway, &req, amount)?;
@@ -195,6 +198,9 @@
     let mut search = RoomSearch::default();
     let mut last_end = AttemptEnd::default();
     loop {
+        if !may_send(gateway, req, log_entry.sends) {
+            return Err(unless_run(Failure::PartBlocked, attempts));
+        }
         let began = clock::now();
         let left = original.deadline.since(began);
         if left.is_zero() {
@@ -260,6 +266,9 @@
             }
             return Err(unless_run(Failure::NoBackend, attempts));
         }
+        if failed.fault == SendFault::Blocked {
+            return Err(unless_run(Failure::PartBlocked, attempts));
+        }
         if original.deadline <= clock::now() {
             return Err(Failure::TimedOut(attempts.ran()));
         }
@@ -267,7 +276,9 @@
             return Err(unless_run(no_room, attempts));
         }
         let allowed = attempts.may_retry() || req.route.cfg.kind.may_run_again();
-        if !allowed || !take_retry(gateway, req, service, log_entry) {
+        // A server that closed the connection may have crashed.
+        let may_repeat = failed.fault != SendFault::Closed || may_repeat(gateway, req);
+        if !allowed || !may_repeat || !take_retry(gateway, req, service, log_entry) {
             return Err(unless_run(Failure::Rejected, attempts));
         }
     }
