--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod completions;
 mod diff;
 mod drain;
+mod parts;
 mod requests;
 mod rollout;
 mod show;
@@ -25,7 +26,7 @@
 };
 
 /// Returns the descriptions of all commands.
-pub fn all() -> [Command; 9] {
+pub fn all() -> [Command; 10] {
     let commands = [
         check::command(),
         apply::command(),
@@ -34,6 +35,7 @@
         status::command(),
         drain::command(),
         requests::command(),
+        parts::command(),
         rollout::command(),
         completions::command(),
     ];
@@ -64,6 +66,7 @@
         "status" => status::run(args, out).await,
         "drain" => drain::run(args, out).await,
         "requests" => requests::run(args, out).await,
+        "parts" => parts::run(args, out).await,
         "rollout" => rollout::run(args, out).await,
         "completions" => completions::run(args),
         _ => Ok(ExitStatus::Usage),
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -55,6 +55,8 @@
     RequestNotFound(String),
     /// No given node has this name.
     NodeNotFound(String),
+    /// No block of these prompt parts is in force.
+    BlockNotFound(String),
     /// The configuration has no such service.
     ServiceNotFound(String),
     /// There is no order for a roll-out of the service.
@@ -98,6 +100,7 @@
             | CliError::RolloutChanged(_) => ExitStatus::Conflict,
             CliError::RequestNotFound(_)
             | CliError::NodeNotFound(_)
+            | CliError::BlockNotFound(_)
             | CliError::ServiceNotFound(_)
             | CliError::RolloutNotFound(_)
             | CliError::RevisionNotFound(_) => ExitStatus::NotFound,
@@ -142,6 +145,7 @@
                 "finished requests are kept for five minutes; give --node for every node".into()
             }
             CliError::NodeNotFound(_) => "run `bulrush status` to list the nodes".into(),
+            CliError::BlockNotFound(_) => "`bulrush parts` lists the blocks in force".into(),
             CliError::ServiceNotFound(_) => "name a service of the configuration in force".into(),
             CliError::RolloutNotFound(_) => "`bulrush rollout list` lists the orders".into(),
             CliError::RolloutInProgress { .. } => {
@@ -186,6 +190,9 @@
             CliError::Refused(why) => write!(f, "the change was refused: {why}"),
             CliError::RequestNotFound(id) => write!(f, "no node knows request {id}"),
             CliError::NodeNotFound(name) => write!(f, "no node is named {name}"),
+            CliError::BlockNotFound(parts) => {
+                write!(f, "no block of the prompt parts {parts} is in force")
+            }
             CliError::ServiceNotFound(name) => write!(f, "no service is named {name}"),
             CliError::RolloutNotFound(name) => write!(f, "no roll-out of {name} is ordered"),
             CliError::RolloutInProgress { service, target } => {
--- a/crates/coord/src/crashes/mod.rs
+++ b/crates/coord/src/crashes/mod.rs
@@ -11,7 +11,7 @@
 mod watch;
 
 pub use background::Background;
-pub use block::{Block, BlockState};
+pub use block::{Block, BlockState, BlockStatus};
 pub use blocks::{Blocks, ProbeSchedule, Received};
 pub use evidence::{Blame, CrashEvidence, EvidenceOptions};
 pub use judge::{CrashCount, Judge, LikelihoodRatio, PartTally};
--- a/crates/coord/src/crashes/part.rs
+++ b/crates/coord/src/crashes/part.rs
@@ -1,6 +1,6 @@
 //! Ids of prompt parts.
 
-use std::fmt;
+use std::{fmt, num::ParseIntError, str::FromStr};
 
 use serde::{Deserialize, Serialize};
 
@@ -29,3 +29,17 @@
         Ok(())
     }
 }
+
+impl FromStr for PartIds {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<PartIds, ParseIntError> {
+        let mut parts = Vec::new();
+        for part in text.split(',') {
+            parts.push(PartId(u64::from_str_radix(part.trim(), 16)?));
+        }
+        parts.sort_unstable();
+        parts.dedup();
+        Ok(PartIds(parts))
+    }
+}
--- /dev/null
+++ b/crates/coord/tests/crash_evidence.rs
@@ -0,0 +1,205 @@
+//! Which prompt parts the crashes of servers speak against.
+
+use std::time::Duration;
+
+use bulrushhall_coord::crashes::{
+    Block, BlockState, CrashWatch, CrashedRequest, PartId, PartIds, SoundReport,
+};
+use bulrushhall_core::{Incarnation, Stamp};
+use rstest::rstest;
+
+const OWN: Incarnation = Incarnation(1);
+const SHARED: PartId = PartId(1);
+const BAD: PartId = PartId(2);
+const OTHER: PartId = PartId(3);
+/// The time between two crashes.
+const PAUSE: Duration = Duration::from_secs(1);
+
+fn begin() -> Stamp {
+    Stamp(0) + Duration::from_secs(100)
+}
+
+fn req(request: u64, parts: &[PartId]) -> CrashedRequest {
+    CrashedRequest { request, age_ms: 300, begun_ms: Some(60), parts: parts.to_vec() }
+}
+
+/// A node that sees crashes one after the other.
+struct Observer {
+    watch: CrashWatch,
+    now: Stamp,
+    crashes: u64,
+}
+
+impl Observer {
+    fn new() -> Observer {
+        Observer { watch: CrashWatch::default(), now: begin(), crashes: 0 }
+    }
+
+    fn crash(&mut self, requests: &[&[PartId]]) {
+        self.crash_after(PAUSE, requests);
+    }
+
+    fn crash_after(&mut self, pause: Duration, requests: &[&[PartId]]) {
+        self.now = self.now + pause;
+        self.crashes += 1;
+        let first = 100 * self.crashes;
+        let requests = requests.iter().zip(first..).map(|(parts, id)| req(id, parts)).collect();
+        self.watch.note_crash(self.now, OWN, self.crashes, requests);
+    }
+
+    fn sound(&mut self, parts: &[PartId], count: usize) {
+        for _ in 0..count {
+            self.watch.outcomes.note_sound(self.now, parts.iter().copied());
+        }
+    }
+
+    fn plan(&mut self) -> Vec<String> {
+        self.watch.plan(self.now, OWN, 0);
+        self.now = self.now + Duration::from_millis(800);
+        self.watch.plan(self.now, OWN, 0);
+        let blocks = self.watch.blocks.iter();
+        let in_force = blocks.filter(|block| block.state() == BlockState::InForce);
+        in_force.map(Block::name).collect()
+    }
+}
+
+// Guards against a part that is blocked too late, or on too little evidence.
+#[rstest]
+#[case(2, false)]
+#[case(5, true)]
+fn crashes_add_up(#[case] crashes: usize, #[case] is_blocked: bool) {
+    let mut observer = Observer::new();
+    observer.sound(&[SHARED], 100);
+    for _ in 0..crashes {
+        observer.crash(&[&[SHARED, BAD]]);
+    }
+    assert_eq!(observer.plan(), if is_blocked { vec!["2"] } else { vec![] });
+}
+
+// Guards against a sound part that is blamed because it is in all prompts that crash servers.
+#[test]
+fn shared_part_is_sound() {
+    let mut observer = Observer::new();
+    for _ in 0..6 {
+        observer.crash(&[&[SHARED, BAD]]);
+        observer.sound(&[SHARED, OTHER], 2);
+    }
+    assert_eq!(observer.plan(), ["2"]);
+}
+
+// Guards against parts that are blamed for one loss of many servers.
+#[test]
+fn one_moment_counts_once() {
+    let mut observer = Observer::new();
+    for _ in 0..20 {
+        observer.crash_after(Duration::from_millis(10), &[&[SHARED, BAD]]);
+    }
+    assert_eq!(observer.plan(), Vec::<String>::new());
+}
+
+// Guards against a sound part that is blamed since its requests ran beside those that crash servers.
+#[test]
+fn known_part_explains_crashes() {
+    let mut observer = Observer::new();
+    for _ in 0..4 {
+        observer.crash(&[&[SHARED, BAD]]);
+        observer.sound(&[SHARED], 3);
+    }
+    assert_eq!(observer.plan(), ["2"]);
+    for _ in 0..4 {
+        observer.crash(&[&[SHARED, BAD], &[SHARED, OTHER]]);
+    }
+    assert_eq!(observer.plan(), ["2"]);
+}
+
+// Guards against a sound part that stays blocked because it was at first never seen without the bad one.
+#[test]
+fn joint_block_is_narrowed() {
+    let mut observer = Observer::new();
+    for _ in 0..5 {
+        observer.crash(&[&[SHARED, BAD]]);
+    }
+    assert_eq!(observer.plan(), ["1,2"]);
+    assert!(observer.watch.blocks.matching(&[SHARED, OTHER]).is_none());
+    observer.sound(&[SHARED, OTHER], 3);
+    assert_eq!(observer.plan(), ["2"]);
+    assert!(observer.watch.blocks.matching(&[OTHER, BAD]).is_some());
+}
+
+// Guards against sound answers at other nodes that do not speak for a part.
+#[test]
+fn sound_elsewhere() {
+    let mut observer = Observer::new();
+    for _ in 0..5 {
+        observer.crash(&[&[BAD]]);
+    }
+    let report = SoundReport { author: Incarnation(2), part: BAD, answers: 40 };
+    observer.watch.evidence.receive_sound(observer.now, report);
+    assert_eq!(observer.plan(), Vec::<String>::new());
+}
+
+// Guards against a block that comes back at once after an operator has lifted it.
+#[test]
+fn lifted_evidence_is_forgotten() {
+    let mut observer = Observer::new();
+    for _ in 0..5 {
+        observer.crash(&[&[BAD]]);
+    }
+    assert_eq!(observer.plan(), ["2"]);
+    observer.watch.lift(observer.now, &PartIds(vec![BAD])).expect("a block");
+    assert_eq!(observer.plan(), Vec::<String>::new());
+    for _ in 0..5 {
+        observer.crash(&[&[BAD]]);
+    }
+    assert_eq!(observer.plan(), ["2"]);
+}
+
+// Guards against a request that goes from server to server and crashes each.
+#[test]
+fn suspects_are_not_repeated() {
+    let mut observer = Observer::new();
+    assert!(observer.watch.may_repeat(observer.now, [BAD]));
+    observer.crash(&[&[SHARED, BAD]]);
+    assert!(!observer.watch.may_repeat(observer.now, [BAD]));
+    observer.sound(&[BAD], 1);
+    assert!(observer.watch.may_repeat(observer.now, [BAD]));
+}
+
+// Guards against more probes than may reach servers once a part is known.
+#[test]
+fn probes_end() {
+    let mut watch = CrashWatch::default();
+    let parts = PartIds(vec![BAD]);
+    let block = Block { parts, generation: 1, crashes: 5, probes: 0, since_unix_ms: 0 };
+    let mut now = begin();
+    watch.receive(now, block);
+    assert!(watch.blocks.due_probe(now, &[BAD]).is_none());
+    let mut probes = 0;
+    for _ in 0..100 {
+        now = now + Duration::from_secs(1_800);
+        if let Some(claim) = watch.blocks.due_probe(now, &[BAD]) {
+            probes += 1;
+            watch.receive(now, claim);
+        }
+    }
+    assert_eq!(probes, 2);
+}
+
+// Guards against an old record that undoes a newer one.
+#[test]
+fn newest_generation_wins() {
+    let mut watch = CrashWatch::default();
+    let block = |generation, probes| Block {
+        parts: PartIds(vec![BAD]),
+        generation,
+        crashes: 5,
+        probes,
+        since_unix_ms: 0,
+    };
+    let now = begin();
+    watch.receive(now, block(2, 0));
+    watch.receive(now, block(1, 2));
+    assert!(!watch.blocks.is_any_in_force());
+    watch.receive(now, block(3, 0));
+    assert!(watch.blocks.is_alone(BAD));
+}
--- a/crates/gateway/src/cluster/peer_port.rs
+++ b/crates/gateway/src/cluster/peer_port.rs
@@ -1,8 +1,8 @@
 //! The port on which a node receives the digests of other nodes and replies to them.
 
-use std::sync::Arc;
+use std::{str::FromStr, sync::Arc};
 
-use bulrushhall_coord::streams::StreamBatch;
+use bulrushhall_coord::{crashes::PartIds, streams::StreamBatch};
 use bulrushhall_external::{
     BoxFuture,
     http::{Body, Handler, empty, full, read_limited},
@@ -25,12 +25,18 @@
         receive::receive_digest,
         stream_copies::{known_streams, take_copies},
     },
+    crashes::{block_statuses, lift},
     gateway::Gateway,
 };
 
 /// The bytes of a carried request in addition to its body.
 const CARRIED_HEAD_BYTES: usize = 128 * 1024;
 
+/// The path at which operators see the prompt parts that are refused.
+const BLOCKS_PATH: &str = "/blocks";
+/// The path at which operators lift such a block.
+const LIFT_PATH: &str = "/blocks/lift";
+
 /// A `PeerPort` handles the requests of other nodes.
 pub struct PeerPort {
     gateway: Arc<Gateway>,
@@ -44,6 +50,7 @@
 
     async fn respond(&self, req: Request<Incoming>) -> Response<Body> {
         let path = req.uri().path().to_owned();
+        let query = req.uri().query().map(str::to_owned);
         let limit = match path.as_str() {
             CARRY_PATH => self.max_carried_bytes(),
             _ => MAX_MESSAGE_BYTES,
@@ -75,10 +82,22 @@
                 Ok(asked) => encoded(&known_streams(&self.gateway, &asked)),
                 Err(_) => refuse(StatusCode::BAD_REQUEST),
             },
+            BLOCKS_PATH => json(&block_statuses(&self.gateway)),
+            LIFT_PATH => self.lift(query.as_deref().unwrap_or_default()),
             _ => refuse(StatusCode::NOT_FOUND),
         }
     }
 
+    // Lifts the block of the parts in a query, which an operator asks for.
+    fn lift(&self, query: &str) -> Response<Body> {
+        let parts = query.strip_prefix("parts=").map(PartIds::from_str);
+        let Some(Ok(parts)) = parts else { return refuse(StatusCode::BAD_REQUEST) };
+        if !lift(&self.gateway, &parts, "operator") {
+            return refuse(StatusCode::NOT_FOUND);
+        }
+        json(&block_statuses(&self.gateway))
+    }
+
     fn max_carried_bytes(&self) -> usize {
         let table = self.gateway.table.load();
         let body_bytes = table.as_ref().map_or(0, |table| table.limits.body_bytes);
@@ -139,6 +158,13 @@
     }
 }
 
+fn json(message: &impl Serialize) -> Response<Body> {
+    match serde_json::to_vec(message) {
+        Ok(bytes) => Response::new(full(bytes)),
+        Err(_) => refuse(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
 fn refuse(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(empty());
     *response.status_mut() = status;
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -7,8 +7,8 @@
 };
 
 use bulrushhall_coord::crashes::{
-    Block, BlockState, CrashReport, CrashWatch, CrashedRequest, PartId, PartIds, Received,
-    SoundReport,
+    Block, BlockState, BlockStatus, CrashReport, CrashWatch, CrashedRequest, PartId, PartIds,
+    Received, SoundReport,
 };
 use bulrushhall_core::{Event, Stamp};
 use bulrushhall_policy::placement::WorkerKey;
@@ -241,6 +241,15 @@
     })
 }
 
+/// Returns the blocks in force, for operators.
+pub fn block_statuses(gateway: &Gateway) -> Vec<BlockStatus> {
+    gateway.with(|state| {
+        let blocks = state.crashes.watch.blocks.iter();
+        let in_force = blocks.filter(|block| block.state() == BlockState::InForce);
+        in_force.map(BlockStatus::from).collect()
+    })
+}
+
 /// Applies a record of a block that another node or the key-value service has.
 pub fn receive_block(gateway: &Gateway, state: &mut State, block: Block, source: &'static str) {
     let now = clock::now();
