--- a/crates/coord/src/crashes/evidence.rs
+++ b/crates/coord/src/crashes/evidence.rs
@@ -177,31 +177,39 @@
         reports
     }
 
-    /// Returns the sound answers that other nodes may not have yet.
+    /// Returns the sound answers that other nodes may not have yet: of each part, no more than clear it.
     pub fn sound_reports(&self, now: Stamp) -> Vec<SoundReport> {
         let mut reports = Vec::new();
         for (part, told) in &self.sound {
-            for (author, told) in told {
-                if now.since(told.learned_at) < self.options.reported_for {
-                    reports.push(SoundReport {
-                        author: *author,
-                        part: *part,
-                        answers: told.answers,
-                    });
+            let is_new = |told: &Told| now.since(told.learned_at) < self.options.reported_for;
+            let mut new: Vec<(&Incarnation, &Told)> =
+                told.iter().filter(|(_, told)| is_new(told)).collect();
+            new.sort_by_key(|(_, told)| Reverse(told.answers));
+            let mut sum = 0;
+            for (author, told) in new {
+                if self.enough_sound(*part) <= sum {
+                    break;
                 }
+                sum = sum.saturating_add(told.answers);
+                reports.push(SoundReport { author: *author, part: *part, answers: told.answers });
             }
         }
         reports
     }
 
+    // Returns the number of sound answers that clear a part.
+    fn enough_sound(&self, part: PartId) -> u32 {
+        let crashes = self.suspects.get(&part).copied().unwrap_or_default();
+        self.options.enough_sound.saturating_mul(crashes)
+    }
+
     /// Notes this node's own sound answers to prompts with parts that are suspected.
     pub fn note_own_sound(&mut self, now: Stamp, own: Incarnation, outcomes: &PartOutcomes) {
-        for (part, crashes) in self.suspects.clone() {
+        for part in self.suspects.keys().copied().collect::<Vec<_>>() {
             let answers = outcomes.sound(now, part);
             let told = self.sound.get(&part);
             let own_told = told.and_then(|told| told.get(&own)).map_or(0, |told| told.answers);
-            let enough = self.options.enough_sound.saturating_mul(crashes);
-            let is_enough = enough <= self.sound_answers(part);
+            let is_enough = self.enough_sound(part) <= self.sound_answers(part);
             if 0 < answers && !is_enough && own_told.saturating_mul(2) <= answers {
                 self.note_sound(now, SoundReport { author: own, part, answers });
             }
--- a/crates/coord/src/crashes/judge.rs
+++ b/crates/coord/src/crashes/judge.rs
@@ -61,7 +61,7 @@
 impl Default for LikelihoodRatio {
     fn default() -> LikelihoodRatio {
         LikelihoodRatio {
-            false_blame: 0.01,
+            false_blame: 0.001,
             survival: 0.02,
             crash_shares: (0.02, 0.8),
             just_begun: (0.9, 0.35),
