--- a/crates/daemon/tests/route_soak.rs
+++ b/crates/daemon/tests/route_soak.rs
@@ -47,9 +47,11 @@
     problems.extend(record.violations());
     let (calls, streams, (returns, gone_on)) =
         (record.calls.len(), record.streams.len(), record.resumptions());
+    let (crashes, begun, drafts) = record.crashes();
     let found = problems.len();
     report(&format!(
-        "seed {seed}: {calls} requests, {streams} streams, {gone_on} of {returns} resumed, {found} problems"
+        "seed {seed}: {calls} requests, {streams} streams, {gone_on} of {returns} resumed, \
+         {crashes} crashes, {begun} of {drafts} drafts begun, {found} problems"
     ));
     if problems.is_empty() {
         // The logs are of use only where something was found.
--- a/crates/external/tests/cut_streams.rs
+++ b/crates/external/tests/cut_streams.rs
@@ -46,8 +46,7 @@
 async fn cut_last_event(#[case] missing: usize, #[case] is_whole: bool) {
     let body = event(&Frame::Token("a".into())) + &event(&Frame::Done(Usage::default()));
     let address = start_engine(body[..body.len() - missing].to_owned()).await;
-    let engine =
-        HttpEngine::new(Endpoint::new(address, EndpointOptions::default()), FRAME_TIMEOUT);
+    let engine = HttpEngine::new(Endpoint::new(address, EndpointOptions::default()), FRAME_TIMEOUT);
     let generate = Generate {
         request: RequestId { origin: Incarnation(1), sequence: 1 },
         attempt: 0,
