--- /dev/null
+++ b/crates/gateway/src/crashes/blocks.rs
@@ -0,0 +1,92 @@
+//! Blocks of prompt parts: put in force by evidence, lifted by operators, learned of from others.
+
+use std::time::Duration;
+
+use bulrushhall_coord::crashes::{Block, BlockState, BlockStatus, PartIds, Received};
+use bulrushhall_core::{Event, Stamp};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::{
+    brittle::node_hash,
+    clock,
+    cluster::as_millis,
+    gateway::{Gateway, State},
+    meters,
+};
+
+/// How long a new block is in each digest, also if there are more than a digest may hold.
+const BLOCK_REPORTED_FOR: Duration = Duration::from_secs(1);
+/// The time that the nodes which rank before this one have to write a block to the key-value service, each.
+const WRITE_TURN: Duration = Duration::from_millis(250);
+
+/// Judges the evidence, once a gossip round.
+pub fn plan_blocks(gateway: &Gateway, state: &mut State, now: Stamp) {
+    state.crashes.recent.retain(|(_, at)| now.since(*at) < BLOCK_REPORTED_FOR);
+    let unix_ms = as_millis(gateway.own_wall_clock());
+    for block in state.crashes.watch.plan(now, gateway.incarnation, unix_ms) {
+        note_changed(gateway, state, now, &block, "evidence");
+    }
+}
+
+/// Lifts a block; returns whether it was in force.
+pub fn lift(gateway: &Gateway, parts: &PartIds, source: &'static str) -> bool {
+    let now = clock::now();
+    gateway.with(|state| {
+        let Some(block) = state.crashes.watch.lift(now, parts) else { return false };
+        note_changed(gateway, state, now, &block, source);
+        true
+    })
+}
+
+/// Returns the blocks in force, for operators.
+pub fn block_statuses(gateway: &Gateway) -> Vec<BlockStatus> {
+    gateway.with(|state| {
+        let blocks = state.crashes.watch.blocks.iter();
+        let in_force = blocks.filter(|block| block.state() == BlockState::InForce);
+        in_force.map(BlockStatus::from).collect()
+    })
+}
+
+/// Applies a record of a block that another node or the key-value service has.
+pub fn receive_block(gateway: &Gateway, state: &mut State, block: Block, source: &'static str) {
+    let now = clock::now();
+    let parts = block.parts.clone();
+    let received = state.crashes.watch.receive(now, block);
+    if received == Received::Nothing {
+        return;
+    }
+    let Some(block) = state.crashes.watch.blocks.get(&parts).cloned() else { return };
+    note_changed(gateway, state, now, &block, source);
+}
+
+fn note_changed(
+    gateway: &Gateway,
+    state: &mut State,
+    now: Stamp,
+    block: &Block,
+    source: &'static str,
+) {
+    let event = match block.state() {
+        BlockState::InForce => Event::PartBlocked,
+        BlockState::Lifted => Event::PartUnblocked,
+    };
+    let Block { parts, generation, crashes, probes, .. } = block;
+    tracing::warn!(event = event.number(), %parts, generation, crashes, probes, source);
+    meters::parts_blocked(state.crashes.watch.blocks.count_in_force());
+    state.crashes.recent.push((parts.clone(), now));
+    if source != "key-value service" {
+        queue_write(gateway, state, now, parts.clone());
+    }
+}
+
+/// Plans the write of a block to the key-value service, after the nodes that rank before this one.
+pub fn queue_write(gateway: &Gateway, state: &mut State, now: Stamp, parts: PartIds) {
+    let name = xxh3_64(parts.to_string().as_bytes());
+    let score = |node: u64| xxh3_64_with_seed(&name.to_le_bytes(), node);
+    let own = score(node_hash(&gateway.settings.gateway.name));
+    let live = state.members.iter().filter(|(_, member)| member.is_live(now));
+    let before = live.filter(|(node, _)| own < score(node_hash(node))).count();
+    let turn = WRITE_TURN * u32::try_from(before).unwrap_or(u32::MAX);
+    state.crashes.unstored.insert(parts, now + turn);
+    gateway.blocks_due.notify_one();
+}
