--- a/crates/coord/src/crashes/block.rs
+++ b/crates/coord/src/crashes/block.rs
@@ -67,24 +67,3 @@
         self.parts.fmt(f)
     }
 }
-
-/// A `BlockStatus` is a block in force, for operators.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BlockStatus {
-    /// The ids of the parts, in hexadecimal with commas between them.
-    pub parts: String,
-    /// The crashes that it was put in force after.
-    pub crashes: u32,
-    /// The requests that were let through to see whether they still crash their servers.
-    pub probes: u32,
-    /// When it was put in force, in milliseconds since 1970.
-    #[serde(rename = "since_ms")]
-    pub since_unix_ms: u64,
-}
-
-impl From<&Block> for BlockStatus {
-    fn from(block: &Block) -> BlockStatus {
-        let Block { crashes, probes, since_unix_ms, .. } = *block;
-        BlockStatus { parts: block.name(), crashes, probes, since_unix_ms }
-    }
-}
--- a/crates/coord/src/crashes/blocks.rs
+++ b/crates/coord/src/crashes/blocks.rs
@@ -1,43 +1,14 @@
 //! The prompt parts that a node refuses.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    time::Duration,
-};
+use std::collections::{BTreeMap, HashMap};
 
 use bulrushhall_core::Stamp;
 
-use super::{Blame, Block, BlockState, PartId, PartIds};
+use super::{Blame, Block, BlockState, PartId, PartIds, ProbeSchedule, Received};
 
 /// The maximum number of blocks that are remembered; those that were lifted yield first, then the oldest ones.
 const MAX_BLOCKS: usize = 4_096;
 
-/// A `ProbeSchedule` says after which times blocked requests are let through to see whether they still crash their servers.
-#[derive(Clone, Copy, Debug)]
-pub struct ProbeSchedule {
-    /// The times since the block, or since the probe before; there are no more probes than times.
-    pub after: [Duration; 2],
-}
-
-impl Default for ProbeSchedule {
-    fn default() -> ProbeSchedule {
-        ProbeSchedule { after: [Duration::from_secs(30), Duration::from_secs(3_600)] }
-    }
-}
-
-/// A `Received` is what a record of another node or of the key-value service changed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Received {
-    /// Nothing.
-    Nothing,
-    /// A block is in force that was not.
-    InForce,
-    /// A block was lifted.
-    Lifted,
-    /// A probe was sent.
-    Probed,
-}
-
 /// `Blocks` are the prompt parts that a node refuses, and those that it no longer refuses.
 #[derive(Debug, Default)]
 pub struct Blocks {
--- a/crates/coord/src/crashes/evidence.rs
+++ b/crates/coord/src/crashes/evidence.rs
@@ -9,99 +9,27 @@
 use bulrushhall_core::{Incarnation, Stamp};
 
 use super::{
-    Background, Blocks, CrashReport, CrashedRequest, Judge, LikelihoodRatio, PartId, PartOutcomes,
-    PartTally, SoundReport,
+    Background, Blame, Blocks, CrashReport, CrashedRequest, EvidenceOptions, Judge, KnownReport,
+    LikelihoodRatio, PartId, PartOutcomes, PartTally, SoundReport, Suspect, tally,
 };
 
-/// `EvidenceOptions` are the limits of what is remembered and when it is judged.
-#[derive(Clone, Copy, Debug)]
-pub struct EvidenceOptions {
-    /// How long crashes are remembered.
-    pub window: Duration,
-    /// The maximum number of reports that are remembered.
-    pub max_reports: usize,
-    /// The maximum number of requests in a report.
-    pub max_requests: usize,
-    /// How long a report is sent to other nodes: several digests may be lost.
-    pub reported_for: Duration,
-    /// Crashes that follow each other faster than this count as one, as do crashes of requests that were sent before the
-    /// last one: what ends many servers at once is no request.
-    pub moment: Duration,
-    /// The time after the first bytes of an answer within which a server has just begun to answer.
-    pub just_begun: Duration,
-    /// The number of crashes from which a part is suspected, and nodes tell its sound answers.
-    pub suspected_from: u32,
-    /// The time after which all nodes have told the sound answers of a part that is suspected.
-    pub settling: Duration,
-    /// The time after the last report in which the evidence is judged again.
-    pub judged_for: Duration,
-    /// How long sound answers that a node has told speak for a part.
-    pub sound_for: Duration,
-    /// The number of sound answers for each crash from which nodes need not tell theirs as well.
-    pub enough_sound: u32,
-}
-
-impl Default for EvidenceOptions {
-    fn default() -> EvidenceOptions {
-        EvidenceOptions {
-            window: Duration::from_secs(3_600),
-            max_reports: 512,
-            max_requests: 64,
-            reported_for: Duration::from_millis(700),
-            moment: Duration::from_millis(250),
-            just_begun: Duration::from_millis(500),
-            suspected_from: 2,
-            settling: Duration::from_millis(700),
-            judged_for: Duration::from_secs(3),
-            sound_for: Duration::from_secs(60),
-            enough_sound: 8,
-        }
-    }
-}
-
-/// A `Blame` is the parts that together are found to crash servers: requests that have all of them.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Blame {
-    /// The parts, in ascending order. There are several only if no request had one without the others.
-    pub parts: Vec<PartId>,
-    /// The crashes.
-    pub crashes: u32,
-}
-
 /// `CrashEvidence` is what one node knows of the crashes that all nodes have seen.
 pub struct CrashEvidence {
     options: EvidenceOptions,
     judge: Box<dyn Judge>,
-    reports: VecDeque<Known>,
+    reports: VecDeque<KnownReport>,
     sound: HashMap<PartId, BTreeMap<Incarnation, Told>>,
     /// The parts that are suspected, also those that are blocked, with the crashes under them.
     suspects: BTreeMap<PartId, u32>,
     written: u32,
 }
 
-struct Known {
-    at: Stamp,
-    learned_at: Stamp,
-    report: CrashReport,
-}
-
 #[derive(Clone, Copy)]
 struct Told {
     answers: u32,
     learned_at: Stamp,
 }
 
-/// The crashes under one part.
-#[derive(Clone, Debug, Default)]
-struct Suspect {
-    servers: BTreeSet<u64>,
-    requests: BTreeSet<u64>,
-    crashes: u32,
-    just_begun: u32,
-    last_moment: Option<Stamp>,
-    suspected_at: Option<Stamp>,
-}
-
 impl Default for CrashEvidence {
     fn default() -> CrashEvidence {
         CrashEvidence::new(EvidenceOptions::default(), Box::new(LikelihoodRatio::default()))
@@ -279,7 +207,7 @@
 
     /// Returns the parts that the evidence speaks against most, if it suffices.
     pub fn judge(&self, now: Stamp, crash_share: f64, blocks: &Blocks) -> Option<Blame> {
-        let suspects = self.tally(blocks);
+        let suspects = tally(&self.reports, blocks, &self.options);
         let mut doubtful = 0;
         for (part, suspect) in &suspects {
             let is_suspected = self.options.suspected_from <= suspect.crashes;
@@ -339,7 +267,7 @@
         while self.options.max_reports <= self.reports.len() {
             self.reports.pop_front();
         }
-        self.reports.push_back(Known { at, learned_at: now, report });
+        self.reports.push_back(KnownReport { at, learned_at: now, report });
         self.find_suspects();
     }
 
@@ -352,79 +280,11 @@
     }
 
     fn find_suspects(&mut self) {
-        let tally = self.tally(&Blocks::default());
+        let tallied = tally(&self.reports, &Blocks::default(), &self.options);
         let from = self.options.suspected_from;
-        let suspects = tally.into_iter().filter(|(_, it)| from <= it.crashes);
+        let suspects = tallied.into_iter().filter(|(_, it)| from <= it.crashes);
         self.suspects = suspects.map(|(part, it)| (part, it.crashes)).collect();
     }
-
-    // Returns the crashes under each part. Those of a server that had a request that is blocked count only against the
-    // parts of that block: it is known what crashed the server.
-    fn tally(&self, blocks: &Blocks) -> BTreeMap<PartId, Suspect> {
-        let mut crashes: BTreeMap<u64, Crash<'_>> = BTreeMap::new();
-        for known in &self.reports {
-            let crash = crashes.entry(known.report.server).or_insert_with(|| Crash::new(known.at));
-            crash.at = crash.at.min(known.at);
-            crash.requests.extend(known.report.requests.iter().map(|req| (req, known.learned_at)));
-        }
-        let mut crashes: Vec<(u64, Crash<'_>)> = crashes.into_iter().collect();
-        crashes.sort_by_key(|(server, crash)| (crash.at, *server));
-        let mut suspects: BTreeMap<PartId, Suspect> = BTreeMap::new();
-        for (server, mut crash) in crashes {
-            crash.requests.sort_by_key(|(req, _)| (req.begun_ms.is_none(), req.begun_ms));
-            let explained = crash.requests.iter().find_map(|(req, _)| blocks.matching(&req.parts));
-            for (req, learned_at) in crash.requests {
-                for part in &req.parts {
-                    let is_explained = explained.is_some_and(|parts| !parts.contains(part));
-                    if is_explained || blocks.is_alone(*part) {
-                        continue;
-                    }
-                    let suspect = suspects.entry(*part).or_default();
-                    suspect.add((server, crash.at), req, learned_at, &self.options);
-                }
-            }
-        }
-        suspects
-    }
-}
-
-struct Crash<'a> {
-    at: Stamp,
-    requests: Vec<(&'a CrashedRequest, Stamp)>,
-}
-
-impl Crash<'_> {
-    fn new(at: Stamp) -> Self {
-        Crash { at, requests: Vec::new() }
-    }
-}
-
-impl Suspect {
-    fn add(
-        &mut self,
-        (server, at): (u64, Stamp),
-        req: &CrashedRequest,
-        learned_at: Stamp,
-        options: &EvidenceOptions,
-    ) {
-        self.requests.insert(req.request);
-        let is_new_server = self.servers.insert(server);
-        let sent_at = at - Duration::from_millis(req.age_ms);
-        let is_same_moment =
-            self.last_moment.is_some_and(|last| sent_at < last || at.since(last) < options.moment);
-        if !is_new_server || is_same_moment {
-            return;
-        }
-        self.last_moment = Some(at);
-        self.crashes += 1;
-        let is_just_begun = req
-            .begun_ms
-            .is_some_and(|begun_ms| Duration::from_millis(begun_ms) < options.just_begun);
-        self.just_begun += u32::from(is_just_begun);
-        if self.crashes == options.suspected_from {
-            self.suspected_at = Some(learned_at);
-        }
-    }
 }
 
 fn millis(time: Duration) -> u64 {
