Reports of crashes that a block explains no longer go round among nodes

Read in coord::crashes: a node dropped such a report as soon as it had sent it for 0.7 s, and took it for a new one when another node that had learned of it later still sent it. So two nodes could hand the reports of one series to each other until they were an hour old, with the judgement running all the while.

The report is kept without its requests, so that it is known.

--- a/crates/coord/src/crashes/evidence.rs
+++ b/crates/coord/src/crashes/evidence.rs
@@ -167,17 +167,19 @@
         last.is_some_and(|last| now.since(last.learned_at) < self.options.judged_for)
     }
 
-    /// Drops what is too old, and what blocks explain.
+    /// Drops what is too old, and the requests of crashes that blocks explain.
     pub fn expire(&mut self, now: Stamp, blocks: &Blocks) {
-        let EvidenceOptions { window, reported_for, .. } = self.options;
+        let EvidenceOptions { window, reported_for, sound_for, .. } = self.options;
         let explained = self.explained(blocks);
-        self.reports.retain(|known| {
-            let is_explained = explained.contains(&known.report.server);
-            now.since(known.at) < window
-                && !(is_explained && reported_for <= now.since(known.learned_at))
-        });
+        self.reports.retain(|known| now.since(known.at) < window);
+        for known in &mut self.reports {
+            let is_reported = reported_for <= now.since(known.learned_at);
+            if is_reported && explained.contains(&known.report.server) {
+                // The report itself is kept: other nodes may still send it.
+                known.report.requests.clear();
+            }
+        }
         self.find_suspects();
-        let EvidenceOptions { sound_for, .. } = self.options;
         for told in self.sound.values_mut() {
             told.retain(|_, told| now.since(told.learned_at) < sound_for);
         }
--- a/crates/coord/tests/crash_evidence.rs
+++ b/crates/coord/tests/crash_evidence.rs
@@ -203,3 +203,32 @@
     watch.receive(now, block(3, 0));
     assert!(watch.blocks.is_alone(BAD));
 }
+
+// Guards against reports of crashes that are explained by a block and go round among nodes without end.
+#[test]
+fn explained_reports_end() {
+    let mut nodes = [Observer::new(), Observer::new(), Observer::new()];
+    let mut now = begin();
+    let mut last_sent = now;
+    for round in 0..400_u64 {
+        now = now + Duration::from_millis(50);
+        if round < 100 && round.is_multiple_of(20) {
+            nodes[0].now = now;
+            nodes[0].crash_after(Duration::ZERO, &[&[BAD]]);
+        }
+        // Nodes send their digests by turns.
+        let sender = usize::try_from(round % 3).expect("a node");
+        nodes[sender].watch.plan(now, Incarnation(1 + round % 3), 0);
+        let reports = nodes[sender].watch.evidence.reports(now);
+        if !reports.is_empty() {
+            last_sent = now;
+        }
+        for receiver in (0..3).filter(|receiver| *receiver != sender) {
+            for report in reports.clone() {
+                nodes[receiver].watch.evidence.receive(now, report);
+            }
+        }
+    }
+    assert!(nodes.iter().all(|node| node.watch.blocks.is_alone(BAD)));
+    assert!(Duration::from_secs(10) < now.since(last_sent), "{:?}", now.since(last_sent));
+}
