--- a/crates/cli/src/commands/parts.rs
+++ b/crates/cli/src/commands/parts.rs
@@ -1,7 +1,9 @@
 //! `bulrush parts`: shows the prompt parts whose requests are refused, and lifts such a block.
 
+use std::net::SocketAddr;
+
 use bulrushhall_coord::crashes::{BlockStatus, PartIds};
-use bulrushhall_external::CallFault;
+use bulrushhall_external::{CallError, CallFault};
 use clap::{Arg, ArgMatches, Command, value_parser};
 use hyper::Method;
 
@@ -44,16 +46,18 @@
                 out.print(&blocks, &to_text(&blocks))?;
                 return Ok(ExitStatus::Done);
             }
-            Err(cause) if cause.fault == NOT_FOUND => return Err(not_found(args)),
-            Err(cause) => last_error = CliError::Node { address, cause },
+            Err(cause) => last_error = to_error(args, address, cause),
         }
     }
     Err(last_error)
 }
 
-fn not_found(args: &ArgMatches) -> CliError {
-    let parts = args.get_one::<PartIds>("lift");
-    CliError::BlockNotFound(parts.map(PartIds::to_string).unwrap_or_default())
+// A node that serves no routes does not know the path, so a list that is not found is no missing block.
+fn to_error(args: &ArgMatches, address: SocketAddr, cause: CallError) -> CliError {
+    match args.get_one::<PartIds>("lift") {
+        Some(parts) if cause.fault == NOT_FOUND => CliError::BlockNotFound(parts.to_string()),
+        _ => CliError::Node { address, cause },
+    }
 }
 
 fn to_text(blocks: &[BlockStatus]) -> String {
