--- a/crates/gateway/src/crashes/blocks.rs
+++ b/crates/gateway/src/crashes/blocks.rs
@@ -66,12 +66,15 @@
     block: &Block,
     source: &'static str,
 ) {
-    let event = match block.state() {
-        BlockState::InForce => Event::PartBlocked,
-        BlockState::Lifted => Event::PartUnblocked,
-    };
-    let Block { parts, generation, crashes, probes, .. } = block;
-    tracing::warn!(event = event.number(), %parts, generation, crashes, probes, source);
+    let Block { parts, crashes, probes, .. } = block;
+    match block.state() {
+        BlockState::InForce => {
+            tracing::warn!(event = Event::PartBlocked.number(), %parts, crashes, probes, source);
+        }
+        BlockState::Lifted => {
+            tracing::warn!(event = Event::PartUnblocked.number(), %parts, source);
+        }
+    }
     meters::parts_blocked(state.crashes.watch.blocks.count_in_force());
     state.crashes.recent.push((parts.clone(), now));
     if source != "key-value service" {
