--- a/crates/coord/src/crashes/blocks.rs
+++ b/crates/coord/src/crashes/blocks.rs
@@ -9,7 +9,7 @@
 /// The maximum number of blocks that are remembered; those that were lifted yield first, then the oldest ones.
 const MAX_BLOCKS: usize = 4_096;
 
-/// `Blocks` are the prompt parts that a node refuses, and those that it no longer refuses.
+/// `Blocks` are the records of refused prompt parts, those in force and those that were lifted.
 #[derive(Debug, Default)]
 pub struct Blocks {
     schedule: ProbeSchedule,
--- a/crates/coord/src/crashes/evidence.rs
+++ b/crates/coord/src/crashes/evidence.rs
@@ -198,7 +198,7 @@
         servers
     }
 
-    /// Forgets what speaks against a part, since it is no longer blamed.
+    /// Forgets what speaks against a part whose block was lifted.
     pub fn forget(&mut self, part: PartId) {
         for known in &mut self.reports {
             for req in &mut known.report.requests {
--- a/crates/coord/src/crashes/watch.rs
+++ b/crates/coord/src/crashes/watch.rs
@@ -100,7 +100,7 @@
         true
     }
 
-    // Of the parts that were always together, one that is sound elsewhere is no longer blamed.
+    // Of the parts of a block, one that is sound without the others is cleared.
     fn narrow(&mut self, now: Stamp, unix_ms: u64) -> Vec<Block> {
         let mut narrowed: Vec<(PartIds, Blame)> = Vec::new();
         for block in self.blocks.iter() {
