--- a/crates/coord/src/crashes/evidence.rs
+++ b/crates/coord/src/crashes/evidence.rs
@@ -1,7 +1,6 @@
 //! The crashes that nodes have seen, and what the requests in them have in common.
 
 use std::{
-    cmp::Reverse,
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     time::Duration,
 };
@@ -9,30 +8,36 @@
 use bulrushhall_core::{Incarnation, Stamp};
 
 use super::{
-    Background, Blame, Blocks, CrashReport, CrashedRequest, EvidenceOptions, Judge, KnownReport,
-    LikelihoodRatio, PartId, PartOutcomes, PartTally, SoundReport, Suspect, tally,
+    Blame, Blocks, CrashReport, CrashRun, CrashedRequest, CrashedServer, EvidenceOptions, Judge,
+    KnownReport, PartId, PartOutcomes, PartTally, SoundReport, Suspect, tally,
 };
 
+/// The greatest difference between what nodes take for the time of one sound answer.
+const SAME_ANSWER: Duration = Duration::from_millis(100);
+
 /// `CrashEvidence` is what one node knows of the crashes that all nodes have seen.
 pub struct CrashEvidence {
     options: EvidenceOptions,
     judge: Box<dyn Judge>,
     reports: VecDeque<KnownReport>,
-    sound: HashMap<PartId, BTreeMap<Incarnation, Told>>,
-    /// The parts that are suspected, also those that are blocked, with the crashes under them.
-    suspects: BTreeMap<PartId, u32>,
+    /// The latest sound answers to prompts with parts that are suspected.
+    sound: HashMap<PartId, KnownSound>,
+    /// The parts that are suspected, also those that are blocked, and when servers crashed under them.
+    suspects: BTreeMap<PartId, Vec<Stamp>>,
     written: u32,
 }
 
 #[derive(Clone, Copy)]
-struct Told {
+struct KnownSound {
+    author: Incarnation,
     answers: u32,
+    at: Stamp,
     learned_at: Stamp,
 }
 
 impl Default for CrashEvidence {
     fn default() -> CrashEvidence {
-        CrashEvidence::new(EvidenceOptions::default(), Box::new(LikelihoodRatio::default()))
+        CrashEvidence::new(EvidenceOptions::default(), Box::new(CrashRun::default()))
     }
 }
 
@@ -62,13 +67,17 @@
         &mut self,
         now: Stamp,
         author: Incarnation,
-        server: u64,
+        crashed: CrashedServer,
         mut requests: Vec<CrashedRequest>,
     ) {
+        let CrashedServer { server, end, at } = crashed;
+        // The request that crashed the server is among those whose answers it began last.
+        requests.sort_by_key(CrashedRequest::closeness);
         requests.truncate(self.options.max_requests);
         self.written += 1;
         let number = self.written;
-        self.add(now, CrashReport { author, number, age_ms: 0, server, requests });
+        let age_ms = millis(now.since(at));
+        self.add(now, CrashReport { author, number, age_ms, server, end, requests });
     }
 
     /// Notes a crash that another node has seen; returns whether it was not known.
@@ -84,10 +93,13 @@
         true
     }
 
-    /// Notes how many sound answers another node has seen.
+    /// Notes a sound answer that another node has seen.
     pub fn receive_sound(&mut self, now: Stamp, report: SoundReport) {
-        if self.suspects.contains_key(&report.part) {
-            self.note_sound(now, report);
+        let SoundReport { author, part, answers, age_ms } = report;
+        let at = now - Duration::from_millis(age_ms);
+        let is_later = |known: &KnownSound| known.at + SAME_ANSWER < at;
+        if self.is_reported(part) && self.sound.get(&part).is_none_or(is_later) {
+            self.sound.insert(part, KnownSound { author, answers, at, learned_at: now });
         }
     }
 
@@ -105,55 +117,50 @@
         reports
     }
 
-    /// Returns the sound answers that other nodes may not have yet: of each part, no more than clear it.
+    /// Returns the sound answers that other nodes may not know of yet.
     pub fn sound_reports(&self, now: Stamp) -> Vec<SoundReport> {
         let mut reports = Vec::new();
-        for (part, told) in &self.sound {
-            let is_new = |told: &Told| now.since(told.learned_at) < self.options.reported_for;
-            let mut new: Vec<(&Incarnation, &Told)> =
-                told.iter().filter(|(_, told)| is_new(told)).collect();
-            new.sort_by_key(|(_, told)| Reverse(told.answers));
-            let mut sum = 0;
-            for (author, told) in new {
-                if self.enough_sound(*part) <= sum {
-                    break;
-                }
-                sum = sum.saturating_add(told.answers);
-                reports.push(SoundReport { author: *author, part: *part, answers: told.answers });
+        for (part, known) in &self.sound {
+            let KnownSound { author, answers, at, learned_at } = *known;
+            if now.since(learned_at) < self.options.reported_for {
+                let age_ms = millis(now.since(at));
+                reports.push(SoundReport { author, part: *part, answers, age_ms });
             }
         }
         reports
     }
 
-    // Returns the number of sound answers that clear a part.
-    fn enough_sound(&self, part: PartId) -> u32 {
-        let crashes = self.suspects.get(&part).copied().unwrap_or_default();
-        self.options.enough_sound.saturating_mul(crashes)
-    }
-
-    /// Notes this node's own sound answers to prompts with parts that are suspected.
+    /// Notes this node's own sound answers to prompts with parts that are suspected, if they tell more than is known.
     pub fn note_own_sound(&mut self, now: Stamp, own: Incarnation, outcomes: &PartOutcomes) {
-        for part in self.suspects.keys().copied().collect::<Vec<_>>() {
-            let answers = outcomes.sound(now, part);
-            let told = self.sound.get(&part);
-            let own_told = told.and_then(|told| told.get(&own)).map_or(0, |told| told.answers);
-            let is_enough = self.enough_sound(part) <= self.sound_answers(part);
-            if 0 < answers && !is_enough && own_told.saturating_mul(2) <= answers {
-                self.note_sound(now, SoundReport { author: own, part, answers });
+        for (part, crashed_at) in &self.suspects {
+            let Some(at) = outcomes.last_sound(*part) else { continue };
+            let tells = match self.sound.get(part) {
+                None => true,
+                Some(known) => crashed_at.iter().any(|crash| known.at < *crash && *crash < at),
+            };
+            if tells {
+                let answers = outcomes.sound(now, *part);
+                let known = KnownSound { author: own, answers, at, learned_at: now };
+                self.sound.insert(*part, known);
             }
         }
     }
 
-    /// Returns the number of sound answers to prompts with a part that nodes have told.
-    pub fn sound_answers(&self, part: PartId) -> u32 {
-        let told = self.sound.get(&part).into_iter().flat_map(BTreeMap::values);
-        told.fold(0, |sum: u32, told| sum.saturating_add(told.answers))
+    /// Returns whether a sound answer to a prompt with a part is known that is later than all crashes under it.
+    pub fn is_cleared(&self, part: PartId) -> bool {
+        let Some(known) = self.sound.get(&part) else { return false };
+        let crashed_at = self.suspects.get(&part).and_then(|crashed_at| crashed_at.last());
+        crashed_at.is_none_or(|crash| *crash < known.at)
     }
 
-    /// Returns whether a server has crashed under a part of which nodes have told no sound answer.
+    /// Returns whether a server has crashed under a part of which nodes know no sound answer.
     pub fn is_suspect(&self, part: PartId) -> bool {
+        !self.sound.contains_key(&part) && self.is_reported(part)
+    }
+
+    fn is_reported(&self, part: PartId) -> bool {
         let mut requests = self.reports.iter().flat_map(|known| &known.report.requests);
-        requests.any(|req| req.parts.contains(&part)) && self.sound_answers(part) == 0
+        requests.any(|req| req.parts.contains(&part))
     }
 
     /// Returns whether there is none.
@@ -169,7 +176,7 @@
 
     /// Drops what is too old, and the requests of crashes that blocks explain.
     pub fn expire(&mut self, now: Stamp, blocks: &Blocks) {
-        let EvidenceOptions { window, reported_for, sound_for, .. } = self.options;
+        let EvidenceOptions { window, reported_for, .. } = self.options;
         let explained = self.explained(blocks);
         self.reports.retain(|known| now.since(known.at) < window);
         for known in &mut self.reports {
@@ -179,23 +186,23 @@
                 known.report.requests.clear();
             }
         }
-        self.find_suspects();
-        for told in self.sound.values_mut() {
-            told.retain(|_, told| now.since(told.learned_at) < sound_for);
-        }
-        self.sound.retain(|part, told| self.suspects.contains_key(part) && !told.is_empty());
+        self.sound.retain(|part, _| self.suspects.contains_key(part));
     }
 
-    // Returns the servers that crashed under a part which is blocked by itself.
+    // Returns the servers that crashed when they had just begun to answer a request with a part which is blocked by itself.
     fn explained(&self, blocks: &Blocks) -> BTreeSet<u64> {
-        let mut servers = BTreeSet::new();
+        let mut closest: BTreeMap<u64, &CrashedRequest> = BTreeMap::new();
         for known in &self.reports {
-            let mut parts = known.report.requests.iter().flat_map(|req| &req.parts);
-            if parts.any(|part| blocks.is_alone(*part)) {
-                servers.insert(known.report.server);
+            for req in &known.report.requests {
+                let first = closest.entry(known.report.server).or_insert(req);
+                if req.closeness() < first.closeness() {
+                    *first = req;
+                }
             }
         }
-        servers
+        let is_blocked = |req: &CrashedRequest| req.parts.iter().any(|it| blocks.is_alone(*it));
+        let explained = closest.into_iter().filter(|(_, req)| is_blocked(req));
+        explained.map(|(server, _)| server).collect()
     }
 
     /// Forgets what speaks against a part whose block was lifted.
@@ -208,84 +215,92 @@
     }
 
     /// Returns the parts that the evidence speaks against most, if it suffices.
-    pub fn judge(&self, now: Stamp, crash_share: f64, blocks: &Blocks) -> Option<Blame> {
-        let suspects = tally(&self.reports, blocks, &self.options);
-        let mut doubtful = 0;
-        for (part, suspect) in &suspects {
-            let is_suspected = self.options.suspected_from <= suspect.crashes;
-            doubtful += usize::from(is_suspected && self.sound_answers(*part) == 0);
-        }
-        let background = Background { crash_share, suspects: doubtful };
-        let mut most: Option<(PartTally, PartId)> = None;
+    pub fn judge(&self, now: Stamp, outcomes: &PartOutcomes, blocks: &Blocks) -> Vec<Blame> {
+        let suspects = tally(&self.reports, blocks, &self.options, |part| self.last_sound(part));
+        let mut most: Option<(&Suspect, PartId)> = None;
         for (part, suspect) in &suspects {
-            let Suspect { crashes, just_begun, .. } = *suspect;
-            let tally = PartTally { crashes, just_begun, sound: self.sound_answers(*part) };
-            let is_settled =
-                suspect.suspected_at.is_some_and(|at| self.options.settling <= now.since(at));
-            if !is_settled || self.judge.excess(tally, background) < 0.0 {
-                continue;
-            }
-            let is_more = most.is_none_or(|(most, _)| {
-                (most.crashes, Reverse(most.sound)) < (tally.crashes, Reverse(tally.sound))
-            });
-            if is_more {
-                most = Some((tally, *part));
+            let is_settled = 0 < suspect.unexplained
+                && suspect.suspected_at.is_some_and(|at| self.options.settling <= now.since(at));
+            let is_more = most.is_none_or(|(most, _)| most.rank() < suspect.rank());
+            if is_more
+                && is_settled
+                && self.judge.blames(self.tally_of(now, *part, suspect, outcomes))
+            {
+                most = Some((suspect, *part));
             }
         }
-        let (tally, part) = most?;
-        let parts = self.inseparable(part, tally, &suspects)?;
-        Some(Blame { parts, crashes: tally.crashes })
+        most.map_or_else(Vec::new, |(suspect, part)| self.inseparable(part, suspect, &suspects))
     }
 
-    // Returns the part with those that the evidence does not tell apart from it; none if these are of other requests, so
-    // that another crash will tell.
+    fn last_sound(&self, part: PartId) -> Option<Stamp> {
+        self.sound.get(&part).map(|known| known.at)
+    }
+
+    fn tally_of(
+        &self,
+        now: Stamp,
+        part: PartId,
+        suspect: &Suspect,
+        outcomes: &PartOutcomes,
+    ) -> PartTally {
+        let many_at = suspect.crashed_at.get(self.options.many - 1).copied();
+        let since = many_at.or(suspect.crashed_at.first().copied());
+        let last_answer = outcomes.last_answer();
+        PartTally {
+            crashes: suspect.moments,
+            servers: u32::try_from(suspect.crashed_at.len()).unwrap_or(u32::MAX),
+            is_known_sound: self.sound.contains_key(&part),
+            since_many: many_at.map(|at| now.since(at)),
+            is_other_sound: since.is_some_and(|since| last_answer.is_some_and(|at| since < at)),
+        }
+    }
+
+    // Returns the blame for a part and for those that the evidence does not tell apart from it. Parts of the same requests are
+    // blamed together; of parts of different ones that crashed the same servers, those whose answers had begun last.
     fn inseparable(
         &self,
         part: PartId,
-        tally: PartTally,
+        suspect: &Suspect,
         suspects: &BTreeMap<PartId, Suspect>,
-    ) -> Option<Vec<PartId>> {
-        let suspect = suspects.get(&part)?;
-        let mut parts = vec![part];
+    ) -> Vec<Blame> {
+        let crashes = suspect.moments;
+        let mut together = vec![part];
+        let mut apart = Vec::new();
         for (other, its) in suspects {
             let is_alike = *other != part
-                && its.crashes == tally.crashes
-                && self.sound_answers(*other) == tally.sound
-                && its.servers == suspect.servers;
+                && its.rank() == suspect.rank()
+                && its.servers == suspect.servers
+                && self.sound.contains_key(other) == self.sound.contains_key(&part);
             if !is_alike {
                 continue;
             }
-            if its.requests != suspect.requests {
-                return None;
+            if its.requests == suspect.requests {
+                together.push(*other);
+            } else {
+                apart.push(Blame { parts: vec![*other], crashes });
             }
-            parts.push(*other);
         }
-        parts.sort_unstable();
-        Some(parts)
+        together.sort_unstable();
+        let mut blames = vec![Blame { parts: together, crashes }];
+        blames.extend(apart);
+        blames
     }
 
     fn add(&mut self, now: Stamp, report: CrashReport) {
         let at = now - Duration::from_millis(report.age_ms);
         while self.options.max_reports <= self.reports.len() {
-            self.reports.pop_front();
+            let settled = self.reports.iter().position(|known| known.report.requests.is_empty());
+            self.reports.remove(settled.unwrap_or_default());
         }
         self.reports.push_back(KnownReport { at, learned_at: now, report });
-        self.find_suspects();
-    }
-
-    fn note_sound(&mut self, now: Stamp, report: SoundReport) {
-        let told = self.sound.entry(report.part).or_default();
-        let known = told.get(&report.author).map_or(0, |known| known.answers);
-        if known < report.answers {
-            told.insert(report.author, Told { answers: report.answers, learned_at: now });
-        }
     }
 
-    fn find_suspects(&mut self) {
-        let tallied = tally(&self.reports, &Blocks::default(), &self.options);
+    /// Finds the parts that are suspected, of which nodes tell their sound answers.
+    pub fn find_suspects(&mut self) {
+        let tallied = tally(&self.reports, &Blocks::default(), &self.options, |_| None);
         let from = self.options.suspected_from;
-        let suspects = tallied.into_iter().filter(|(_, it)| from <= it.crashes);
-        self.suspects = suspects.map(|(part, it)| (part, it.crashes)).collect();
+        let suspects = tallied.into_iter().filter(|(_, it)| from <= it.crashed_at.len());
+        self.suspects = suspects.map(|(part, it)| (part, it.crashed_at)).collect();
     }
 }
 
--- a/crates/coord/src/crashes/evidence_options.rs
+++ b/crates/coord/src/crashes/evidence_options.rs
@@ -16,34 +16,31 @@
     /// Crashes that follow each other faster than this count as one, as do crashes of requests that were sent before the
     /// last one: what ends many servers at once is no request.
     pub moment: Duration,
-    /// The time after the first bytes of an answer within which a server has just begun to answer.
-    pub just_begun: Duration,
     /// The number of crashes from which a part is suspected, and nodes tell its sound answers.
-    pub suspected_from: u32,
+    pub suspected_from: usize,
     /// The time after which all nodes have told the sound answers of a part that is suspected.
     pub settling: Duration,
     /// The time after the last report in which the evidence is judged again.
     pub judged_for: Duration,
-    /// How long sound answers that a node has told speak for a part.
-    pub sound_for: Duration,
-    /// The number of sound answers for each crash from which nodes need not tell theirs as well.
-    pub enough_sound: u32,
+    /// The answers that one server may break off and count each time, if it is not known to have ended.
+    pub max_unknown_ends: u32,
+    /// The number of servers that crashed together from which they may be evidence by themselves.
+    pub many: usize,
 }
 
 impl Default for EvidenceOptions {
     fn default() -> EvidenceOptions {
         EvidenceOptions {
             window: Duration::from_secs(3_600),
-            max_reports: 512,
+            max_reports: 2_048,
             max_requests: 64,
             reported_for: Duration::from_millis(700),
             moment: Duration::from_millis(250),
-            just_begun: Duration::from_millis(500),
             suspected_from: 2,
             settling: Duration::from_millis(700),
             judged_for: Duration::from_secs(3),
-            sound_for: Duration::from_secs(60),
-            enough_sound: 8,
+            max_unknown_ends: 2,
+            many: 5,
         }
     }
 }
--- a/crates/coord/src/crashes/mod.rs
+++ b/crates/coord/src/crashes/mod.rs
@@ -1,40 +1,36 @@
 //! Prompt parts under which backend servers crash: evidence, decisions, and what is refused because of them.
 
-mod background;
 mod blame;
 mod block;
 mod block_status;
 mod blocks;
-mod count;
 mod evidence;
 mod evidence_options;
 mod judge;
 mod outcomes;
 mod part;
 mod probe_schedule;
-mod ratio;
 mod received;
 mod report;
+mod run;
 mod suspect;
 mod tally;
 mod watch;
 
 use suspect::{KnownReport, Suspect, tally};
 
-pub use background::Background;
 pub use blame::Blame;
 pub use block::{Block, BlockState};
 pub use block_status::BlockStatus;
 pub use blocks::Blocks;
-pub use count::CrashCount;
 pub use evidence::CrashEvidence;
 pub use evidence_options::EvidenceOptions;
 pub use judge::Judge;
 pub use outcomes::PartOutcomes;
 pub use part::{PartId, PartIds};
 pub use probe_schedule::ProbeSchedule;
-pub use ratio::LikelihoodRatio;
 pub use received::Received;
-pub use report::{CrashReport, CrashedRequest, SoundReport};
+pub use report::{CrashReport, CrashedRequest, CrashedServer, ServerEnd, SoundReport};
+pub use run::CrashRun;
 pub use tally::PartTally;
 pub use watch::CrashWatch;
--- a/crates/coord/src/crashes/outcomes.rs
+++ b/crates/coord/src/crashes/outcomes.rs
@@ -13,17 +13,12 @@
 /// The time for which a sound answer speaks for the parts of its prompt, at least: a part may have become bad since, as
 /// when servers of another version came.
 const SOUND_WINDOW: Duration = Duration::from_secs(30);
-/// The time for which answers count in the share that is broken off: for this long at least, and at most for twice as long.
-const WINDOW: Duration = Duration::from_secs(60);
-/// The answers that a node without any is taken to have seen, and those of them that were broken off.
-const PRIOR: (f64, f64) = (20.0, 1.0);
 
 /// `PartOutcomes` are the answers that one node has seen, by the parts of their prompts.
 #[derive(Debug, Default)]
 pub struct PartOutcomes {
     parts: HashMap<PartId, Sound>,
-    current: Window,
-    previous: Window,
+    last_at: Option<Stamp>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -55,17 +50,10 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Window {
-    began_at: Option<Stamp>,
-    answers: u32,
-    broken: u32,
-}
-
 impl PartOutcomes {
     /// Notes an answer that came to its end.
     pub fn note_sound(&mut self, now: Stamp, parts: impl IntoIterator<Item = PartId>) {
-        self.window(now).answers += 1;
+        self.last_at = Some(now);
         for part in parts {
             self.parts.entry(part).or_insert_with(|| Sound::new(now)).note(now);
         }
@@ -74,33 +62,19 @@
         }
     }
 
-    /// Notes an answer that was broken off by the crash of its server.
-    pub fn note_broken(&mut self, now: Stamp) {
-        let window = self.window(now);
-        window.answers += 1;
-        window.broken += 1;
-    }
-
     /// Returns the number of the latest answers to prompts with a part that came to their end.
     pub fn sound(&self, now: Stamp, part: PartId) -> u32 {
         self.parts.get(&part).map_or(0, |sound| sound.count(now))
     }
 
-    /// Returns the share of the latest answers that were broken off.
-    pub fn crash_share(&self) -> f64 {
-        let answers = f64::from(self.current.answers + self.previous.answers);
-        let broken = f64::from(self.current.broken + self.previous.broken);
-        let (prior_answers, prior_broken) = PRIOR;
-        (prior_broken + broken) / (prior_answers + answers)
+    /// Returns when the last answer to a prompt with a part came to its end.
+    pub fn last_sound(&self, part: PartId) -> Option<Stamp> {
+        self.parts.get(&part).map(|sound| sound.last_at)
     }
 
-    fn window(&mut self, now: Stamp) -> &mut Window {
-        let began_at = *self.current.began_at.get_or_insert(now);
-        if WINDOW <= now.since(began_at) {
-            self.previous = std::mem::take(&mut self.current);
-            self.current.began_at = Some(now);
-        }
-        &mut self.current
+    /// Returns when the last answer to any prompt came to its end.
+    pub fn last_answer(&self) -> Option<Stamp> {
+        self.last_at
     }
 
     fn drop_oldest(&mut self) {
--- a/crates/coord/src/crashes/report.rs
+++ b/crates/coord/src/crashes/report.rs
@@ -1,6 +1,6 @@
 //! What nodes tell each other about crashes of backend servers.
 
-use bulrushhall_core::Incarnation;
+use bulrushhall_core::{Incarnation, Stamp};
 use serde::{Deserialize, Serialize};
 
 use super::PartId;
@@ -18,6 +18,35 @@
     pub parts: Vec<PartId>,
 }
 
+impl CrashedRequest {
+    /// Returns a number that is lowest for the request whose answer had begun last before the crash.
+    pub fn closeness(&self) -> u64 {
+        self.begun_ms.unwrap_or(u64::MAX)
+    }
+}
+
+/// A `ServerEnd` is whether a backend server that broke off answers has ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ServerEnd {
+    /// It has: it refuses connections, or its record says so. Nodes of an earlier version report such servers only.
+    #[default]
+    Seen,
+    /// It is not known.
+    Unknown,
+}
+
+/// A `CrashedServer` is a backend server that broke off answers.
+#[derive(Clone, Copy, Debug)]
+pub struct CrashedServer {
+    /// A hash of its name and start time.
+    pub server: u64,
+    /// Whether it has ended.
+    pub end: ServerEnd,
+    /// When it broke them off.
+    pub at: Stamp,
+}
+
 /// A `CrashReport` is what one node saw of the crash of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
@@ -29,17 +58,23 @@
     pub age_ms: u64,
     /// A hash of the server's name and start time.
     pub server: u64,
+    /// Whether it has ended.
+    #[serde(default)]
+    pub end: ServerEnd,
     /// The requests that it had from the node.
     pub requests: Vec<CrashedRequest>,
 }
 
-/// A `SoundReport` is how many answers to prompts with a part one node has seen to their end.
+/// A `SoundReport` is the latest answer to a prompt with a part that one node has seen to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SoundReport {
     /// The node.
     pub author: Incarnation,
     /// The part.
     pub part: PartId,
-    /// The number of the latest answers.
+    /// The number of such answers, of which nodes of an earlier version go by.
     pub answers: u32,
+    /// The time since the answer ended, in milliseconds.
+    #[serde(default)]
+    pub age_ms: u64,
 }
--- /dev/null
+++ b/crates/coord/src/crashes/run.rs
@@ -0,0 +1,46 @@
+//! Judgement by crashes without a sound answer between them.
+
+use std::time::Duration;
+
+use super::{Judge, PartTally};
+
+/// A `CrashRun` blames a part after a fixed number of crashes since its last sound answer, however many other answers break
+/// off meanwhile: more evidence would be more crashed servers.
+#[derive(Clone, Copy, Debug)]
+pub struct CrashRun {
+    /// The moments of crashes that blame a part of which no sound answer is known.
+    pub new: u32,
+    /// The moments that blame a part which was answered before.
+    pub known: u32,
+    /// The same while nothing else is answered either.
+    pub known_in_outage: u32,
+    /// The servers that blame a part of which no sound answer is known, also if they all crashed in one moment.
+    pub servers: u32,
+    /// The time in which a sound answer may still follow such a moment.
+    pub grace: Duration,
+}
+
+impl Default for CrashRun {
+    fn default() -> CrashRun {
+        CrashRun {
+            new: 4,
+            known: 5,
+            known_in_outage: 8,
+            servers: 5,
+            grace: Duration::from_millis(1_500),
+        }
+    }
+}
+
+impl Judge for CrashRun {
+    fn blames(&self, tally: PartTally) -> bool {
+        let PartTally { crashes, servers, is_known_sound, since_many, is_other_sound } = tally;
+        if is_known_sound {
+            let needed = if is_other_sound { self.known } else { self.known_in_outage };
+            return needed <= crashes;
+        }
+        // The loss of many servers at once breaks off answers to sound prompts too, but those are answered elsewhere then.
+        let is_over = since_many.is_some_and(|since| self.grace <= since);
+        self.new <= crashes || (self.servers <= servers && is_over && is_other_sound)
+    }
+}
--- a/crates/coord/src/crashes/suspect.rs
+++ b/crates/coord/src/crashes/suspect.rs
@@ -7,7 +7,7 @@
 
 use bulrushhall_core::Stamp;
 
-use super::{Blocks, CrashReport, CrashedRequest, EvidenceOptions, PartId};
+use super::{Blocks, CrashReport, CrashedRequest, EvidenceOptions, PartId, ServerEnd};
 
 /// A `KnownReport` is a report with the times that a node goes by.
 #[derive(Clone, Debug)]
@@ -23,14 +23,18 @@
 /// A `Suspect` is a part whose requests servers had when they crashed.
 #[derive(Clone, Debug, Default)]
 pub struct Suspect {
-    /// The servers.
-    pub servers: BTreeSet<u64>,
+    /// The servers, with when each crashed last and how often.
+    pub servers: BTreeMap<u64, (Stamp, u32)>,
     /// The requests.
     pub requests: BTreeSet<u64>,
-    /// The crashes, those of one moment counted once.
-    pub crashes: u32,
-    /// Those of them that came just after the first bytes of the answer.
-    pub just_begun: u32,
+    /// When servers crashed, in ascending order.
+    pub crashed_at: Vec<Stamp>,
+    /// The number of crashes, those of one moment counted once.
+    pub moments: u32,
+    /// The crashes in which no other request had begun to be answered later.
+    pub closest: u32,
+    /// The crashes that no block in force explains.
+    pub unexplained: u32,
     /// Since when there are enough crashes to suspect the part.
     pub suspected_at: Option<Stamp>,
     last_moment: Option<Stamp>,
@@ -38,71 +42,112 @@
 
 /// The crash of one server, as all nodes have seen it.
 struct Crash<'a> {
+    server: u64,
     at: Stamp,
+    last_at: Stamp,
+    end: ServerEnd,
     requests: Vec<(&'a CrashedRequest, Stamp)>,
 }
 
-/// Returns the crashes under each part. Those of a server that had a request which is blocked count only against the parts of
-/// that block: it is known what crashed the server.
+/// Returns the crashes under each part since a moment that depends on the part. Those of a server which had just begun to
+/// answer a request that is blocked count only against the parts of that block: it is known what crashed the server.
 pub fn tally<'a>(
     reports: impl IntoIterator<Item = &'a KnownReport>,
     blocks: &Blocks,
     options: &EvidenceOptions,
+    since: impl Fn(PartId) -> Option<Stamp>,
 ) -> BTreeMap<PartId, Suspect> {
     let mut suspects: BTreeMap<PartId, Suspect> = BTreeMap::new();
-    for (server, mut crash) in by_time(reports) {
-        crash.requests.sort_by_key(|(req, _)| (req.begun_ms.is_none(), req.begun_ms));
-        let explained = crash.requests.iter().find_map(|(req, _)| blocks.matching(&req.parts));
-        for (req, learned_at) in crash.requests {
+    for mut crash in by_time(reports, options) {
+        crash.requests.sort_by_key(|(req, _)| req.closeness());
+        let explained = crash.requests.first().and_then(|(req, _)| blocks.matching(&req.parts));
+        for (number, (req, learned_at)) in crash.requests.iter().enumerate() {
             for part in &req.parts {
                 let is_explained = explained.is_some_and(|parts| !parts.contains(part));
-                if is_explained || blocks.is_alone(*part) {
+                let is_before = since(*part).is_some_and(|since| crash.at <= since);
+                if is_explained || is_before || blocks.is_alone(*part) {
                     continue;
                 }
                 let suspect = suspects.entry(*part).or_default();
-                suspect.add((server, crash.at), req, learned_at, options);
+                suspect.closest += u32::from(number == 0);
+                suspect.unexplained += u32::from(explained.is_none());
+                suspect.add(&crash, req, *learned_at, options);
             }
         }
     }
     suspects
 }
 
-// Several nodes report the crash of one server.
-fn by_time<'a>(reports: impl IntoIterator<Item = &'a KnownReport>) -> Vec<(u64, Crash<'a>)> {
-    let mut crashes: BTreeMap<u64, Crash<'_>> = BTreeMap::new();
-    for KnownReport { at, learned_at, report } in reports {
-        let new = || Crash { at: *at, requests: Vec::new() };
-        let crash = crashes.entry(report.server).or_insert_with(new);
-        crash.at = crash.at.min(*at);
-        crash.requests.extend(report.requests.iter().map(|req| (req, *learned_at)));
+// Several nodes report the crash of one server, which may start again and crash again under the same name.
+fn by_time<'a>(
+    reports: impl IntoIterator<Item = &'a KnownReport>,
+    options: &EvidenceOptions,
+) -> Vec<Crash<'a>> {
+    let mut by_server: BTreeMap<u64, Vec<&KnownReport>> = BTreeMap::new();
+    for known in reports {
+        by_server.entry(known.report.server).or_default().push(known);
     }
-    let mut crashes: Vec<(u64, Crash<'_>)> = crashes.into_iter().collect();
-    crashes.sort_by_key(|(server, crash)| (crash.at, *server));
+    let mut crashes: Vec<Crash<'_>> = Vec::new();
+    for (server, mut known) in by_server {
+        known.sort_by_key(|known| known.at);
+        let first = crashes.len();
+        for KnownReport { at, learned_at, report } in known {
+            let last = crashes.get_mut(first..).and_then(<[_]>::last_mut);
+            let requests = report.requests.iter().map(|req| (req, *learned_at));
+            match last {
+                Some(crash) if at.since(crash.last_at) < options.moment => {
+                    crash.last_at = *at;
+                    crash.requests.extend(requests);
+                    if report.end == ServerEnd::Seen {
+                        crash.end = ServerEnd::Seen;
+                    }
+                }
+                _ => crashes.push(Crash {
+                    server,
+                    at: *at,
+                    last_at: *at,
+                    end: report.end,
+                    requests: requests.collect(),
+                }),
+            }
+        }
+    }
+    crashes.sort_by_key(|crash| (crash.at, crash.server));
     crashes
 }
 
 impl Suspect {
+    /// Returns how much the crashes speak against the part.
+    pub fn rank(&self) -> (u32, usize, u32) {
+        (self.moments, self.crashed_at.len(), self.closest)
+    }
+
     fn add(
         &mut self,
-        (server, at): (u64, Stamp),
+        crash: &Crash<'_>,
         req: &CrashedRequest,
         learned_at: Stamp,
         options: &EvidenceOptions,
     ) {
         self.requests.insert(req.request);
-        let is_new_server = self.servers.insert(server);
-        let sent_at = at - Duration::from_millis(req.age_ms);
-        let is_same_moment =
-            self.last_moment.is_some_and(|last| sent_at < last || at.since(last) < options.moment);
-        if !is_new_server || is_same_moment {
+        let sent_at = crash.at - Duration::from_millis(req.age_ms);
+        let (last_at, count) = self.servers.get(&crash.server).copied().unwrap_or((Stamp(0), 0));
+        // A server that is known to have ended has started again if it got a request later.
+        let may_count = crash.end == ServerEnd::Seen || count < options.max_unknown_ends;
+        if 0 < count && (!may_count || sent_at <= last_at) {
             return;
         }
-        self.last_moment = Some(at);
-        self.crashes += 1;
-        let begun = req.begun_ms.map(Duration::from_millis);
-        self.just_begun += u32::from(begun.is_some_and(|begun| begun < options.just_begun));
-        if self.crashes == options.suspected_from {
+        self.servers.insert(crash.server, (crash.at, count + 1));
+        self.crashed_at.push(crash.at);
+        if self.crashed_at.len() == options.suspected_from {
             self.suspected_at = Some(learned_at);
         }
+        let is_same_moment = self
+            .last_moment
+            .is_some_and(|last| sent_at < last || crash.at.since(last) < options.moment);
+        if !is_same_moment {
+            self.last_moment = Some(crash.at);
+            self.moments += 1;
+        }
     }
 }
--- a/crates/coord/src/crashes/tally.rs
+++ b/crates/coord/src/crashes/tally.rs
@@ -1,12 +1,20 @@
 //! The evidence about one part.
 
+use std::time::Duration;
+
 /// A `PartTally` is the evidence about one part, over all nodes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PartTally {
-    /// The crashes of servers that were answering requests with the part, each request and each moment counted once.
+    /// The crashes of servers that were answering requests with the part, since its last sound answer; each moment counts
+    /// once.
     pub crashes: u32,
-    /// Those of them that had just begun to answer such a request.
-    pub just_begun: u32,
-    /// The answers to such requests that came to their end.
-    pub sound: u32,
+    /// These crashes, each server counted.
+    pub servers: u32,
+    /// Whether an answer to such a request has come to its end before.
+    pub is_known_sound: bool,
+    /// The time since so many servers had crashed that they may be evidence by themselves.
+    pub since_many: Option<Duration>,
+    /// Whether this node has seen a sound answer to any request since the first of these crashes, or, with `since_many`, since
+    /// the last.
+    pub is_other_sound: bool,
 }
--- a/crates/coord/src/crashes/watch.rs
+++ b/crates/coord/src/crashes/watch.rs
@@ -1,16 +1,20 @@
 //! What a node concludes from crashes of backend servers.
 
+use std::time::Duration;
+
 use bulrushhall_core::{Incarnation, Stamp};
 
 use super::{
-    Blame, Block, BlockState, Blocks, CrashEvidence, CrashedRequest, EvidenceOptions, Judge,
-    PartId, PartIds, PartOutcomes, ProbeSchedule, Received,
+    Blame, Block, BlockState, Blocks, CrashEvidence, CrashedRequest, CrashedServer,
+    EvidenceOptions, Judge, PartId, PartIds, PartOutcomes, ProbeSchedule, Received,
 };
 
-/// The sound answers to prompts with one part of a block that show that the other parts crash the servers.
-const CLEARED_FROM: u32 = 2;
-/// The latest sound answers of this node to prompts with a part from which it need not be suspected.
+/// The latest sound answers of this node to prompts with a part from which it need not be suspected, and the time since the
+/// last of them.
 const KNOWN_SOUND_FROM: u32 = 8;
+const KNOWN_SOUND_FOR: Duration = Duration::from_secs(1);
+/// The maximum number of parts that are blamed in one judgement.
+const MAX_BLAMED: usize = 64;
 
 /// A `CrashWatch` is the evidence of one node about prompt parts, and what the node refuses.
 #[derive(Debug, Default)]
@@ -42,15 +46,30 @@
         &mut self,
         now: Stamp,
         own: Incarnation,
-        server: u64,
+        crashed: CrashedServer,
         mut requests: Vec<CrashedRequest>,
     ) {
-        for req in &mut requests {
-            self.outcomes.note_broken(now);
-            req.parts.retain(|part| self.outcomes.sound(now, *part) < KNOWN_SOUND_FROM);
+        requests.sort_by_key(CrashedRequest::closeness);
+        // A part that was sound may be so no longer, if the server had just begun to answer its request.
+        for req in requests.iter_mut().skip(1) {
+            req.parts.retain(|part| !self.is_known_sound(now, *part));
         }
         requests.retain(|req| !req.parts.is_empty());
-        self.evidence.note_crash(now, own, server, requests);
+        if !requests.is_empty() {
+            self.evidence.note_crash(now, own, crashed, requests);
+        }
+    }
+
+    fn is_known_sound(&self, now: Stamp, part: PartId) -> bool {
+        let last = self.outcomes.last_sound(part);
+        last.is_some_and(|at| now.since(at) < KNOWN_SOUND_FOR)
+            && KNOWN_SOUND_FROM <= self.outcomes.sound(now, part)
+    }
+
+    /// Notes an answer that came to its end; returns the parts of the block that it speaks against, if there is one.
+    pub fn note_sound(&mut self, now: Stamp, parts: &[PartId]) -> Option<PartIds> {
+        self.outcomes.note_sound(now, parts.iter().copied());
+        self.blocks.matching(parts).map(|ids| PartIds(ids.to_vec()))
     }
 
     /// Judges the evidence; returns the records that changed.
@@ -59,15 +78,23 @@
         if !is_recent && !has_joint {
             return Vec::new();
         }
+        self.evidence.find_suspects();
         self.evidence.note_own_sound(now, own, &self.outcomes);
         let mut changed = if has_joint { self.narrow(now, unix_ms) } else { Vec::new() };
         if !is_recent {
             return changed;
         }
         self.evidence.expire(now, &self.blocks);
-        let share = self.outcomes.crash_share();
-        let blame = self.evidence.judge(now, share, &self.blocks);
-        changed.extend(blame.and_then(|blame| self.blocks.put(now, &blame, unix_ms)));
+        // Each block explains crashes, so that less speaks against other parts.
+        for _ in 0..MAX_BLAMED {
+            let blames = self.evidence.judge(now, &self.outcomes, &self.blocks);
+            let put = blames.iter().filter_map(|blame| self.blocks.put(now, blame, unix_ms));
+            let put: Vec<Block> = put.collect();
+            if put.is_empty() {
+                break;
+            }
+            changed.extend(put);
+        }
         changed
     }
 
@@ -107,9 +134,8 @@
             if block.parts.0.len() < 2 || block.state() == BlockState::Lifted {
                 continue;
             }
-            let is_cleared = |part: &PartId| CLEARED_FROM <= self.evidence.sound_answers(*part);
-            let left: Vec<PartId> =
-                block.parts.0.iter().copied().filter(|part| !is_cleared(part)).collect();
+            let parts = block.parts.0.iter().copied();
+            let left: Vec<PartId> = parts.filter(|part| !self.evidence.is_cleared(*part)).collect();
             if !left.is_empty() && left.len() < block.parts.0.len() {
                 narrowed.push((block.parts.clone(), Blame { parts: left, crashes: block.crashes }));
             }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -117,6 +117,8 @@
     EnginesSufficient,
     /// The number of home engines of the prompt prefix that is used most has changed.
     PrefixHomesChanged,
+    /// A backend server broke off answers and was not found to have ended.
+    AnswersInterrupted,
     /// A VM was bought.
     VmBought,
     /// The purchase of a VM was refused; no VM is bought in the same place for a while.
@@ -195,6 +197,7 @@
         Event::EnginesShort,
         Event::EnginesSufficient,
         Event::PrefixHomesChanged,
+        Event::AnswersInterrupted,
         Event::VmBought,
         Event::PurchaseRefused,
         Event::VmReleased,
@@ -265,6 +268,7 @@
             Event::EnginesShort => 459,
             Event::EnginesSufficient => 460,
             Event::PrefixHomesChanged => 461,
+            Event::AnswersInterrupted => 462,
             Event::VmBought => 500,
             Event::PurchaseRefused => 501,
             Event::VmReleased => 502,
--- a/crates/gateway/src/cluster/carried.rs
+++ b/crates/gateway/src/cluster/carried.rs
@@ -17,6 +17,9 @@
 /// The header that marks a response as one of the backend server; without it, the body is a [`CarryFailure`].
 pub const CARRIED_HEADER: HeaderName = HeaderName::from_static("bulrush-carried");
 
+/// The value of this header if the response has no marked end where the server sends it.
+pub const CARRIED_UNDELIMITED: &str = "undelimited";
+
 /// A `CarriedRequest` is a request as the backend server has to get it.
 #[serde_as]
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/crates/gateway/src/cluster/carry.rs
+++ b/crates/gateway/src/cluster/carry.rs
@@ -1,8 +1,7 @@
 //! Carrying of other nodes' requests to backend servers that they can't reach.
 
-use std::{sync::Arc, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
-use bulrushhall_coord::crashes::{CrashedRequest, PartId};
 use bulrushhall_core::{Ran, Stamp};
 use bulrushhall_external::http::{Body, BoxError, full};
 use bulrushhall_policy::placement::WorkerKey;
@@ -15,18 +14,17 @@
     header::HeaderValue,
 };
 use tokio::time::{Instant, timeout, timeout_at};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    adapter::ResponseHead,
+    adapter::{Call, ResponseHead},
     announcements::note_response,
     backends::{Connection, OpenError, Pool},
     brittle, clock,
-    cluster::{CARRIED_HEADER, CarriedRequest, CarryFailure, as_millis},
-    crashes::{is_blocked, note_broken},
+    cluster::{CARRIED_HEADER, CARRIED_UNDELIMITED, CarriedRequest, CarryFailure},
+    crashes::{SentPrompt, has_ended, is_blocked},
     gateway::{Gateway, Phase, State},
     meters,
-    pipeline::connection_share,
+    pipeline::{connection_share, is_delimited},
     reachability::{note_opened, note_unreachable},
 };
 
@@ -94,43 +92,15 @@
     connection: Connection,
     pool: Arc<Pool>,
     in_flight: CarriedInFlight,
-    subject: Subject,
-}
-
-/// What a carried request is about.
-struct Subject {
-    id: String,
-    sent_at: Stamp,
-    /// The parts of its prompt that other prompts have too.
-    parts: Vec<PartId>,
-}
-
-impl Subject {
-    fn note_broken(&self, gateway: &Arc<Gateway>, key: WorkerKey, began_at: Option<Stamp>) {
-        if self.parts.is_empty() {
-            return;
-        }
-        let now = clock::now();
-        let req = CrashedRequest {
-            request: xxh3_64(self.id.as_bytes()),
-            age_ms: as_millis(now.since(self.sent_at)),
-            begun_ms: began_at.map(|at| as_millis(now.since(at))),
-            parts: self.parts.clone(),
-        };
-        note_broken(gateway, key, req);
-    }
+    prompt: Option<SentPrompt>,
 }
 
 // A head that can't be read is the server's to reject.
-fn subject(gateway: &Gateway, req: &Request<Full<Bytes>>) -> Subject {
+fn call(gateway: &Gateway, req: &Request<Full<Bytes>>) -> Option<Call> {
     let mut parts = Request::new(()).into_parts().0;
     parts.uri = req.uri().clone();
     parts.headers = req.headers().clone();
-    let call = gateway.platform.wire.read_call(&parts).ok();
-    let prompt = call.as_ref().and_then(|call| call.prompt.as_ref());
-    let parts = prompt.map(|prompt| prompt.common_parts().collect()).unwrap_or_default();
-    let id = call.map(|call| call.id).unwrap_or_default();
-    Subject { id, sent_at: clock::now(), parts }
+    gateway.platform.wire.read_call(&parts).ok()
 }
 
 fn target(gateway: &Arc<Gateway>, carried: &CarriedRequest) -> Result<Target, CarryFailure> {
@@ -168,16 +138,25 @@
 ) -> Result<CarriedResponse, CarryFailure> {
     let Target { key, pool, connections, in_flight } = target(gateway, carried)?;
     let mut req = carried.request().ok_or(NOT_RUN)?;
-    let subject = subject(gateway, &carried.request().ok_or(NOT_RUN)?);
-    if gateway.with(|state| is_blocked(state, subject.parts.iter().copied())) {
+    let call = call(gateway, &req);
+    let prompt = call.as_ref().and_then(|call| Some((&call.id, call.prompt.as_ref()?)));
+    if let Some((_, prompt)) = prompt
+        && gateway.with(|state| is_blocked(state, prompt.common_parts()))
+    {
         return Err(CarryFailure { blocked: true, ..NOT_RUN });
     }
     let sent_at = clock::now();
+    let server = (key, &*carried.backend, carried.born);
+    let mut prompt = prompt.and_then(|(id, prompt)| SentPrompt::begin(gateway, server, id, prompt));
     loop {
         let mut connection = match pool.take(clock::now(), connections).await {
             Ok(connection) => connection,
-            Err(OpenError::Full) => return Err(CarryFailure { full: true, ..NOT_RUN }),
+            Err(OpenError::Full) => {
+                settle(&mut prompt);
+                return Err(CarryFailure { full: true, ..NOT_RUN });
+            }
             Err(OpenError::Unreachable) => {
+                settle(&mut prompt);
                 note_unreachable(gateway, key);
                 return Err(NOT_RUN);
             }
@@ -188,20 +167,18 @@
         match connection.sender.try_send_request(req).await {
             Ok(response) => {
                 let head = note_head(gateway, carried, (key, sent_at), &response);
-                return Ok(CarriedResponse {
-                    response,
-                    head,
-                    connection,
-                    pool,
-                    in_flight,
-                    subject,
-                });
+                return Ok(CarriedResponse { response, head, connection, pool, in_flight, prompt });
             }
             Err(mut error) => match error.take_message() {
                 Some(unsent) if connection.reused => req = unsent,
-                Some(_) => return Err(NOT_RUN),
+                Some(_) => {
+                    settle(&mut prompt);
+                    return Err(NOT_RUN);
+                }
                 None => {
-                    subject.note_broken(gateway, key, None);
+                    if let Some(prompt) = &mut prompt {
+                        prompt.note_broken();
+                    }
                     return Err(LOST);
                 }
             },
@@ -209,6 +186,12 @@
     }
 }
 
+fn settle(prompt: &mut Option<SentPrompt>) {
+    if let Some(prompt) = prompt {
+        prompt.settle();
+    }
+}
+
 // What the server says of itself holds for this node too, since it knows the sender by its connection.
 fn note_head(
     gateway: &Gateway,
@@ -232,14 +215,16 @@
     fn forward(self, gateway: &Gateway, deadline: Instant) -> Response<Body> {
         let (parts, body) = self.response.into_parts();
         let mut headers = gateway.platform.wire.response_headers(&parts.headers);
-        headers.insert(CARRIED_HEADER, HeaderValue::from_static("1"));
+        let is_delimited = is_delimited(&parts.headers);
+        let mark = if is_delimited { "1" } else { CARRIED_UNDELIMITED };
+        headers.insert(CARRIED_HEADER, HeaderValue::from_static(mark));
         let kept = Kept {
             head: self.head,
             connection: self.connection,
             pool: self.pool,
             in_flight: self.in_flight,
-            subject: self.subject,
-            began_at: None,
+            prompt: self.prompt,
+            is_delimited,
         };
         let frames = unfold(Some((body, kept)), move |open| next_frame(open, deadline));
         let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
@@ -255,19 +240,34 @@
     connection: Connection,
     pool: Arc<Pool>,
     in_flight: CarriedInFlight,
-    subject: Subject,
-    /// When the first bytes of the body arrived.
-    began_at: Option<Stamp>,
+    prompt: Option<SentPrompt>,
+    /// Whether the end of the response is marked.
+    is_delimited: bool,
 }
 
 impl Kept {
-    fn release(self) {
+    fn release(mut self) {
+        if self.is_delimited {
+            settle(&mut self.prompt);
+        }
         if !self.head.closing {
             self.pool.keep(clock::now(), self.connection, self.head.idle);
         }
     }
 }
 
+impl Kept {
+    fn note_broken(&mut self) {
+        if let Some(prompt) = &mut self.prompt {
+            prompt.note_broken();
+        }
+    }
+
+    async fn has_ended(&self) -> bool {
+        has_ended(&self.in_flight.gateway, self.in_flight.key).await
+    }
+}
+
 type Open = Option<(Incoming, Kept)>;
 type Forwarded = Result<Frame<Bytes>, BoxError>;
 
@@ -280,7 +280,9 @@
     };
     match frame {
         Some(Ok(frame)) => {
-            kept.began_at.get_or_insert_with(clock::now);
+            if let Some(prompt) = &mut kept.prompt {
+                prompt.note_began();
+            }
             // hyper does not poll again after the last byte of a body of known length.
             if hyper::body::Body::is_end_stream(&body) {
                 kept.release();
@@ -289,10 +291,14 @@
             Some((Ok(frame), Some((body, kept))))
         }
         Some(Err(error)) => {
-            let in_flight = &kept.in_flight;
-            kept.subject.note_broken(&in_flight.gateway, in_flight.key, kept.began_at);
+            kept.note_broken();
             Some((Err(error.into()), None))
         }
+        // It may have been cut between two events.
+        None if !kept.is_delimited && kept.has_ended().await => {
+            kept.note_broken();
+            Some((Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()), None))
+        }
         None => {
             kept.release();
             None
--- a/crates/gateway/src/cluster/mod.rs
+++ b/crates/gateway/src/cluster/mod.rs
@@ -25,7 +25,7 @@
 
 pub use backends::follow_backends;
 pub use block_records::{BLOCK_PREFIX, claim_probe, store_blocks};
-pub use carried::{CARRIED_HEADER, CARRY_PATH, CarriedRequest, CarryFailure};
+pub use carried::{CARRIED_HEADER, CARRIED_UNDELIMITED, CARRY_PATH, CarriedRequest, CarryFailure};
 pub use config::{activate_config, follow_config};
 pub use digest::{BackendLoad, Digest, DigestScope, Document, LiveNode, RecordCursor};
 pub use follow::{Follower, follow};
--- a/crates/gateway/src/crashes/blocks.rs
+++ b/crates/gateway/src/crashes/blocks.rs
@@ -10,6 +10,7 @@
     brittle::node_hash,
     clock,
     cluster::as_millis,
+    crashes::note_removed_servers,
     gateway::{Gateway, State},
     meters,
 };
@@ -22,6 +23,7 @@
 /// Judges the evidence, once a gossip round.
 pub fn plan_blocks(gateway: &Gateway, state: &mut State, now: Stamp) {
     state.crashes.recent.retain(|(_, at)| now.since(*at) < BLOCK_REPORTED_FOR);
+    note_removed_servers(gateway, state, now);
     let unix_ms = as_millis(gateway.own_wall_clock());
     for block in state.crashes.watch.plan(now, gateway.incarnation, unix_ms) {
         note_changed(gateway, state, now, &block, "evidence");
--- a/crates/gateway/src/crashes/digest.rs
+++ b/crates/gateway/src/crashes/digest.rs
@@ -1,11 +1,13 @@
 //! What nodes tell each other of crashes, in their digests.
 
-use bulrushhall_coord::crashes::{Block, CrashReport, CrashWatch, SoundReport};
+use std::time::Duration;
+
+use bulrushhall_coord::crashes::{Block, CrashReport, CrashWatch, CrashedServer, SoundReport};
 use bulrushhall_core::Stamp;
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    crashes::{CrashState, receive_block},
+    crashes::{CrashState, note_crash, receive_block},
     gateway::{Gateway, State},
 };
 
@@ -56,7 +58,15 @@
         receive_block(gateway, state, block, "node");
     }
     for report in digest.crashes {
-        state.crashes.watch.evidence.receive(now, report);
+        let crashed = CrashedServer {
+            server: report.server,
+            end: report.end,
+            at: now - Duration::from_millis(report.age_ms),
+        };
+        // This node may have sent the server prompts that nobody waits for.
+        if state.crashes.watch.evidence.receive(now, report) {
+            note_crash(gateway, state, crashed, Vec::new());
+        }
     }
     for report in digest.sound {
         state.crashes.watch.evidence.receive_sound(now, report);
--- a/crates/gateway/src/crashes/observe.rs
+++ b/crates/gateway/src/crashes/observe.rs
@@ -1,39 +1,30 @@
-//! Observation of answers: those that come to their end, and those that are broken off when a server crashes.
+//! Observation of answers: those that come to their end, and those that are interrupted.
 
 use std::{sync::Arc, time::Duration};
 
-use bulrushhall_coord::crashes::{CrashedRequest, PartId, PartIds};
+use bulrushhall_coord::crashes::{CrashedRequest, CrashedServer, PartId, PartIds, ServerEnd};
 use bulrushhall_core::{Event, Stamp};
 use bulrushhall_policy::placement::WorkerKey;
 use tokio::time::sleep;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
     backends::{ListenerState, listener_state},
     clock,
-    cluster::as_millis,
-    crashes::lift,
-    gateway::Gateway,
+    crashes::{CrashState, InterruptedAnswers, Interruption, lift},
+    gateway::{Gateway, State},
     meters,
     pipeline::{IdentifiedRequest, Placement},
 };
 
-/// How long broken answers of a server are collected until it is checked whether the server has ended.
+/// How long interrupted answers of a server are collected until it is checked whether the server has ended.
 const COLLECTING_TIME: Duration = Duration::from_millis(40);
 /// The time after which an answer that is being written has not crashed its server.
-const BEGINNING: Duration = Duration::from_secs(2);
+const BEGINNING_MS: u64 = 2_000;
 
-/// Notes that a backend server closed its connection before the end of an answer; the request was sent at the first time, and
-/// the answer began at the second one, if it began.
-pub fn note_broken_answer(
-    gateway: &Arc<Gateway>,
-    req: &IdentifiedRequest,
-    placement: &Placement,
-    (sent_at, began_at): (Stamp, Option<Stamp>),
-) {
+/// Logs that a backend server closed its connection before the end of an answer, which began at the given time.
+pub fn log_broken_answer(req: &IdentifiedRequest, placement: &Placement, began_at: Option<Stamp>) {
     let Some(prompt) = &req.call.prompt else { return };
-    let now = clock::now();
-    let began = began_at.map(|at| now.since(at));
+    let began = began_at.map(|at| clock::now().since(at));
     tracing::info!(
         event = Event::AnswerBroken.number(),
         id = req.call.id.as_str(),
@@ -41,27 +32,43 @@
         parts = %prompt.part_ids(),
         began_ms = began.map(|began| began.as_secs_f64() * 1_000.0)
     );
-    // The connection to a node that carries the request tells nothing of the server.
-    if placement.carrier.is_some() {
+}
+
+/// Notes a request whose answer a backend server interrupted.
+pub fn note_interrupted(
+    gateway: &Arc<Gateway>,
+    (key, server): (WorkerKey, u64),
+    interruption: Interruption,
+    req: CrashedRequest,
+) {
+    if req.begun_ms.is_some_and(|begun| BEGINNING_MS <= begun)
+        && interruption == Interruption::Closed
+    {
         return;
     }
-    let parts: Vec<PartId> = prompt.common_parts().collect();
-    if began.is_some_and(|began| BEGINNING <= began) {
-        gateway.with(|state| state.crashes.watch.outcomes.note_sound(now, parts));
-        return;
+    let is_first = gateway.with(|state| {
+        let entry = state.crashes.interrupted.entry(key);
+        let answers = entry.or_insert_with(|| InterruptedAnswers { server, ..Default::default() });
+        answers.requests.push((interruption, req));
+        answers.requests.len() == 1
+    });
+    if is_first {
+        tokio::spawn(check_server(Arc::clone(gateway), key));
     }
-    let age_ms = as_millis(now.since(sent_at));
-    let begun_ms = began.map(as_millis);
-    let request = xxh3_64(req.call.id.as_bytes());
-    note_broken(gateway, placement.key, CrashedRequest { request, age_ms, begun_ms, parts });
 }
 
-/// Notes a request whose answer a backend server broke off.
-pub fn note_broken(gateway: &Arc<Gateway>, key: WorkerKey, req: CrashedRequest) {
+/// Notes that no connection to a server could be opened: it may have ended under a prompt whose caller has left.
+pub fn note_unopened(gateway: &Arc<Gateway>, key: WorkerKey) {
+    let now = clock::now();
     let is_first = gateway.with(|state| {
-        let broken = state.crashes.broken.entry(key).or_default();
-        broken.push(req);
-        broken.len() == 1
+        let CrashState { unsettled, interrupted, .. } = &mut state.crashes;
+        if !unsettled.has(now, key) || interrupted.contains_key(&key) {
+            return false;
+        }
+        let server = unsettled.servers().find(|(other, _)| *other == key).map(|(_, server)| server);
+        let Some(server) = server else { return false };
+        interrupted.insert(key, InterruptedAnswers { server, requests: Vec::new() });
+        true
     });
     if is_first {
         tokio::spawn(check_server(Arc::clone(gateway), key));
@@ -76,44 +83,91 @@
         return;
     }
     let now = clock::now();
-    gateway.with(|state| state.crashes.watch.outcomes.note_sound(now, prompt.common_parts()));
-    if let Some(parts) = &req.probe {
-        lift(gateway, parts, "probe");
+    let parts: Vec<PartId> = prompt.common_parts().collect();
+    let blocked = gateway.with(|state| state.crashes.watch.note_sound(now, &parts));
+    if let Some(parts) = blocked {
+        let source = if req.probe.is_some() { "probe" } else { "answer" };
+        lift(gateway, &parts, source);
+    }
+}
+
+/// Returns whether a backend server has ended, shortly after it closed a connection. One that leaves as announced ends after
+/// its last answer.
+pub async fn has_ended(gateway: &Gateway, key: WorkerKey) -> bool {
+    let address = gateway.with(|state| {
+        let backend = state.backends.get(key);
+        backend.filter(|backend| backend.accepts_work()).map(|backend| backend.record.address)
+    });
+    let Some(address) = address else { return false };
+    // The listener of a process that ends may be closed after its connections.
+    sleep(COLLECTING_TIME).await;
+    listener_state(address).await == ListenerState::Refusing
+}
+
+/// Notes the prompts of servers whose records were removed, or replaced by those of a later start.
+pub fn note_removed_servers(gateway: &Gateway, state: &mut State, now: Stamp) {
+    let servers = state.crashes.unsettled.servers();
+    let removed = servers.filter(|(key, _)| state.backends.get(*key).is_none());
+    let removed: Vec<u64> = removed.map(|(_, server)| server).collect();
+    for server in removed {
+        let crashed = CrashedServer { server, end: ServerEnd::Seen, at: now };
+        note_crash(gateway, state, crashed, Vec::new());
+    }
+}
+
+/// Notes that a server has crashed, with the requests whose answers it interrupted and those that nobody waits for.
+pub fn note_crash(
+    gateway: &Gateway,
+    state: &mut State,
+    crashed: CrashedServer,
+    mut requests: Vec<CrashedRequest>,
+) {
+    let CrashState { watch, unsettled, .. } = &mut state.crashes;
+    if crashed.end == ServerEnd::Seen {
+        requests.extend(unsettled.take(crashed.at, crashed.server));
     }
+    requests.retain(|req| req.begun_ms.is_none_or(|begun| begun < BEGINNING_MS));
+    watch.note_crash(clock::now(), gateway.incarnation, crashed, requests);
 }
 
-// A server that broke off one answer still accepts connections.
+// A server that broke off one answer still accepts connections, as does one that is replaced at once; one that is silent may
+// be out of reach.
 async fn check_server(gateway: Arc<Gateway>, key: WorkerKey) {
     sleep(COLLECTING_TIME).await;
-    let address =
-        gateway.with(|state| state.backends.get(key).map(|backend| backend.record.address));
-    let listener = match address {
-        Some(address) => listener_state(address).await,
-        None => ListenerState::Unknown,
-    };
-    let now = clock::now();
-    let crash = gateway.with(|state| {
-        let requests = state.crashes.broken.remove(&key).unwrap_or_default();
+    let backend = gateway.with(|state| {
         let backend = state.backends.get(key)?;
-        // A server that leaves as announced may end with answers unfinished.
-        if listener != ListenerState::Refusing || !backend.accepts_work() {
-            return None;
-        }
-        let name = Arc::clone(&backend.name);
-        let server = xxh3_64_with_seed(name.as_bytes(), backend.record.born.unwrap_or_default());
-        state.crashes.watch.note_crash(now, gateway.incarnation, server, requests.clone());
-        Some((name, requests))
+        Some((backend.record.address, Arc::clone(&backend.name)))
+    });
+    let (listener, name) = match backend {
+        Some((address, name)) => (listener_state(address).await, name),
+        None => (ListenerState::Unknown, "".into()),
+    };
+    let (now, is_serving) = (clock::now(), listener == ListenerState::Accepting);
+    let end =
+        if listener == ListenerState::Refusing { ServerEnd::Seen } else { ServerEnd::Unknown };
+    let requests = gateway.with(|state| {
+        let InterruptedAnswers { server, requests } =
+            state.crashes.interrupted.remove(&key).unwrap_or_default();
+        // An answer that a serving server does not go on with may be slow.
+        let counts = |interruption| !is_serving || interruption == Interruption::Closed;
+        let requests = requests.into_iter().filter(|(interruption, _)| counts(*interruption));
+        let requests: Vec<CrashedRequest> = requests.map(|(_, req)| req).collect();
+        let crashed = CrashedServer { server, end, at: now };
+        note_crash(&gateway, state, crashed, requests.clone());
+        requests
     });
-    let Some((name, requests)) = crash else { return };
-    meters::server_crashed();
+    if requests.is_empty() {
+        return;
+    }
     let answers = requests.len();
     let mut parts: Vec<PartId> = requests.into_iter().flat_map(|req| req.parts).collect();
     parts.sort_unstable();
     parts.dedup();
-    tracing::warn!(
-        event = Event::ServerCrashed.number(),
-        backend = &*name,
-        answers,
-        parts = %PartIds(parts)
-    );
+    let (backend, parts) = (&*name, PartIds(parts));
+    if end == ServerEnd::Seen {
+        meters::server_crashed();
+        tracing::warn!(event = Event::ServerCrashed.number(), backend, answers, %parts);
+    } else {
+        tracing::info!(event = Event::AnswersInterrupted.number(), backend, answers, %parts, is_serving);
+    }
 }
--- a/crates/gateway/src/crashes/state.rs
+++ b/crates/gateway/src/crashes/state.rs
@@ -6,11 +6,33 @@
 use bulrushhall_core::Stamp;
 use bulrushhall_policy::placement::WorkerKey;
 
+use crate::crashes::UnsettledPrompts;
+
+/// An `Interruption` is how an answer was interrupted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Interruption {
+    /// The server closed the connection.
+    Closed,
+    /// Nothing more arrives on the connection.
+    Stalled,
+}
+
+/// The answers that a server interrupted, until it is known whether it has ended.
+#[derive(Debug, Default)]
+pub struct InterruptedAnswers {
+    /// A hash of the server's name and start time.
+    pub server: u64,
+    /// The requests.
+    pub requests: Vec<(Interruption, CrashedRequest)>,
+}
+
 /// `CrashState` is what a node knows of crashes of backend servers.
 #[derive(Debug, Default)]
 pub struct CrashState {
-    /// The prompts whose answers servers broke off, until it is known whether those have ended.
-    pub broken: HashMap<WorkerKey, Vec<CrashedRequest>>,
+    /// The prompts whose answers servers interrupted, until it is known whether those have ended.
+    pub interrupted: HashMap<WorkerKey, InterruptedAnswers>,
+    /// The prompts whose answers nobody waits for.
+    pub unsettled: UnsettledPrompts,
     /// The evidence, and the parts that are refused.
     pub watch: CrashWatch,
     /// The blocks that the key-value service may not have, and when this node writes them.
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -19,8 +19,8 @@
     announcements::note_response,
     backends::{Connection, OpenError},
     brittle, clock,
-    cluster::{CARRIED_HEADER, CARRY_PATH, CarriedRequest, CarryFailure},
-    crashes::note_broken_answer,
+    cluster::{CARRIED_HEADER, CARRIED_UNDELIMITED, CARRY_PATH, CarriedRequest, CarryFailure},
+    crashes::{SentPrompt, log_broken_answer, note_unopened},
     gateway::Gateway,
     meters,
     pipeline::{identify::IdentifiedRequest, in_flight::InFlightGuard, placement::Placement},
@@ -128,17 +128,23 @@
     pub in_flight: InFlightGuard,
     /// The backend server that sends it.
     pub placement: Placement,
-    /// When the request was sent.
-    pub sent_at: Stamp,
-    /// When the first bytes of its body arrived.
-    pub began_at: Option<Stamp>,
+    /// The prompt there, if it is one.
+    pub prompt: Option<SentPrompt>,
+}
+
+/// Marks a carried response that has no marked end where the server sends it.
+#[derive(Clone, Copy)]
+struct Undelimited;
+
+/// Returns whether the end of a body is marked: one without a length or chunks ends with its connection.
+pub fn is_delimited(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
 impl BackendResponse {
     /// Returns whether the end of the body is marked: one without a length or chunks ends with its connection.
     pub fn is_delimited(&self) -> bool {
-        let headers = &self.parts.headers;
-        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+        self.parts.extensions.get::<Undelimited>().is_none() && is_delimited(&self.parts.headers)
     }
 }
 
@@ -166,6 +172,7 @@
 ) -> Result<BackendResponse, SendError> {
     let mut in_flight = InFlightGuard::begin(gateway, placement);
     let sent_at = clock::now();
+    let mut prompt = sent_prompt(gateway, req, placement);
     let sent = send(gateway, req, original, placement, resume_after, response_timeout).await;
     let answered = sent.and_then(|(response, connection)| {
         let (parts, body) = response.into_parts();
@@ -196,8 +203,7 @@
                 connection,
                 in_flight,
                 placement: placement.clone(),
-                sent_at,
-                began_at: None,
+                prompt,
             })
         }
         Err(failed) => {
@@ -205,8 +211,17 @@
             if matches!(failed.fault, SendFault::Silent | SendFault::Closed | SendFault::Foreign) {
                 in_flight.note_failed();
             }
-            if failed.fault == SendFault::Closed && failed.ran != Ran::No {
-                note_broken_answer(gateway, req, placement, (sent_at, None));
+            let is_broken = failed.fault == SendFault::Closed && failed.ran != Ran::No;
+            if is_broken {
+                log_broken_answer(req, placement, None);
+            }
+            if let Some(prompt) = &mut prompt {
+                match failed.fault {
+                    SendFault::Closed if is_broken => prompt.note_broken(),
+                    // Whether the server goes on with it is not known.
+                    SendFault::Silent => {}
+                    _ => prompt.settle(),
+                }
             }
             Err(failed)
         }
@@ -255,7 +270,10 @@
                 return Err(carry_failure(response).await);
             }
             Ok(mut response) => {
-                response.headers_mut().remove(CARRIED_HEADER);
+                let carried = response.headers_mut().remove(CARRIED_HEADER);
+                if carried.is_some_and(|value| value == CARRIED_UNDELIMITED) {
+                    response.extensions_mut().insert(Undelimited);
+                }
                 return Ok((response, connection));
             }
             // A pooled connection may have been closed before anything was written to it.
@@ -285,6 +303,7 @@
         Err(error) => {
             if is_own && error == OpenError::Unreachable {
                 note_unreachable(gateway, placement.key);
+                note_unopened(gateway, placement.key);
             }
             Err(not_run(SendFault::NotOpened(error)))
         }
@@ -308,6 +327,21 @@
     sending.await
 }
 
+// The connection to a node that carries the request tells nothing of the server; that node observes it.
+fn sent_prompt(
+    gateway: &Arc<Gateway>,
+    req: &IdentifiedRequest,
+    placement: &Placement,
+) -> Option<SentPrompt> {
+    let prompt = req.call.prompt.as_ref().filter(|_| placement.carrier.is_none())?;
+    SentPrompt::begin(
+        gateway,
+        (placement.key, &placement.name, placement.born),
+        &req.call.id,
+        prompt,
+    )
+}
+
 fn carried_request(
     original: &OriginalRequest,
     placement: &Placement,
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -8,11 +8,11 @@
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body as _, Frame};
-use tokio::time::timeout;
+use tokio::time::{error::Elapsed, timeout};
 
 use crate::{
     clock,
-    crashes::{may_repeat, may_send, note_broken_answer, note_whole_answer},
+    crashes::{SentPrompt, has_ended, log_broken_answer, may_repeat, may_send, note_whole_answer},
     gateway::Gateway,
     pipeline::{
         EventSplitter, StreamGaps,
@@ -36,6 +36,21 @@
 /// delays the other streams of its engine by some hundred milliseconds.
 const MIN_STALL: Duration = Duration::from_millis(900);
 
+// Waits for the next frame of a body; a pause may mean that its server has ended behind a link that is cut.
+async fn next_frame(
+    backend_response: &mut BackendResponse,
+    limit: Duration,
+) -> Result<Option<Result<Frame<Bytes>, hyper::Error>>, Elapsed> {
+    let BackendResponse { body, prompt, .. } = backend_response;
+    let Some(prompt) = prompt else { return timeout(limit, body.frame()).await };
+    let stall = MIN_STALL.min(limit);
+    if let Ok(frame) = timeout(stall, body.frame()).await {
+        return Ok(frame);
+    }
+    prompt.note_stalled();
+    timeout(limit.saturating_sub(stall), body.frame()).await
+}
+
 /// A `ResponseForwarder` forwards a response to the caller.
 pub struct ResponseForwarder {
     /// The node.
@@ -157,7 +172,7 @@
     async fn step(&mut self) -> Step {
         let frame_timeout = self.frame_timeout();
         let Some(backend_response) = &mut self.backend_response else { return Step::Broken };
-        let Ok(frame) = timeout(frame_timeout, backend_response.body.frame()).await else {
+        let Ok(frame) = next_frame(backend_response, frame_timeout).await else {
             return Step::Broken;
         };
         let frame = match frame {
@@ -165,11 +180,14 @@
             Some(Err(_)) => return self.broken_off(),
             // A partial event at the end means that the stream was cut, even if the body ended regularly.
             None if self.splitter.has_partial_event() => return self.broken_off(),
+            None if self.has_ended_with_server().await => return self.broken_off(),
             None => return Step::End,
         };
         let Ok(bytes) = frame.into_data() else { return Step::Nothing };
         backend_response.in_flight.note_started();
-        backend_response.began_at.get_or_insert_with(clock::now);
+        if let Some(prompt) = &mut backend_response.prompt {
+            prompt.note_began();
+        }
         self.log_entry.note_started();
         if !self.req.route.cfg.kind.is_stream() || !backend_response.head.status.is_success() {
             return Step::Frame(bytes);
@@ -186,14 +204,27 @@
         Step::Frame(split.bytes)
     }
 
-    fn broken_off(&self) -> Step {
-        if let Some(backend_response) = &self.backend_response {
-            let BackendResponse { placement, sent_at, began_at, .. } = backend_response;
-            note_broken_answer(&self.gateway, &self.req, placement, (*sent_at, *began_at));
+    fn broken_off(&mut self) -> Step {
+        if let Some(BackendResponse { placement, prompt, .. }) = &mut self.backend_response {
+            let began_at = prompt.as_ref().and_then(SentPrompt::began_at);
+            log_broken_answer(&self.req, placement, began_at);
+            if let Some(prompt) = prompt {
+                prompt.note_broken();
+            }
         }
         Step::Broken
     }
 
+    // An answer without a mark of its end may have been cut between two events.
+    async fn has_ended_with_server(&self) -> bool {
+        let Some(backend_response) = &self.backend_response else { return false };
+        let BackendResponse { placement, .. } = backend_response;
+        if backend_response.is_delimited() || placement.carrier.is_some() {
+            return false;
+        }
+        has_ended(&self.gateway, placement.key).await
+    }
+
     // Binds the stream to the version of the event that is about to be passed on, if it is the first one.
     fn bind(&mut self) {
         let Some(backend_response) = &self.backend_response else { return };
@@ -323,9 +354,13 @@
         self.ended = true;
         self.log_entry.note_complete();
         self.note_gaps();
-        let Some(backend_response) = self.backend_response.take() else { return };
+        let Some(mut backend_response) = self.backend_response.take() else { return };
+        let is_delimited = backend_response.is_delimited();
         if backend_response.head.status.is_success() {
-            note_whole_answer(&self.gateway, &self.req, backend_response.is_delimited());
+            note_whole_answer(&self.gateway, &self.req, is_delimited);
+        }
+        if let Some(prompt) = backend_response.prompt.as_mut().filter(|_| is_delimited) {
+            prompt.settle();
         }
         let BackendResponse { head, connection, placement, .. } = backend_response;
         if !head.closing {
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -292,8 +292,9 @@
             return Err(unless_run(no_room, attempts));
         }
         let allowed = attempts.may_retry() || req.route.cfg.kind.may_run_again();
-        // A server that closed the connection may have crashed.
-        let may_repeat = failed.fault != SendFault::Closed || may_repeat(gateway, req);
+        // A server that closed the connection, or is silent, may have crashed.
+        let may_have_crashed = matches!(failed.fault, SendFault::Closed | SendFault::Silent);
+        let may_repeat = !may_have_crashed || may_repeat(gateway, req);
         if !allowed || !may_repeat || !take_retry(gateway, req, service, log_entry) {
             return Err(unless_run(Failure::Rejected, attempts));
         }
