Crashing parts: parts that are answered often need more crashes, and each crash is explained by its closest request

Such a part, answered 32 times lately at a node, now needs 8 crashes since its last sound answer. Eight more cases in crash_evidence; sound_part_turns_bad failed first on a control that began with the last crash.

--- a/crates/coord/src/crashes/evidence.rs
+++ b/crates/coord/src/crashes/evidence.rs
@@ -243,15 +243,16 @@
         suspect: &Suspect,
         outcomes: &PartOutcomes,
     ) -> PartTally {
+        let is_answered_since =
+            |at: &Stamp| outcomes.last_answer().is_some_and(|answered| *at < answered);
         let many_at = suspect.crashed_at.get(self.options.many - 1).copied();
-        let since = many_at.or(suspect.crashed_at.first().copied());
-        let last_answer = outcomes.last_answer();
         PartTally {
             crashes: suspect.moments,
             servers: u32::try_from(suspect.crashed_at.len()).unwrap_or(u32::MAX),
             is_known_sound: self.sound.contains_key(&part),
-            since_many: many_at.map(|at| now.since(at)),
-            is_other_sound: since.is_some_and(|since| last_answer.is_some_and(|at| since < at)),
+            answered: outcomes.sound(now, part),
+            since_many: many_at.filter(is_answered_since).map(|at| now.since(at)),
+            is_other_sound: suspect.crashed_at.first().is_some_and(is_answered_since),
         }
     }
 
--- a/crates/coord/src/crashes/run.rs
+++ b/crates/coord/src/crashes/run.rs
@@ -12,8 +12,10 @@
     pub new: u32,
     /// The moments that blame a part which was answered before.
     pub known: u32,
-    /// The same while nothing else is answered either.
-    pub known_in_outage: u32,
+    /// The same for a part that is answered often, or while nothing else is answered either.
+    pub known_in_doubt: u32,
+    /// The latest answers of a node from which a part is answered often.
+    pub often: u32,
     /// The servers that blame a part of which no sound answer is known, also if they all crashed in one moment.
     pub servers: u32,
     /// The time in which a sound answer may still follow such a moment.
@@ -25,7 +27,8 @@
         CrashRun {
             new: 4,
             known: 5,
-            known_in_outage: 8,
+            known_in_doubt: 8,
+            often: 32,
             servers: 5,
             grace: Duration::from_millis(1_500),
         }
@@ -34,13 +37,13 @@
 
 impl Judge for CrashRun {
     fn blames(&self, tally: PartTally) -> bool {
-        let PartTally { crashes, servers, is_known_sound, since_many, is_other_sound } = tally;
+        let PartTally { crashes, servers, is_known_sound, since_many, is_other_sound, .. } = tally;
         if is_known_sound {
-            let needed = if is_other_sound { self.known } else { self.known_in_outage };
-            return needed <= crashes;
+            let is_clear = is_other_sound && tally.answered < self.often;
+            return if is_clear { self.known } else { self.known_in_doubt } <= crashes;
         }
         // The loss of many servers at once breaks off answers to sound prompts too, but those are answered elsewhere then.
         let is_over = since_many.is_some_and(|since| self.grace <= since);
-        self.new <= crashes || (self.servers <= servers && is_over && is_other_sound)
+        self.new <= crashes || (self.servers <= servers && is_over)
     }
 }
--- a/crates/coord/src/crashes/tally.rs
+++ b/crates/coord/src/crashes/tally.rs
@@ -12,9 +12,11 @@
     pub servers: u32,
     /// Whether an answer to such a request has come to its end before.
     pub is_known_sound: bool,
-    /// The time since so many servers had crashed that they may be evidence by themselves.
+    /// The latest such answers that this node has seen.
+    pub answered: u32,
+    /// The time since so many servers had crashed that they may be evidence by themselves; none if there were not as many, or if
+    /// this node has seen no sound answer to any request since.
     pub since_many: Option<Duration>,
-    /// Whether this node has seen a sound answer to any request since the first of these crashes, or, with `since_many`, since
-    /// the last.
+    /// Whether this node has seen a sound answer to any request since the first of these crashes.
     pub is_other_sound: bool,
 }
--- a/crates/coord/src/crashes/watch.rs
+++ b/crates/coord/src/crashes/watch.rs
@@ -9,9 +9,11 @@
     EvidenceOptions, Judge, PartId, PartIds, PartOutcomes, ProbeSchedule, Received,
 };
 
-/// The latest sound answers of this node to prompts with a part from which it need not be suspected, and the time since the
-/// last of them.
+/// The latest sound answers of this node to prompts with a part from which it need not be suspected.
 const KNOWN_SOUND_FROM: u32 = 8;
+/// The same for the request whose answer a crashed server had begun last.
+const BUSY_FROM: u32 = 32;
+/// The time since the last of them.
 const KNOWN_SOUND_FOR: Duration = Duration::from_secs(1);
 /// The maximum number of parts that are blamed in one judgement.
 const MAX_BLAMED: usize = 64;
@@ -50,9 +52,10 @@
         mut requests: Vec<CrashedRequest>,
     ) {
         requests.sort_by_key(CrashedRequest::closeness);
-        // A part that was sound may be so no longer, if the server had just begun to answer its request.
-        for req in requests.iter_mut().skip(1) {
-            req.parts.retain(|part| !self.is_known_sound(now, *part));
+        for (number, req) in requests.iter_mut().enumerate() {
+            // A part that was sound may be so no longer, if the server had just begun to answer its request.
+            let from = if number == 0 { BUSY_FROM } else { KNOWN_SOUND_FROM };
+            req.parts.retain(|part| !self.is_known_sound(now, *part, from));
         }
         requests.retain(|req| !req.parts.is_empty());
         if !requests.is_empty() {
@@ -60,10 +63,10 @@
         }
     }
 
-    fn is_known_sound(&self, now: Stamp, part: PartId) -> bool {
+    fn is_known_sound(&self, now: Stamp, part: PartId, from: u32) -> bool {
         let last = self.outcomes.last_sound(part);
         last.is_some_and(|at| now.since(at) < KNOWN_SOUND_FOR)
-            && KNOWN_SOUND_FROM <= self.outcomes.sound(now, part)
+            && from <= self.outcomes.sound(now, part)
     }
 
     /// Notes an answer that came to its end; returns the parts of the block that it speaks against, if there is one.
--- a/crates/coord/tests/crash_evidence.rs
+++ b/crates/coord/tests/crash_evidence.rs
@@ -78,6 +78,103 @@
     assert_eq!(observer.plan(), if is_blocked { vec!["2"] } else { vec![] });
 }
 
+// Guards against a judgement that waits for more crashes while others crash too, and servers fall by themselves.
+#[test]
+fn other_crashes_do_not_delay() {
+    let mut observer = Observer::new();
+    for other in 10..14 {
+        observer.crash(&[&[SHARED, BAD], &[SHARED, PartId(other)]]);
+        for fallen in 0..20 {
+            observer.crash_after(Duration::from_millis(10), &[&[PartId(100 * other + fallen)]]);
+        }
+        observer.sound(&[SHARED, OTHER], 1);
+    }
+    assert_eq!(observer.plan(), ["2"]);
+}
+
+// Guards against many parts that are blamed one after the other, so that the last ones wait.
+#[test]
+fn many_parts_at_once() {
+    let mut observer = Observer::new();
+    for _ in 0..4 {
+        for part in 10..30 {
+            observer.crash_after(Duration::from_millis(300), &[&[PartId(part)]]);
+        }
+    }
+    assert_eq!(observer.plan().len(), 20);
+}
+
+// Guards against crashes that count nothing because a part that was beside is blocked later.
+#[test]
+fn later_block_explains_its_own() {
+    let mut observer = Observer::new();
+    for _ in 0..4 {
+        observer.crash(&[&[OTHER]]);
+        observer.crash(&[&[BAD], &[OTHER, SHARED]]);
+        observer.sound(&[SHARED], 1);
+    }
+    assert_eq!(observer.plan(), ["2", "3"]);
+}
+
+// Guards against parts of different requests that crashed the same servers, and are told apart by no later crash.
+#[test]
+fn same_servers_are_judged() {
+    let mut observer = Observer::new();
+    for _ in 0..5 {
+        observer.crash(&[&[BAD], &[OTHER]]);
+    }
+    assert!(observer.plan().contains(&"2".to_owned()));
+}
+
+// Guards against servers that crash together under a part, which count as one moment for good.
+#[test]
+fn waves_are_blamed() {
+    let mut observer = Observer::new();
+    observer.sound(&[OTHER], 1);
+    for _ in 0..6 {
+        observer.crash_after(Duration::from_millis(10), &[&[BAD]]);
+    }
+    observer.now = observer.now + Duration::from_millis(1_000);
+    observer.sound(&[OTHER], 1);
+    assert_eq!(observer.plan(), ["2"]);
+}
+
+// Guards against a loss of many servers for which a part is blamed whose requests are answered by the others.
+#[test]
+fn answered_elsewhere() {
+    let mut observer = Observer::new();
+    for _ in 0..6 {
+        observer.crash_after(Duration::from_millis(10), &[&[BAD]]);
+    }
+    observer.now = observer.now + Duration::from_millis(500);
+    observer.sound(&[BAD], 1);
+    observer.now = observer.now + Duration::from_millis(500);
+    assert_eq!(observer.plan(), Vec::<String>::new());
+}
+
+// Guards against a part that was sound and is not found once it crashes servers.
+#[test]
+fn sound_part_turns_bad() {
+    let mut observer = Observer::new();
+    observer.sound(&[BAD], 10);
+    for _ in 0..5 {
+        observer.crash(&[&[BAD]]);
+        observer.sound(&[OTHER], 1);
+    }
+    assert_eq!(observer.plan(), ["2"]);
+}
+
+// Guards against a server that starts again under its name, whose crashes count as one.
+#[test]
+fn same_name_crashes_again() {
+    let mut observer = Observer::new();
+    for _ in 0..4 {
+        observer.crash(&[&[BAD]]);
+        observer.crashes -= 1;
+    }
+    assert_eq!(observer.plan(), ["2"]);
+}
+
 // Guards against a sound part that is blamed because it is in all prompts that crash servers.
 #[test]
 fn shared_part_is_sound() {
