Answers: bytes without end that are no answer are bounded at each stage

Callers got comment lines without end until the route's timeout, and servers that sent them drew most requests, since their first bytes looked like a fast first token. A stream's success is counted with its first event. Bytes that are no response are no sign of a crash.

--- a/crates/external/src/http/endpoint.rs
+++ b/crates/external/src/http/endpoint.rs
@@ -20,13 +20,15 @@
 
 use crate::{
     errors::{CallError, CallFault},
-    http::{Connection, Tls, read_limited, trace},
+    http::{Connection, HeadLimit, Tls, read_limited, trace},
 };
 
 /// The path under which a backend server reports its identity.
 const IDENTITY_PATH: &str = "/identity";
 /// The maximum size of the identity response, in bytes.
 const MAX_IDENTITY_BYTES: usize = 1_024;
+/// The size of the read buffer of a connection, which the head of a response has to fit in, in bytes.
+const MAX_BUFFER: usize = 64 * 1_024;
 
 /// An `Identity` states which VM a backend server runs on, and the version of its software.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -77,7 +79,11 @@
     idle: Mutex<Vec<Sender>>,
 }
 
-type Sender = http1::SendRequest<Full<Bytes>>;
+#[derive(Debug)]
+struct Sender {
+    sender: http1::SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
+}
 
 impl Endpoint {
     /// Returns a client of the server at `address`, without opening a connection.
@@ -129,7 +135,10 @@
     ) -> Result<Response<Incoming>, (Option<Request<Full<Bytes>>>, CallError)> {
         // Dropping the sender after the timeout closes the connection, so that a silent one is not
         // used again.
-        let sent = timeout(self.options.response_timeout, sender.try_send_request(req)).await;
+        sender.head_limit.begin();
+        let sending = sender.sender.try_send_request(req);
+        let sent = timeout(self.options.response_timeout, sending).await;
+        sender.head_limit.end();
         match sent {
             Err(_) => {
                 // The cause usually affects the other idle connections too, and each of them would
@@ -154,11 +163,13 @@
         let opened = timeout(self.options.connect_timeout, TcpStream::connect(self.address)).await;
         let stream = opened.map_err(|_| failed())?.map_err(|_| failed())?;
         let _ = stream.set_nodelay(true);
-        let (sender, connection) = http1::handshake(TokioIo::new(self.start_tls(stream).await?))
-            .await
-            .map_err(|_| failed())?;
+        let head_limit = HeadLimit::default();
+        let io = TokioIo::new(head_limit.apply(self.start_tls(stream).await?));
+        let mut builder = http1::Builder::new();
+        let handshake = builder.max_buf_size(MAX_BUFFER).handshake(io).await;
+        let (sender, connection) = handshake.map_err(|_| failed())?;
         tokio::spawn(connection);
-        self.check_identity(sender).await
+        self.check_identity(Sender { sender, head_limit }).await
     }
 
     async fn start_tls(&self, stream: TcpStream) -> Result<Box<dyn Connection>, CallError> {
@@ -178,7 +189,9 @@
             .body(Full::default())
             .map_err(|_| mismatch())?;
 
-        let sent = timeout(self.options.connect_timeout, sender.send_request(req)).await;
+        sender.head_limit.begin();
+        let sent = timeout(self.options.connect_timeout, sender.sender.send_request(req)).await;
+        sender.head_limit.end();
         let response = sent.map_err(|_| CallError::not_done(CallFault::Timeout))?;
         let response = response.map_err(|_| CallError::not_done(CallFault::Closed))?;
         if response.status() != StatusCode::OK {
@@ -194,14 +207,14 @@
         if identity.vm != *vm || is_other_version {
             return Err(mismatch());
         }
-        sender.ready().await.map_err(|_| CallError::not_done(CallFault::Closed))?;
+        sender.sender.ready().await.map_err(|_| CallError::not_done(CallFault::Closed))?;
         Ok(sender)
     }
 
     fn take_idle(&self) -> Option<Sender> {
         let mut idle = self.idle.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-        idle.retain(|sender| !sender.is_closed());
-        let index = idle.iter().position(Sender::is_ready)?;
+        idle.retain(|idle| !idle.sender.is_closed());
+        let index = idle.iter().position(|idle| idle.sender.is_ready())?;
         Some(idle.swap_remove(index))
     }
 
--- a/crates/external/src/http/mod.rs
+++ b/crates/external/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod endpoint;
+mod head_limit;
 mod listen;
 mod server;
 mod tls;
@@ -12,6 +13,7 @@
     streamed,
 };
 pub use endpoint::{Endpoint, EndpointOptions, Identity};
+pub use head_limit::{HeadLimit, HeadLimited};
 pub use listen::listen;
 pub use server::{Handler, ServerOptions, serve};
 pub use tls::{ClientAuth, Connection, TLS_SERVER_NAME, Tls, TlsError, TlsFiles};
--- a/crates/gateway/src/backends/connection.rs
+++ b/crates/gateway/src/backends/connection.rs
@@ -1,6 +1,7 @@
 //! One connection to a backend server.
 
 use std::{
+    error::Error as _,
     io,
     net::SocketAddr,
     sync::{
@@ -10,9 +11,17 @@
     time::Duration,
 };
 
+use bulrushhall_external::http::HeadLimit;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    client::conn::{
+        TrySendError,
+        http1::{self, SendRequest},
+    },
+};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
@@ -20,6 +29,9 @@
 /// a lost SYN only after a second; by then another backend server would have responded.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The size of the read buffer of a connection, which the head of a response has to fit in, in bytes.
+const MAX_BUFFER: usize = 64 * 1_024;
+
 /// An `OpenError` is the reason why no connection could be opened; nothing was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OpenError {
@@ -38,6 +50,8 @@
 pub struct Connection {
     /// The sender of requests.
     pub sender: SendRequest<Full<Bytes>>,
+    /// The limit of the bytes that arrive before the head of a response.
+    pub head_limit: HeadLimit,
     /// Whether it has carried an earlier request.
     pub reused: bool,
     task: AbortHandle,
@@ -60,11 +74,25 @@
         let stream = stream.map_err(|_| OpenError::Unreachable)?;
         // Requests are written in one piece; Nagle's algorithm would only delay them.
         let _ = stream.set_nodelay(true);
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|_| OpenError::Unreachable)?;
+        let head_limit = HeadLimit::default();
+        let mut builder = http1::Builder::new();
+        let io = TokioIo::new(head_limit.apply(stream));
+        let handshake = builder.max_buf_size(MAX_BUFFER).handshake(io).await;
+        let (sender, connection) = handshake.map_err(|_| OpenError::Unreachable)?;
         // The request on the connection reports its error.
         let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
-        Ok(Connection { sender, reused: false, task, open: counted.keep() })
+        Ok(Connection { sender, head_limit, reused: false, task, open: counted.keep() })
+    }
+
+    /// Sends a request and returns the response once its head has arrived.
+    pub async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.head_limit.begin();
+        let sent = self.sender.try_send_request(req).await;
+        self.head_limit.end();
+        sent
     }
 
     /// Returns whether a request can be sent now.
@@ -104,6 +132,13 @@
     }
 }
 
+/// Returns whether the bytes that arrived are no response, or too long a head of one.
+pub fn is_malformed(error: &hyper::Error) -> bool {
+    let source = error.source().and_then(|source| source.downcast_ref::<io::Error>());
+    let is_too_long = source.is_some_and(|source| source.kind() == io::ErrorKind::InvalidData);
+    error.is_parse() || error.is_parse_too_large() || is_too_long
+}
+
 /// A `ListenerState` is whether anything accepts connections at an address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListenerState {
--- a/crates/gateway/src/cluster/carry.rs
+++ b/crates/gateway/src/cluster/carry.rs
@@ -18,7 +18,7 @@
 use crate::{
     adapter::{Call, ResponseHead},
     announcements::note_response,
-    backends::{Connection, OpenError, Pool},
+    backends::{Connection, OpenError, Pool, is_malformed},
     brittle, clock,
     cluster::{CARRIED_HEADER, CARRIED_UNDELIMITED, CarriedRequest, CarryFailure},
     crashes::{SentPrompt, has_ended, is_blocked},
@@ -164,7 +164,7 @@
         if !connection.reused {
             note_opened(gateway, key);
         }
-        match connection.sender.try_send_request(req).await {
+        match connection.send(req).await {
             Ok(response) => {
                 let head = note_head(gateway, carried, (key, sent_at), &response);
                 return Ok(CarriedResponse { response, head, connection, pool, in_flight, prompt });
@@ -176,8 +176,10 @@
                     return Err(NOT_RUN);
                 }
                 None => {
-                    if let Some(prompt) = &mut prompt {
-                        prompt.note_broken();
+                    match &mut prompt {
+                        Some(prompt) if is_malformed(error.error()) => prompt.settle(),
+                        Some(prompt) => prompt.note_broken(),
+                        None => {}
                     }
                     return Err(LOST);
                 }
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -17,7 +17,7 @@
 use crate::{
     adapter::{ResponseHead, SendHead},
     announcements::note_response,
-    backends::{Connection, OpenError},
+    backends::{Connection, OpenError, is_malformed},
     brittle, clock,
     cluster::{CARRIED_HEADER, CARRIED_UNDELIMITED, CARRY_PATH, CarriedRequest, CarryFailure},
     crashes::{SentPrompt, log_broken_answer, note_unopened},
@@ -68,7 +68,7 @@
     Silent,
     /// The connection was closed before a response head arrived.
     Closed,
-    /// The response belongs to another request, or does not carry the backend server's seal.
+    /// The response belongs to another request, does not carry the backend server's seal, or is none.
     Foreign,
 }
 
@@ -189,7 +189,10 @@
     });
     match answered {
         Ok((head, parts, body, connection)) => {
-            note_outcome(gateway, placement, !head.status.is_server_error());
+            // The success of a stream is known with its first event.
+            if !(head.status.is_success() && req.route.cfg.kind.is_stream()) {
+                note_outcome(gateway, placement, !head.status.is_server_error());
+            }
             if head.status.is_server_error() {
                 in_flight.note_failed();
             }
@@ -258,7 +261,7 @@
     }
     loop {
         let mut connection = connect(gateway, placement).await?;
-        let sending = connection.sender.try_send_request(outgoing);
+        let sending = connection.send(outgoing);
         let sending = with_suspicion(gateway, placement, sending);
         let Ok(sent) = timeout(response_timeout, sending).await else {
             // When a server stops responding, its other connections are usually affected too.
@@ -281,8 +284,10 @@
                 Some(unsent) if connection.reused => outgoing = unsent,
                 Some(_) => return Err(not_run(SendFault::Closed)),
                 None => {
+                    let is_malformed = is_malformed(error.error());
+                    let fault = if is_malformed { SendFault::Foreign } else { SendFault::Closed };
                     let kept = connection.reused;
-                    return Err(SendError { kept, ..may_have_run(SendFault::Closed) });
+                    return Err(SendError { kept, ..may_have_run(fault) });
                 }
             },
         }
--- a/crates/gateway/src/pipeline/events.rs
+++ b/crates/gateway/src/pipeline/events.rs
@@ -4,6 +4,8 @@
 
 /// The maximum size of an event, in bytes: a stream whose event never ends must not exhaust memory.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// The maximum size of the comments before an event, in bytes.
+const MAX_COMMENT_BYTES: usize = 16 * 1_024;
 
 /// `CompleteEvents` are consecutive complete events of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,15 +18,21 @@
     pub events: u32,
 }
 
-/// An `EventSplitter` holds back the incomplete event at the end of a stream.
+/// An `EventSplitter` holds back the incomplete event at the end of a stream, and comments until the event after them.
 ///
 /// A backend server may fail in the middle of an event. If the incomplete event were forwarded, the
 /// first event of the server at which the stream is resumed would be appended to it, and the caller
-/// would read one event made of two.
+/// would read one event made of two. A server that sends comments without end sends no answer.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     pending: BytesMut,
+    /// The start of the line that is not complete yet.
+    line_start: usize,
     searched: usize,
+    /// The end of the last complete block of lines: an event, or comments.
+    block_end: usize,
+    /// Whether the block that is not complete yet has a field.
+    has_field: bool,
     skip_to: Option<u64>,
 }
 
@@ -39,7 +47,9 @@
         self.pending.extend_from_slice(bytes);
         let (end, events) = self.end()?;
         let complete = self.pending.split_to(end).freeze();
-        self.searched = 0;
+        self.searched -= end;
+        self.line_start -= end;
+        self.block_end -= end;
         let last_id = last_event_id(&complete);
         let Some(skip_to) = self.skip_to else {
             return Some(CompleteEvents { bytes: complete, last_id, events });
@@ -53,35 +63,60 @@
 
     /// Returns whether the stream ends within an event.
     pub fn has_partial_event(&self) -> bool {
-        !self.pending.is_empty()
+        self.block_end < self.pending.len()
     }
 
-    /// Returns whether the incomplete event exceeds the maximum size.
+    /// Returns whether nothing is held back.
+    pub fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    /// Returns the comments after the last event, at the end of a stream.
+    pub fn take_rest(&mut self) -> Option<Bytes> {
+        (self.line_start, self.searched, self.block_end) = (0, 0, 0);
+        let rest = self.pending.split().freeze();
+        (!rest.is_empty()).then_some(rest)
+    }
+
+    /// Returns whether the incomplete event, or the comments before the next one, exceed the maximum size.
     pub fn is_event_too_large(&self) -> bool {
-        MAX_EVENT_BYTES < self.pending.len()
+        let max = if self.has_field { MAX_EVENT_BYTES } else { MAX_COMMENT_BYTES };
+        max < self.pending.len()
     }
 
     // Returns the end of the last complete event, after its empty line, and the number of events.
     fn end(&mut self) -> Option<(usize, u32)> {
-        let from = self.searched.saturating_sub(3);
-        self.searched = self.pending.len();
         let (mut end, mut events) = (None, 0);
-        for at in from..self.pending.len() {
-            let rest = &self.pending[at..];
-            let empty_line = if rest.starts_with(b"\n\n") {
-                2
-            } else if rest.starts_with(b"\n\r\n") {
-                3
-            } else {
+        for at in self.searched..self.pending.len() {
+            if self.pending[at] != b'\n' {
                 continue;
-            };
-            end = Some(at + empty_line);
-            events += 1;
+            }
+            let line = &self.pending[self.line_start..at];
+            self.line_start = at + 1;
+            if !matches!(line, b"" | b"\r") {
+                self.has_field |= is_field(line);
+                continue;
+            }
+            self.block_end = at + 1;
+            if self.has_field {
+                self.has_field = false;
+                end = Some(at + 1);
+                events += 1;
+            }
         }
+        self.searched = self.pending.len();
+        // The start of a field of an event that never ends.
+        let line = &self.pending[self.line_start..];
+        self.has_field |= is_field(line);
         end.map(|end| (end, events))
     }
 }
 
+// Returns whether a line belongs to an event: others are comments, or of no event.
+fn is_field(line: &[u8]) -> bool {
+    line.starts_with(b"data") || line.starts_with(b"id:")
+}
+
 fn event_id(line: &[u8]) -> Option<u64> {
     let value = line.strip_prefix(b"id:")?;
     std::str::from_utf8(value).ok()?.trim().parse().ok()
@@ -95,6 +130,7 @@
 fn skip(events: &Bytes, after: u64) -> Bytes {
     let mut start = 0;
     let mut known = None;
+    let mut has_field = false;
     let mut line_start = 0;
     for (at, byte) in events.iter().enumerate() {
         if *byte != b'\n' {
@@ -103,14 +139,15 @@
         let line = &events[line_start..at];
         line_start = at + 1;
         known = event_id(line).or(known);
+        has_field |= is_field(line);
         if !matches!(line, b"" | b"\r") {
             continue;
         }
-        if known.is_none_or(|known| after < known) {
+        if has_field && known.is_none_or(|known| after < known) {
             break;
         }
         start = at + 1;
-        known = None;
+        (known, has_field) = (None, false);
     }
     events.slice(start..)
 }
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -2,7 +2,7 @@
 
 use std::{error, fmt, sync::Arc, time::Duration};
 
-use bulrushhall_core::{Event, ServiceName, config::RouteKind};
+use bulrushhall_core::{Event, ServiceName, Stamp, config::RouteKind};
 use bulrushhall_external::http::{Body, BoxError};
 use bytes::Bytes;
 use futures_util::stream::unfold;
@@ -51,6 +51,11 @@
     timeout(limit.saturating_sub(stall), body.frame()).await
 }
 
+/// The maximum size of a response that is no stream, in bytes.
+const MAX_PLAIN_BYTES: usize = 16 << 20;
+/// The events of a stream that need not hold a token.
+const SPARE_EVENTS: u32 = 64;
+
 /// A `ResponseForwarder` forwards a response to the caller.
 pub struct ResponseForwarder {
     /// The node.
@@ -71,6 +76,10 @@
     binding: Binding,
     /// Whether one of its events was passed on in this response.
     is_begun: bool,
+    /// When the last event or, if it is no stream, the last bytes arrived from this backend server.
+    progressed_at: Stamp,
+    /// The bytes and events of the response of this backend server.
+    received: Received,
     ended: bool,
 }
 
@@ -99,6 +108,14 @@
     Nothing,
     End,
     Broken,
+    /// The body is larger than any answer, and part of it was passed on.
+    Endless,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Received {
+    bytes: usize,
+    events: u32,
 }
 
 impl ResponseForwarder {
@@ -125,6 +142,8 @@
             last_event,
             binding,
             is_begun: false,
+            progressed_at: clock::now(),
+            received: Received::default(),
             ended: false,
         }
     }
@@ -165,12 +184,16 @@
                     return None;
                 }
                 Step::Broken => self.drop_broken(),
+                Step::Endless => {
+                    self.drop_broken();
+                    return self.cut(ForwardError::Broken);
+                }
             }
         }
     }
 
     async fn step(&mut self) -> Step {
-        let frame_timeout = self.frame_timeout();
+        let (frame_timeout, max_events) = (self.frame_timeout(), self.max_events());
         let Some(backend_response) = &mut self.backend_response else { return Step::Broken };
         let Ok(frame) = next_frame(backend_response, frame_timeout).await else {
             return Step::Broken;
@@ -181,22 +204,37 @@
             // A partial event at the end means that the stream was cut, even if the body ended regularly.
             None if self.splitter.has_partial_event() => return self.broken_off(),
             None if self.has_ended_with_server().await => return self.broken_off(),
-            None => return Step::End,
+            None => return self.splitter.take_rest().map_or(Step::End, Step::Frame),
         };
         let Ok(bytes) = frame.into_data() else { return Step::Nothing };
-        backend_response.in_flight.note_started();
         if let Some(prompt) = &mut backend_response.prompt {
             prompt.note_began();
         }
-        self.log_entry.note_started();
+        self.received.bytes += bytes.len();
         if !self.req.route.cfg.kind.is_stream() || !backend_response.head.status.is_success() {
+            if MAX_PLAIN_BYTES < self.received.bytes {
+                return Step::Endless;
+            }
+            backend_response.in_flight.note_started();
+            self.log_entry.note_started();
+            self.progressed_at = clock::now();
             return Step::Frame(bytes);
         }
         let split = self.splitter.push(&bytes);
         if self.splitter.is_event_too_large() {
-            return Step::Broken;
+            return self.malformed();
         }
         let Some(split) = split else { return Step::Nothing };
+        if self.received.events == 0 {
+            note_outcome(&self.gateway, &backend_response.placement, true);
+        }
+        self.received.events = self.received.events.saturating_add(split.events);
+        if max_events < self.received.events {
+            return self.malformed();
+        }
+        backend_response.in_flight.note_started();
+        self.log_entry.note_started();
+        self.progressed_at = clock::now();
         self.last_event = split.last_id.or(self.last_event);
         self.bind();
         self.gaps.note(clock::now(), split.events);
@@ -225,6 +263,20 @@
         has_ended(&self.gateway, placement.key).await
     }
 
+    // What the server sends is no answer; it has not crashed.
+    fn malformed(&mut self) -> Step {
+        if let Some(prompt) = self.backend_response.as_mut().and_then(|it| it.prompt.as_mut()) {
+            prompt.settle();
+        }
+        Step::Broken
+    }
+
+    // An event holds a token at least, but for a few.
+    fn max_events(&self) -> u32 {
+        let tokens = self.req.call.prompt.as_ref().map(|prompt| prompt.max_answer_tokens);
+        tokens.map_or(u32::MAX, |tokens| tokens.saturating_mul(2).saturating_add(SPARE_EVENTS))
+    }
+
     // Binds the stream to the version of the event that is about to be passed on, if it is the first one.
     fn bind(&mut self) {
         let Some(backend_response) = &self.backend_response else { return };
@@ -244,7 +296,7 @@
             .backend_response
             .as_ref()
             .is_some_and(|backend_response| backend_response.body.is_end_stream());
-        ended && !self.splitter.has_partial_event()
+        ended && self.splitter.is_empty()
     }
 
     // Returns the time limit for the next frame. If the stream can be resumed, a server that stops sending
@@ -259,7 +311,8 @@
         if let Some(backend_response) = &self.backend_response {
             max += backend_response.placement.footprint.expected.unwrap_or_default();
         }
-        max.min(left)
+        // Comments are no progress.
+        max.saturating_sub(clock::now().since(self.progressed_at)).min(left)
     }
 
     fn may_resume(&self) -> bool {
@@ -285,6 +338,7 @@
             match self.resume_at_next(&service, last_end, way).await {
                 Ok(backend_response) => {
                     self.splitter = EventSplitter::after(self.last_event);
+                    (self.progressed_at, self.received) = (clock::now(), Received::default());
                     self.backend_response = Some(backend_response);
                     return true;
                 }
