Crashing parts: an unmarked answer is sound once its server answers a later request

Now such an answer is noted as sound when its server begins to answer a request that was sent after its end.

--- a/crates/coord/src/crashes/suspect.rs
+++ b/crates/coord/src/crashes/suspect.rs
@@ -50,7 +50,8 @@
 }
 
 /// Returns the crashes under each part since a moment that depends on the part. Those of a server which had just begun to
-/// answer a request that is blocked count only against the parts of that block: it is known what crashed the server.
+/// answer a request that is blocked count only against the parts of that block: it is known what crashed the server. Those of one
+/// that had begun to answer such a request before count only against the request that it had begun last.
 pub fn tally<'a>(
     reports: impl IntoIterator<Item = &'a KnownReport>,
     blocks: &Blocks,
@@ -61,7 +62,12 @@
     for mut crash in by_time(reports, options) {
         crash.requests.sort_by_key(|(req, _)| req.closeness());
         let explained = crash.requests.first().and_then(|(req, _)| blocks.matching(&req.parts));
+        let mut requests = crash.requests.iter();
+        let is_beside_blocked = requests.any(|(req, _)| blocks.matching(&req.parts).is_some());
         for (number, (req, learned_at)) in crash.requests.iter().enumerate() {
+            if is_beside_blocked && explained.is_none() && 0 < number {
+                continue;
+            }
             for part in &req.parts {
                 let is_explained = explained.is_some_and(|parts| !parts.contains(part));
                 let is_before = since(*part).is_some_and(|since| crash.at <= since);
--- a/crates/gateway/src/cluster/carry.rs
+++ b/crates/gateway/src/cluster/carry.rs
@@ -21,7 +21,7 @@
     backends::{Connection, OpenError, Pool, is_malformed},
     brittle, clock,
     cluster::{CARRIED_HEADER, CARRIED_UNDELIMITED, CarriedRequest, CarryFailure},
-    crashes::{SentPrompt, has_ended, is_blocked},
+    crashes::{SentPrompt, has_ended, is_blocked, note_answering},
     gateway::{Gateway, Phase, State},
     meters,
     pipeline::{connection_share, is_delimited},
@@ -208,6 +208,7 @@
     if !head.other_backend {
         note_response(gateway, (key, &carried.backend), sent_at, &head);
         brittle::note_response(gateway, key, sent_at, &head);
+        note_answering(gateway, key, sent_at);
     }
     head
 }
@@ -249,8 +250,10 @@
 
 impl Kept {
     fn release(mut self) {
-        if self.is_delimited {
-            settle(&mut self.prompt);
+        match &mut self.prompt {
+            Some(prompt) if self.is_delimited => prompt.settle(),
+            Some(prompt) => prompt.note_unmarked(),
+            None => {}
         }
         if !self.head.closing {
             self.pool.keep(clock::now(), self.connection, self.head.idle);
--- a/crates/gateway/src/crashes/mod.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -12,9 +12,9 @@
 pub use blocks::{block_statuses, lift, plan_blocks, queue_write, receive_block};
 pub use digest::{CrashDigest, crash_digest, receive_crashes};
 pub use observe::{
-    has_ended, log_broken_answer, note_crash, note_interrupted, note_removed_servers,
-    note_unopened, note_whole_answer,
+    has_ended, log_broken_answer, note_answering, note_crash, note_interrupted,
+    note_removed_servers, note_unopened, note_whole_answer,
 };
 pub use sent_prompt::SentPrompt;
 pub use state::{CrashState, InterruptedAnswers, Interruption};
-pub use unsettled::{UnsettledPrompt, UnsettledPrompts};
+pub use unsettled::{UnsettledAnswer, UnsettledPrompt, UnsettledPrompts};
--- a/crates/gateway/src/crashes/observe.rs
+++ b/crates/gateway/src/crashes/observe.rs
@@ -91,6 +91,20 @@
     }
 }
 
+/// Notes that a backend server has begun to answer a request that was sent at a moment: the unmarked answers that had ended
+/// before were whole.
+pub fn note_answering(gateway: &Gateway, key: WorkerKey, sent_at: Stamp) {
+    let now = clock::now();
+    let blocked: Vec<PartIds> = gateway.with(|state| {
+        let CrashState { unsettled, watch, .. } = &mut state.crashes;
+        let whole = unsettled.take_answered(key, sent_at);
+        whole.iter().filter_map(|req| watch.note_sound(now, &req.parts)).collect()
+    });
+    for parts in blocked {
+        lift(gateway, &parts, "answer");
+    }
+}
+
 /// Returns whether a backend server has ended, shortly after it closed a connection. One that leaves as announced ends after
 /// its last answer.
 pub async fn has_ended(gateway: &Gateway, key: WorkerKey) -> bool {
--- a/crates/gateway/src/crashes/sent_prompt.rs
+++ b/crates/gateway/src/crashes/sent_prompt.rs
@@ -11,7 +11,7 @@
     adapter::Prompt,
     clock,
     cluster::as_millis,
-    crashes::{Interruption, UnsettledPrompt, note_interrupted},
+    crashes::{Interruption, UnsettledAnswer, UnsettledPrompt, note_interrupted},
     gateway::Gateway,
 };
 
@@ -25,6 +25,7 @@
     parts: Vec<PartId>,
     sent_at: Stamp,
     began_at: Option<Stamp>,
+    answer: UnsettledAnswer,
     is_settled: bool,
 }
 
@@ -48,6 +49,7 @@
             parts,
             sent_at: clock::now(),
             began_at: None,
+            answer: UnsettledAnswer::Abandoned,
             is_settled: false,
         })
     }
@@ -73,6 +75,11 @@
         self.interrupt(Interruption::Stalled);
     }
 
+    /// Notes that the answer ended with its connection, without a mark of its end.
+    pub fn note_unmarked(&mut self) {
+        self.answer = UnsettledAnswer::Unmarked;
+    }
+
     /// Notes that the server answered, or did not run the request.
     pub fn settle(&mut self) {
         self.is_settled = true;
@@ -98,12 +105,13 @@
         if self.is_settled {
             return;
         }
-        let (now, key, server, req) = (clock::now(), self.key, self.server, self.crashed());
+        let (at, key, server, req) = (clock::now(), self.key, self.server, self.crashed());
+        let answer = self.answer;
         self.gateway.with(|state| {
             let crashes = &mut state.crashes;
-            let is_new = |part: &PartId| crashes.watch.outcomes.sound(now, *part) == 0;
+            let is_new = |part: &PartId| crashes.watch.outcomes.sound(at, *part) == 0;
             if self.parts.iter().any(is_new) {
-                crashes.unsettled.note(UnsettledPrompt { key, server, req, at: now });
+                crashes.unsettled.note(UnsettledPrompt { key, server, req, at, answer });
             }
         });
     }
--- a/crates/gateway/src/crashes/unsettled.rs
+++ b/crates/gateway/src/crashes/unsettled.rs
@@ -24,6 +24,17 @@
     pub req: CrashedRequest,
     /// This moment.
     pub at: Stamp,
+    /// What is known of the answer.
+    pub answer: UnsettledAnswer,
+}
+
+/// An `UnsettledAnswer` is what is known of the answer to an [`UnsettledPrompt`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnsettledAnswer {
+    /// It was not awaited.
+    Abandoned,
+    /// It ended with its connection, without a mark of its end.
+    Unmarked,
 }
 
 /// `UnsettledPrompts` are the prompts of the last seconds whose callers have left before the end of the answer.
@@ -52,6 +63,22 @@
         self.prompts.iter().map(|prompt| (prompt.key, prompt.server))
     }
 
+    /// Removes the prompts whose answers ended before a server got a request that it has answered, and returns them: it did
+    /// not crash under them.
+    pub fn take_answered(&mut self, key: WorkerKey, sent_at: Stamp) -> Vec<CrashedRequest> {
+        let mut taken = Vec::new();
+        self.prompts.retain(|prompt| {
+            let is_answered = prompt.key == key
+                && prompt.at < sent_at
+                && prompt.answer == UnsettledAnswer::Unmarked;
+            if is_answered {
+                taken.push(prompt.req.clone());
+            }
+            !is_answered
+        });
+        taken
+    }
+
     /// Removes the prompts of a server that has ended, and returns them as of that moment.
     pub fn take(&mut self, at: Stamp, server: u64) -> Vec<CrashedRequest> {
         let mut taken = Vec::new();
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -20,7 +20,7 @@
     backends::{Connection, OpenError, is_malformed},
     brittle, clock,
     cluster::{CARRIED_HEADER, CARRIED_UNDELIMITED, CARRY_PATH, CarriedRequest, CarryFailure},
-    crashes::{SentPrompt, log_broken_answer, note_unopened},
+    crashes::{SentPrompt, log_broken_answer, note_answering, note_unopened},
     gateway::Gateway,
     meters,
     pipeline::{identify::IdentifiedRequest, in_flight::InFlightGuard, placement::Placement},
@@ -182,6 +182,7 @@
             note_response(gateway, server, sent_at, &head);
             if placement.carrier.is_none() {
                 brittle::note_response(gateway, placement.key, sent_at, &head);
+                note_answering(gateway, placement.key, sent_at);
             }
         }
         check_head(req, &head)?;
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -413,8 +413,10 @@
         if backend_response.head.status.is_success() {
             note_whole_answer(&self.gateway, &self.req, is_delimited);
         }
-        if let Some(prompt) = backend_response.prompt.as_mut().filter(|_| is_delimited) {
-            prompt.settle();
+        match &mut backend_response.prompt {
+            Some(prompt) if is_delimited => prompt.settle(),
+            Some(prompt) => prompt.note_unmarked(),
+            None => {}
         }
         let BackendResponse { head, connection, placement, .. } = backend_response;
         if !head.closing {
