--- a/crates/coord/src/crashes/evidence.rs
+++ b/crates/coord/src/crashes/evidence.rs
@@ -256,8 +256,8 @@
         }
     }
 
-    // Returns the blame for a part and for those that the evidence does not tell apart from it. Parts of the same requests are
-    // blamed together; of parts of different ones that crashed the same servers, those whose answers had begun last.
+    // Returns the blame for a part and for those that the evidence does not tell apart from it: parts of the same requests are
+    // blamed together, those of different requests each by itself.
     fn inseparable(
         &self,
         part: PartId,
