--- a/crates/coord/tests/crash_ways.rs
+++ b/crates/coord/tests/crash_ways.rs
@@ -8,10 +8,10 @@
     time::Duration,
 };
 
+use rstest::rstest;
 use world::{Plan, Seen, StoreState, Way, play};
 
-/// The seeds that are played in CI, and by hand.
-const SEEDS: u64 = 4;
+/// The seeds that are played by hand.
 const MANY_SEEDS: u64 = 20;
 /// The share of sound requests that have to begin.
 const MIN_SOUND: f64 = 0.95;
@@ -81,6 +81,18 @@
     (total, broken)
 }
 
+fn print_row(name: &str, seen: &Seen, (broken, seeds): (usize, u64)) {
+    let text = format!(
+        "| {name} | {broken} of {seeds} | {} | {:.1} | {:.4} | {} | {:.0} |",
+        seen.late,
+        seen.crashes as f64 / seeds as f64,
+        seen.refused as f64 / seen.sound as f64,
+        seen.blamed.len(),
+        seen.bytes
+    );
+    let _ = writeln!(io::stderr(), "{text}");
+}
+
 // Prints the figures of the design note: cargo test -p bulrushhall-coord --release --test crash_ways -- --ignored --nocapture
 #[test]
 #[ignore = "a comparison that is run by hand"]
@@ -90,15 +102,7 @@
         for way in ways {
             let seeds = if 25 < plan.nodes { MANY_SEEDS / 10 } else { MANY_SEEDS };
             let (seen, broken) = sum(plan, way, seeds);
-            let text = format!(
-                "| {name} | {way:?} | {broken} of {seeds} | {} | {:.1} | {:.4} | {} | {:.0} |",
-                seen.late,
-                seen.crashes as f64 / seeds as f64,
-                seen.refused as f64 / seen.sound as f64,
-                seen.blamed.len(),
-                seen.bytes
-            );
-            let _ = writeln!(io::stderr(), "{text}");
+            print_row(&format!("{name} | {way:?}"), &seen, (broken, seeds));
         }
     }
 }
@@ -111,13 +115,11 @@
 }
 
 // Guards against a way that sends requests late, or that refuses sound ones, whatever else goes on.
-#[test]
-fn kept_way_holds() {
+#[rstest]
+fn kept_way_holds(#[values(0, 1, 2, 3)] seed: u64) {
     for (name, plan) in plans() {
-        for seed in 0..SEEDS {
-            if plan.nodes <= 25 {
-                check(name, plan, seed);
-            }
+        if plan.nodes <= 25 {
+            check(name, plan, seed);
         }
     }
 }
@@ -129,14 +131,6 @@
     for (name, plan) in plans() {
         let seeds = if 25 < plan.nodes { MANY_SEEDS / 10 } else { MANY_SEEDS };
         let (seen, broken) = sum(plan, Way::RunByAll, seeds);
-        let text = format!(
-            "| {name} | {broken} of {seeds} | {} | {:.1} | {:.4} | {} | {:.0} |",
-            seen.late,
-            seen.crashes as f64 / seeds as f64,
-            seen.refused as f64 / seen.sound as f64,
-            seen.blamed.len(),
-            seen.bytes
-        );
-        let _ = writeln!(io::stderr(), "{text}");
+        print_row(name, &seen, (broken, seeds));
     }
 }
