--- a/crates/gateway/src/crashes/sent_prompt.rs
+++ b/crates/gateway/src/crashes/sent_prompt.rs
@@ -12,7 +12,7 @@
     clock,
     cluster::as_millis,
     crashes::{Interruption, UnsettledAnswer, UnsettledPrompt, note_interrupted},
-    gateway::Gateway,
+    gateway::{Gateway, State},
 };
 
 /// A `SentPrompt` is a prompt at a backend server. If it is dropped without a note of how its answer ended, its caller has
@@ -70,9 +70,13 @@
         self.interrupt(Interruption::Closed);
     }
 
-    /// Notes that nothing more of the answer arrives.
+    /// Notes that nothing more of the answer arrives. Engines with much work pause as well, and each check of a server costs a
+    /// connection, so only parts count of which this node has seen no sound answer lately.
     pub fn note_stalled(&self) {
-        self.interrupt(Interruption::Stalled);
+        let (now, parts) = (clock::now(), &self.parts);
+        if self.gateway.with(|state| has_new_part(state, now, parts)) {
+            self.interrupt(Interruption::Stalled);
+        }
     }
 
     /// Notes that the answer ended with its connection, without a mark of its end.
@@ -108,11 +112,14 @@
         let (at, key, server, req) = (clock::now(), self.key, self.server, self.crashed());
         let answer = self.answer;
         self.gateway.with(|state| {
-            let crashes = &mut state.crashes;
-            let is_new = |part: &PartId| crashes.watch.outcomes.sound(at, *part) == 0;
-            if self.parts.iter().any(is_new) {
-                crashes.unsettled.note(UnsettledPrompt { key, server, req, at, answer });
+            if has_new_part(state, at, &self.parts) {
+                state.crashes.unsettled.note(UnsettledPrompt { key, server, req, at, answer });
             }
         });
     }
 }
+
+fn has_new_part(state: &State, now: Stamp, parts: &[PartId]) -> bool {
+    let outcomes = &state.crashes.watch.outcomes;
+    parts.iter().any(|part| outcomes.sound(now, *part) == 0)
+}
