--- a/crates/coord/tests/crash_evidence.rs
+++ b/crates/coord/tests/crash_evidence.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use bulrushhall_coord::crashes::{
-    Block, BlockState, CrashWatch, CrashedRequest, CrashedServer, PartId, PartIds, ServerEnd,
-    SoundReport,
+    Block, BlockState, CrashReport, CrashWatch, CrashedRequest, CrashedServer, PartId, PartIds,
+    ServerEnd, SoundReport,
 };
 use bulrushhall_core::{Incarnation, Stamp};
 use rstest::rstest;
@@ -331,3 +331,38 @@
     assert!(nodes.iter().all(|node| node.watch.blocks.is_alone(BAD)));
     assert!(Duration::from_secs(10) < now.since(last_sent), "{:?}", now.since(last_sent));
 }
+
+// Guards against a sound part that stays blocked although a request that was sent before is answered.
+#[test]
+fn answer_speaks_against_block() {
+    let mut observer = Observer::new();
+    for _ in 0..5 {
+        observer.crash(&[&[BAD]]);
+    }
+    assert_eq!(observer.plan(), ["2"]);
+    assert_eq!(observer.watch.note_sound(observer.now, &[OTHER]), None);
+    let blocked = observer.watch.note_sound(observer.now, &[SHARED, BAD]).expect("a block");
+    assert_eq!(blocked, PartIds(vec![BAD]));
+}
+
+// Guards against reports of nodes of an earlier version that can't be read, or that count as unsure.
+#[test]
+fn earlier_reports_are_read() {
+    #[derive(serde::Serialize)]
+    struct EarlierReport {
+        author: Incarnation,
+        number: u32,
+        age_ms: u64,
+        server: u64,
+        requests: Vec<CrashedRequest>,
+    }
+    let requests = vec![req(1, &[BAD])];
+    let earlier =
+        EarlierReport { author: Incarnation(2), number: 1, age_ms: 5, server: 3, requests };
+    let bytes = rmp_serde::to_vec_named(&earlier).expect("bytes");
+    let report: CrashReport = rmp_serde::from_slice(&bytes).expect("a report");
+    assert_eq!((report.end, report.requests.len()), (ServerEnd::Seen, 1));
+    let bytes = rmp_serde::to_vec_named(&report).expect("bytes");
+    let known: CrashReport = rmp_serde::from_slice(&bytes).expect("a report");
+    assert_eq!(known, report);
+}
