--- a/crates/coord/src/crashes/evidence.rs
+++ b/crates/coord/src/crashes/evidence.rs
@@ -249,6 +249,7 @@
         PartTally {
             crashes: suspect.moments,
             servers: u32::try_from(suspect.crashed_at.len()).unwrap_or(u32::MAX),
+            closest: suspect.closest,
             is_known_sound: self.sound.contains_key(&part),
             answered: outcomes.sound(now, part),
             since_many: many_at.filter(is_answered_since).map(|at| now.since(at)),
--- a/crates/coord/src/crashes/run.rs
+++ b/crates/coord/src/crashes/run.rs
@@ -12,7 +12,8 @@
     pub new: u32,
     /// The moments that blame a part which was answered before.
     pub known: u32,
-    /// The same for a part that is answered often, or while nothing else is answered either.
+    /// The same for a part that is answered often, whose requests were seldom the ones that the servers had begun to answer last,
+    /// or while nothing else is answered either.
     pub known_in_doubt: u32,
     /// The latest answers of a node from which a part is answered often.
     pub often: u32,
@@ -39,7 +40,8 @@
     fn blames(&self, tally: PartTally) -> bool {
         let PartTally { crashes, servers, is_known_sound, since_many, is_other_sound, .. } = tally;
         if is_known_sound {
-            let is_clear = is_other_sound && tally.answered < self.often;
+            let is_closest = crashes <= 2 * tally.closest;
+            let is_clear = is_other_sound && is_closest && tally.answered < self.often;
             return if is_clear { self.known } else { self.known_in_doubt } <= crashes;
         }
         // The loss of many servers at once breaks off answers to sound prompts too, but those are answered elsewhere then.
--- a/crates/coord/src/crashes/tally.rs
+++ b/crates/coord/src/crashes/tally.rs
@@ -10,6 +10,8 @@
     pub crashes: u32,
     /// These crashes, each server counted.
     pub servers: u32,
+    /// Those of them in which no other request had begun to be answered later.
+    pub closest: u32,
     /// Whether an answer to such a request has come to its end before.
     pub is_known_sound: bool,
     /// The latest such answers that this node has seen.
--- a/crates/coord/tests/crash_evidence.rs
+++ b/crates/coord/tests/crash_evidence.rs
@@ -164,6 +164,25 @@
     assert_eq!(observer.plan(), ["2"]);
 }
 
+// Guards against a sound part that is blamed because its requests ran beside many that crash servers.
+#[test]
+fn beside_crashes_is_sound() {
+    let mut observer = Observer::new();
+    observer.sound(&[OTHER], 3);
+    for part in 10..16 {
+        observer.now = observer.now + PAUSE;
+        observer.crashes += 1;
+        let mut beside = req(1_000 + part, &[OTHER]);
+        beside.begun_ms = Some(300);
+        let crashed =
+            CrashedServer { server: observer.crashes, end: ServerEnd::Seen, at: observer.now };
+        let requests = vec![req(part, &[PartId(part)]), beside];
+        observer.watch.note_crash(observer.now, OWN, crashed, requests);
+        observer.sound(&[SHARED], 1);
+    }
+    assert_eq!(observer.plan(), Vec::<String>::new());
+}
+
 // Guards against a server that starts again under its name, whose crashes count as one.
 #[test]
 fn same_name_crashes_again() {
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -103,7 +103,7 @@
     ServiceSound,
     /// A brittle server has rejected a request, so that nodes send it fewer at once.
     RoomLowered,
-    /// A backend server closed its connections in the middle of answers and refuses new ones.
+    /// A backend server interrupted answers and refuses new connections.
     ServerCrashed,
     /// Requests with some prompt parts are refused, since backend servers crash under them.
     PartBlocked,
@@ -117,7 +117,7 @@
     EnginesSufficient,
     /// The number of home engines of the prompt prefix that is used most has changed.
     PrefixHomesChanged,
-    /// A backend server broke off answers and was not found to have ended.
+    /// A backend server interrupted answers, and was not found to have ended.
     AnswersInterrupted,
     /// A VM was bought.
     VmBought,
