--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -531,44 +531,63 @@
         self.status, self.headers, self.body, self.whole = status, headers or {}, body, whole
 
 
-async def call(address, request, seconds):
-    """Sends a request on a new channel; a channel that ends early gives an answer that is not whole."""
-    ip, port = address.split(":")
-    reader, writer = await asyncio.wait_for(asyncio.open_connection(ip, int(port)), 1)
-    answer = Answer()
+class Channel:
+    """A channel of a caller to a node, for one request after the other."""
+
+    def __init__(self, reader, writer):
+        self.reader, self.writer, self.answered = reader, writer, 0
+
+    @staticmethod
+    async def open(address):
+        ip, port = address.split(":")
+        return Channel(*await asyncio.wait_for(asyncio.open_connection(ip, int(port)), 1))
 
-    async def read():
-        line, answer.headers = await read_head(reader)
+    async def ask(self, request, seconds):
+        """Sends a request; a channel that ends early gives an answer that is not whole."""
+        answer = Answer()
+        try:
+            self.writer.write(request)
+            await asyncio.wait_for(self.read(answer), seconds)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        self.answered += answer.whole
+        return answer
+
+    async def read(self, answer):
+        line, answer.headers = await read_head(self.reader)
         answer.status = int(line.split()[1])
         if "chunked" in answer.headers.get("transfer-encoding", ""):
             while True:
-                size = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
-                chunk = await reader.readexactly(size + 2)
+                size = int((await self.reader.readuntil(b"\r\n")).split(b";")[0], 16)
+                chunk = await self.reader.readexactly(size + 2)
                 if size == 0:
                     break
                 answer.body += chunk[:-2]
         elif "content-length" in answer.headers:
             left = int(answer.headers["content-length"])
             while left:
-                piece = await reader.read(left)
+                piece = await self.reader.read(left)
                 if not piece:
                     return
                 answer.body += piece
                 left -= len(piece)
         else:
             # The answer ends with its channel; a reset raises an error.
-            while piece := await reader.read(65536):
+            while piece := await self.reader.read(65536):
                 answer.body += piece
         answer.whole = True
 
+    def close(self):
+        self.writer.close()
+
+
+async def call(address, request, seconds):
+    """Sends a request on a new channel."""
+    channel = await Channel.open(address)
     try:
-        writer.write(request)
-        await asyncio.wait_for(read(), seconds)
-    except (asyncio.IncompleteReadError, ConnectionError):
-        pass
+        return await channel.ask(request, seconds)
     finally:
-        writer.close()
-    return answer
+        channel.close()
 
 
 def request(attempt, method, path, key, deadline_ms, body=b"", host="tiles.example", **more):
