--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -32,6 +32,10 @@
 }
 
 
+# The ports of a node: as in the users' example of settings, and the one of its metrics in the deploy file.
+NODE_PORTS = [8220, 8221, 8224, 8229, 7600, 9464]
+
+
 class CannotRun(Exception):
     """The case could not be brought about; it says nothing about the rule."""
 
@@ -53,14 +57,18 @@
 
 
 def free_net():
-    """Returns the first three numbers of a loopback network that nothing listens in, as far as is visible."""
-    return f"127.{random.randint(2, 250)}.{random.randint(1, 250)}"
-
-
-def free_port(ip="127.0.0.1"):
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    """Returns the first three numbers of a loopback network in which the ports of nodes and workers are free."""
+    for _ in range(50):
+        net = f"127.{random.randint(2, 250)}.{random.randint(1, 250)}"
+        try:
+            for number in range(1, 7):
+                for port in NODE_PORTS:
+                    with socket.socket() as probe:
+                        probe.bind((f"{net}.{number}", port))
+            return net
+        except OSError:
+            continue
+    raise CannotRun("no free ports")
 
 
 # ---------------------------------------------------------------------------------------------------------------- HTTP
@@ -444,10 +452,9 @@
         self.born = int(time.time() * 1000)
 
     async def start(self):
-        self.port = free_port()
-        self.address = f"127.0.0.1:{self.port}"
+        self.address = f"{self.lab.net}.{100 + self.lab.workers.index(self)}:8308"
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, os.path.join(HERE, "worker.py"), str(self.port), self.name, *self.options,
+            sys.executable, os.path.join(HERE, "worker.py"), self.address, self.name, *self.options,
             stdout=asyncio.subprocess.PIPE)
         await asyncio.wait_for(self.process.stdout.readline(), 10)
         self.lab.record(f"worker {self.name} of {self.service} serves at {self.address}, process {self.process.pid}")
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -1,4 +1,4 @@
-"""A stand-in of a worker: `worker.py PORT NAME [--events N] [--every MS] [--unframed] [--fail SHARE] [--work MS]`.
+"""A stand-in of a worker: `worker.py ADDRESS NAME [--events N] [--every MS] [--unframed] [--fail SHARE] [--work MS]`.
 
 It speaks what PROTOCOL.md says of workers. With `--events` it answers with a stream of so many events; `--unframed` gives
 answers without a length, which end with their channel. `--fail` is the share of its requests that it answers with 500.
@@ -11,7 +11,7 @@
 from lab import read_body, read_head
 
 parser = argparse.ArgumentParser()
-parser.add_argument("port", type=int)
+parser.add_argument("address")
 parser.add_argument("name")
 parser.add_argument("--events", type=int, default=0)
 parser.add_argument("--every", type=float, default=100)
@@ -73,7 +73,8 @@
 
 
 async def main():
-    server = await asyncio.start_server(serve, "127.0.0.1", options.port, backlog=512)
+    ip, port = options.address.split(":")
+    server = await asyncio.start_server(serve, ip, int(port), backlog=512)
     say("serves")
     async with server:
         await server.serve_forever()
