Orders: a request that was given up is reset, and the lease's wait follows from its client's limits

Cause: a sender that gave up dropped its connection, which closed it in order. The kernel keeps the unacknowledged bytes of such a connection and retransmits them, also after the process has ended or while it is frozen. The lease counted on the order being gone after a time that bounded only the waiting of the sender's code.

Change: all outgoing connections are AbortiveStreams, with SO_LINGER 0 and TCP_USER_TIMEOUT; a call that times out waits until its connection is reset, so that no later one overtakes it. An order carries a SendPermit, which is asked again before each write. Lease waits for max_delivery_time, which EndpointOptions derives from the limits of the client; each order has a connection of its own, so the kernel's first retransmission is bounded by the connect timeout.

--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -19,8 +19,8 @@
     pub margin: Duration,
     /// The time between two renewals, and between two attempts while another node holds the lease.
     pub renew_interval: Duration,
-    /// The maximum time for which an order of an earlier holder may still be in flight.
-    pub order_timeout: Duration,
+    /// The maximum time in which an order may still arrive after its sender's hold has ended.
+    pub max_delivery_time: Duration,
 }
 
 /// A `LeaseCall` is a call to the key-value service that a [`Lease`] asks for.
@@ -108,7 +108,7 @@
             ttl: Duration::from_secs(10),
             margin: Duration::from_secs(2),
             renew_interval: Duration::from_secs(3),
-            order_timeout: Duration::from_secs(2),
+            max_delivery_time: Duration::from_secs(2),
         }
     }
 }
@@ -170,7 +170,7 @@
     /// Notes when the service was restored, without a change of this node's own state.
     pub fn note_restored_at(&mut self, restored_at: Stamp) {
         // A holder that has not heard of the restore renews at the latest when its hold ends.
-        let until = restored_at + self.options.ttl + self.options.order_timeout;
+        let until = restored_at + self.options.ttl + self.options.max_delivery_time;
         self.earlier_era_until = self.earlier_era_until.max(Some(until));
     }
 
@@ -257,10 +257,9 @@
 
     fn acquire(&mut self, now: Stamp, lease: u64, granted: Stamp, fence: FencingNumber) {
         let until = self.valid_until(granted);
-        // The key was absent, so the earlier holder's lease has expired, and by its own clock its
-        // hold has ended. Orders that it sent before are no longer in flight once their timeout has
-        // passed.
-        let from = now + self.options.order_timeout + self.options.margin;
+        // The key was absent, so the earlier holder has released it, or its lease has expired and by its own
+        // clock its hold has ended. It has written no order since.
+        let from = now + self.options.max_delivery_time;
         // After a restore, an absent key does not prove that.
         let from = self.earlier_era_until.map_or(from, |until| from.max(until));
         self.state = State::Holding { lease, hold: Hold { fence, from, until } };
--- a/crates/coord/tests/duty_lease.rs
+++ b/crates/coord/tests/duty_lease.rs
@@ -288,3 +288,72 @@
     let max = candidates.values().max().copied().unwrap_or_default();
     assert!(max <= 14, "one node is a candidate for {max} of 100 duties");
 }
+
+/// An order on its way, which its sender's kernel retransmits until it arrives.
+#[derive(Clone, Copy, Debug)]
+struct PendingOrder {
+    arrives_at: Stamp,
+    fence: FencingNumber,
+}
+
+/// Returns the orders that arrive after one with a higher fencing number, in a run in which each order takes any
+/// time up to `max_delivery_time`.
+fn late_orders(seed: u64, max_delivery_time: Duration) -> (Vec<PendingOrder>, usize) {
+    const NODES: usize = 3;
+    let mut random = Pcg64Mcg::seed_from_u64(seed);
+    let mut service = Service::default();
+    let options = LeaseOptions { max_delivery_time, ..LeaseOptions::default() };
+    let incarnation = |at: usize| Incarnation(at as u64 + 1);
+    let new = |at: usize| Lease::new(Stamp(0), incarnation(at), options);
+    let mut leases: Vec<Lease> = (0..NODES).map(new).collect();
+    let mut cut_until = [Stamp(0); NODES];
+    let mut stopping_until = [Stamp(0); NODES];
+    let mut orders: Vec<PendingOrder> = Vec::new();
+    let mut now = Stamp(0);
+    for _ in 0..3_000 {
+        now = now + STEP;
+        for at in 0..NODES {
+            if random.random_bool(0.002) {
+                cut_until[at] = now + Duration::from_millis(random.random_range(500..30_000));
+            }
+            if random.random_bool(0.002) {
+                stopping_until[at] = now + Duration::from_secs(1);
+            }
+            let wanted = if now < stopping_until[at] { Wanted::No } else { Wanted::Yes };
+            if let Some(call) = leases[at].tick(now, wanted) {
+                let reply = match now < cut_until[at] {
+                    true => LeaseReply::Failed(Ran::Unknown),
+                    false => service.call(now, incarnation(at), call, &mut random),
+                };
+                leases[at].reply(now, reply, &mut random);
+            }
+            let Some(hold) = leases[at].hold(now).filter(|hold| hold.from <= now) else { continue };
+            let delivery = max_delivery_time.mul_f64(random.random_range(0.0..1.0));
+            orders.push(PendingOrder { arrives_at: now + delivery, fence: hold.fence });
+        }
+    }
+    orders.sort_by_key(|order| order.arrives_at);
+    let (mut newest, mut late) = (FencingNumber(0), Vec::new());
+    for order in &orders {
+        if order.fence < newest {
+            late.push(*order);
+        }
+        newest = newest.max(order.fence);
+    }
+    (late, orders.len())
+}
+
+// Guards against orders of a former holder that arrive after those of the next one.
+#[rstest]
+#[case(500)]
+#[case(2_000)]
+#[case(12_000)]
+fn late_arrivals(#[case] max_delivery_ms: u64) {
+    let mut sent = 0;
+    for seed in 0..30 {
+        let (late, orders) = late_orders(seed, Duration::from_millis(max_delivery_ms));
+        assert!(late.is_empty(), "seed {seed}: {late:?}");
+        sent += orders;
+    }
+    assert!(10_000 < sent, "{sent}");
+}
--- a/crates/coord/tests/store_restores.rs
+++ b/crates/coord/tests/store_restores.rs
@@ -234,7 +234,7 @@
         ttl: Duration::from_secs(3),
         margin: Duration::from_millis(750),
         renew_interval: Duration::from_millis(750),
-        order_timeout: Duration::from_millis(500),
+        max_delivery_time: Duration::from_millis(500),
     };
     let mut service = Service::default();
     let mut cloud = Cloud::default();
--- a/crates/daemon/tests/cluster_state.rs
+++ b/crates/daemon/tests/cluster_state.rs
@@ -197,7 +197,7 @@
         ttl: Duration::from_millis(1_500),
         margin: Duration::from_millis(300),
         renew_interval: Duration::from_millis(400),
-        order_timeout: Duration::from_millis(100),
+        max_delivery_time: Duration::from_millis(100),
     };
     let tasks: Vec<DutyTask> = testbed
         .nodes
--- a/crates/external/src/http/endpoint.rs
+++ b/crates/external/src/http/endpoint.rs
@@ -15,18 +15,28 @@
 };
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{task::JoinHandle, time::timeout};
 use tracing::Instrument;
 
 use crate::{
     errors::{CallError, CallFault},
-    http::{Connection, HeadLimit, Tls, read_limited, trace},
+    http::{
+        AbortiveStream, ConnectOptions, Connection, HeadLimit, SendPermit, Tls, read_limited,
+        send_permit::WriteGate, trace,
+    },
 };
 
 /// The path under which a backend server reports its identity.
 const IDENTITY_PATH: &str = "/identity";
 /// The maximum size of the identity response, in bytes.
 const MAX_IDENTITY_BYTES: usize = 1_024;
+/// The factor between the round-trip time that the kernel measured while a connection was opened and its
+/// first retransmission timeout: the time itself and four times its variation, which starts at a half (RFC
+/// 6298, section 2.2).
+const FIRST_RETRANSMISSION_FACTOR: u32 = 3;
+/// The lower limit of the kernel's retransmission timeout beyond the round-trip time (`TCP_RTO_MIN` of
+/// Linux).
+const MIN_RETRANSMISSION_TIMEOUT: Duration = Duration::from_millis(200);
 /// The size of the read buffer of a connection, which the head of a response has to fit in, in bytes.
 const MAX_BUFFER: usize = 64 * 1_024;
 
@@ -45,9 +55,10 @@
 pub struct EndpointOptions {
     /// The time limit for opening a connection.
     pub connect_timeout: Duration,
-    /// The time limit until the headers of the response arrive.
+    /// The time limit until the headers of the response arrive. The kernel gives up unacknowledged bytes this
+    /// long after it first retransmitted them, also for a process that is frozen.
     pub response_timeout: Duration,
-    /// The maximum number of idle connections that are kept.
+    /// The maximum number of idle connections that are kept; with 0, each request has a connection of its own.
     pub max_idle: usize,
     /// The VM whose identity is checked on each new connection, if it is known.
     pub vm: Option<VmName>,
@@ -70,6 +81,27 @@
     }
 }
 
+impl EndpointOptions {
+    /// Returns the maximum time in which a request may still arrive after it was written, if each request has
+    /// a connection of its own.
+    ///
+    /// A sender that runs resets the connection after the response timeout, and one that ends resets it at
+    /// once. While it is frozen, its kernel retransmits the request, first after a timeout that depends on
+    /// the time that it took to open the connection, and from then on for the response timeout.
+    pub fn max_delivery_time(&self) -> Duration {
+        let first_retransmission = (self.connect_timeout * FIRST_RETRANSMISSION_FACTOR)
+            .max(self.connect_timeout + MIN_RETRANSMISSION_TIMEOUT);
+        first_retransmission + self.response_timeout
+    }
+
+    fn connect_options(&self) -> ConnectOptions {
+        ConnectOptions {
+            connect_timeout: self.connect_timeout,
+            retransmission_timeout: Some(self.response_timeout),
+        }
+    }
+}
+
 /// An `Endpoint` is a client of one server, with a pool of idle connections.
 #[derive(Debug)]
 pub struct Endpoint {
@@ -83,6 +115,31 @@
 struct Sender {
     sender: http1::SendRequest<Full<Bytes>>,
     head_limit: HeadLimit,
+    gate: WriteGate,
+    /// The task that owns the connection.
+    task: JoinHandle<()>,
+}
+
+impl Sender {
+    /// Resets the connection and waits until that is done.
+    async fn reset(mut self) {
+        self.task.abort();
+        // The error states that the task was aborted.
+        let _ = (&mut self.task).await;
+    }
+}
+
+/// A `PendingRequest` resets its connection when it is dropped before the response has arrived.
+struct PendingRequest {
+    sender: Option<Sender>,
+}
+
+impl Drop for PendingRequest {
+    fn drop(&mut self) {
+        if let Some(sender) = &self.sender {
+            sender.task.abort();
+        }
+    }
 }
 
 impl Endpoint {
@@ -133,17 +190,27 @@
         mut sender: Sender,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, (Option<Request<Full<Bytes>>>, CallError)> {
-        // Dropping the sender after the timeout closes the connection, so that a silent one is not
-        // used again.
+        let permit = req.extensions().get::<SendPermit>().cloned();
+        if permit.as_ref().is_some_and(|permit| !permit.is_valid()) {
+            self.put_idle(sender);
+            return Err((None, CallError::not_done(CallFault::Timeout)));
+        }
+        sender.gate.set(permit);
         sender.head_limit.begin();
         let sending = sender.sender.try_send_request(req);
+        let mut pending = PendingRequest { sender: Some(sender) };
         let sent = timeout(self.options.response_timeout, sending).await;
+        let Some(sender) = pending.sender.take() else {
+            return Err((None, CallError::unknown(CallFault::Closed)));
+        };
         sender.head_limit.end();
         match sent {
             Err(_) => {
                 // The cause usually affects the other idle connections too, and each of them would
                 // cost another full timeout.
                 self.idle.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).clear();
+                // A later request must not overtake this one.
+                sender.reset().await;
                 Err((None, CallError::unknown(CallFault::Timeout)))
             }
             Ok(Ok(response)) => {
@@ -153,6 +220,7 @@
             Ok(Err(mut error)) => {
                 let unsent = error.take_message();
                 let ran = if unsent.is_some() { Ran::No } else { Ran::Unknown };
+                sender.reset().await;
                 Err((unsent, CallError { fault: CallFault::Closed, ran }))
             }
         }
@@ -160,19 +228,20 @@
 
     async fn open(&self) -> Result<Sender, CallError> {
         let failed = || CallError::not_done(CallFault::Connect);
-        let opened = timeout(self.options.connect_timeout, TcpStream::connect(self.address)).await;
-        let stream = opened.map_err(|_| failed())?.map_err(|_| failed())?;
-        let _ = stream.set_nodelay(true);
+        let opened = AbortiveStream::connect(self.address, self.options.connect_options()).await;
+        let stream = opened.map_err(|_| failed())?;
+        let gate = stream.gate();
         let head_limit = HeadLimit::default();
         let io = TokioIo::new(head_limit.apply(self.start_tls(stream).await?));
         let mut builder = http1::Builder::new();
         let handshake = builder.max_buf_size(MAX_BUFFER).handshake(io).await;
         let (sender, connection) = handshake.map_err(|_| failed())?;
-        tokio::spawn(connection);
-        self.check_identity(Sender { sender, head_limit }).await
+        // The request on the connection reports its error.
+        let task = tokio::spawn(async move { drop(connection.await) });
+        self.check_identity(Sender { sender, head_limit, gate, task }).await
     }
 
-    async fn start_tls(&self, stream: TcpStream) -> Result<Box<dyn Connection>, CallError> {
+    async fn start_tls(&self, stream: AbortiveStream) -> Result<Box<dyn Connection>, CallError> {
         let Some(tls) = &self.options.tls else { return Ok(Box::new(stream)) };
         let tls_failed = || CallError::not_done(CallFault::Identity);
         let handshake = timeout(self.options.connect_timeout, tls.connect(stream)).await;
--- a/crates/external/src/http/mod.rs
+++ b/crates/external/src/http/mod.rs
@@ -1,13 +1,16 @@
 //! HTTP server and client; the client reports whether a failed request may have been sent.
 
+mod abortive_stream;
 mod body;
 mod endpoint;
 mod head_limit;
 mod listen;
+mod send_permit;
 mod server;
 mod tls;
 mod trace;
 
+pub use abortive_stream::{AbortiveStream, ConnectOptions};
 pub use body::{
     Body, BodyError, BodyTimeouts, BoxError, empty, full, read_limited, read_with_timeouts,
     streamed,
@@ -15,6 +18,7 @@
 pub use endpoint::{Endpoint, EndpointOptions, Identity};
 pub use head_limit::{HeadLimit, HeadLimited};
 pub use listen::listen;
+pub use send_permit::SendPermit;
 pub use server::{Handler, ServerOptions, serve};
 pub use tls::{ClientAuth, Connection, TLS_SERVER_NAME, Tls, TlsError, TlsFiles};
 pub use trace::set_trace_injector;
--- a/crates/gateway/src/backends/connection.rs
+++ b/crates/gateway/src/backends/connection.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use bulrushhall_external::http::{BoxError, HeadLimit};
+use bulrushhall_external::http::{AbortiveStream, BoxError, ConnectOptions, HeadLimit};
 use bytes::Bytes;
 use http_body_util::{Empty, Full};
 use hyper::{
@@ -44,7 +44,8 @@
     Full,
 }
 
-/// A `Connection` is one open connection, which is closed as soon as it is dropped.
+/// A `Connection` is one open connection, which is reset as soon as it is dropped, so that a request that was
+/// given up does not arrive later.
 ///
 /// If a response is not read to its end, hyper closes the connection only when more of it arrives. After
 /// a caller's disconnect, an engine would keep working until then. Aborting the task that owns the socket
@@ -72,11 +73,8 @@
             return Err(OpenError::Full);
         }
         let counted = OpeningCount::begin(open);
-        let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let opened = AbortiveStream::connect(address, connect_options()).await;
         let stream = opened.map_err(|_| OpenError::Unreachable)?;
-        let stream = stream.map_err(|_| OpenError::Unreachable)?;
-        // Requests are written in one piece; Nagle's algorithm would only delay them.
-        let _ = stream.set_nodelay(true);
         let head_limit = HeadLimit::default();
         let mut builder = http1::Builder::new();
         let io = TokioIo::new(head_limit.apply(stream));
@@ -158,8 +156,12 @@
     timeout(PING_TIMEOUT, ping(address)).await.is_ok_and(|pinged| pinged.is_ok())
 }
 
+fn connect_options() -> ConnectOptions {
+    ConnectOptions { connect_timeout: CONNECT_TIMEOUT, ..ConnectOptions::default() }
+}
+
 async fn ping(address: SocketAddr) -> Result<(), BoxError> {
-    let io = TokioIo::new(TcpStream::connect(address).await?);
+    let io = TokioIo::new(AbortiveStream::connect(address, connect_options()).await?);
     let (mut sender, connection) = http1::handshake(io).await?;
     tokio::spawn(connection);
     let req = Request::options("*").header(HOST, address.to_string());
--- a/crates/gateway/src/duties/fleet.rs
+++ b/crates/gateway/src/duties/fleet.rs
@@ -15,7 +15,7 @@
 use crate::{
     adapter::BackendRecord,
     clock,
-    duties::{Holder, fleet_demand::FleetDemand, holder::ORDER_TIMEOUT, within},
+    duties::{Holder, fleet_demand::FleetDemand},
     gateway::{Gateway, State},
     table::RouteTable,
 };
@@ -50,7 +50,7 @@
         for DueOrder { service, demand, order } in self.due_orders(gateway, &table) {
             let Some(orders) = &gateway.platform.orders else { return };
             let Some(authority) = holder.authority() else { return };
-            match within(ORDER_TIMEOUT, orders.order(&authority, &service, &order)).await {
+            match orders.order(&authority, &service, &order).await {
                 Ok(()) => {
                     let FleetDemand { busy, model, queued_tokens } = demand;
                     tracing::info!(
--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -1,7 +1,7 @@
 //! The lease that permits a node to carry out the duties.
 
 use std::{
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -11,6 +11,7 @@
 use bulrushhall_core::{Era, Event, FencingNumber, Incarnation, NodeName};
 use bulrushhall_external::{
     CallError, KeyValue,
+    http::SendPermit,
     kv::{CasOutcome, LeaseId, Version},
 };
 use bytes::Bytes;
@@ -29,42 +30,49 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The timeout of a call: the lease is lost if renewals take longer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
-/// The fraction of a lease that its holder does not use: an order that is in flight when the holder stops
-/// has to arrive before the next holder's first.
+/// The fraction of a lease that its holder does not use, as the rates of clocks differ.
 const MARGIN_FRACTION: f64 = 0.25;
 /// The renewal interval as a fraction of the lease: two renewals may fail.
 const RENEW_FRACTION: f64 = 0.25;
-/// The maximum time that an order may be in flight.
-pub const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 /// The delay between the attempts of two nodes to claim free duties, in the order of their names.
 const CLAIM_DELAY: Duration = Duration::from_millis(150);
 
 /// A `Holder` holds the lease of the duties, or tries to claim it.
 pub struct Holder {
     gateway: Arc<Gateway>,
-    lease: Mutex<Lease>,
+    lease: Arc<Mutex<Lease>>,
 }
 
 impl Holder {
     /// Returns a holder without a lease.
     pub fn new(gateway: Arc<Gateway>) -> Holder {
         let ttl = Duration::from(gateway.settings.bounds.lease);
+        let orders = gateway.platform.orders.as_ref();
         let options = LeaseOptions {
             ttl,
             margin: ttl.mul_f64(MARGIN_FRACTION),
             renew_interval: ttl.mul_f64(RENEW_FRACTION),
-            order_timeout: ORDER_TIMEOUT,
+            max_delivery_time: orders.map_or(Duration::ZERO, |orders| orders.max_delivery_time()),
         };
         let lease = Lease::new(clock::now(), gateway.incarnation, options);
-        Holder { gateway, lease: Mutex::new(lease) }
+        Holder { gateway, lease: Arc::new(Mutex::new(lease)) }
     }
 
     /// Returns the authority to give an order now; it has to be requested right before each order.
     pub fn authority(&self) -> Option<Authority> {
         let now = clock::now();
-        let hold = self.hold()?;
+        let hold = self.hold().filter(|hold| hold.from <= now)?;
         let holder = self.gateway.settings.gateway.name.clone();
-        (hold.from <= now).then_some(Authority { holder, fence: hold.fence })
+        Some(Authority { holder, fence: hold.fence, permit: self.permit(hold.fence) })
+    }
+
+    // The permit ends with the hold, which may be lost, released or replaced before it expires.
+    fn permit(&self, fence: FencingNumber) -> SendPermit {
+        let lease = Arc::clone(&self.lease);
+        SendPermit::new(move || {
+            let hold = lock(&lease).hold(clock::now());
+            hold.is_some_and(|hold| hold.fence == fence)
+        })
     }
 
     fn hold(&self) -> Option<Hold> {
@@ -143,10 +151,14 @@
     }
 
     fn lock<T>(&self, act: impl FnOnce(&mut Lease) -> T) -> T {
-        act(&mut self.lease.lock().unwrap_or_else(|poisoned| poisoned.into_inner()))
+        act(&mut lock(&self.lease))
     }
 }
 
+fn lock(lease: &Mutex<Lease>) -> MutexGuard<'_, Lease> {
+    lease.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
 /// Claims and renews the lease of the duties, forever.
 pub async fn keep_lease(holder: Arc<Holder>) {
     let mut held: Option<FencingNumber> = None;
--- a/crates/gateway/src/duties/usage.rs
+++ b/crates/gateway/src/duties/usage.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     clock,
-    duties::{Holder, holder::ORDER_TIMEOUT, within},
+    duties::{Holder, within},
     gateway::Gateway,
 };
 
@@ -77,7 +77,7 @@
         while let Some((&window, counts)) = self.unsent.first_key_value() {
             let Some(orders) = &gateway.platform.orders else { return Ok(()) };
             let Some(authority) = holder.authority() else { return Ok(()) };
-            within(ORDER_TIMEOUT, orders.report(&authority, window, counts)).await?;
+            orders.report(&authority, window, counts).await?;
             let total: u64 = counts.values().sum();
             tracing::info!(event = Event::UsageReported.number(), window = window.0, total);
             self.unsent.remove(&window);
--- a/crates/gateway/src/platform_calls.rs
+++ b/crates/gateway/src/platform_calls.rs
@@ -199,6 +199,10 @@
 }
 
 impl Orders for CountedOrders {
+    fn max_delivery_time(&self) -> Duration {
+        self.inner.max_delivery_time()
+    }
+
     fn order<'a>(
         &'a self,
         authority: &'a Authority,
