Configuration: an empty list of teams makes no key valid, instead of opening all routes

Change: a configuration with the list needs keys, also if it is empty; one without it needs none, as before.

--- a/crates/gateway/src/table/route_table.rs
+++ b/crates/gateway/src/table/route_table.rs
@@ -37,15 +37,15 @@
         self
     }
 
-    /// Returns this table with its teams and their keys replaced.
+    /// Returns this table with its teams and their keys replaced; callers need keys from then on, also if there are no
+    /// teams.
     pub fn with_teams(
         mut self,
         teams: impl IntoIterator<Item = (TeamEntry, Vec<String>)>,
     ) -> RouteTable {
         self.keys.clear();
-        self.keyed = false;
+        self.keyed = true;
         for (team, keys) in teams {
-            self.keyed = true;
             let team = Arc::new(team);
             for key in keys {
                 self.keys.insert(key, Arc::clone(&team));
