Own interface: a new holder of the fleet's duty waits until no order of the former one can arrive

Cause: the time from which a new holder may contradict earlier orders was computed, but the own interface never looked at it, and its calls to the cloud API waited for 10 s: longer than the lease's margin.

Change: Duty::hold gives nothing before that time, which follows from the limits of the client of the cloud API (0.5 s to connect, 5 s to respond: 6.5 s). Purchases and releases carry the permit of the hold, so none is written after it.

--- a/crates/daemon/src/duty.rs
+++ b/crates/daemon/src/duty.rs
@@ -11,6 +11,7 @@
 use bulrushhall_core::{FencingNumber, Incarnation, ZoneName};
 use bulrushhall_external::{
     CallError, KeyValue,
+    http::SendPermit,
     kv::{CasOutcome, LeaseId, Version},
 };
 use bytes::Bytes;
@@ -61,7 +62,14 @@
 
     /// Returns the right to act now, if this node has it; to be checked before each action.
     pub fn hold(&self) -> Option<Hold> {
-        self.lock(|lease| lease.hold(self.cx.clock.now()))
+        let now = self.cx.clock.now();
+        self.lock(|lease| lease.hold(now)).filter(|hold| hold.from <= now)
+    }
+
+    /// Returns the permit to send orders under a hold, which ends with it.
+    pub fn permit(self: &Arc<Self>, hold: Hold) -> SendPermit {
+        let duty = Arc::clone(self);
+        SendPermit::new(move || duty.hold().is_some_and(|held| held.fence == hold.fence))
     }
 
     fn wanted(&self) -> Wanted {
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -40,6 +40,11 @@
 const PAUSE: Duration = Duration::from_secs(1);
 /// The maximum time that an engine gets to finish its requests before its VM is released.
 const DRAIN_LIMIT: Duration = Duration::from_secs(600);
+/// The time limit for opening a connection to the cloud API. It is short, as a new holder of the duty waits for
+/// [`EndpointOptions::max_delivery_time`].
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The time limit of an order until the headers of the response arrive.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
 /// The price units of the cloud API (thousandths of a cent) in a thousandth of the currency unit.
 const PRICE_UNIT: u64 = 100;
 
@@ -71,14 +76,14 @@
             (task, holder) = (None, None);
             continue;
         }
-        let task =
-            task.get_or_insert_with(|| Duty::start(&cx, DUTY, None, LeaseOptions::default()));
-        if task.duty().hold().is_none() {
+        let task = task.get_or_insert_with(|| Duty::start(&cx, DUTY, None, lease_options()));
+        let Some(hold) = task.duty().hold() else {
             holder = None;
             continue;
-        }
+        };
         if holder.is_none() {
-            let cloud = HttpCloud::new(Endpoint::new(address, EndpointOptions::default()));
+            let cloud = HttpCloud::new(Endpoint::new(address, order_options()));
+            let cloud = cloud.with_permit(task.duty().permit(hold));
             holder = Holder::take_over(&cx, task.duty(), &key_value, cloud).await;
         }
         let Some(held) = &mut holder else { continue };
@@ -88,6 +93,20 @@
     }
 }
 
+fn lease_options() -> LeaseOptions {
+    let max_delivery_time = order_options().max_delivery_time();
+    LeaseOptions { max_delivery_time, ..LeaseOptions::default() }
+}
+
+fn order_options() -> EndpointOptions {
+    EndpointOptions {
+        connect_timeout: CONNECT_TIMEOUT,
+        response_timeout: ORDER_TIMEOUT,
+        max_idle: 0,
+        ..EndpointOptions::default()
+    }
+}
+
 // No VMs are bought for a service whose engines have fixed addresses: its operators run those.
 fn managed_engines(deployment: &Deployment) -> Vec<(&ServiceName, &EnginesConfig)> {
     let engines = deployment.engines.iter().filter(|(service, _)| {
--- a/crates/daemon/tests/cluster_state.rs
+++ b/crates/daemon/tests/cluster_state.rs
@@ -4,10 +4,11 @@
 
 use std::{
     collections::BTreeSet,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
-use bulrushhall_bench::{Testbed, TestbedOptions};
+use bulrushhall_bench::{Testbed, TestbedOptions, testbed::NodeProcess};
 use bulrushhall_coord::{LeaseOptions, Purpose};
 use bulrushhall_core::Revision;
 use bulrushhall_daemon::{
@@ -188,6 +189,23 @@
     assert!(watches <= 5.0 * (seconds / 3.0 + 2.0), "{watches} watches in {seconds} s");
 }
 
+// Guards against a new holder that acts while an order of the former one may still arrive.
+#[tokio::test(flavor = "multi_thread")]
+async fn duty_waits() {
+    let testbed = five_nodes().await;
+    let options = LeaseOptions {
+        ttl: Duration::from_millis(900),
+        margin: Duration::from_millis(200),
+        renew_interval: Duration::from_millis(200),
+        max_delivery_time: Duration::from_secs(3),
+    };
+    let started = Instant::now();
+    let start = |node: &Arc<NodeProcess>| Duty::start(node.context(), "probe", None, options);
+    let tasks: Vec<DutyTask> = testbed.nodes.iter().map(start).collect();
+    wait_until("one node may act", || tasks.iter().any(|task| task.duty().hold().is_some())).await;
+    assert!(options.max_delivery_time <= started.elapsed(), "{:?}", started.elapsed());
+}
+
 // The holder of a duty crashes. Another node must take the duty over with a higher fencing number, and two
 // nodes must never hold it at once.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/external/src/clients/json.rs
+++ b/crates/external/src/clients/json.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     errors::{CallError, CallFault},
-    http::{Endpoint, read_limited},
+    http::{Endpoint, SendPermit, read_limited},
 };
 
 /// The maximum size of a response, in bytes.
@@ -19,7 +19,7 @@
 
 /// Gets a value.
 pub async fn get<T: DeserializeOwned>(endpoint: &Endpoint, path: &str) -> Result<T, CallError> {
-    call(endpoint, Method::GET, path, Bytes::new()).await
+    call(endpoint, Method::GET, path, Bytes::new(), None).await
 }
 
 /// Posts a value and returns the value in the response.
@@ -27,9 +27,19 @@
     endpoint: &Endpoint,
     path: &str,
     body: &impl Serialize,
+) -> Result<T, CallError> {
+    post_permitted(endpoint, path, body, None).await
+}
+
+/// Posts a value while the permit lasts, if there is one, and returns the value in the response.
+pub async fn post_permitted<T: DeserializeOwned>(
+    endpoint: &Endpoint,
+    path: &str,
+    body: &impl Serialize,
+    permit: Option<SendPermit>,
 ) -> Result<T, CallError> {
     let body = serde_json::to_vec(body).map_err(|_| CallError::not_done(CallFault::Malformed))?;
-    call(endpoint, Method::POST, path, body.into()).await
+    call(endpoint, Method::POST, path, body.into(), permit).await
 }
 
 async fn call<T: DeserializeOwned>(
@@ -37,9 +47,13 @@
     method: Method,
     path: &str,
     body: Bytes,
+    permit: Option<SendPermit>,
 ) -> Result<T, CallError> {
     let req = Request::builder().method(method).uri(path).body(Full::new(body));
-    let req = req.map_err(|_| CallError::not_done(CallFault::Malformed))?;
+    let mut req = req.map_err(|_| CallError::not_done(CallFault::Malformed))?;
+    if let Some(permit) = permit {
+        req.extensions_mut().insert(permit);
+    }
     let response = endpoint.send(req).await?;
     let status = response.status();
     if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE {
