Unmarked ends: an answer without a length is whole if its server lives on or has left in order

Cause: the end of a server that was leaving, or whose record was gone, was taken for the end of its last answer; only servers that accepted work were looked at.

Change: crashes::unmarked_end decides for own and carried answers: whole if the server accepts connections and no later start has its name, or if its record is removed around the end; a crash if it accepted work and refuses; otherwise resumed, or cut visibly. An answer whose server left in order is no evidence against its request: before, three such engines blocked a request that was repeated.

--- a/crates/gateway/src/backends/directory.rs
+++ b/crates/gateway/src/backends/directory.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeSet, HashMap},
+    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
@@ -17,6 +18,7 @@
         Announced, Backend, BackendUpdates, LimitReport, ServerRoom, removed::RemovedRecords,
     },
     change_log::ChangeLog,
+    clock,
 };
 
 /// How long a record may stay missing after the key-value service recovers: live servers rewrite their
@@ -185,12 +187,17 @@
     pub fn remove(&mut self, name: &str) {
         let Some(key) = self.names.remove(name) else { return };
         if let Some(backend) = self.arena.remove(key) {
-            self.removed.note(name, backend.record, backend.announced);
+            self.removed.note(clock::now(), name, backend.record, backend.announced);
         }
         self.changes.note_removed(name.to_owned());
         tracing::info!(event = Event::BackendGone.number(), backend = name);
     }
 
+    /// Returns when the record of a server at an address was removed that had said that it was leaving.
+    pub fn left_at(&self, name: &str, address: SocketAddr) -> Option<Stamp> {
+        self.removed.left_at(name, address)
+    }
+
     /// Returns what a backend server has announced, also if it has been removed since.
     pub fn announced_mut(&mut self, key: WorkerKey, name: &str) -> Option<&mut Announced> {
         match self.arena.get_mut(key) {
--- a/crates/gateway/src/backends/pool.rs
+++ b/crates/gateway/src/backends/pool.rs
@@ -36,6 +36,11 @@
         Pool { address, open: Arc::default(), idle: Mutex::default() }
     }
 
+    /// Returns the address of the server.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns the most recently used idle connection, or opens one; at most `max` may be open.
     pub async fn take(&self, now: Stamp, max: u32) -> Result<Connection, OpenError> {
         if let Some(connection) = self.take_idle(now) {
--- a/crates/gateway/src/cluster/carry.rs
+++ b/crates/gateway/src/cluster/carry.rs
@@ -21,7 +21,10 @@
     backends::{Connection, OpenError, Pool, is_malformed},
     brittle, clock,
     cluster::{CARRIED_HEADER, CARRIED_UNDELIMITED, CarriedRequest, CarryFailure},
-    crashes::{Fingerprint, SentRequest, has_ended, is_blocked, note_answering},
+    crashes::{
+        Fingerprint, REMOVAL_TIME, SentRequest, UnmarkedEnd, is_blocked, note_answering,
+        unmarked_end,
+    },
     gateway::{Gateway, Phase, State},
     meters,
     pipeline::{connection_share, is_delimited},
@@ -73,6 +76,7 @@
 struct CarriedInFlight {
     gateway: Arc<Gateway>,
     key: WorkerKey,
+    name: Arc<str>,
 }
 
 impl Drop for CarriedInFlight {
@@ -127,7 +131,8 @@
         let service = table.services.get(&backend.record.service).ok_or(NOT_RUN)?;
         let connections = connection_share(service.connections, members.count());
         backend.room.begin();
-        let in_flight = CarriedInFlight { gateway: Arc::clone(gateway), key };
+        let name = Arc::clone(&backend.name);
+        let in_flight = CarriedInFlight { gateway: Arc::clone(gateway), key, name };
         Ok(Target { key, pool: Arc::clone(&backend.pool), connections, in_flight })
     })
 }
@@ -271,8 +276,23 @@
         }
     }
 
-    async fn has_ended(&self) -> bool {
-        has_ended(&self.in_flight.gateway, self.in_flight.key).await
+    // Returns whether an answer that ended with its connection is whole.
+    async fn is_whole(&mut self, left: Duration) -> bool {
+        if self.is_delimited {
+            return true;
+        }
+        let CarriedInFlight { gateway, key, name } = &self.in_flight;
+        match unmarked_end(gateway, (*key, &**name), self.pool.address()).await {
+            UnmarkedEnd::Whole => true,
+            UnmarkedEnd::Unproven(departure) => {
+                settle(&mut self.sent);
+                departure.is_in_order(REMOVAL_TIME.min(left)).await
+            }
+            UnmarkedEnd::Crashed => {
+                self.note_broken();
+                false
+            }
+        }
     }
 }
 
@@ -302,12 +322,12 @@
             kept.note_broken();
             Some((Err(error.into()), None))
         }
-        // It may have been cut between two events.
-        None if !kept.is_delimited && kept.has_ended().await => {
-            kept.note_broken();
-            Some((Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()), None))
-        }
         None => {
+            // It may have been cut between two events.
+            let left = deadline.saturating_duration_since(Instant::now());
+            if !kept.is_whole(left).await {
+                return Some((Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()), None));
+            }
             kept.release();
             None
         }
--- a/crates/gateway/src/crashes/mod.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -7,6 +7,7 @@
 mod observe;
 mod sent_request;
 mod state;
+mod unmarked_end;
 mod unsettled;
 
 pub use admit::{admit, is_blocked, may_repeat, send_refusal};
@@ -14,9 +15,10 @@
 pub use digest::{CrashDigest, crash_digest, receive_crashes};
 pub use fingerprint::Fingerprint;
 pub use observe::{
-    AnswerSpan, has_ended, log_broken_answer, note_answering, note_crash, note_interrupted,
+    AnswerSpan, log_broken_answer, note_answering, note_crash, note_interrupted,
     note_removed_servers, note_unopened, note_whole_answer,
 };
 pub use sent_request::{SentRequest, server_hash};
 pub use state::{CrashState, InterruptedAnswers, Interruption};
+pub use unmarked_end::{REMOVAL_TIME, UnmarkedEnd, unmarked_end};
 pub use unsettled::{UnsettledAnswer, UnsettledRequest, UnsettledRequests};
--- a/crates/gateway/src/crashes/observe.rs
+++ b/crates/gateway/src/crashes/observe.rs
@@ -20,7 +20,7 @@
 };
 
 /// How long interrupted answers of a server are collected until it is checked whether the server has ended.
-const COLLECTING_TIME: Duration = Duration::from_millis(40);
+pub const COLLECTING_TIME: Duration = Duration::from_millis(40);
 /// The time after which an answer that is being written has not crashed its server because of a part of its prompt.
 const BEGINNING_MS: u64 = 2_000;
 /// The time in which a server that broke off an answer, and accepts connections, shows that it lives on by answering a request.
@@ -132,19 +132,6 @@
     }
 }
 
-/// Returns whether a backend server has ended, shortly after it closed a connection. One that leaves as announced ends after
-/// its last answer.
-pub async fn has_ended(gateway: &Gateway, key: WorkerKey) -> bool {
-    let address = gateway.with(|state| {
-        let backend = state.backends.get(key);
-        backend.filter(|backend| backend.accepts_work()).map(|backend| backend.record.address)
-    });
-    let Some(address) = address else { return false };
-    // The listener of a process that ends may be closed after its connections.
-    sleep(COLLECTING_TIME).await;
-    listener_state(address).await == ListenerState::Refusing
-}
-
 /// Notes the requests of servers whose records were removed, or replaced by those of a later start.
 pub fn note_removed_servers(gateway: &Gateway, state: &mut State, now: Stamp) {
     let servers = state.crashes.unsettled.servers();
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -13,8 +13,8 @@
 use crate::{
     clock,
     crashes::{
-        AnswerSpan, SentRequest, has_ended, log_broken_answer, may_repeat, note_whole_answer,
-        send_refusal, server_hash,
+        AnswerSpan, REMOVAL_TIME, SentRequest, UnmarkedEnd, log_broken_answer, may_repeat,
+        note_whole_answer, send_refusal, server_hash, unmarked_end,
     },
     gateway::Gateway,
     pipeline::{
@@ -38,6 +38,8 @@
 /// The shortest pause after which a stream is resumed at another engine: the prefill of a long prompt
 /// delays the other streams of its engine by some hundred milliseconds.
 const MIN_STALL: Duration = Duration::from_millis(900);
+/// The longest wait for a proof that a stream is whole before it is resumed; a resumption costs a prefill.
+const RESUMPTION_DELAY: Duration = Duration::from_millis(300);
 
 // Waits for the next frame of a body; a pause may mean that its server has ended behind a link that is cut.
 async fn next_frame(
@@ -211,8 +213,8 @@
             Some(Err(_)) => return self.broken_off(),
             // A partial event at the end means that the stream was cut, even if the body ended regularly.
             None if self.splitter.has_partial_event() => return self.broken_off(),
-            None if self.has_ended_with_server().await => return self.broken_off(),
-            None => return self.splitter.take_rest().map_or(Step::End, Step::Frame),
+            None if self.is_marked() => return self.end(),
+            None => return self.unmarked_end().await,
         };
         let Ok(bytes) = frame.into_data() else { return Step::Nothing };
         if let Some(sent) = &mut backend_response.sent {
@@ -230,7 +232,7 @@
         }
         let split = self.splitter.push(&bytes);
         if self.splitter.is_event_too_large() {
-            return self.malformed();
+            return self.not_crashed();
         }
         let Some(split) = split else { return Step::Nothing };
         if self.received.events == 0 {
@@ -238,7 +240,7 @@
         }
         self.received.events = self.received.events.saturating_add(split.events);
         if max_events < self.received.events {
-            return self.malformed();
+            return self.not_crashed();
         }
         backend_response.in_flight.note_started();
         self.log_entry.note_started();
@@ -261,22 +263,56 @@
         Step::Broken
     }
 
+    fn end(&mut self) -> Step {
+        self.splitter.take_rest().map_or(Step::End, Step::Frame)
+    }
+
+    // Returns whether the response has a mark of its end; that of a carried one is its carrier's to judge.
+    fn is_marked(&self) -> bool {
+        self.backend_response.as_ref().is_none_or(|backend_response| {
+            backend_response.is_delimited() || backend_response.placement.carrier.is_some()
+        })
+    }
+
     // An answer without a mark of its end may have been cut between two events.
-    async fn has_ended_with_server(&self) -> bool {
-        let Some(backend_response) = &self.backend_response else { return false };
-        let BackendResponse { placement, .. } = backend_response;
-        if backend_response.is_delimited() || placement.carrier.is_some() {
-            return false;
+    async fn unmarked_end(&mut self) -> Step {
+        let Some(backend_response) = &self.backend_response else { return Step::Broken };
+        let placement = &backend_response.placement;
+        let server = (placement.key, &*placement.name);
+        let end = unmarked_end(&self.gateway, server, placement.pool.address());
+        match timeout(self.left(), end).await {
+            Ok(UnmarkedEnd::Whole) => self.end(),
+            Ok(UnmarkedEnd::Crashed) => self.broken_off(),
+            Ok(UnmarkedEnd::Unproven(departure))
+                if departure.is_in_order(self.removal_wait()).await =>
+            {
+                self.settle();
+                self.end()
+            }
+            Ok(UnmarkedEnd::Unproven(_)) | Err(_) => self.not_crashed(),
         }
-        has_ended(&self.gateway, placement.key).await
     }
 
-    // What the server sends is no answer; it has not crashed.
-    fn malformed(&mut self) -> Step {
+    // A stream that may be resumed has not much time for a proof that it is whole.
+    fn removal_wait(&self) -> Duration {
+        let wait = if self.may_resume() { RESUMPTION_DELAY } else { REMOVAL_TIME };
+        wait.min(self.left())
+    }
+
+    fn left(&self) -> Duration {
+        self.original.deadline.since(clock::now())
+    }
+
+    // What the server has sent is no whole answer, though it has not crashed.
+    fn not_crashed(&mut self) -> Step {
+        self.settle();
+        Step::Broken
+    }
+
+    fn settle(&mut self) {
         if let Some(sent) = self.backend_response.as_mut().and_then(|it| it.sent.as_mut()) {
             sent.settle();
         }
-        Step::Broken
     }
 
     // An event holds a token at least, but for a few.
@@ -310,7 +346,7 @@
     // Returns the time limit for the next frame. If the stream can be resumed, a server that stops sending
     // without resetting the connection is abandoned after it; other responses may pause until the deadline.
     fn frame_timeout(&self) -> Duration {
-        let left = self.original.deadline.since(clock::now());
+        let left = self.left();
         if !self.may_resume() {
             return left;
         }
@@ -369,7 +405,7 @@
         last_end: AttemptEnd,
         way: Way,
     ) -> Result<BackendResponse, SendFault> {
-        let left = self.original.deadline.since(clock::now());
+        let left = self.left();
         let track = retry_track(&self.gateway, service, last_end);
         let (req, tried, origin) = (&self.req, &self.tried, self.binding.origin());
         let query = PlacementQuery {
