--- a/crates/coord/tests/crash_requests.rs
+++ b/crates/coord/tests/crash_requests.rs
@@ -161,6 +161,26 @@
     assert_eq!(observer.blocked(), []);
 }
 
+// Guards against a lookup of many callers that is refused after all servers of its service were lost at once.
+#[test]
+fn lost_service() {
+    let mut observer = Observer::new();
+    for _ in 0..20 {
+        observer.sound(&[REQUEST]);
+    }
+    let at = observer.now + Duration::from_millis(10);
+    for server in 1..=20 {
+        let crashed = CrashedServer { server, end: ServerEnd::Seen, at };
+        let (parts, digest) = (Vec::new(), Some(REQUEST));
+        let req = CrashedRequest { request: server, age_ms: 15, begun_ms: None, parts, digest };
+        observer.watch.note_crash(at, OWN, crashed, vec![req]);
+    }
+    for _ in 0..8 {
+        observer.wait(Duration::from_millis(500));
+    }
+    assert_eq!(observer.blocked(), []);
+}
+
 // Guards against a part that is blamed for the loss of all engines, since plain services go on to answer.
 #[test]
 fn calls_are_no_answers_of_engines() {
