Log why an attempt at a silent server is given up and what takes over

The incident's record has a stream that was lost with one send and does not tell how long its server was silent, nor why no second server followed. Line 227 and bulrush_route_servers_silent_total name the stage, the silence and what was missing; line 228 is for silences that end and is not written yet. No decision changes.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -53,6 +53,10 @@
     QueuedRefused,
     /// A queued request was started too late to be in time.
     RequestStartedLate,
+    /// A backend server has sent nothing of an answer for too long.
+    ServerSilent,
+    /// A backend server was silent in an answer, which has gone on or ended.
+    SilenceEnded,
     /// A newer configuration is in force on this node.
     ConfigInForce,
     /// A backend server accepts work.
@@ -165,6 +169,8 @@
         Event::AnswerBroken,
         Event::QueuedRefused,
         Event::RequestStartedLate,
+        Event::ServerSilent,
+        Event::SilenceEnded,
         Event::ConfigInForce,
         Event::BackendReady,
         Event::BackendLeaving,
@@ -236,6 +242,8 @@
             Event::AnswerBroken => 224,
             Event::QueuedRefused => 225,
             Event::RequestStartedLate => 226,
+            Event::ServerSilent => 227,
+            Event::SilenceEnded => 228,
             Event::ConfigInForce => 400,
             Event::BackendReady => 410,
             Event::BackendLeaving => 411,
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -19,6 +19,8 @@
 const FIRST_SECONDS: &str = "bulrush_route_first_seconds";
 /// Attempts that got no response that may be forwarded.
 const SENDS_FAILED: &str = "bulrush_route_sends_failed_total";
+/// Silences of backend servers in answers.
+const SERVERS_SILENT: &str = "bulrush_route_servers_silent_total";
 /// Statements of backend servers about the requests that they accept, in their responses.
 const ANNOUNCEMENTS: &str = "bulrush_route_announcements_total";
 /// The services that the node has lost its way to.
@@ -90,11 +92,12 @@
 }
 
 /// Every metric.
-pub const ROUTE_METRICS: [RouteMetric; 33] = [
+pub const ROUTE_METRICS: [RouteMetric; 34] = [
     RouteMetric { name: REQUESTS, kind: "counter", labels: "kind, outcome" },
     RouteMetric { name: REQUEST_SECONDS, kind: "histogram", labels: "kind" },
     RouteMetric { name: FIRST_SECONDS, kind: "histogram", labels: "kind" },
     RouteMetric { name: SENDS_FAILED, kind: "counter", labels: "fault" },
+    RouteMetric { name: SERVERS_SILENT, kind: "counter", labels: "stage, takeover" },
     RouteMetric { name: ANNOUNCEMENTS, kind: "counter", labels: "kind" },
     RouteMetric { name: SERVICES_LOST, kind: "gauge", labels: "" },
     RouteMetric { name: CARRIED, kind: "counter", labels: "outcome" },
@@ -171,6 +174,11 @@
     counter!(SENDS_FAILED, "fault" => fault).increment(1);
 }
 
+/// Counts a silence of a backend server in an answer, and whether another one takes over.
+pub fn server_silent(stage: &'static str, takeover: &'static str) {
+    counter!(SERVERS_SILENT, "stage" => stage, "takeover" => takeover).increment(1);
+}
+
 /// Counts a response in which a backend server states which requests it accepts.
 pub fn announced(kind: &'static str) {
     counter!(ANNOUNCEMENTS, "kind" => kind).increment(1);
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -23,9 +23,10 @@
         attempt::{BackendResponse, OriginalRequest, SendFault, attempt, note_outcome},
         binding::Binding,
         identify::IdentifiedRequest,
-        placement::{PlacementQuery, Way, place},
+        placement::{Placement, PlacementQuery, Way, place},
         queueing::Queueing,
         serve::{MAX_CONNECT_FAILURES, MAX_OWN_CONNECT_FAILURES, retry_track, take_retry},
+        silence::{NoTakeover, SilenceStage, log_silent},
         tried::TriedServers,
     },
     rollouts::AttemptEnd,
@@ -88,6 +89,8 @@
     /// The hash of the server that broke off the response last, and how many have.
     broken_by: u64,
     breaks: u32,
+    /// The server that was silent for too long, and for how long it was.
+    silent: Option<(Placement, Duration)>,
     ended: bool,
 }
 
@@ -154,6 +157,7 @@
             received: Received::default(),
             broken_by: 0,
             breaks: 0,
+            silent: None,
             ended: false,
         }
     }
@@ -177,8 +181,14 @@
             if self.original.deadline <= clock::now() {
                 return self.cut(ForwardError::TimedOut);
             }
-            if self.backend_response.is_none() && !self.resume().await {
-                return self.cut(ForwardError::Broken);
+            if self.backend_response.is_none() {
+                let resumed = self.resume().await;
+                if let Some((placement, silent)) = self.silent.take() {
+                    log_silent(&self.req, &placement, (SilenceStage::Body, silent), resumed);
+                }
+                if resumed.is_err() {
+                    return self.cut(ForwardError::Broken);
+                }
             }
             match self.step().await {
                 Step::Frame(bytes) => {
@@ -206,6 +216,8 @@
         let (frame_timeout, max_events) = (self.frame_timeout(), self.max_events());
         let Some(backend_response) = &mut self.backend_response else { return Step::Broken };
         let Ok(frame) = next_frame(backend_response, frame_timeout).await else {
+            let silent = clock::now().since(self.progressed_at);
+            self.silent = Some((backend_response.placement.clone(), silent));
             return Step::Broken;
         };
         let frame = match frame {
@@ -364,18 +376,21 @@
             && self.log_entry.sends < self.req.route.cfg.attempts
     }
 
-    async fn resume(&mut self) -> bool {
-        if !self.may_resume() || self.binding == Binding::Uncertain {
-            return false;
+    async fn resume(&mut self) -> Result<(), NoTakeover> {
+        if !self.may_resume() {
+            return Err(NoTakeover::Attempts);
+        }
+        if self.binding == Binding::Uncertain {
+            return Err(NoTakeover::Version);
         }
         if !may_repeat(&self.gateway, &self.req, self.broken_by, self.breaks).await
             || send_refusal(&self.gateway, &self.req, self.log_entry.sends).is_some()
         {
-            return false;
+            return Err(NoTakeover::Blocked);
         }
-        let Some(service) = self.req.service().cloned() else { return false };
+        let Some(service) = self.req.service().cloned() else { return Err(NoTakeover::NoServer) };
         if !take_retry(&self.gateway, &self.req, &service, &self.log_entry) {
-            return false;
+            return Err(NoTakeover::Budget);
         }
         // Engines often fail together, and some of them are not known to be dead yet. If no connection
         // could be opened, nothing was sent, so the next engine is tried.
@@ -387,16 +402,17 @@
                     self.splitter = EventSplitter::after(self.last_event);
                     (self.progressed_at, self.received) = (clock::now(), Received::default());
                     self.backend_response = Some(backend_response);
-                    return true;
+                    return Ok(());
                 }
                 Err(fault @ SendFault::NotOpened(_)) => {
                     last_end = fault.attempt_end();
                     self.log_entry.note_unsent();
                 }
-                Err(_) => return false,
+                Err(SendFault::NotRun) => return Err(NoTakeover::NoServer),
+                Err(_) => return Err(NoTakeover::Failed),
             }
         }
-        false
+        Err(NoTakeover::NoServer)
     }
 
     async fn resume_at_next(
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -13,6 +13,7 @@
 mod resumption;
 mod room_search;
 mod serve;
+mod silence;
 mod stream_gaps;
 mod tried;
 
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -30,6 +30,7 @@
         queueing::Queueing,
         resumption::resumed_origin,
         room_search::RoomSearch,
+        silence::{NoTakeover, SilenceStage, log_silent},
         tried::TriedServers,
     },
     rollouts::AttemptEnd,
@@ -306,18 +307,33 @@
             return Err(unless_run(no_room, attempts));
         }
         let allowed = attempts.may_retry() || req.route.cfg.kind.may_run_again();
+        let log_if_silent = |takeover| {
+            if failed.fault == SendFault::Silent {
+                let silence = (SilenceStage::Head, clock::now().since(began));
+                log_silent(req, &placement, silence, takeover);
+            }
+        };
+        if !allowed {
+            log_if_silent(Err(NoTakeover::NotRepeatable));
+            return Err(unless_run(Failure::Rejected, attempts));
+        }
         // A server that closed the connection, or is silent, may have crashed.
         let may_have_crashed = matches!(failed.fault, SendFault::Closed | SendFault::Silent);
-        if allowed && may_have_crashed {
+        if may_have_crashed {
             breaks += 1;
             let server = server_hash(&placement.name, placement.born);
             if !may_repeat(gateway, req, server, breaks).await {
+                log_if_silent(Err(NoTakeover::Blocked));
                 return Err(unless_run(Failure::Rejected, attempts));
             }
         }
-        if !allowed || !take_retry(gateway, req, service, log_entry) {
+        if !take_retry(gateway, req, service, log_entry) {
+            let is_last = req.route.cfg.attempts <= log_entry.sends;
+            let reason = if is_last { NoTakeover::Attempts } else { NoTakeover::Budget };
+            log_if_silent(Err(reason));
             return Err(unless_run(Failure::Rejected, attempts));
         }
+        log_if_silent(Ok(()));
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/pipeline/silence.rs
@@ -0,0 +1,81 @@
+//! Log lines and metrics of backend servers that send nothing for a while.
+
+use std::time::Duration;
+
+use bulrushhall_core::Event;
+
+use crate::{
+    meters,
+    pipeline::{identify::IdentifiedRequest, placement::Placement},
+};
+
+/// A `SilenceStage` is the part of an answer in which a backend server is silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SilenceStage {
+    /// Before the head.
+    Head,
+    /// After the head.
+    Body,
+}
+
+impl SilenceStage {
+    fn as_str(self) -> &'static str {
+        match self {
+            SilenceStage::Head => "head",
+            SilenceStage::Body => "body",
+        }
+    }
+}
+
+/// A `NoTakeover` is the reason why no other backend server takes over a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoTakeover {
+    /// It may have run, and may not run again.
+    NotRepeatable,
+    /// It was sent as often as its route allows.
+    Attempts,
+    /// The retry budget of its service is exhausted.
+    Budget,
+    /// Backend servers crash under it, or may have.
+    Blocked,
+    /// It is not certain at which software version its stream began.
+    Version,
+    /// No other backend server accepts it.
+    NoServer,
+    /// The other backend server did not answer it.
+    Failed,
+}
+
+impl NoTakeover {
+    /// Returns its label in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            NoTakeover::NotRepeatable => "not_repeatable",
+            NoTakeover::Attempts => "attempts",
+            NoTakeover::Budget => "budget",
+            NoTakeover::Blocked => "blocked",
+            NoTakeover::Version => "version",
+            NoTakeover::NoServer => "no_server",
+            NoTakeover::Failed => "failed",
+        }
+    }
+}
+
+/// Logs that a server has been silent for too long, and whether another one takes over.
+pub fn log_silent(
+    req: &IdentifiedRequest,
+    placement: &Placement,
+    (stage, silent): (SilenceStage, Duration),
+    takeover: Result<(), NoTakeover>,
+) {
+    let takeover = takeover.err().map_or("started", NoTakeover::as_str);
+    meters::server_silent(stage.as_str(), takeover);
+    tracing::info!(
+        event = Event::ServerSilent.number(),
+        id = req.call.id.as_str(),
+        backend = &*placement.name,
+        stage = stage.as_str(),
+        silent_ms = silent.as_secs_f64() * 1_000.0,
+        takeover
+    );
+}
