Keep a request at a silent server until another one has answered (LOST)

What callers saw: beside sound servers that send nothing for 1.3 s, resumable streams were cut and idempotent calls got 502.

Cause: an attempt was given up before it was known that anything takes over. A stream whose server had paused for 900 ms was dropped, then an attempt, the budget, a block, the version and a server were looked for; a call or stream without a head likewise.

Orders and streams that may not be resumed lost none on the same connections, which rules out the stop's phases and records, breakers or idle limits.

Change: RequestSender starts the next attempt and keeps the silent one; the first head that may be forwarded wins. SilenceRace does the same in the middle of a stream, until the first complete event or the other server's success head. Attempts, blocks, server and version are checked before the budget is paid, and again each 300 ms. The loser's connection is reset. Requests that may not run twice wait as before. A resumption tries another server if one answers with an error and attempts are left; an error body of a stream route is never continued by events.

Tests of the adapter, coord, core, gateway: passed.

--- a/crates/coord/src/attempts.rs
+++ b/crates/coord/src/attempts.rs
@@ -8,26 +8,27 @@
 pub struct Attempts {
     /// The outcome over all attempts that have ended.
     ended: Ran,
-    is_open: bool,
+    /// The number of attempts that have not ended.
+    open: u32,
 }
 
 impl Attempts {
     /// Records that an attempt begins; until it has ended, it is unknown whether the call ran.
     pub fn begin(&mut self) {
-        self.is_open = true;
+        self.open += 1;
     }
 
     /// Records how an attempt ended.
     pub fn end(&mut self, ran: Ran) {
-        self.is_open = false;
+        self.open = self.open.saturating_sub(1);
         self.ended = self.ended.combine(ran);
     }
 
     /// Returns whether the call ran, over all attempts.
     pub fn ran(&self) -> Ran {
-        match self.is_open {
-            true => self.ended.combine(Ran::Unknown),
-            false => self.ended,
+        match self.open {
+            0 => self.ended,
+            _ => self.ended.combine(Ran::Unknown),
         }
     }
 
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -12,7 +12,7 @@
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
     http::{request, response},
 };
-use tokio::time::timeout;
+use tokio::{sync::oneshot, time::timeout};
 
 use crate::{
     adapter::{ResponseHead, SendHead},
@@ -66,7 +66,7 @@
     NotRun,
     /// Another backend server listens at the address.
     OtherBackend,
-    /// No response head arrived in time.
+    /// No response head arrived before another server's, or in time.
     Silent,
     /// The connection was closed before a response head arrived.
     Closed,
@@ -116,6 +116,15 @@
     pub kept: bool,
 }
 
+/// A `SilenceLimit` is how long a backend server may send nothing before another one is looked for.
+#[derive(Debug)]
+pub struct SilenceLimit {
+    /// The time from the send.
+    pub after: Duration,
+    /// Notified when it is over.
+    pub exceeded: oneshot::Sender<()>,
+}
+
 /// A `BackendResponse` is a backend server's response whose head has arrived.
 pub struct BackendResponse {
     /// The platform-independent view of the head.
@@ -148,6 +157,11 @@
     pub fn is_delimited(&self) -> bool {
         self.parts.extensions.get::<Undelimited>().is_none() && is_delimited(&self.parts.headers)
     }
+
+    /// Returns whether the end of the body proves that it is whole; that of a carried one is its carrier's to judge.
+    pub fn has_marked_end(&self) -> bool {
+        self.is_delimited() || self.placement.carrier.is_some()
+    }
 }
 
 impl OriginalRequest {
@@ -168,21 +182,31 @@
     }
 }
 
-/// Sends a request and waits for the head of the response, for at most `response_timeout`.
+/// Sends a request and waits for the head of the response, also after its server has been silent for too long.
 pub async fn attempt(
     gateway: &Arc<Gateway>,
     req: &IdentifiedRequest,
     original: &OriginalRequest,
     placement: &Placement,
     resume_after: Option<u64>,
-    response_timeout: Duration,
+    limit: SilenceLimit,
 ) -> Result<BackendResponse, SendError> {
     let mut in_flight = InFlightGuard::begin(gateway, placement);
     let sent_at = clock::now();
     let mut sent = sent_request(gateway, req, placement);
-    let sending =
-        send(gateway, req, original, placement, (resume_after, sent.as_ref()), response_timeout);
-    let answered = sending.await.and_then(|(response, connection)| {
+    let answered = {
+        let mut sending =
+            pin!(send(gateway, req, original, placement, (resume_after, sent.as_ref())));
+        match timeout(limit.after, &mut sending).await {
+            Ok(answered) => answered,
+            Err(_) => {
+                note_silent(gateway, placement, &mut in_flight, sent.as_ref());
+                let _ = limit.exceeded.send(());
+                sending.await
+            }
+        }
+    };
+    let answered = answered.and_then(|(response, connection)| {
         let (parts, body) = response.into_parts();
         let head = gateway.platform.wire.read_response(&parts);
         if is_response_of(req, &head) {
@@ -220,7 +244,7 @@
         }
         Err(failed) => {
             note_failure(gateway, req, placement, (failed, clock::now().since(sent_at)));
-            if matches!(failed.fault, SendFault::Silent | SendFault::Closed | SendFault::Foreign) {
+            if matches!(failed.fault, SendFault::Closed | SendFault::Foreign) {
                 in_flight.note_failed();
             }
             let is_broken = failed.fault == SendFault::Closed && failed.ran != Ran::No;
@@ -230,8 +254,6 @@
             if let Some(sent) = &mut sent {
                 match failed.fault {
                     SendFault::Closed if is_broken => sent.note_broken(),
-                    // Whether the server goes on with it is not known.
-                    SendFault::Silent => sent.note_stalled(),
                     _ => sent.settle(),
                 }
             }
@@ -240,6 +262,21 @@
     }
 }
 
+// A silent server counts as one that failed until it answers. Its other connections are usually affected too.
+fn note_silent(
+    gateway: &Gateway,
+    placement: &Placement,
+    in_flight: &mut InFlightGuard,
+    sent: Option<&SentRequest>,
+) {
+    placement.pool.close_idle();
+    note_outcome(gateway, placement, false);
+    in_flight.note_failed();
+    if let Some(sent) = sent {
+        sent.note_stalled();
+    }
+}
+
 /// Records in the circuit breaker of a backend server whether a call succeeded.
 pub fn note_outcome(gateway: &Gateway, placement: &Placement, succeeded: bool) {
     let now = clock::now();
@@ -262,7 +299,6 @@
     original: &OriginalRequest,
     placement: &Placement,
     (resume_after, sent): (Option<u64>, Option<&SentRequest>),
-    response_timeout: Duration,
 ) -> Result<(hyper::Response<Incoming>, Connection), SendError> {
     let mut outgoing = backend_request(gateway, req, original, placement, resume_after)?;
     if placement.carrier.is_some() {
@@ -272,12 +308,7 @@
         let mut connection = connect(gateway, placement).await?;
         let sending = connection.send(outgoing);
         let sending = with_suspicion(gateway, placement, sent, sending);
-        let Ok(sent) = timeout(response_timeout, sending).await else {
-            // When a server stops responding, its other connections are usually affected too.
-            placement.pool.close_idle();
-            return Err(SendError { kept: connection.reused, ..may_have_run(SendFault::Silent) });
-        };
-        match sent {
+        match sending.await {
             Ok(response) if is_carry_failure(placement, &response) => {
                 return Err(carry_failure(response).await);
             }
@@ -441,12 +472,12 @@
     Ok(())
 }
 
-fn note_failure(
-    gateway: &Gateway,
-    req: &IdentifiedRequest,
-    placement: &Placement,
-    (failed, took): (SendError, Duration),
-) {
+/// Logs that an attempt is given up whose server has not answered.
+pub fn note_unanswered(req: &IdentifiedRequest, placement: &Placement, took: Duration) {
+    log_failure(req, placement, may_have_run(SendFault::Silent), took);
+}
+
+fn log_failure(req: &IdentifiedRequest, placement: &Placement, failed: SendError, took: Duration) {
     meters::send_failed(failed.fault.as_str());
     tracing::info!(
         event = Event::SendFailed.number(),
@@ -460,6 +491,15 @@
         candidates = placement.candidates,
         wait_ms = placement.wait.as_secs_f64() * 1_000.0
     );
+}
+
+fn note_failure(
+    gateway: &Gateway,
+    req: &IdentifiedRequest,
+    placement: &Placement,
+    (failed, took): (SendError, Duration),
+) {
+    log_failure(req, placement, failed, took);
     if matches!(failed.fault, SendFault::NotOpened(_)) {
         gateway.with(|state| {
             if let Some(backend) = state.backends.get_mut(placement.key) {
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -2,7 +2,7 @@
 
 use std::{error, fmt, sync::Arc, time::Duration};
 
-use bulrushhall_core::{Event, ServiceName, Stamp, config::RouteKind};
+use bulrushhall_core::{Stamp, config::RouteKind};
 use bulrushhall_external::http::{Body, BoxError};
 use bytes::Bytes;
 use futures_util::stream::unfold;
@@ -13,23 +13,22 @@
 use crate::{
     clock,
     crashes::{
-        AnswerSpan, REMOVAL_TIME, SentRequest, UnmarkedEnd, log_broken_answer, may_repeat,
-        note_whole_answer, send_refusal, server_hash, unmarked_end,
+        AnswerSpan, REMOVAL_TIME, SentRequest, UnmarkedEnd, log_broken_answer, note_whole_answer,
+        server_hash, unmarked_end,
     },
     gateway::Gateway,
     pipeline::{
         EventSplitter, StreamGaps,
         access_log::AccessLogEntry,
-        attempt::{BackendResponse, OriginalRequest, SendFault, attempt, note_outcome},
+        attempt::{BackendResponse, OriginalRequest, note_outcome},
         binding::Binding,
+        events::CompleteEvents,
         identify::IdentifiedRequest,
-        placement::{Placement, PlacementQuery, Way, place},
-        queueing::Queueing,
-        serve::{MAX_CONNECT_FAILURES, MAX_OWN_CONNECT_FAILURES, retry_track, take_retry},
-        silence::{NoTakeover, SilenceStage, log_silent},
+        send::{RequestSender, SendAim},
+        silence::{SilenceStage, log_silence_end},
+        silence_race::{BodyFrame, RaceEnd, SilenceRace},
         tried::TriedServers,
     },
-    rollouts::AttemptEnd,
     streams::note_first_event,
 };
 
@@ -46,7 +45,7 @@
 async fn next_frame(
     backend_response: &mut BackendResponse,
     limit: Duration,
-) -> Result<Option<Result<Frame<Bytes>, hyper::Error>>, Elapsed> {
+) -> Result<BodyFrame, Elapsed> {
     let BackendResponse { body, sent, .. } = backend_response;
     let Some(sent) = sent else { return timeout(limit, body.frame()).await };
     let stall = MIN_STALL.min(limit);
@@ -76,6 +75,8 @@
     pub tried: TriedServers,
     /// The access log entry.
     pub log_entry: AccessLogEntry,
+    /// Whether the response is a stream of events.
+    forwards_events: bool,
     splitter: EventSplitter,
     gaps: StreamGaps,
     last_event: Option<u64>,
@@ -89,8 +90,6 @@
     /// The hash of the server that broke off the response last, and how many have.
     broken_by: u64,
     breaks: u32,
-    /// The server that was silent for too long, and for how long it was.
-    silent: Option<(Placement, Duration)>,
     ended: bool,
 }
 
@@ -141,6 +140,8 @@
     ) -> ResponseForwarder {
         let last_event = req.call.resume_after;
         let binding = req.origin.clone().map_or(Binding::Free, Binding::Bound);
+        let is_success = backend_response.head.status.is_success();
+        let forwards_events = req.route.cfg.kind.is_stream() && is_success;
         ResponseForwarder {
             gateway,
             req,
@@ -148,6 +149,7 @@
             backend_response: Some(backend_response),
             tried,
             log_entry,
+            forwards_events,
             splitter: EventSplitter::default(),
             gaps: StreamGaps::default(),
             last_event,
@@ -157,7 +159,6 @@
             received: Received::default(),
             broken_by: 0,
             breaks: 0,
-            silent: None,
             ended: false,
         }
     }
@@ -181,14 +182,8 @@
             if self.original.deadline <= clock::now() {
                 return self.cut(ForwardError::TimedOut);
             }
-            if self.backend_response.is_none() {
-                let resumed = self.resume().await;
-                if let Some((placement, silent)) = self.silent.take() {
-                    log_silent(&self.req, &placement, (SilenceStage::Body, silent), resumed);
-                }
-                if resumed.is_err() {
-                    return self.cut(ForwardError::Broken);
-                }
+            if self.backend_response.is_none() && !self.resume().await {
+                return self.cut(ForwardError::Broken);
             }
             match self.step().await {
                 Step::Frame(bytes) => {
@@ -213,19 +208,24 @@
     }
 
     async fn step(&mut self) -> Step {
-        let (frame_timeout, max_events) = (self.frame_timeout(), self.max_events());
+        let frame_timeout = self.frame_timeout();
+        let Some(backend_response) = &mut self.backend_response else { return Step::Broken };
+        match next_frame(backend_response, frame_timeout).await {
+            Ok(frame) => self.accept(frame).await,
+            Err(_) if self.may_resume() => self.outlast_silence().await,
+            // The time of the request is over.
+            Err(_) => Step::Nothing,
+        }
+    }
+
+    async fn accept(&mut self, frame: BodyFrame) -> Step {
         let Some(backend_response) = &mut self.backend_response else { return Step::Broken };
-        let Ok(frame) = next_frame(backend_response, frame_timeout).await else {
-            let silent = clock::now().since(self.progressed_at);
-            self.silent = Some((backend_response.placement.clone(), silent));
-            return Step::Broken;
-        };
         let frame = match frame {
             Some(Ok(frame)) => frame,
             Some(Err(_)) => return self.broken_off(),
             // A partial event at the end means that the stream was cut, even if the body ended regularly.
             None if self.splitter.has_partial_event() => return self.broken_off(),
-            None if self.is_marked() => return self.end(),
+            None if backend_response.has_marked_end() => return self.end(),
             None => return self.unmarked_end().await,
         };
         let Ok(bytes) = frame.into_data() else { return Step::Nothing };
@@ -233,7 +233,7 @@
             sent.note_began();
         }
         self.received.bytes += bytes.len();
-        if !self.req.route.cfg.kind.is_stream() || !backend_response.head.status.is_success() {
+        if !self.forwards_events {
             if MAX_PLAIN_BYTES < self.received.bytes {
                 return Step::Endless;
             }
@@ -247,6 +247,12 @@
             return self.not_crashed();
         }
         let Some(split) = split else { return Step::Nothing };
+        self.accept_events(split)
+    }
+
+    fn accept_events(&mut self, split: CompleteEvents) -> Step {
+        let max_events = self.max_events();
+        let Some(backend_response) = &mut self.backend_response else { return Step::Broken };
         if self.received.events == 0 {
             note_outcome(&self.gateway, &backend_response.placement, true);
         }
@@ -264,6 +270,46 @@
         Step::Frame(split.bytes)
     }
 
+    // Keeps a silent server until it goes on or another one has answered.
+    async fn outlast_silence(&mut self) -> Step {
+        let Some(mut silent) = self.backend_response.take() else { return Step::Broken };
+        let (placement, since) = (silent.placement.clone(), self.progressed_at);
+        let server = server_hash(&placement.name, placement.born);
+        let aim = self.rest(server, self.breaks + 1);
+        let left = self.left();
+        let ResponseForwarder { gateway, req, original, tried, log_entry, splitter, .. } = self;
+        let Some(service) = req.service() else { return Step::Broken };
+        let sender = RequestSender::new((gateway, req), original, service, (tried, log_entry), aim)
+            .after_silence(placement.clone(), clock::now().since(since));
+        let end = SilenceRace { silent: &mut silent, splitter, sender, left }.run().await;
+        let lasted = (SilenceStage::Body, clock::now().since(since));
+        log_silence_end(&self.req, &placement, lasted, end.silence_end());
+        self.backend_response = Some(silent);
+        match end {
+            RaceEnd::Events(events) => self.accept_events(events),
+            RaceEnd::TooLarge => self.not_crashed(),
+            RaceEnd::Ended(frame) => self.accept(frame).await,
+            RaceEnd::TakenOver(backend_response) => {
+                self.drop_broken();
+                self.begin_rest(*backend_response);
+                Step::Nothing
+            }
+            RaceEnd::Late => Step::Nothing,
+        }
+    }
+
+    // What is to be sent to another server after one broke off the stream or is silent.
+    fn rest(&self, broken_by: u64, breaks: u32) -> SendAim {
+        let origin = self.binding.origin().cloned();
+        SendAim::Rest { after: self.last_event, origin, broken_by, breaks }
+    }
+
+    fn begin_rest(&mut self, backend_response: BackendResponse) {
+        self.splitter = EventSplitter::after(self.last_event);
+        (self.progressed_at, self.received) = (clock::now(), Received::default());
+        self.backend_response = Some(backend_response);
+    }
+
     fn broken_off(&mut self) -> Step {
         if let Some(BackendResponse { placement, sent, .. }) = &mut self.backend_response {
             let began_at = sent.as_ref().and_then(SentRequest::began_at);
@@ -279,13 +325,6 @@
         self.splitter.take_rest().map_or(Step::End, Step::Frame)
     }
 
-    // Returns whether the response has a mark of its end; that of a carried one is its carrier's to judge.
-    fn is_marked(&self) -> bool {
-        self.backend_response.as_ref().is_none_or(|backend_response| {
-            backend_response.is_delimited() || backend_response.placement.carrier.is_some()
-        })
-    }
-
     // An answer without a mark of its end may have been cut between two events.
     async fn unmarked_end(&mut self) -> Step {
         let Some(backend_response) = &self.backend_response else { return Step::Broken };
@@ -372,93 +411,28 @@
     }
 
     fn may_resume(&self) -> bool {
-        self.req.route.cfg.kind == RouteKind::ResumableStream
+        self.forwards_events
+            && self.req.route.cfg.kind == RouteKind::ResumableStream
+            && self.binding != Binding::Uncertain
             && self.log_entry.sends < self.req.route.cfg.attempts
     }
 
-    async fn resume(&mut self) -> Result<(), NoTakeover> {
+    async fn resume(&mut self) -> bool {
         if !self.may_resume() {
-            return Err(NoTakeover::Attempts);
-        }
-        if self.binding == Binding::Uncertain {
-            return Err(NoTakeover::Version);
+            return false;
         }
-        if !may_repeat(&self.gateway, &self.req, self.broken_by, self.breaks).await
-            || send_refusal(&self.gateway, &self.req, self.log_entry.sends).is_some()
-        {
-            return Err(NoTakeover::Blocked);
-        }
-        let Some(service) = self.req.service().cloned() else { return Err(NoTakeover::NoServer) };
-        if !take_retry(&self.gateway, &self.req, &service, &self.log_entry) {
-            return Err(NoTakeover::Budget);
-        }
-        // Engines often fail together, and some of them are not known to be dead yet. If no connection
-        // could be opened, nothing was sent, so the next engine is tried.
-        let mut last_end = AttemptEnd::default();
-        for failures in 0..MAX_CONNECT_FAILURES {
-            let way = if failures < MAX_OWN_CONNECT_FAILURES { Way::Own } else { Way::Carried };
-            match self.resume_at_next(&service, last_end, way).await {
-                Ok(backend_response) => {
-                    self.splitter = EventSplitter::after(self.last_event);
-                    (self.progressed_at, self.received) = (clock::now(), Received::default());
-                    self.backend_response = Some(backend_response);
-                    return Ok(());
-                }
-                Err(fault @ SendFault::NotOpened(_)) => {
-                    last_end = fault.attempt_end();
-                    self.log_entry.note_unsent();
-                }
-                Err(SendFault::NotRun) => return Err(NoTakeover::NoServer),
-                Err(_) => return Err(NoTakeover::Failed),
-            }
-        }
-        Err(NoTakeover::NoServer)
-    }
-
-    async fn resume_at_next(
-        &mut self,
-        service: &ServiceName,
-        last_end: AttemptEnd,
-        way: Way,
-    ) -> Result<BackendResponse, SendFault> {
-        let left = self.left();
-        let track = retry_track(&self.gateway, service, last_end);
-        let (req, tried, origin) = (&self.req, &self.tried, self.binding.origin());
-        let query = PlacementQuery {
-            req,
-            service,
-            tried,
-            left,
-            track,
-            way,
-            origin,
-            queueing: Queueing::Never,
-        };
-        // Without a backend server the request is not run again.
-        let placement = place(&self.gateway, query).map_err(|_| SendFault::NotRun)?;
-        self.tried.note(placement.key);
-        self.log_entry.note_attempt(&placement);
-        tracing::info!(
-            event = Event::StreamResumed.number(),
-            id = self.req.call.id.as_str(),
-            backend = &*placement.name,
-            version = &*placement.version,
-            after = self.last_event
-        );
-        let sent =
-            attempt(&self.gateway, &self.req, &self.original, &placement, self.last_event, left)
-                .await;
-        let is_unopened = matches!(&sent, Err(failed) if failed.fault.is_not_opened());
-        if is_unopened && placement.carrier.is_none() {
-            self.tried.note_unopened();
-        }
-        let backend_response = sent.map_err(|failed| failed.fault)?;
-        // An error response can't follow the events that the caller already has.
-        if backend_response.head.status.is_success() {
-            Ok(backend_response)
-        } else {
-            Err(SendFault::Foreign)
+        let aim = self.rest(self.broken_by, self.breaks);
+        let ResponseForwarder { gateway, req, original, tried, log_entry, .. } = self;
+        let Some(service) = req.service() else { return false };
+        let state = (tried, log_entry);
+        let mut sender = RequestSender::new((gateway, req), original, service, state, aim);
+        let sent = sender.send().await;
+        drop(sender);
+        match sent {
+            Ok(backend_response) => self.begin_rest(backend_response),
+            Err(_) => return false,
         }
+        true
     }
 
     fn drop_broken(&mut self) {
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -12,8 +12,10 @@
 mod queueing;
 mod resumption;
 mod room_search;
+mod send;
 mod serve;
 mod silence;
+mod silence_race;
 mod stream_gaps;
 mod tried;
 
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -2,62 +2,36 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bulrushhall_coord::Attempts;
-use bulrushhall_core::{Event, Ran, ServiceName, Stamp, config::RouteKind};
+use bulrushhall_core::{Ran, Stamp};
 use bulrushhall_external::http::{Body, BodyError, empty, full, read_limited};
-use bulrushhall_policy::rollout::Track;
 use bytes::Bytes;
 use hyper::{
     Request, Response,
     body::{Body as _, Incoming},
     header::{CONNECTION, CONTENT_LENGTH, HeaderValue},
 };
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    backends::OpenError,
     body_budget::{BodyRoom, NoRoom},
     clock,
-    crashes::{Fingerprint, admit, may_repeat, send_refusal, server_hash},
+    crashes::{Fingerprint, admit},
     gateway::{Gateway, Phase},
     pipeline::{
         Failure,
         access_log::AccessLogEntry,
-        attempt::{BackendResponse, OriginalRequest, SendFault, attempt},
+        attempt::{BackendResponse, OriginalRequest},
         forward::ResponseForwarder,
         identify::{IdentifiedRequest, identify},
-        placement::{BRITTLE_RETRY_AFTER, Placement, PlacementQuery, Way},
-        queueing::Queueing,
         resumption::resumed_origin,
-        room_search::RoomSearch,
-        silence::{NoTakeover, SilenceStage, log_silent},
+        send::{RequestSender, SendAim},
         tried::TriedServers,
     },
-    rollouts::AttemptEnd,
     table::QuotaUnit,
-    waiting::place_or_wait,
 };
 
 /// The part of the caller's deadline that is kept for the way of the response to the caller.
 const CALLER_MARGIN: Duration = Duration::from_millis(20);
-/// The timeout after which an idempotent call is sent to another server, as a multiple of the service's
-/// 95th percentile: a call that is merely slow is not worth a second one.
-const CALL_TIMEOUT_FACTOR: u32 = 2;
-/// The minimum of this timeout: a healthy node may stall that long.
-const MIN_CALL_TIMEOUT: Duration = Duration::from_millis(100);
-/// The maximum of this timeout is the remaining time divided by this number: the second attempt needs
-/// time too.
-const CALL_TIMEOUT_DIVISOR: u32 = 3;
-/// The time beyond the expected first token after which a resumable stream is sent to another engine.
-const ENGINE_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_500);
-/// The seed of the hash that chooses between versions, which has to differ from that for services.
-const TRACK_SEED: u64 = 1;
-/// The number of failed connection attempts after which a request is given up.
-pub const MAX_CONNECT_FAILURES: usize = 4;
-/// The number of nodes without room for a request after which it is refused.
-const MAX_FULL_FAILURES: usize = 6;
-/// The number of failed connection attempts after which another node carries a request.
-pub const MAX_OWN_CONNECT_FAILURES: usize = 2;
 
 /// Returns the response to a caller's request.
 pub async fn serve(gateway: Arc<Gateway>, req: Request<Incoming>) -> Response<Body> {
@@ -87,8 +61,7 @@
     xxh3_64(req.call.resumes.as_deref().unwrap_or(&req.call.id).as_bytes())
 }
 
-/// A response and the backend servers that the request was sent to.
-type Sent = (BackendResponse, TriedServers);
+/// A response, its request, and the backend servers that the request was sent to.
 type Handled = (OriginalRequest, IdentifiedRequest, BackendResponse, TriedServers);
 
 async fn handle(
@@ -129,19 +102,22 @@
     gateway.with(|state| {
         state.retry_budgets.entry(service.clone()).or_default().note_first(clock::now(), limit);
     });
-    let mut attempts = Attempts::default();
-    let mut error_response = None;
-    let retry_state = (&mut attempts, &mut error_response);
-    let sent = send_with_retries(gateway, &req, &original, &service, retry_state, log_entry).await;
+    let mut tried = TriedServers::default();
+    let state = (&mut tried, log_entry);
+    let mut sender =
+        RequestSender::new((gateway, &req), &original, &service, state, SendAim::Answer);
+    let sent = sender.send().await;
+    let (attempts, error_response) = (sender.attempts, sender.error_response.take());
+    drop(sender);
     match (sent, error_response) {
-        (Ok((backend_response, tried)), _) => Ok((original, req, backend_response, tried)),
+        (Ok(backend_response), _) => Ok((original, req, backend_response, tried)),
         // An error response of a backend server is forwarded if no retry replaced it.
-        (Err(_), Some((backend_response, tried))) => Ok((original, req, backend_response, tried)),
-        (Err(failure), None) => {
+        (Err(_), Some(backend_response)) => Ok((original, req, backend_response, tried)),
+        (Err(not_sent), None) => {
             if attempts.ran() == Ran::No {
                 refund_quota(gateway, &req, amount);
             }
-            Err(failure)
+            Err(not_sent.failure)
         }
     }
 }
@@ -203,219 +179,6 @@
     });
 }
 
-async fn send_with_retries(
-    gateway: &Arc<Gateway>,
-    req: &IdentifiedRequest,
-    original: &OriginalRequest,
-    service: &ServiceName,
-    (attempts, error_response): (&mut Attempts, &mut Option<Sent>),
-    log_entry: &mut AccessLogEntry,
-) -> Result<Sent, Failure> {
-    let mut tried = TriedServers::default();
-    let mut connect_failures = 0;
-    let mut search = RoomSearch::default();
-    let mut last_end = AttemptEnd::default();
-    let mut breaks = 0;
-    loop {
-        if let Some(failure) = send_refusal(gateway, req, log_entry.sends) {
-            return Err(unless_run(failure, attempts));
-        }
-        let began = clock::now();
-        let left = original.deadline.since(began);
-        if left.is_zero() {
-            return Err(Failure::TimedOut(attempts.ran()));
-        }
-        let track = match (&req.origin, tried.is_empty()) {
-            (Some(_), _) => Track::Current,
-            (None, true) => first_track(gateway, req, service),
-            (None, false) => retry_track(gateway, service, last_end),
-        };
-        // Another server may be unreachable as well, and each attempt to connect takes time.
-        let way = if connect_failures < MAX_OWN_CONNECT_FAILURES { Way::Own } else { Way::Carried };
-        let (tried_servers, origin) = (&tried, req.origin.as_ref());
-        let queueing = Queueing::Never;
-        let query = PlacementQuery {
-            req,
-            service,
-            tried: tried_servers,
-            left,
-            track,
-            way,
-            origin,
-            queueing,
-        };
-        let placement = place_or_wait(gateway, query, original.deadline, log_entry).await;
-        let placement = placement.map_err(|failure| unless_run(failure, attempts))?;
-        let left = original.deadline.since(clock::now());
-        tried.note(placement.key);
-        log_entry.note_attempt(&placement);
-        attempts.begin();
-        let response_timeout = response_timeout(req, &placement, log_entry.sends, left).min(left);
-        let resume = req.call.resume_after;
-        let sent = attempt(gateway, req, original, &placement, resume, response_timeout).await;
-        let failed = match sent {
-            Ok(backend_response) => {
-                attempts.end(Ran::Yes);
-                let is_retryable = backend_response.head.status.is_server_error()
-                    && req.route.cfg.kind.may_run_again();
-                if !is_retryable || !take_retry(gateway, req, service, log_entry) {
-                    return Ok((backend_response, tried));
-                }
-                *error_response = Some((backend_response, tried.clone()));
-                last_end = AttemptEnd::Other;
-                continue;
-            }
-            Err(failed) => failed,
-        };
-        last_end = failed.fault.attempt_end();
-        attempts.end(failed.ran);
-        let is_searching = is_refused_for_room(gateway, service, failed.fault, &placement);
-        let is_search_over = is_searching && search.note_refusal(began, clock::now());
-        let no_room = Failure::ServersLimited(BRITTLE_RETRY_AFTER);
-        if matches!(failed.fault, SendFault::NotOpened(_)) {
-            // Nothing reached a backend server, so this does not count as an attempt.
-            log_entry.note_unsent();
-            if placement.carrier.is_none() {
-                tried.note_unopened();
-            }
-            // The room at a brittle server is used up at one node, and may not be at the next one.
-            let is_full = failed.fault == SendFault::NotOpened(OpenError::Full);
-            if let Some(node) = placement.carrier.filter(|_| is_full) {
-                tried.note_full(node);
-                if tried.full_count() < MAX_FULL_FAILURES && !is_search_over {
-                    continue;
-                }
-                return Err(unless_run(no_room, attempts));
-            }
-            if is_search_over {
-                return Err(unless_run(no_room, attempts));
-            }
-            connect_failures += 1;
-            if connect_failures < MAX_CONNECT_FAILURES {
-                continue;
-            }
-            return Err(unless_run(Failure::NoBackend, attempts));
-        }
-        if failed.fault == SendFault::Blocked {
-            let refusal = send_refusal(gateway, req, log_entry.sends);
-            return Err(unless_run(refusal.unwrap_or(Failure::PartBlocked), attempts));
-        }
-        if original.deadline <= clock::now() {
-            return Err(Failure::TimedOut(attempts.ran()));
-        }
-        if is_search_over {
-            return Err(unless_run(no_room, attempts));
-        }
-        let allowed = attempts.may_retry() || req.route.cfg.kind.may_run_again();
-        let log_if_silent = |takeover| {
-            if failed.fault == SendFault::Silent {
-                let silence = (SilenceStage::Head, clock::now().since(began));
-                log_silent(req, &placement, silence, takeover);
-            }
-        };
-        if !allowed {
-            log_if_silent(Err(NoTakeover::NotRepeatable));
-            return Err(unless_run(Failure::Rejected, attempts));
-        }
-        // A server that closed the connection, or is silent, may have crashed.
-        let may_have_crashed = matches!(failed.fault, SendFault::Closed | SendFault::Silent);
-        if may_have_crashed {
-            breaks += 1;
-            let server = server_hash(&placement.name, placement.born);
-            if !may_repeat(gateway, req, server, breaks).await {
-                log_if_silent(Err(NoTakeover::Blocked));
-                return Err(unless_run(Failure::Rejected, attempts));
-            }
-        }
-        if !take_retry(gateway, req, service, log_entry) {
-            let is_last = req.route.cfg.attempts <= log_entry.sends;
-            let reason = if is_last { NoTakeover::Attempts } else { NoTakeover::Budget };
-            log_if_silent(Err(reason));
-            return Err(unless_run(Failure::Rejected, attempts));
-        }
-        log_if_silent(Ok(()));
-    }
-}
-
-// Returns whether a brittle server, or a node that was to carry the request there, has refused it. That this node could not
-// open a connection says nothing of the room.
-fn is_refused_for_room(
-    gateway: &Gateway,
-    service: &ServiceName,
-    fault: SendFault,
-    placement: &Placement,
-) -> bool {
-    let is_refused = match fault {
-        SendFault::NotRun => true,
-        SendFault::NotOpened(_) => placement.carrier.is_some(),
-        _ => false,
-    };
-    is_refused && gateway.with(|state| state.brittle.get(service).is_some())
-}
-
-// Only the first attempt may go to a version that is being rolled out: retries would add to its share.
-fn first_track(gateway: &Gateway, req: &IdentifiedRequest, service: &ServiceName) -> Track {
-    let hash = xxh3_64_with_seed(req.call.id.as_bytes(), TRACK_SEED);
-    let is_bound = req.is_bound();
-    gateway.with(|state| state.rollouts.track(clock::now(), service, hash, is_bound))
-}
-
-/// Returns the version to which a request goes again.
-pub fn retry_track(gateway: &Gateway, service: &ServiceName, last: AttemptEnd) -> Track {
-    gateway.with(|state| state.rollouts.retry_track(clock::now(), service, last))
-}
-
-/// Returns whether a request may be retried, and takes the retry from the retry budget.
-pub fn take_retry(
-    gateway: &Gateway,
-    req: &IdentifiedRequest,
-    service: &ServiceName,
-    log_entry: &AccessLogEntry,
-) -> bool {
-    if req.route.cfg.attempts <= log_entry.sends {
-        return false;
-    }
-    let now = clock::now();
-    let limit = gateway.retry_limit();
-    let has_budget = gateway.with(|state| {
-        let nodes = state.members.count();
-        state.retry_budgets.entry(service.clone()).or_default().take(now, limit, nodes)
-    });
-    if !has_budget {
-        tracing::info!(
-            event = Event::RepeatRefused.number(),
-            id = req.call.id.as_str(),
-            service = service.as_str(),
-            sends = log_entry.sends
-        );
-    }
-    has_budget
-}
-
-// A refusal guarantees that the request was not run. If it may have been, the failure says so.
-fn unless_run(failure: Failure, attempts: &Attempts) -> Failure {
-    if attempts.ran() == Ran::No { failure } else { Failure::ResponseLost }
-}
-
-fn response_timeout(
-    req: &IdentifiedRequest,
-    placement: &Placement,
-    sends: u32,
-    left: Duration,
-) -> Duration {
-    let is_last = req.route.cfg.attempts <= sends;
-    match req.route.cfg.kind {
-        RouteKind::Idempotent if !is_last => {
-            let max = (left / CALL_TIMEOUT_DIVISOR).max(MIN_CALL_TIMEOUT);
-            (placement.p95_call * CALL_TIMEOUT_FACTOR + placement.wait).clamp(MIN_CALL_TIMEOUT, max)
-        }
-        RouteKind::ResumableStream if !is_last => {
-            ENGINE_TIMEOUT_MARGIN + placement.footprint.expected.unwrap_or_default()
-        }
-        _ => Duration::MAX,
-    }
-}
-
 fn forward_response(
     gateway: &Arc<Gateway>,
     original: OriginalRequest,
--- a/crates/gateway/src/pipeline/silence.rs
+++ b/crates/gateway/src/pipeline/silence.rs
@@ -42,8 +42,8 @@
     Version,
     /// No other backend server accepts it.
     NoServer,
-    /// The other backend server did not answer it.
-    Failed,
+    /// Its time is over.
+    Late,
 }
 
 impl NoTakeover {
@@ -56,11 +56,52 @@
             NoTakeover::Blocked => "blocked",
             NoTakeover::Version => "version",
             NoTakeover::NoServer => "no_server",
-            NoTakeover::Failed => "failed",
+            NoTakeover::Late => "late",
         }
     }
 }
 
+/// A `SilenceEnd` is how the silence of a backend server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SilenceEnd {
+    /// It sent more.
+    WentOn,
+    /// Another server answered first.
+    TakenOver,
+    /// It closed the connection.
+    Closed,
+    /// The time of the request is over.
+    Late,
+}
+
+impl SilenceEnd {
+    fn as_str(self) -> &'static str {
+        match self {
+            SilenceEnd::WentOn => "went_on",
+            SilenceEnd::TakenOver => "taken_over",
+            SilenceEnd::Closed => "closed",
+            SilenceEnd::Late => "late",
+        }
+    }
+}
+
+/// Logs how the silence of a server ended.
+pub fn log_silence_end(
+    req: &IdentifiedRequest,
+    placement: &Placement,
+    (stage, silent): (SilenceStage, Duration),
+    end: SilenceEnd,
+) {
+    tracing::info!(
+        event = Event::SilenceEnded.number(),
+        id = req.call.id.as_str(),
+        backend = &*placement.name,
+        stage = stage.as_str(),
+        silent_ms = silent.as_secs_f64() * 1_000.0,
+        outcome = end.as_str()
+    );
+}
+
 /// Logs that a server has been silent for too long, and whether another one takes over.
 pub fn log_silent(
     req: &IdentifiedRequest,
--- a/crates/gateway/src/pipeline/tried.rs
+++ b/crates/gateway/src/pipeline/tried.rs
@@ -22,15 +22,20 @@
         self.sent.push(key);
     }
 
-    /// Notes that this node could not open a connection to the server that was noted last.
-    pub fn note_unopened(&mut self) {
-        self.unopened.extend(self.sent.pop());
+    /// Notes that this node could not open a connection to a server that was noted.
+    pub fn note_unopened(&mut self, key: WorkerKey) {
+        self.forget(key);
+        self.unopened.push(key);
     }
 
-    /// Notes that a node had no room at the server that was noted last, to which another node may carry the request.
-    pub fn note_full(&mut self, node: NodeName) {
-        let server = self.sent.pop();
-        self.full.extend(server.map(|server| (server, node)));
+    /// Notes that a node had no room at a server that was noted, to which another node may carry the request.
+    pub fn note_full(&mut self, key: WorkerKey, node: NodeName) {
+        self.forget(key);
+        self.full.push((key, node));
+    }
+
+    fn forget(&mut self, key: WorkerKey) {
+        self.sent.retain(|sent| *sent != key);
     }
 
     /// Returns the number of times that a node had no room.
