A stopping node ends the requests that it carries for others

Callers of a node that has lost its way to the servers lost orders and streams when the node that carried them stopped: its stop waited for its own callers' port and aborted the peers' port, so the answer was cut seconds before the end of its grace period.

The stop now waits until no carried request is open, within the grace period, and closes the peers' port in order, so that the last bytes leave. New ones are refused as not run from the drain on, as before.

--- a/crates/gateway/src/cluster/carry.rs
+++ b/crates/gateway/src/cluster/carry.rs
@@ -79,8 +79,16 @@
     name: Arc<str>,
 }
 
+impl CarriedInFlight {
+    fn begin(gateway: &Arc<Gateway>, key: WorkerKey, name: &Arc<str>) -> CarriedInFlight {
+        gateway.carried.send_modify(|carried| *carried += 1);
+        CarriedInFlight { gateway: Arc::clone(gateway), key, name: Arc::clone(name) }
+    }
+}
+
 impl Drop for CarriedInFlight {
     fn drop(&mut self) {
+        self.gateway.carried.send_modify(|carried| *carried -= 1);
         self.gateway.with(|state| {
             if let Some(backend) = state.backends.get_mut(self.key) {
                 backend.room.end();
@@ -131,8 +139,7 @@
         let service = table.services.get(&backend.record.service).ok_or(NOT_RUN)?;
         let connections = connection_share(service.connections, members.count());
         backend.room.begin();
-        let name = Arc::clone(&backend.name);
-        let in_flight = CarriedInFlight { gateway: Arc::clone(gateway), key, name };
+        let in_flight = CarriedInFlight::begin(gateway, key, &backend.name);
         Ok(Target { key, pool: Arc::clone(&backend.pool), connections, in_flight })
     })
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -280,6 +280,8 @@
     pub table: ArcSwapOption<RouteTable>,
     /// The stage of its shutdown.
     pub phase: watch::Sender<Phase>,
+    /// The requests of other nodes that it carries.
+    pub carried: watch::Sender<usize>,
     /// Notified when origins of streams have to be copied to other nodes.
     pub copies_due: Notify,
     /// Notified when blocks of prompt parts have to be written to the key-value service.
@@ -325,6 +327,7 @@
             calls,
             table: ArcSwapOption::empty(),
             phase: watch::Sender::new(Phase::Serving),
+            carried: watch::Sender::new(0),
             copies_due: Notify::new(),
             blocks_due: Notify::new(),
             waiting_due: Notify::new(),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -5,7 +5,11 @@
 use bulrushhall_core::Event;
 use bulrushhall_external::http::{Handler, ServerOptions, listen, serve};
 use error_stack::{Report, ResultExt};
-use tokio::{sync::watch, task::JoinHandle, time::sleep};
+use tokio::{
+    sync::watch,
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
 
 use crate::{
     cluster::{
@@ -25,6 +29,9 @@
 /// The part of the grace period that remains when the node aborts unfinished requests.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
 
+/// How long the last bytes of carried answers may take to leave the process.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
+
 /// The maximum number of connections on a port: half of the file descriptors of the smallest supported VM;
 /// the rest is for connections to backend servers.
 const MAX_CONNECTIONS: usize = 2_000;
@@ -50,8 +57,9 @@
 pub struct Node {
     gateway: Arc<Gateway>,
     stop: watch::Sender<bool>,
-    _running: watch::Sender<bool>,
+    running: watch::Sender<bool>,
     callers: JoinHandle<()>,
+    peers: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -63,13 +71,14 @@
         let ports = &gateway.settings.ports;
         let handler: Arc<dyn Handler> = Arc::new(CallerPort::new(Arc::clone(&gateway)));
         let callers = open(ports.callers, handler, &gateway, stop.subscribe())?;
-        let others: [(SocketAddr, Arc<dyn Handler>); 3] = [
+        let others: [(SocketAddr, Arc<dyn Handler>); 2] = [
             (ports.directory, Arc::new(DirectoryPort::new(Arc::clone(&gateway)))),
             (ports.readiness, Arc::new(ReadinessPort::new(Arc::clone(&gateway)))),
-            (ports.peers, Arc::new(PeerPort::new(Arc::clone(&gateway)))),
         ];
         // These ports stay open until the process ends: a node that is stopping still takes part in gossip.
         let running = watch::Sender::new(false);
+        let handler: Arc<dyn Handler> = Arc::new(PeerPort::new(Arc::clone(&gateway)));
+        let peers = open(ports.peers, handler, &gateway, running.subscribe())?;
         let mut tasks = Vec::new();
         for (address, handler) in others {
             tasks.push(open(address, handler, &gateway, running.subscribe())?);
@@ -90,7 +99,7 @@
             node = %gateway.settings.gateway.name,
             incarnation = gateway.incarnation.0
         );
-        Ok(Node { gateway, stop, _running: running, callers, tasks })
+        Ok(Node { gateway, stop, running, callers, peers, tasks })
     }
 
     /// Returns the shared state of the node.
@@ -98,7 +107,8 @@
         &self.gateway
     }
 
-    /// Stops the node: withdraws its address, then stops accepting requests, then drains those in flight.
+    /// Stops the node: withdraws its address, then stops accepting requests, then drains those in flight, also those that
+    /// it carries for other nodes.
     pub async fn stop(self) {
         let node = &self.gateway.settings.gateway.name;
         tracing::info!(event = Event::NodeLeaving.number(), %node);
@@ -110,8 +120,18 @@
         self.gateway.waiting_due.notify_one();
         self.stop.send_replace(true);
         let left = grace.saturating_sub(leaving + GRACE_MARGIN);
-        let ended = tokio::time::timeout(left, self.callers).await.is_ok();
+        let mut carried = self.gateway.carried.subscribe();
+        let draining = async {
+            let _ = self.callers.await;
+            let _ = carried.wait_for(|carried| *carried == 0).await;
+        };
+        let ended = timeout(left, draining).await.is_ok();
         hand_over_streams(&self.gateway).await;
+        self.running.send_replace(true);
+        let mut peers = self.peers;
+        if timeout(FLUSH_TIME, &mut peers).await.is_err() {
+            peers.abort();
+        }
         for task in &self.tasks {
             task.abort();
         }
