Sender: retries, open attempts, aims and timeouts in files of their own

RetryGate decides whether a request may be sent again and pays for it, SilentAttempts keeps the attempts whose servers are silent, response_timeout holds the limits, send_fault the reasons of failed attempts. No decision changes; silent_servers 51, carried_requests 15, failed_attempts 10, server_limit 15, stream_versions 30, stopping_carriers 2 passed.

--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -24,9 +24,13 @@
     crashes::{SentRequest, log_broken_answer, note_answering, note_unopened},
     gateway::Gateway,
     meters,
-    pipeline::{identify::IdentifiedRequest, in_flight::InFlightGuard, placement::Placement},
+    pipeline::{
+        identify::IdentifiedRequest,
+        in_flight::InFlightGuard,
+        placement::Placement,
+        send_fault::{SendError, SendFault},
+    },
     reachability::{note_opened, note_unreachable, suspect_server},
-    rollouts::AttemptEnd,
 };
 
 /// The part of the remaining time that is kept for the way of the response back to the caller.
@@ -55,67 +59,6 @@
     pub deadline: Stamp,
 }
 
-/// A `SendFault` is the reason why an attempt got no response that may be forwarded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SendFault {
-    /// No connection could be opened.
-    NotOpened(OpenError),
-    /// The node that was to carry the request refuses it because of a part of its prompt.
-    Blocked,
-    /// The backend server reports that it did not run the request.
-    NotRun,
-    /// Another backend server listens at the address.
-    OtherBackend,
-    /// No response head arrived before another server's, or in time.
-    Silent,
-    /// The connection was closed before a response head arrived.
-    Closed,
-    /// The response belongs to another request, does not carry the backend server's seal, or is none.
-    Foreign,
-}
-
-impl SendFault {
-    /// Returns its label in logs and metrics.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            SendFault::NotOpened(OpenError::Unreachable) => "unreachable",
-            SendFault::NotOpened(OpenError::Full) => "too_many_connections",
-            SendFault::Blocked => "blocked",
-            SendFault::NotRun => "not_run",
-            SendFault::OtherBackend => "other_backend",
-            SendFault::Silent => "silent",
-            SendFault::Closed => "closed",
-            SendFault::Foreign => "foreign",
-        }
-    }
-}
-
-impl SendFault {
-    /// Returns whether no connection could be opened.
-    pub fn is_not_opened(self) -> bool {
-        matches!(self, SendFault::NotOpened(_))
-    }
-
-    /// Returns how the attempt ended, for the choice of the next server.
-    pub fn attempt_end(self) -> AttemptEnd {
-        match self {
-            SendFault::NotOpened(OpenError::Unreachable) => AttemptEnd::Unreachable,
-            _ => AttemptEnd::Other,
-        }
-    }
-}
-
-/// A `SendError` is an attempt that got no response that may be forwarded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SendError {
-    /// The reason.
-    pub fault: SendFault,
-    /// Whether the request may have run.
-    pub ran: Ran,
-    /// Whether the connection had carried an earlier request.
-    pub kept: bool,
-}
-
 /// A `SilenceLimit` is how long a backend server may send nothing before another one is looked for.
 #[derive(Debug)]
 pub struct SilenceLimit {
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -13,6 +13,7 @@
 mod resumption;
 mod room_search;
 mod send;
+mod send_fault;
 mod serve;
 mod silence;
 mod silence_race;
--- a/crates/gateway/src/pipeline/send.rs
+++ b/crates/gateway/src/pipeline/send/sender.rs
@@ -1,47 +1,40 @@
-//! Sending of a request to one backend server after the other until one answers.
+//! The sender of a request.
 
-use std::{future::pending, pin::Pin, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use bulrushhall_coord::{Attempts, streams::StreamOrigin};
-use bulrushhall_core::{Event, Ran, ServiceName, Stamp, config::RouteKind};
+use bulrushhall_coord::Attempts;
+use bulrushhall_core::{Event, Ran, ServiceName, Stamp};
 use bulrushhall_policy::rollout::Track;
-use futures_util::future::select_all;
 use tokio::{sync::oneshot, time::sleep};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     backends::OpenError,
     clock,
-    crashes::{may_repeat, send_refusal, server_hash},
+    crashes::send_refusal,
     gateway::Gateway,
     pipeline::{
         Failure,
         access_log::AccessLogEntry,
-        attempt::{
-            BackendResponse, OriginalRequest, SendError, SendFault, SilenceLimit, attempt,
-            note_unanswered,
-        },
+        attempt::{BackendResponse, OriginalRequest, SilenceLimit, attempt, note_unanswered},
         identify::IdentifiedRequest,
         placement::{BRITTLE_RETRY_AFTER, Placement, PlacementQuery, Way},
         queueing::Queueing,
         room_search::RoomSearch,
-        silence::{NoTakeover, SilenceEnd, SilenceStage, log_silence_end, log_silent},
+        send::{
+            NotSent, SendAim,
+            open_attempts::{OpenAttempt, SilentAttempts},
+            response_timeout::response_timeout,
+            retry_gate::{RetryContext, RetryGate},
+        },
+        send_fault::{SendError, SendFault},
+        silence::{NoTakeover, SilenceEnd, SilenceStage, log_silent},
         tried::TriedServers,
     },
     rollouts::AttemptEnd,
     waiting::place_or_wait,
 };
 
-/// The timeout after which an idempotent call is sent to another server, as a multiple of the service's
-/// 95th percentile: a call that is merely slow is not worth a second one.
-const CALL_TIMEOUT_FACTOR: u32 = 2;
-/// The minimum of this timeout: a healthy node may stall that long.
-const MIN_CALL_TIMEOUT: Duration = Duration::from_millis(100);
-/// The maximum of this timeout is the remaining time divided by this number: the second attempt needs
-/// time too.
-const CALL_TIMEOUT_DIVISOR: u32 = 3;
-/// The time beyond the expected first token after which a resumable stream is sent to another engine.
-const ENGINE_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_500);
 /// The seed of the hash that chooses between versions, which has to differ from that for services.
 const TRACK_SEED: u64 = 1;
 /// The number of failed connection attempts after which a request is given up.
@@ -53,32 +46,6 @@
 /// The time after which it is checked again whether another server can take over from a silent one.
 pub const TAKEOVER_RECHECK: Duration = Duration::from_millis(300);
 
-/// A `SendAim` is what a request is sent for.
-#[derive(Clone, Debug)]
-pub enum SendAim {
-    /// Its answer, whatever its status is.
-    Answer,
-    /// The rest of its stream, of which the caller has events.
-    Rest {
-        /// The last event that the caller has.
-        after: Option<u64>,
-        /// Where the stream began.
-        origin: Option<StreamOrigin>,
-        /// The hash of the server that broke off the stream or is silent, and how many have.
-        broken_by: u64,
-        breaks: u32,
-    },
-}
-
-/// A `NotSent` is the reason why no backend server answers a request.
-#[derive(Clone, Copy, Debug)]
-pub struct NotSent {
-    /// The response that its caller gets.
-    pub failure: Failure,
-    /// Why it is not sent to another server.
-    pub reason: NoTakeover,
-}
-
 /// A `RequestSender` sends a request to backend servers until one answers.
 ///
 /// A server that is silent for too long keeps the request until another one has answered: all servers may be silent for a
@@ -104,23 +71,11 @@
     connect_failures: usize,
     search: RoomSearch,
     last_end: AttemptEnd,
-    /// The server that broke off or is silent, if the last attempt ended so.
-    suspect: Option<u64>,
-    breaks: u32,
-    /// Whether the next attempt is a retry that is not paid for yet.
-    is_retry: bool,
-    /// The attempts whose servers are silent.
-    silent: Vec<OpenAttempt<'a>>,
+    retry: RetryGate,
+    silent: SilentAttempts<'a>,
     silence: Option<Silence>,
 }
 
-/// An attempt that has not ended.
-struct OpenAttempt<'a> {
-    placement: Placement,
-    began: Stamp,
-    answer: Pin<Box<dyn Future<Output = Result<BackendResponse, SendError>> + Send + 'a>>,
-}
-
 /// The silence of a server, until another one has got its request.
 struct Silence {
     placement: Placement,
@@ -141,9 +96,9 @@
         (tried, log_entry): (&'a mut TriedServers, &'a mut AccessLogEntry),
         aim: SendAim,
     ) -> RequestSender<'a> {
-        let (suspect, breaks) = match aim {
-            SendAim::Answer => (None, 0),
-            SendAim::Rest { broken_by, breaks, .. } => (Some(broken_by), breaks),
+        let retry = match aim {
+            SendAim::Answer => RetryGate::default(),
+            SendAim::Rest { broken_by, breaks, .. } => RetryGate::after_break(broken_by, breaks),
         };
         RequestSender {
             gateway,
@@ -157,10 +112,8 @@
             connect_failures: 0,
             search: RoomSearch::default(),
             last_end: AttemptEnd::default(),
-            is_retry: suspect.is_some(),
-            suspect,
-            breaks,
-            silent: Vec::new(),
+            retry,
+            silent: SilentAttempts::default(),
             silence: None,
             aim,
         }
@@ -188,8 +141,8 @@
             }
             tokio::select! {
                 biased;
-                (index, answer) = any_answer(&mut self.silent) => {
-                    if let Some(response) = self.silent_ended(index, answer) {
+                (placement, answer) = self.silent.next(self.req) => {
+                    if let Some(response) = self.silent_ended(&placement, answer) {
                         return Ok(self.answered(response));
                     }
                 }
@@ -209,17 +162,17 @@
             let failure = Failure::TimedOut(self.attempts.ran());
             return Err(NotSent { failure, reason: NoTakeover::Late });
         }
-        self.check_retry().await?;
+        self.retry.check(self.retry_context()).await?;
         let placement = self.place().await?;
-        self.pay_for_retry(&placement)?;
+        self.retry.pay(self.retry_context(), &placement)?;
         self.log_silence(Ok(()));
         let (mut open, mut silent_for_long) = self.begin(placement, began);
         loop {
             tokio::select! {
                 biased;
                 answer = &mut open.answer => return self.ended(open, answer),
-                (index, answer) = any_answer(&mut self.silent) => {
-                    if let Some(response) = self.silent_ended(index, answer) {
+                (placement, answer) = self.silent.next(self.req) => {
+                    if let Some(response) = self.silent_ended(&placement, answer) {
                         note_unanswered(self.req, &open.placement, clock::now().since(open.began));
                         return Ok(Some(response));
                     }
@@ -232,73 +185,14 @@
         }
     }
 
-    // Checks whether the request may be sent again, if the next attempt is a retry.
-    async fn check_retry(&mut self) -> Result<(), NotSent> {
-        if !self.is_retry {
-            return Ok(());
-        }
-        let rejected = |reason| NotSent { failure: Failure::Rejected, reason };
-        if !self.attempts.may_retry() && !self.req.route.cfg.kind.may_run_again() {
-            return Err(rejected(NoTakeover::NotRepeatable));
-        }
-        if self.req.route.cfg.attempts <= self.log_entry.sends {
-            return Err(rejected(NoTakeover::Attempts));
-        }
-        if let Some(server) = self.suspect
-            && !may_repeat(self.gateway, self.req, server, self.breaks).await
-        {
-            return Err(rejected(NoTakeover::Blocked));
-        }
-        if self.retries_left() == 0 {
-            self.log_refused_retry();
-            return Err(rejected(NoTakeover::Budget));
-        }
-        Ok(())
-    }
-
-    fn retries_left(&self) -> u32 {
-        let limit = self.gateway.retry_limit();
-        self.gateway.with(|state| {
-            let nodes = state.members.count();
-            let budget = state.retry_budgets.entry(self.service.clone()).or_default();
-            budget.remaining(clock::now(), limit, nodes)
-        })
-    }
-
-    // Takes the retry from the budget once there is a server for it.
-    fn pay_for_retry(&mut self, placement: &Placement) -> Result<(), NotSent> {
-        if !self.is_retry {
-            return Ok(());
-        }
-        let limit = self.gateway.retry_limit();
-        let is_paid = self.gateway.with(|state| {
-            let nodes = state.members.count();
-            let budget = state.retry_budgets.entry(self.service.clone()).or_default();
-            let is_paid = budget.take(clock::now(), limit, nodes);
-            if let (false, Some(backend)) = (is_paid, state.backends.get_mut(placement.key)) {
-                backend.announced.refund_request();
-            }
-            is_paid
-        });
-        if !is_paid {
-            self.log_refused_retry();
-            return Err(NotSent { failure: Failure::Rejected, reason: NoTakeover::Budget });
-        }
-        self.is_retry = false;
-        Ok(())
-    }
-
-    // A silence is checked again and again, but its first line tells that there is no budget.
-    fn log_refused_retry(&self) {
-        if self.silence.as_ref().is_some_and(|silence| silence.logged == Some(NoTakeover::Budget)) {
-            return;
+    fn retry_context(&self) -> RetryContext<'a> {
+        RetryContext {
+            gateway: self.gateway,
+            req: self.req,
+            service: self.service,
+            attempts: self.attempts,
+            sends: self.log_entry.sends,
         }
-        tracing::info!(
-            event = Event::RepeatRefused.number(),
-            id = self.req.call.id.as_str(),
-            service = self.service.as_str(),
-            sends = self.log_entry.sends
-        );
     }
 
     async fn place(&mut self) -> Result<Placement, NotSent> {
@@ -371,26 +265,23 @@
     // Goes on waiting for a server that is silent while another one is looked for.
     fn note_silent(&mut self, open: OpenAttempt<'a>) {
         let lasted = clock::now().since(open.began);
-        let placement = open.placement.clone();
-        self.suspect = Some(server_hash(&placement.name, placement.born));
-        self.breaks += 1;
-        self.is_retry = true;
+        let (placement, stage) = (open.placement.clone(), SilenceStage::Head);
+        self.retry.note_suspect(&placement);
         self.last_end = AttemptEnd::Other;
-        let stage = SilenceStage::Head;
         self.silence = Some(Silence { placement, stage, lasted, logged: None });
         self.silent.push(open);
     }
 
-    fn silent_ended(&mut self, index: usize, answer: Result<BackendResponse, SendError>) -> Answer {
-        let OpenAttempt { placement, began, .. } = self.silent.swap_remove(index);
-        let lasted = clock::now().since(began);
-        let end = if answer.is_ok() { SilenceEnd::WentOn } else { SilenceEnd::Closed };
-        log_silence_end(self.req, &placement, (SilenceStage::Head, lasted), end);
+    fn silent_ended(
+        &mut self,
+        placement: &Placement,
+        answer: Result<BackendResponse, SendError>,
+    ) -> Answer {
         match answer {
             Ok(response) => self.take_response(response),
             Err(failed) => {
                 self.attempts.end(failed.ran);
-                self.note_unsent(failed, &placement);
+                self.note_unsent(failed, placement);
                 None
             }
         }
@@ -417,17 +308,22 @@
             if let Some(sent) = &mut response.sent {
                 sent.settle();
             }
-            (self.is_retry, self.suspect, self.last_end) = (true, None, AttemptEnd::Other);
+            self.note_error();
             return None;
         }
         if status.is_server_error() && self.req.route.cfg.kind.may_run_again() {
             self.error_response = Some(response);
-            (self.is_retry, self.suspect, self.last_end) = (true, None, AttemptEnd::Other);
+            self.note_error();
             return None;
         }
         Some(response)
     }
 
+    fn note_error(&mut self) {
+        self.retry.note_retry();
+        self.last_end = AttemptEnd::Other;
+    }
+
     // Decides whether another server is tried after an attempt that got no response.
     fn failed(
         &mut self,
@@ -470,12 +366,11 @@
         if is_search_over && !self.left().is_zero() {
             return Err(no_room);
         }
-        self.is_retry = true;
-        self.suspect = None;
         // A server that closed the connection may have crashed.
         if fault == SendFault::Closed {
-            self.breaks += 1;
-            self.suspect = Some(server_hash(&placement.name, placement.born));
+            self.retry.note_suspect(placement);
+        } else {
+            self.retry.note_retry();
         }
         Ok(())
     }
@@ -497,7 +392,7 @@
 
     // Gives up the servers that are still silent.
     fn answered(&mut self, response: BackendResponse) -> BackendResponse {
-        self.abandon_silent(SilenceEnd::TakenOver);
+        self.silent.abandon(self.req, SilenceEnd::TakenOver);
         response
     }
 
@@ -509,18 +404,10 @@
         };
         let is_answered = self.error_response.is_some();
         let end = if is_answered { SilenceEnd::TakenOver } else { SilenceEnd::Late };
-        self.abandon_silent(end);
+        self.silent.abandon(self.req, end);
         NotSent { failure, ..not_sent }
     }
 
-    fn abandon_silent(&mut self, end: SilenceEnd) {
-        for open in self.silent.drain(..) {
-            let lasted = clock::now().since(open.began);
-            log_silence_end(self.req, &open.placement, (SilenceStage::Head, lasted), end);
-            note_unanswered(self.req, &open.placement, lasted);
-        }
-    }
-
     // Logs whether another server takes over from a silent one, each outcome once.
     fn log_silence(&mut self, takeover: Result<(), NoTakeover>) {
         let Some(silence) = &mut self.silence else { return };
@@ -540,15 +427,6 @@
     }
 }
 
-// Waits until one of several attempts ends; forever if there are none.
-async fn any_answer(open: &mut [OpenAttempt<'_>]) -> (usize, Result<BackendResponse, SendError>) {
-    if open.is_empty() {
-        return pending().await;
-    }
-    let (answer, index, _) = select_all(open.iter_mut().map(|open| open.answer.as_mut())).await;
-    (index, answer)
-}
-
 // Returns whether a brittle server, or a node that was to carry the request there, has refused it. That this node could not
 // open a connection says nothing of the room.
 fn is_refused_for_room(
@@ -581,22 +459,3 @@
 fn unless_run(failure: Failure, attempts: &Attempts) -> Failure {
     if attempts.ran() == Ran::No { failure } else { Failure::ResponseLost }
 }
-
-fn response_timeout(
-    req: &IdentifiedRequest,
-    placement: &Placement,
-    sends: u32,
-    left: Duration,
-) -> Duration {
-    let is_last = req.route.cfg.attempts <= sends;
-    match req.route.cfg.kind {
-        RouteKind::Idempotent if !is_last => {
-            let max = (left / CALL_TIMEOUT_DIVISOR).max(MIN_CALL_TIMEOUT);
-            (placement.p95_call * CALL_TIMEOUT_FACTOR + placement.wait).clamp(MIN_CALL_TIMEOUT, max)
-        }
-        RouteKind::ResumableStream if !is_last => {
-            ENGINE_TIMEOUT_MARGIN + placement.footprint.expected.unwrap_or_default()
-        }
-        _ => Duration::MAX,
-    }
-}
