Crashes: a lookup is not refused because all servers were lost at once

Callers of a service all of whose servers crash at once got 503 for their equal lookups for 30 s after the servers were back: five servers of one moment blame a request that was answered before if it is not answered within 1.5 s, and nothing is answered while all servers are away.

Answers to prompts and to calls are now told apart, and one moment counts against a request that was answered before only if another one of its kind was answered since. A request that was never answered, and one under which servers crash in two moments, are judged as before.

lost_service failed before and passes; crash_requests 14, crash_evidence 23, crashing_requests and the other files of the adapter about crashes pass; late_turned_part (red) has 6 late as before.

--- a/crates/coord/src/crashes/evidence.rs
+++ b/crates/coord/src/crashes/evidence.rs
@@ -264,7 +264,10 @@
             BlockKind::Parts => {
                 crashed_at.get(self.options.many - 1).copied().filter(is_answered_since)
             }
-            BlockKind::Request => crashed_at.get(self.options.many_of_request - 1).copied(),
+            BlockKind::Request => crashed_at
+                .get(self.options.many_of_request - 1)
+                .copied()
+                .filter(|at| self.may_be_answered(part, suspect, *at, outcomes)),
         };
         PartTally {
             kind: suspect.kind,
@@ -278,6 +281,20 @@
         }
     }
 
+    // Returns whether a request that was answered before could have been answered after servers crashed in one moment: while all
+    // servers are away, nothing is.
+    fn may_be_answered(
+        &self,
+        request: PartId,
+        suspect: &Suspect,
+        crashed_at: Stamp,
+        outcomes: &PartOutcomes,
+    ) -> bool {
+        let is_new = !self.sound.contains_key(&request);
+        let answered_at = outcomes.last_answer_like(request);
+        is_new || 1 < suspect.moments || answered_at.is_some_and(|at| crashed_at < at)
+    }
+
     // Returns the blame for a part and for those that the evidence does not tell apart from it: parts of the same requests are
     // blamed together, those of different requests each by itself.
     fn inseparable(
--- a/crates/coord/src/crashes/outcomes.rs
+++ b/crates/coord/src/crashes/outcomes.rs
@@ -18,7 +18,16 @@
 #[derive(Debug, Default)]
 pub struct PartOutcomes {
     parts: HashMap<PartId, Sound>,
+    /// When the last answer to a prompt, and to a request without one, came to its end.
     last_at: Option<Stamp>,
+    last_call_at: Option<Stamp>,
+}
+
+/// What an answer was made to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Answered {
+    Prompt,
+    Call,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -27,11 +36,12 @@
     previous: u32,
     began_at: Stamp,
     last_at: Stamp,
+    answered: Answered,
 }
 
 impl Sound {
-    fn new(now: Stamp) -> Sound {
-        Sound { current: 0, previous: 0, began_at: now, last_at: now }
+    fn new(now: Stamp, answered: Answered) -> Sound {
+        Sound { current: 0, previous: 0, began_at: now, last_at: now, answered }
     }
 
     fn note(&mut self, now: Stamp) {
@@ -54,17 +64,18 @@
     /// Notes an answer to a prompt that came to its end.
     pub fn note_sound(&mut self, now: Stamp, parts: impl IntoIterator<Item = PartId>) {
         self.last_at = Some(now);
-        self.note(now, parts);
+        self.note(now, parts, Answered::Prompt);
     }
 
     /// Notes an answer to a request without a prompt, which tells nothing of the servers of prompts.
     pub fn note_call(&mut self, now: Stamp, digest: PartId) {
-        self.note(now, [digest]);
+        self.last_call_at = Some(now);
+        self.note(now, [digest], Answered::Call);
     }
 
-    fn note(&mut self, now: Stamp, ids: impl IntoIterator<Item = PartId>) {
+    fn note(&mut self, now: Stamp, ids: impl IntoIterator<Item = PartId>, answered: Answered) {
         for part in ids {
-            self.parts.entry(part).or_insert_with(|| Sound::new(now)).note(now);
+            self.parts.entry(part).or_insert_with(|| Sound::new(now, answered)).note(now);
         }
         if MAX_PARTS < self.parts.len() {
             self.drop_oldest();
@@ -86,6 +97,16 @@
         self.last_at
     }
 
+    /// Returns when the last answer came to its end that a server of the same kind may have given as those of a request: to any
+    /// prompt, or to any request without one.
+    pub fn last_answer_like(&self, digest: PartId) -> Option<Stamp> {
+        match self.parts.get(&digest).map(|sound| sound.answered) {
+            Some(Answered::Prompt) => self.last_at,
+            Some(Answered::Call) => self.last_call_at,
+            None => self.last_at.max(self.last_call_at),
+        }
+    }
+
     fn drop_oldest(&mut self) {
         let mut used: Vec<Stamp> = self.parts.values().map(|sound| sound.last_at).collect();
         let (_, limit, _) = used.select_nth_unstable(DROPPED_PARTS);
