Silence race: the first bytes of a silent server begin its answer

Bytes that arrive while another server is looked for were not noted as the beginning of the answer, which orders the requests of a server that crashes. Found by reading.

--- a/crates/gateway/src/pipeline/send/sender.rs
+++ b/crates/gateway/src/pipeline/send/sender.rs
@@ -51,18 +51,12 @@
 /// A server that is silent for too long keeps the request until another one has answered: all servers may be silent for a
 /// moment, or none may take over.
 pub struct RequestSender<'a> {
-    /// The node.
-    pub gateway: &'a Arc<Gateway>,
-    /// The request.
-    pub req: &'a IdentifiedRequest,
-    /// The request as it was received.
-    pub original: &'a OriginalRequest,
-    /// The service that it goes to.
-    pub service: &'a ServiceName,
-    /// The backend servers that it was sent to.
-    pub tried: &'a mut TriedServers,
-    /// The access log entry.
-    pub log_entry: &'a mut AccessLogEntry,
+    gateway: &'a Arc<Gateway>,
+    req: &'a IdentifiedRequest,
+    original: &'a OriginalRequest,
+    service: &'a ServiceName,
+    tried: &'a mut TriedServers,
+    log_entry: &'a mut AccessLogEntry,
     /// Whether it has run, over all attempts.
     pub attempts: Attempts,
     /// An error response, which is forwarded if no retry replaces it.
--- a/crates/gateway/src/pipeline/silence_race.rs
+++ b/crates/gateway/src/pipeline/silence_race.rs
@@ -119,6 +119,9 @@
         ended => return Progress::Broken(ended),
     };
     let Ok(bytes) = frame.into_data() else { return Progress::Nothing };
+    if let Some(sent) = &mut silent.sent {
+        sent.note_began();
+    }
     match splitter.push(&bytes) {
         Some(events) => Progress::Won(RaceEnd::Events(events)),
         None if splitter.is_event_too_large() => Progress::Won(RaceEnd::TooLarge),
