Test servers: an IP address of its own for each process, no port twice

Callers of a test could reach servers of another one: the ports of nodes were taken from the process id, 101 a process, which a file such as cut_from_servers exceeds several times, so processes with near ids took the same ones; all other servers listened on ports chosen by the kernel, which it gives again, to servers or outgoing connections, once they end.

Each process now reserves an IP address in 127.16.0.0/16 by a listening socket, which the kernel closes with the process, and hands out its ports in turn, below those of outgoing connections. A port returns only after all others. Where loopback has one address the kernel chooses as before.

Stand-ins, links, the harness and the nodes of the testbed use it. Tests that called an address which had been closed use one never opened.

--- a/crates/bench/src/testbed/mod.rs
+++ b/crates/bench/src/testbed/mod.rs
@@ -20,6 +20,7 @@
     cloud::CloudServer,
     engine::EngineServer,
     kv::KvServer,
+    loopback::unused_address,
     service::{Ledger, ServiceServer},
     vm_list::VmListServer,
     weights::WeightServer,
@@ -172,8 +173,10 @@
             name: NodeName::new(format!("entry-{at}"))?,
             vm: vm.clone(),
             zone: zone.clone(),
+            callers: fixed_address(settings.node.callers),
+            peers: fixed_address(settings.node.peers),
+            operators: fixed_address(settings.node.operators),
             seeds: alive.iter().map(|node| node.context().settings.node.peers).collect(),
-            ..settings.node.clone()
         };
         let mut settings = Settings { node, ..settings.clone() };
         let platform = &mut settings.platform;
@@ -276,6 +279,11 @@
     }
 }
 
+// The addresses of a node that has ended are not given to other servers.
+fn fixed_address(address: SocketAddr) -> SocketAddr {
+    if address.port() == 0 { unused_address() } else { address }
+}
+
 fn offers(options: &TestbedOptions) -> Result<Vec<Offer>, TestbedError> {
     let mut offers = Vec::new();
     for zone in &options.zones {
--- a/crates/daemon/tests/route_process.rs
+++ b/crates/daemon/tests/route_process.rs
@@ -8,6 +8,7 @@
     process::{Child, Command, Stdio},
 };
 
+use bulrushhall_standin::loopback::unused_address;
 use harness::{
     Harness, LEDGER,
     backend::{Backend, Behavior},
@@ -97,9 +98,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn served_metrics() {
     let harness = Harness::without_node().await;
-    let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    let metrics = free.local_addr().expect("an address");
-    drop(free);
+    let metrics = unused_address();
     let text = harness.settings_text("node-7");
     let text = text.replace("[endpoints]", &format!("metrics = {metrics}\n[endpoints]"));
     let _process = start(&text, Stdio::null());
--- a/crates/standin/src/engine/server.rs
+++ b/crates/standin/src/engine/server.rs
@@ -26,6 +26,7 @@
 
 use crate::{
     engine::{EngineModel, EngineOptions, Output},
+    loopback::unused_address,
     reply,
     running_server::RunningServer,
     switches::Switches,
@@ -86,14 +87,13 @@
 const MAX_EVENTS: usize = 4_096;
 
 impl EngineServer {
-    /// Starts an engine for `model` on a free loopback port.
+    /// Starts an engine for `model` on an unused loopback address.
     pub async fn start(
         vm: VmName,
         model: ModelName,
         options: EngineOptions,
     ) -> io::Result<EngineServer> {
-        let address = SocketAddr::from(([127, 0, 0, 1], 0));
-        EngineServer::start_at(address, vm, model, options).await
+        EngineServer::start_at(unused_address(), vm, model, options).await
     }
 
     /// Starts an engine for `model` on `address`.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod engine;
 pub mod kv;
 pub mod link;
+pub mod loopback;
 pub mod partition_link;
 pub mod reply;
 pub mod running_server;
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -13,7 +13,7 @@
     time::sleep,
 };
 
-use crate::bandwidth::BandwidthLimit;
+use crate::{bandwidth::BandwidthLimit, loopback::unused_address};
 
 /// The maximum number of bytes that are forwarded at a time.
 const MAX_CHUNK_BYTES: usize = 16 * 1024;
@@ -76,7 +76,7 @@
     }
 
     async fn open(target: SocketAddr, bandwidth: Option<Arc<BandwidthLimit>>) -> io::Result<Link> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let listener = TcpListener::bind(unused_address()).await?;
         let address = listener.local_addr()?;
         let state = Arc::new(watch::Sender::new(LinkState::default()));
         let task = tokio::spawn(accept(listener, target, bandwidth, Arc::clone(&state)));
--- a/crates/standin/src/partition_link.rs
+++ b/crates/standin/src/partition_link.rs
@@ -13,6 +13,8 @@
     task::JoinHandle,
 };
 
+use crate::loopback::unused_address;
+
 /// The maximum number of bytes that are forwarded at a time.
 const MAX_CHUNK_BYTES: usize = 16 * 1_024;
 /// The program of a socket filter that accepts no byte of a segment: `BPF_RET | BPF_K` with the value 0.
@@ -38,7 +40,7 @@
 impl PartitionLink {
     /// Starts a link to `target`.
     pub async fn start(target: SocketAddr) -> io::Result<PartitionLink> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let listener = TcpListener::bind(unused_address()).await?;
         let address = listener.local_addr()?;
         let is_cut = watch::Sender::new(false);
         let shared = Arc::new(Shared { listener, target, clients: Mutex::default(), is_cut });
--- a/crates/standin/src/running_server.rs
+++ b/crates/standin/src/running_server.rs
@@ -8,6 +8,8 @@
     task::{AbortHandle, JoinHandle},
 };
 
+use crate::loopback::unused_address;
+
 /// A `RunningServer` is an HTTP server that runs until it is killed or dropped.
 pub struct RunningServer {
     address: SocketAddr,
@@ -16,9 +18,9 @@
 }
 
 impl RunningServer {
-    /// Starts a server for `handler` on a free loopback port.
+    /// Starts a server for `handler` on an unused loopback address.
     pub async fn start(handler: Arc<dyn Handler>) -> io::Result<RunningServer> {
-        RunningServer::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), handler).await
+        RunningServer::start_at(unused_address(), handler).await
     }
 
     /// Starts a server for `handler` on `address`.
