A refused request's body is read to its end, so that the connection can be used again

What callers saw: a request was refused before its body had arrived (404 for a route that a new configuration removed, 401 for a removed key, 503 without a configuration, without memory or while leaving; in the own interface 404 and 405). The refusal did not announce a close, but the connection was closed after it, and reset when the rest of the body came. The caller's next whole request on it got neither an answer nor a refusal.

Cause: hyper reads a body only while it has a reader. A handler that returned without reading dropped it, and hyper drains no more than what has already arrived. Class: an early exit that leaves a part of the message unread on a kept connection.

Change: UnreadBody discards what is left when it is dropped, within the limits that callers' bodies have anyway; all early exits of both callers' ports hold one, and so does a body that is too late or too large.

Ruled out: lingering on close alone (the caller would still take the connection for usable); a close header on each early refusal (hyper decides by a race whether it adds one, and each refusal would cost a new connection).

--- a/crates/daemon/src/callers/router.rs
+++ b/crates/daemon/src/callers/router.rs
@@ -5,7 +5,7 @@
 use bulrushhall_core::Event;
 use bulrushhall_external::{
     BoxFuture,
-    http::{Body, Handler, read_limited},
+    http::{Body, DiscardLimits, Handler, UnreadBody},
 };
 use bytes::Bytes;
 use hyper::{Method, Request, Response, body::Incoming, http::request::Parts};
@@ -27,7 +27,7 @@
         CallerPort { cx }
     }
 
-    async fn route(&self, parts: Parts, body: Incoming) -> Result<Response<Body>, ApiError> {
+    async fn route(&self, parts: Parts, body: UnreadBody) -> Result<Response<Body>, ApiError> {
         let path = parts.uri.path().to_owned();
         let segments: Vec<&str> = path.split('/').skip(1).collect();
         let cx = &self.cx;
@@ -70,10 +70,15 @@
         }
     }
 
-    async fn read_body(&self, body: Incoming) -> Result<Bytes, ApiError> {
+    async fn read_body(&self, body: UnreadBody) -> Result<Bytes, ApiError> {
+        let DiscardLimits { bytes, time } = self.body_limits();
+        Ok(body.read(bytes, time).await?)
+    }
+
+    fn body_limits(&self) -> DiscardLimits {
         let limits = &self.cx.settings.limits;
-        let limit = usize::try_from(limits.body.as_u64()).unwrap_or(usize::MAX);
-        Ok(read_limited(body, limit, limits.body_timeout.into()).await?)
+        let bytes = usize::try_from(limits.body.as_u64()).unwrap_or(usize::MAX);
+        DiscardLimits { bytes, time: limits.body_timeout.into() }
     }
 }
 
@@ -81,6 +86,7 @@
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
         Box::pin(async move {
             let (parts, body) = req.into_parts();
+            let body = UnreadBody::new(body, self.body_limits());
             let observation = Observation::begin(&self.cx, &parts);
             let span = observation.span(&parts);
             let response = match self.route(parts, body).instrument(span).await {
--- a/crates/daemon/tests/refused_requests.rs
+++ b/crates/daemon/tests/refused_requests.rs
@@ -1,9 +1,16 @@
 //! A request that is refused as not run has not run, and its error names the cause.
 
+use std::time::Duration;
+
 use bulrushhall_bench::{Probe, Testbed, TestbedOptions};
 use bulrushhall_core::Ran;
 use hyper::Method;
 use rstest::rstest;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{sleep, timeout},
+};
 
 const CHAT: &str = "/v1/chat/completions";
 const ORDERS: &str = "/v1/services/guild-ledger/orders";
@@ -95,3 +102,26 @@
     assert_eq!(reply.ran(), Some(Ran::No));
     assert_eq!(testbed.machines.engine_counts().generates, 0);
 }
+
+// Guards against a request that finds its connection closed because the one before it was refused before its body had arrived.
+#[rstest]
+#[case::unknown_path("/v2/models", "HTTP/1.1 404")]
+#[case::wrong_method("/v1/models", "HTTP/1.1 405")]
+#[tokio::test(flavor = "multi_thread")]
+async fn late_body(#[case] path: &str, #[case] refusal: &str) {
+    let testbed = Testbed::start(TestbedOptions::default()).await.expect("a testbed");
+    let mut stream = TcpStream::connect(testbed.nodes[0].callers()).await.expect("a connection");
+    let refused = format!("POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\n");
+    stream.write_all(refused.as_bytes()).await.expect("an open connection");
+    sleep(Duration::from_millis(50)).await;
+    stream.write_all(b"asked").await.expect("an open connection");
+    let next = "GET /v1/models HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    sleep(Duration::from_millis(50)).await;
+    stream.write_all(next.as_bytes()).await.expect("an open connection");
+    let mut received = Vec::new();
+    let reading = stream.read_to_end(&mut received);
+    timeout(Duration::from_secs(10), reading).await.expect("an end").expect("whole responses");
+    let received = String::from_utf8_lossy(&received);
+    assert!(received.starts_with(refusal), "{received}");
+    assert_eq!(received.matches("HTTP/1.1").count(), 2, "{received}");
+}
--- a/crates/external/src/http/mod.rs
+++ b/crates/external/src/http/mod.rs
@@ -9,6 +9,7 @@
 mod server;
 mod tls;
 mod trace;
+mod unread_body;
 
 pub use abortive_stream::{AbortiveStream, ConnectOptions};
 pub use body::{
@@ -22,3 +23,4 @@
 pub use server::{Handler, ServerOptions, serve};
 pub use tls::{ClientAuth, Connection, TLS_SERVER_NAME, Tls, TlsError, TlsFiles};
 pub use trace::set_trace_injector;
+pub use unread_body::{DiscardLimits, UnreadBody};
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -42,7 +42,7 @@
     startup::{Stage, Startup},
     status::TeamCounts,
     streams::StreamState,
-    table::{RouteTable, TeamEntry},
+    table::{CallerLimits, RouteTable, TeamEntry},
     waiting::WaitingState,
 };
 
@@ -378,6 +378,11 @@
         self.table.load().as_ref().map_or(Revision(0), |table| table.revision)
     }
 
+    /// Returns the limits of callers' requests; the usual ones before a configuration is known.
+    pub fn caller_limits(&self) -> CallerLimits {
+        self.table.load().as_ref().map_or_else(CallerLimits::default, |table| table.limits)
+    }
+
     /// Returns the stage of the shutdown.
     pub fn phase(&self) -> Phase {
         *self.phase.borrow()
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -3,11 +3,11 @@
 use std::{sync::Arc, time::Duration};
 
 use bulrushhall_core::{Ran, Stamp};
-use bulrushhall_external::http::{Body, BodyError, empty, full, read_limited};
+use bulrushhall_external::http::{Body, BodyError, DiscardLimits, UnreadBody, empty, full};
 use bytes::Bytes;
 use hyper::{
     Request, Response,
-    body::{Body as _, Incoming},
+    body::Incoming,
     header::{CONNECTION, CONTENT_LENGTH, HeaderValue},
 };
 use xxhash_rust::xxh3::xxh3_64;
@@ -71,6 +71,7 @@
     log_entry: &mut AccessLogEntry,
 ) -> Result<Handled, Failure> {
     let (head, body) = req.into_parts();
+    let body = UnreadBody::new(body, discard_limits(gateway));
     let mut req = identify(gateway, &head)?;
     log_entry.note_identified(&req);
     if gateway.phase() == Phase::Draining {
@@ -122,21 +123,26 @@
     }
 }
 
+// A caller may send as much, and hold its connection for as long, as it may without a refusal.
+fn discard_limits(gateway: &Gateway) -> DiscardLimits {
+    let limits = gateway.caller_limits();
+    DiscardLimits { bytes: limits.body_bytes, time: limits.idle_timeout }
+}
+
 async fn read_body(
     gateway: &Gateway,
     req: &IdentifiedRequest,
-    body: Incoming,
+    body: UnreadBody,
     time_limit: Duration,
 ) -> Result<(Bytes, BodyRoom), Failure> {
-    if body.is_end_stream() {
+    if body.is_empty() {
         return Ok((Bytes::new(), BodyRoom::default()));
     }
     let max_bytes = req.table.limits.body_bytes;
-    let announced = body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok());
-    let announced = announced.unwrap_or(max_bytes).min(max_bytes);
+    let announced = body.announced().unwrap_or(max_bytes).min(max_bytes);
     let reserving = gateway.bodies.reserve(announced, time_limit).await;
     let room = reserving.map_err(|NoRoom| Failure::NoMemory)?;
-    let read = read_limited(body, max_bytes, time_limit).await;
+    let read = body.read(max_bytes, time_limit).await;
     let bytes = read.map_err(|error| match error {
         BodyError::TooLarge => Failure::BodyTooLarge,
         BodyError::Timeout => Failure::TimedOut(Ran::No),
