A longer idle limit holds for open connections as well

What callers saw: after a configuration that raises the idle limit, a request on a connection that had been idle for longer than the limit before it, and well within the one in force, found the connection closed: neither an answer nor a refusal. By reading, the same befell connections that were opened before the first configuration was known, which had 10 s instead of the limit.

Cause: the limit was read once, when a connection was accepted, and given to hyper, which keeps it for the life of the connection. Class: a value of the configuration that is copied into something that outlives the configuration.

Change: hyper asks a timer for the wait; HeadTimer asks the handler for the limit when the wait is over, and waits on if the limit has grown. A connection that has begun to wait under a longer limit keeps that one until its next request.

Looked for elsewhere, by reading: the limits of connections to backend servers (connection_share) are passed with each attempt, and the idle time is the server's; the ports of other nodes and the own interface have limits from the settings.

--- a/crates/external/src/http/mod.rs
+++ b/crates/external/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod body;
 mod endpoint;
 mod head_limit;
+mod head_timer;
 mod listen;
 mod send_permit;
 mod server;
--- a/crates/external/src/http/server.rs
+++ b/crates/external/src/http/server.rs
@@ -4,16 +4,13 @@
 
 use bulrushhall_core::Event;
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::{
-    rt::{TokioIo, TokioTimer},
-    server::graceful::GracefulShutdown,
-};
+use hyper_util::{rt::TokioIo, server::graceful::GracefulShutdown};
 use tokio::{net::TcpListener, sync::watch, task::JoinSet};
 use tokio_io_timeout::TimeoutStream;
 
 use crate::{
     BoxFuture,
-    http::{Body, ClientAuth, Connection, Tls},
+    http::{Body, ClientAuth, Connection, Tls, head_timer::HeadTimer},
 };
 
 /// The pause after a failed accept, which prevents a busy loop when file handles run out.
@@ -24,8 +21,8 @@
     /// Responds to one request.
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Response<Body>>;
 
-    /// Returns the time limit for the headers of a request, including the idle time before them,
-    /// for new connections; `None` keeps [`ServerOptions::header_timeout`].
+    /// Returns the time limit for the headers of a request, including the idle time before them;
+    /// `None` keeps [`ServerOptions::header_timeout`]. A longer one holds for open connections as well.
     fn header_timeout(&self) -> Option<Duration> {
         None
     }
@@ -76,7 +73,7 @@
     let graceful = GracefulShutdown::new();
     let mut builder = http1::Builder::new();
     builder
-        .timer(TokioTimer::new())
+        .timer(HeadTimer::new(Arc::clone(&handler), options.header_timeout))
         .header_read_timeout(options.header_timeout)
         .max_headers(options.max_headers)
         .max_buf_size(options.max_buffer);
@@ -110,10 +107,7 @@
             async move { Ok::<_, Infallible>(response.await) }
         });
         let watcher = graceful.watcher();
-        let (mut builder, tls) = (builder.clone(), options.tls.clone());
-        if let Some(timeout) = handler.header_timeout() {
-            builder.header_read_timeout(timeout);
-        }
+        let (builder, tls) = (builder.clone(), options.tls.clone());
         connections.spawn(async move {
             // The handshake runs in the task of the connection: a client that never completes it must
             // not keep others from connecting.
