Pass a held error response on before the time of its request is over

Callers of idempotent calls saw a closed connection instead of the error of a backend server.

Cause: an error response is held while another server is tried. If that one sent nothing, the error was passed on when the deadline had come, and the forwarder cut it at once as late.

Ruled out: the server of the error. Its response is whole where the second server fails in time (cases 1 to 5 pass before the change).

Change: while an error response is held, servers are waited for until 100 ms before the deadline.

platform/tests/silence_and_errors, error_is_passed_on::case_6_second_stays_silent: 4 requests, none answered before, all get the 500 after it.

--- a/crates/gateway/src/pipeline/send/sender.rs
+++ b/crates/gateway/src/pipeline/send/sender.rs
@@ -45,6 +45,8 @@
 const MAX_OWN_CONNECT_FAILURES: usize = 2;
 /// The time after which it is checked again whether another server can take over from a silent one.
 pub const TAKEOVER_RECHECK: Duration = Duration::from_millis(300);
+/// The part of the time of a request that is kept for passing on an error response.
+const ERROR_RETURN_MARGIN: Duration = Duration::from_millis(100);
 
 /// A `RequestSender` sends a request to backend servers until one answers.
 ///
@@ -129,7 +131,7 @@
                 Err(not_sent) => not_sent,
             };
             self.log_silence(Err(not_sent.reason));
-            let left = self.left();
+            let left = self.time_to_wait();
             if self.silent.is_empty() || self.error_response.is_some() || left.is_zero() {
                 return Err(self.give_up(not_sent));
             }
@@ -152,7 +154,7 @@
             return Err(NotSent { failure, reason: NoTakeover::Blocked });
         }
         let began = clock::now();
-        if self.left().is_zero() {
+        if self.time_to_wait().is_zero() {
             let failure = Failure::TimedOut(self.attempts.ran());
             return Err(NotSent { failure, reason: NoTakeover::Late });
         }
@@ -162,6 +164,7 @@
         self.log_silence(Ok(()));
         let (mut open, mut silent_for_long) = self.begin(placement, began);
         loop {
+            let (has_error, left) = (self.error_response.is_some(), self.time_to_wait());
             tokio::select! {
                 biased;
                 answer = &mut open.answer => return self.ended(open, answer),
@@ -175,6 +178,10 @@
                     self.note_silent(open);
                     return Ok(None);
                 }
+                () = sleep(left), if has_error => {
+                    self.note_silent(open);
+                    return Ok(None);
+                }
             }
         }
     }
@@ -419,6 +426,13 @@
     fn left(&self) -> Duration {
         self.original.deadline.since(clock::now())
     }
+
+    // Returns how long servers may still answer.
+    fn time_to_wait(&self) -> Duration {
+        let margin =
+            if self.error_response.is_some() { ERROR_RETURN_MARGIN } else { Duration::ZERO };
+        self.left().saturating_sub(margin)
+    }
 }
 
 // Returns whether a brittle server, or a node that was to carry the request there, has refused it. That this node could not
