Keep a silent server when the one that was to take over answers with 5xx

Callers of idempotent calls, and of streams without a head, saw the 5xx of a second server although the first one was only silent and had an answer 1 s later.

Cause: an error response ended the search as soon as no retry was left, and the attempts at silent servers were reset with it.

Ruled out: refusals (429, 503 as not run), cut heads, answers of other attempts and closed connections of the second server. These leave the first one in the race (18 cases pass before the change), and its request is never answered as not run (4 cases of not_refused).

Change: an error response is held as long as a silent server may answer. It goes to the caller when all have failed, or before the deadline.

platform/tests/silence_and_errors, first_server_answers with Error: call and stream_head fail before, 28 of 28 tests of the file pass after, one run each.

--- a/crates/gateway/src/pipeline/send/sender.rs
+++ b/crates/gateway/src/pipeline/send/sender.rs
@@ -61,7 +61,7 @@
     log_entry: &'a mut AccessLogEntry,
     /// Whether it has run, over all attempts.
     pub attempts: Attempts,
-    /// An error response, which is forwarded if no retry replaces it.
+    /// An error response, which is forwarded if neither a retry nor a silent server replaces it.
     pub error_response: Option<BackendResponse>,
     aim: SendAim,
     connect_failures: usize,
@@ -132,7 +132,7 @@
             };
             self.log_silence(Err(not_sent.reason));
             let left = self.time_to_wait();
-            if self.silent.is_empty() || self.error_response.is_some() || left.is_zero() {
+            if self.silent.is_empty() || left.is_zero() {
                 return Err(self.give_up(not_sent));
             }
             tokio::select! {
@@ -403,9 +403,7 @@
         } else {
             unless_run(not_sent.failure, &self.attempts)
         };
-        let is_answered = self.error_response.is_some();
-        let end = if is_answered { SilenceEnd::TakenOver } else { SilenceEnd::Late };
-        self.silent.abandon(self.req, end);
+        self.silent.abandon(self.req, SilenceEnd::Late);
         NotSent { failure, ..not_sent }
     }
 
