Keep a silent server until the one that takes over has begun its answer

Callers saw answers that were cut after the head, or streams that were cut within, although their first server was only silent and went on: the second server had died, or fallen silent, right after the head of its answer.

Cause: the head of the second server reset the connection to the first one, and was passed on. Without a further attempt nothing could replace it.

Ruled out: the search for further servers. Without attempts left it ends as it should; the answer of the first server had no one to go to.

Change: where several servers may answer, a response wins when its first event, the whole body of a plain answer or its first 64 KiB have arrived. Its head is passed on then. Requests whose server is not silent are forwarded as before.

--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -1,6 +1,13 @@
 //! One attempt to send a request to one backend server.
 
-use std::{pin::pin, sync::Arc, time::Duration};
+use std::{
+    pin::pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use bulrushhall_core::{Event, Ran, Stamp};
 use bulrushhall_external::http::read_limited;
@@ -28,6 +35,7 @@
         identify::IdentifiedRequest,
         in_flight::InFlightGuard,
         placement::Placement,
+        response_body::{Ahead, ResponseBody},
         send_fault::{SendError, SendFault},
     },
     reachability::{note_opened, note_unreachable, suspect_server},
@@ -62,10 +70,12 @@
 /// A `SilenceLimit` is how long a backend server may send nothing before another one is looked for.
 #[derive(Debug)]
 pub struct SilenceLimit {
-    /// The time from the send.
+    /// The time from the send, and from the head to the start of the body.
     pub after: Duration,
-    /// Notified when it is over.
-    pub exceeded: oneshot::Sender<()>,
+    /// Notified when it is over; none if it was.
+    pub exceeded: Option<oneshot::Sender<()>>,
+    /// Whether other servers may answer the request as well.
+    pub is_raced: Arc<AtomicBool>,
 }
 
 /// A `BackendResponse` is a backend server's response whose head has arrived.
@@ -75,7 +85,7 @@
     /// The head.
     pub parts: response::Parts,
     /// The body.
-    pub body: Incoming,
+    pub body: ResponseBody,
     /// The connection that carries it.
     pub connection: Connection,
     /// The in-flight count of the request.
@@ -126,29 +136,22 @@
 }
 
 /// Sends a request and waits for the head of the response, also after its server has been silent for too long.
+///
+/// If other servers may answer as well, it also waits for the start of the body: a server may fail after the head.
 pub async fn attempt(
     gateway: &Arc<Gateway>,
     req: &IdentifiedRequest,
     original: &OriginalRequest,
     placement: &Placement,
     resume_after: Option<u64>,
-    limit: SilenceLimit,
+    mut limit: SilenceLimit,
 ) -> Result<BackendResponse, SendError> {
     let mut in_flight = InFlightGuard::begin(gateway, placement);
     let sent_at = clock::now();
     let mut sent = sent_request(gateway, req, placement);
-    let answered = {
-        let mut sending =
-            pin!(send(gateway, req, original, placement, (resume_after, sent.as_ref())));
-        match timeout(limit.after, &mut sending).await {
-            Ok(answered) => answered,
-            Err(_) => {
-                note_silent(gateway, placement, &mut in_flight, sent.as_ref());
-                let _ = limit.exceeded.send(());
-                sending.await
-            }
-        }
-    };
+    let sending = send(gateway, req, original, placement, (resume_after, sent.as_ref()));
+    let is_silent = || note_silent(gateway, placement, &mut in_flight, sent.as_ref());
+    let answered = limit.outlast(sending, is_silent).await;
     let answered = answered.and_then(|(response, connection)| {
         let (parts, body) = response.into_parts();
         let head = gateway.platform.wire.read_response(&parts);
@@ -161,8 +164,23 @@
             }
         }
         check_head(req, &head)?;
-        Ok((head, parts, body, connection))
+        Ok((head, parts, ResponseBody::new(body), connection))
     });
+    let answered = match answered {
+        Ok((head, parts, mut body, connection)) if limit.waits_for_body(&head) => {
+            let is_marked = placement.carrier.is_some() || is_delimited(&parts.headers);
+            let reading = read_ahead(req, &head, &mut body, (resume_after, is_marked));
+            let is_silent = || note_silent(gateway, placement, &mut in_flight, sent.as_ref());
+            let read = limit.outlast(reading, is_silent).await;
+            if let (Some(sent), true) = (&mut sent, body.has_ahead()) {
+                sent.note_began();
+            }
+            let kept = connection.reused;
+            read.map(|()| (head, parts, body, connection))
+                .map_err(|fault| SendError { kept, ..may_have_run(fault) })
+        }
+        answered => answered,
+    };
     match answered {
         Ok((head, parts, body, connection)) => {
             // The success of a stream is known with its first event.
@@ -192,7 +210,8 @@
             }
             let is_broken = failed.fault == SendFault::Closed && failed.ran != Ran::No;
             if is_broken {
-                log_broken_answer(req, placement, None);
+                let began_at = sent.as_ref().and_then(SentRequest::began_at);
+                log_broken_answer(req, placement, began_at);
             }
             if let Some(sent) = &mut sent {
                 match failed.fault {
@@ -205,6 +224,48 @@
     }
 }
 
+impl SilenceLimit {
+    // Waits for the server, also after the limit is over.
+    async fn outlast<T>(
+        &mut self,
+        waiting: impl Future<Output = T>,
+        note_silent: impl FnOnce(),
+    ) -> T {
+        let mut waiting = pin!(waiting);
+        let Some(exceeded) = self.exceeded.take() else { return waiting.await };
+        if let Ok(ended) = timeout(self.after, &mut waiting).await {
+            self.exceeded = Some(exceeded);
+            return ended;
+        }
+        note_silent();
+        let _ = exceeded.send(());
+        waiting.await
+    }
+
+    fn waits_for_body(&self, head: &ResponseHead) -> bool {
+        let may_answer = head.status.is_success() || head.status.is_server_error();
+        may_answer && self.is_raced.load(Ordering::Relaxed)
+    }
+}
+
+// Reads as much of a body as shows that its server goes on with it.
+async fn read_ahead(
+    req: &IdentifiedRequest,
+    head: &ResponseHead,
+    body: &mut ResponseBody,
+    (after, is_marked): (Option<u64>, bool),
+) -> Result<(), SendFault> {
+    let is_stream = req.route.cfg.kind.is_stream() && head.status.is_success();
+    let read =
+        if is_stream { body.read_event_ahead(after).await } else { body.read_to_end_ahead().await };
+    match read {
+        Ok(Ahead::Part) => Ok(()),
+        // The forwarder judges a plain answer without a mark of its end.
+        Ok(Ahead::End) if is_marked || !is_stream => Ok(()),
+        Ok(Ahead::End | Ahead::Cut) | Err(_) => Err(SendFault::Closed),
+    }
+}
+
 // A silent server counts as one that failed until it answers. Its other connections are usually affected too.
 fn note_silent(
     gateway: &Gateway,
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Body as _, Frame};
+use hyper::body::Frame;
 use tokio::time::{error::Elapsed, timeout};
 
 use crate::{
@@ -24,9 +24,10 @@
         binding::Binding,
         events::CompleteEvents,
         identify::IdentifiedRequest,
+        response_body::BodyFrame,
         send::{RequestSender, SendAim},
         silence::{SilenceStage, log_silence_end},
-        silence_race::{BodyFrame, RaceEnd, SilenceRace},
+        silence_race::{RaceEnd, SilenceRace},
         tried::TriedServers,
     },
     streams::note_first_event,
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -10,6 +10,7 @@
 mod in_flight;
 mod placement;
 mod queueing;
+mod response_body;
 mod resumption;
 mod room_search;
 mod send;
--- /dev/null
+++ b/crates/gateway/src/pipeline/response_body.rs
@@ -0,0 +1,92 @@
+//! The body of a backend server's response.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Frame, Incoming};
+
+use crate::pipeline::events::EventSplitter;
+
+/// The maximum number of bytes of a response that are read before it is forwarded, unless it is a stream of events.
+const MAX_AHEAD_BYTES: usize = 64 << 10;
+
+/// What a body brings next; none at its end.
+pub type BodyFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+
+/// An `Ahead` is what was read ahead of a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ahead {
+    /// The start.
+    Part,
+    /// All of it.
+    End,
+    /// Something that is no whole answer.
+    Cut,
+}
+
+/// A `ResponseBody` is the body of a response, the start of which may have been read ahead.
+#[derive(Debug)]
+pub struct ResponseBody {
+    ahead: VecDeque<Bytes>,
+    rest: Incoming,
+}
+
+impl ResponseBody {
+    /// Returns a body of which nothing was read.
+    pub fn new(rest: Incoming) -> ResponseBody {
+        ResponseBody { ahead: VecDeque::new(), rest }
+    }
+
+    /// Waits for what it brings next.
+    pub async fn frame(&mut self) -> BodyFrame {
+        match self.ahead.pop_front() {
+            Some(bytes) => Some(Ok(Frame::data(bytes))),
+            None => self.rest.frame().await,
+        }
+    }
+
+    /// Returns whether all of it was returned.
+    pub fn is_end_stream(&self) -> bool {
+        self.ahead.is_empty() && self.rest.is_end_stream()
+    }
+
+    /// Returns whether some of it was read ahead.
+    pub fn has_ahead(&self) -> bool {
+        !self.ahead.is_empty()
+    }
+
+    /// Reads up to the first event after the one with the id `after`.
+    pub async fn read_event_ahead(&mut self, after: Option<u64>) -> Result<Ahead, hyper::Error> {
+        let mut splitter = EventSplitter::after(after);
+        while let Some(bytes) = self.read_ahead().await? {
+            if splitter.push(&bytes).is_some() {
+                return Ok(Ahead::Part);
+            }
+            if splitter.is_event_too_large() {
+                return Ok(Ahead::Cut);
+            }
+        }
+        Ok(if splitter.has_partial_event() { Ahead::Cut } else { Ahead::End })
+    }
+
+    /// Reads to the end, or as much as may be read ahead.
+    pub async fn read_to_end_ahead(&mut self) -> Result<Ahead, hyper::Error> {
+        let mut bytes_ahead = 0;
+        while bytes_ahead < MAX_AHEAD_BYTES {
+            let Some(bytes) = self.read_ahead().await? else { return Ok(Ahead::End) };
+            bytes_ahead += bytes.len();
+        }
+        Ok(Ahead::Part)
+    }
+
+    // Returns the bytes that were read; none at the end.
+    async fn read_ahead(&mut self) -> Result<Option<Bytes>, hyper::Error> {
+        loop {
+            let Some(frame) = self.rest.frame().await.transpose()? else { return Ok(None) };
+            let Ok(bytes) = frame.into_data() else { continue };
+            self.ahead.push_back(bytes.clone());
+            return Ok(Some(bytes));
+        }
+    }
+}
--- a/crates/gateway/src/pipeline/send/sender.rs
+++ b/crates/gateway/src/pipeline/send/sender.rs
@@ -1,6 +1,12 @@
 //! The sender of a request.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use bulrushhall_coord::Attempts;
 use bulrushhall_core::{Event, Ran, ServiceName, Stamp};
@@ -70,6 +76,7 @@
     retry: RetryGate,
     silent: SilentAttempts<'a>,
     silence: Option<Silence>,
+    is_raced: Arc<AtomicBool>,
 }
 
 /// The silence of a server, until another one has got its request.
@@ -111,6 +118,7 @@
             retry,
             silent: SilentAttempts::default(),
             silence: None,
+            is_raced: Arc::default(),
             aim,
         }
     }
@@ -118,6 +126,7 @@
     /// Notes that the server of the stream has been silent for a time.
     pub fn after_silence(self, placement: Placement, lasted: Duration) -> RequestSender<'a> {
         let stage = SilenceStage::Body;
+        self.is_raced.store(true, Ordering::Relaxed);
         RequestSender { silence: Some(Silence { placement, stage, lasted, logged: None }), ..self }
     }
 
@@ -246,7 +255,8 @@
         };
         let (exceeded, silent_for_long) = oneshot::channel();
         let limit = response_timeout(self.req, &placement, self.log_entry.sends, left).min(left);
-        let limit = SilenceLimit { after: limit, exceeded };
+        let is_raced = Arc::clone(&self.is_raced);
+        let limit = SilenceLimit { after: limit, exceeded: Some(exceeded), is_raced };
         let (gateway, req, original, at) =
             (self.gateway, self.req, self.original, placement.clone());
         let answer = async move { attempt(gateway, req, original, &at, after, limit).await };
@@ -270,6 +280,7 @@
         self.retry.note_suspect(&placement);
         self.last_end = AttemptEnd::Other;
         self.silence = Some(Silence { placement, stage, lasted, logged: None });
+        self.is_raced.store(true, Ordering::Relaxed);
         self.silent.push(open);
     }
 
--- a/crates/gateway/src/pipeline/silence_race.rs
+++ b/crates/gateway/src/pipeline/silence_race.rs
@@ -2,9 +2,6 @@
 
 use std::{pin::pin, time::Duration};
 
-use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::Frame;
 use tokio::time::sleep;
 
 use crate::{
@@ -12,14 +9,12 @@
     pipeline::{
         attempt::BackendResponse,
         events::{CompleteEvents, EventSplitter},
+        response_body::BodyFrame,
         send::{RequestSender, TAKEOVER_RECHECK},
         silence::SilenceEnd,
     },
 };
 
-/// What a body brings next; none at its end.
-pub type BodyFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
-
 /// A `RaceEnd` is how the wait for a silent server ended.
 pub enum RaceEnd {
     /// It sent events.
