--- a/crates/gateway/src/pipeline/send/sender.rs
+++ b/crates/gateway/src/pipeline/send/sender.rs
@@ -1,6 +1,12 @@
 //! The sender of a request.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use bulrushhall_coord::Attempts;
 use bulrushhall_core::{Event, Ran, ServiceName, Stamp};
@@ -45,6 +51,8 @@
 const MAX_OWN_CONNECT_FAILURES: usize = 2;
 /// The time after which it is checked again whether another server can take over from a silent one.
 pub const TAKEOVER_RECHECK: Duration = Duration::from_millis(300);
+/// The part of the time of a request that is kept for passing on an error response.
+const ERROR_RETURN_MARGIN: Duration = Duration::from_millis(100);
 
 /// A `RequestSender` sends a request to backend servers until one answers.
 ///
@@ -59,7 +67,7 @@
     log_entry: &'a mut AccessLogEntry,
     /// Whether it has run, over all attempts.
     pub attempts: Attempts,
-    /// An error response, which is forwarded if no retry replaces it.
+    /// An error response, which is forwarded if neither a retry nor a silent server replaces it.
     pub error_response: Option<BackendResponse>,
     aim: SendAim,
     connect_failures: usize,
@@ -68,6 +76,7 @@
     retry: RetryGate,
     silent: SilentAttempts<'a>,
     silence: Option<Silence>,
+    is_raced: Arc<AtomicBool>,
 }
 
 /// The silence of a server, until another one has got its request.
@@ -109,6 +118,7 @@
             retry,
             silent: SilentAttempts::default(),
             silence: None,
+            is_raced: Arc::default(),
             aim,
         }
     }
@@ -116,6 +126,7 @@
     /// Notes that the server of the stream has been silent for a time.
     pub fn after_silence(self, placement: Placement, lasted: Duration) -> RequestSender<'a> {
         let stage = SilenceStage::Body;
+        self.is_raced.store(true, Ordering::Relaxed);
         RequestSender { silence: Some(Silence { placement, stage, lasted, logged: None }), ..self }
     }
 
@@ -129,8 +140,8 @@
                 Err(not_sent) => not_sent,
             };
             self.log_silence(Err(not_sent.reason));
-            let left = self.left();
-            if self.silent.is_empty() || self.error_response.is_some() || left.is_zero() {
+            let left = self.time_to_wait();
+            if self.silent.is_empty() || left.is_zero() {
                 return Err(self.give_up(not_sent));
             }
             tokio::select! {
@@ -152,7 +163,7 @@
             return Err(NotSent { failure, reason: NoTakeover::Blocked });
         }
         let began = clock::now();
-        if self.left().is_zero() {
+        if self.time_to_wait().is_zero() {
             let failure = Failure::TimedOut(self.attempts.ran());
             return Err(NotSent { failure, reason: NoTakeover::Late });
         }
@@ -162,6 +173,7 @@
         self.log_silence(Ok(()));
         let (mut open, mut silent_for_long) = self.begin(placement, began);
         loop {
+            let (has_error, left) = (self.error_response.is_some(), self.time_to_wait());
             tokio::select! {
                 biased;
                 answer = &mut open.answer => return self.ended(open, answer),
@@ -175,6 +187,10 @@
                     self.note_silent(open);
                     return Ok(None);
                 }
+                () = sleep(left), if has_error => {
+                    self.note_silent(open);
+                    return Ok(None);
+                }
             }
         }
     }
@@ -239,7 +255,8 @@
         };
         let (exceeded, silent_for_long) = oneshot::channel();
         let limit = response_timeout(self.req, &placement, self.log_entry.sends, left).min(left);
-        let limit = SilenceLimit { after: limit, exceeded };
+        let is_raced = Arc::clone(&self.is_raced);
+        let limit = SilenceLimit { after: limit, exceeded: Some(exceeded), is_raced };
         let (gateway, req, original, at) =
             (self.gateway, self.req, self.original, placement.clone());
         let answer = async move { attempt(gateway, req, original, &at, after, limit).await };
@@ -263,6 +280,7 @@
         self.retry.note_suspect(&placement);
         self.last_end = AttemptEnd::Other;
         self.silence = Some(Silence { placement, stage, lasted, logged: None });
+        self.is_raced.store(true, Ordering::Relaxed);
         self.silent.push(open);
     }
 
@@ -396,9 +414,7 @@
         } else {
             unless_run(not_sent.failure, &self.attempts)
         };
-        let is_answered = self.error_response.is_some();
-        let end = if is_answered { SilenceEnd::TakenOver } else { SilenceEnd::Late };
-        self.silent.abandon(self.req, end);
+        self.silent.abandon(self.req, SilenceEnd::Late);
         NotSent { failure, ..not_sent }
     }
 
@@ -419,6 +435,13 @@
     fn left(&self) -> Duration {
         self.original.deadline.since(clock::now())
     }
+
+    // Returns how long servers may still answer.
+    fn time_to_wait(&self) -> Duration {
+        let margin =
+            if self.error_response.is_some() { ERROR_RETURN_MARGIN } else { Duration::ZERO };
+        self.left().saturating_sub(margin)
+    }
 }
 
 // Returns whether a brittle server, or a node that was to carry the request there, has refused it. That this node could not
