Streams that are joined at a node that is out of step: failing tests

replaced_at_once: callers of streams that had begun at a new version were sent to the older one. The older version leaves when the new one joins, so that new streams begin at the new one without the 1.5 s that other nodes need to hear of it; a node whose store hangs takes the older version for the only one.

returning_versions_settle, short_streams: two more ways to the same, in the state machine alone: a version that comes back counts as settled, and one that serves is forgotten between two reports if the route's timeout is short.

--- a/crates/coord/tests/stream_origins.rs
+++ b/crates/coord/tests/stream_origins.rs
@@ -4,7 +4,7 @@
 
 use bulrushhall_coord::streams::{
     COPIES, Found, ServiceVersions, StreamBatch, StreamCopies, StreamKey, StreamOrigin,
-    StreamOrigins, asked_nodes, copy_holders,
+    StreamOrigins, VersionsReport, asked_nodes, copy_holders,
 };
 use bulrushhall_core::{ServiceName, Stamp, TeamName};
 use proptest::prelude::*;
@@ -168,6 +168,37 @@
     assert_eq!(settled(now + SECOND * 2), [true, true, false]);
 }
 
+// Guards against new streams at a version that comes back, of which other nodes have not heard again.
+#[test]
+fn returning_versions_settle() {
+    let mut versions = versions(&[(0, "v1"), (1, "v2"), (3, "v2")]);
+    let back = T0 + SECOND * 600;
+    versions.note(back, &service(), "v1");
+    versions.note(back, &service(), "v2");
+    assert!(!versions.is_settled(back, &service(), "v2"));
+    // A node that has not seen it for as long tells nothing else.
+    let report = other_report(back, "v2");
+    versions.receive(back, &report);
+    assert!(!versions.is_settled(back, &service(), "v2"));
+    assert!(versions.is_settled(back + SECOND * 2, &service(), "v2"));
+}
+
+fn other_report(now: Stamp, version: &str) -> VersionsReport {
+    versions(&[(1, version), (3, version)]).report(now).expect("a report")
+}
+
+// Guards against a version that a node forgets between two reports of others, because streams of its route are short.
+#[test]
+fn short_streams() {
+    let mut versions = ServiceVersions::at_first_start();
+    let reported = T0 + SECOND * 3;
+    versions.receive(reported, &other_report(reported, "v2"));
+    versions.note(reported, &service(), "v1");
+    let now = reported + Duration::from_millis(1_200);
+    versions.note(now, &service(), "v1");
+    assert_eq!(versions.only(now, &service(), Duration::from_millis(900)), None);
+}
+
 proptest! {
     // Guards against a malformed batch of another node that stops this one, or makes a version up.
     #[test]
