Streams joined or refused at a node that is out of step while a new version joins

Cause: a node takes the only version it knows for that of a stream that it does not know. That was safe as long as new streams wait 1.5 s for a new version to be known, but they did not wait - where the older version had left: its servers take no new work, but a node that is behind still sends to them; - where a version comes back: it counted as settled by what was seen long ago; - in a roll-out's share for the target version. What was received just after standing still counted as news, and a version that serves was forgotten between two reports if a route's timeout is short. A class of fault: something is taken as known to all because time has passed or because nothing speaks against it.

Ruled out: the questions to other nodes and the binding of answers; no stream of known origin was joined.

Change: a version that came after another gets new streams once it has settled, or once all other known nodes have reported it, whether others serve or not; a gap in its presence makes it new; a node notices that it stood still, trusts no only version for 2.5 s after, and asks the nodes that were alive before. A node without a server of the version at which a stream began asks the same nodes for servers and keeps what it is told for 5 s. A node that hears of no other one asks all, but not again within 500 ms if none answered.

--- a/crates/coord/src/streams/mod.rs
+++ b/crates/coord/src/streams/mod.rs
@@ -3,6 +3,7 @@
 //! The events of two versions do not fit together, so a stream is resumed only at the version of its first event.
 
 mod batch;
+mod confirmations;
 mod copies;
 mod holders;
 mod key;
@@ -11,6 +12,7 @@
 mod versions;
 
 pub use batch::StreamBatch;
+pub use confirmations::VersionConfirmations;
 pub use copies::{COPIES, CopyDelivery, StreamCopies};
 pub use holders::{MAX_ASKED, asked_nodes, copy_holders};
 pub use key::StreamKey;
--- a/crates/coord/src/streams/versions.rs
+++ b/crates/coord/src/streams/versions.rs
@@ -5,21 +5,37 @@
 use bulrushhall_core::{ServiceName, Stamp};
 use serde::{Deserialize, Serialize};
 
-/// How long a version has to be known before it gets new streams, if others serve: longer than a node counts as live after
-/// its last digest, so that no other one that takes it for live takes the service to have one version only.
-const SETTLING_TIME: Duration = Duration::from_millis(1_500);
+/// How long a version has to be known before it gets new streams, if others were known before: longer than a node counts
+/// as live after its last digest and stands still unnoticed, so that no other one that takes it for live takes the service
+/// to have one version only.
+const SETTLING_TIME: Duration = Duration::from_millis(1_700);
+/// How long a version may be unknown in between: after a longer time it is as new as before.
+pub(super) const PRESENCE_GAP: Duration = Duration::from_secs(2);
 /// How long after all nodes are in touch again the reports of all have arrived, also through relays.
 const CATCH_UP_TIME: Duration = Duration::from_millis(2_500);
+/// The shortest time for which a version counts that is not known any more: others may still take it for settled.
+const MIN_HORIZON: Duration = PRESENCE_GAP.saturating_add(CATCH_UP_TIME);
 /// How long versions are remembered: longer than any stream lasts.
 const MEMORY: Duration = Duration::from_secs(3_600);
 
-/// When servers of a version were known.
+/// When servers of a version were known, without gaps.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Seen {
     first: Stamp,
     last: Stamp,
 }
 
+impl Seen {
+    // Returns both times as one, or the later one if there was a gap between them.
+    fn merged(self, other: Seen) -> Seen {
+        let (early, late) = if self.first < other.first { (self, other) } else { (other, self) };
+        if PRESENCE_GAP < late.first.since(early.last) {
+            return late;
+        }
+        Seen { first: early.first, last: early.last.max(late.last) }
+    }
+}
+
 /// A `SeenVersion` is a version as one node reports it to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SeenVersion {
@@ -91,10 +107,7 @@
         }
         let Some(versions) = self.services.get_mut(service) else { return };
         match versions.get_mut(version) {
-            Some(known) => {
-                *known =
-                    Seen { first: known.first.min(seen.first), last: known.last.max(seen.last) }
-            }
+            Some(known) => *known = known.merged(seen),
             None => {
                 versions.insert(version.to_owned(), seen);
             }
@@ -108,6 +121,7 @@
             return None;
         }
         let versions = self.services.get(service)?.iter();
+        let horizon = horizon.max(MIN_HORIZON);
         let mut recent = versions.filter(|(_, seen)| now.since(seen.last) <= horizon);
         let (version, _) = recent.next()?;
         recent.next().is_none().then_some(version.as_str())
@@ -127,6 +141,16 @@
         seen.is_some_and(|seen| SETTLING_TIME <= now.since(seen.first))
     }
 
+    /// Returns how long a version gets no new streams although no settled one serves: others may take one that was known
+    /// before for the only one.
+    pub fn held_for(&self, now: Stamp, service: &ServiceName, version: &str) -> Option<Duration> {
+        let versions = self.services.get(service)?;
+        let first = versions.get(version).map_or(now, |seen| seen.first);
+        let is_older = |other: &Seen| other.first + SETTLING_TIME <= first;
+        let left = SETTLING_TIME.checked_sub(now.since(first)).filter(|left| !left.is_zero());
+        left.filter(|_| versions.values().any(is_older))
+    }
+
     /// Returns whether there is a version that has not settled yet, which other nodes have to learn of soon.
     pub fn has_unsettled(&self, now: Stamp) -> bool {
         let mut seen = self.services.values().flat_map(BTreeMap::values);
--- a/crates/coord/tests/stream_origins.rs
+++ b/crates/coord/tests/stream_origins.rs
@@ -168,6 +168,27 @@
     assert_eq!(settled(now + SECOND * 2), [true, true, false]);
 }
 
+// Guards against new streams at a version of which other nodes have not heard, because the older one has left.
+#[test]
+fn new_versions_are_held() {
+    let versions = versions(&[(0, "v1"), (20, "v2")]);
+    let now = T0 + SECOND * 20;
+    let held = |at, version| versions.held_for(at, &service(), version).is_some();
+    assert!(held(now, "v2") && held(now, "v3"));
+    assert!(!held(now, "v1"));
+    assert!(!held(now + SECOND * 2, "v2"));
+}
+
+// Guards against a start of all nodes that keeps streams waiting.
+#[rstest]
+#[case::one(&[(0, "v1")])]
+#[case::two(&[(0, "v1"), (0, "v2")])]
+fn first_versions_are_not_held(#[case] seen: &[(u64, &str)]) {
+    for (_, version) in seen {
+        assert_eq!(versions(seen).held_for(T0, &service(), version), None);
+    }
+}
+
 // Guards against new streams at a version that comes back, of which other nodes have not heard again.
 #[test]
 fn returning_versions_settle() {
--- a/crates/gateway/src/backends/backend.rs
+++ b/crates/gateway/src/backends/backend.rs
@@ -45,6 +45,8 @@
     pub leaving_since: Option<Stamp>,
     /// Until when its record may be missing after an outage of the key-value service.
     pub missing_until: Option<Stamp>,
+    /// Until when it is kept if only another node has reported it.
+    pub reported_until: Option<Stamp>,
     /// Whether another server responded at its address.
     pub replaced: bool,
     /// When this node sent the latest request that it has begun to answer.
@@ -89,6 +91,7 @@
             changed_at: 0,
             leaving_since: None,
             missing_until: None,
+            reported_until: None,
             replaced: false,
             answered_sent_at: Stamp(0),
             circuit_breaker: CircuitBreaker::default(),
--- a/crates/gateway/src/backends/directory.rs
+++ b/crates/gateway/src/backends/directory.rs
@@ -25,6 +25,9 @@
 /// expired records within two seconds.
 const MISSING_GRACE: Duration = Duration::from_millis(2_200);
 
+/// How long a server is kept that only another node has reported: longer than an answer takes to begin.
+const REPORTED_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// How long after a restore of the key-value service records of servers that have left may be in it:
 /// they expire after three heartbeats without a write.
 const RESTORED_RECORDS_TIMEOUT: Duration = Duration::from_secs(10);
@@ -61,10 +64,12 @@
         }
         if let Some(backend) = self.named_mut(name) {
             if record.is_before(&backend.record) {
+                backend.reported_until = None;
                 return;
             }
             if record.is_same_incarnation(&backend.record) {
                 backend.missing_until = None;
+                backend.reported_until = None;
                 if backend.record.says_same(&record) {
                     backend.record = record;
                     return;
@@ -94,6 +99,25 @@
         self.note_change(&name);
     }
 
+    /// Adds a server that another node reports for a stream that began at its version. A server that is known, or whose
+    /// record was removed after that one, stays as it is.
+    pub fn note_reported(&mut self, now: Stamp, name: &str, record: BackendRecord) {
+        let until = Some(now + REPORTED_TIMEOUT);
+        if let Some(backend) = self.named_mut(name) {
+            if backend.reported_until.is_some() && record.is_same_incarnation(&backend.record) {
+                backend.reported_until = until;
+            }
+            return;
+        }
+        if self.removed.holds(name, &record) {
+            return;
+        }
+        self.upsert(now, name, record);
+        if let Some(backend) = self.named_mut(name) {
+            backend.reported_until = until;
+        }
+    }
+
     fn note_change(&mut self, name: &str) {
         let at = self.changes.note();
         if let Some(backend) = self.named_mut(name) {
@@ -143,9 +167,17 @@
         }
     }
 
-    /// Removes the servers whose grace period is over.
+    /// Removes the servers whose grace period is over, and those that others reported too long ago.
     pub fn expire(&mut self, now: Stamp) {
         self.remove_missing(|until| until <= now);
+        let reported = self
+            .arena
+            .values()
+            .filter(|backend| backend.reported_until.is_some_and(|until| until <= now));
+        let expired: Vec<Arc<str>> = reported.map(|backend| Arc::clone(&backend.name)).collect();
+        for name in expired {
+            self.forget(&name);
+        }
     }
 
     fn remove_missing(&mut self, is_expired: impl Fn(Stamp) -> bool) {
@@ -185,12 +217,16 @@
 
     /// Removes a backend server.
     pub fn remove(&mut self, name: &str) {
-        let Some(key) = self.names.remove(name) else { return };
-        if let Some(backend) = self.arena.remove(key) {
-            self.removed.note(clock::now(), name, backend.record, backend.announced);
-        }
+        let Some(backend) = self.forget(name) else { return };
+        self.removed.note(clock::now(), name, backend.record, backend.announced);
+    }
+
+    // Removes a backend server of which it is not known that it has left.
+    fn forget(&mut self, name: &str) -> Option<Backend> {
+        let backend = self.names.remove(name).and_then(|key| self.arena.remove(key))?;
         self.changes.note_removed(name.to_owned());
         tracing::info!(event = Event::BackendGone.number(), backend = name);
+        Some(backend)
     }
 
     /// Returns when the record of a server at an address was removed that had said that it was leaving.
--- a/crates/gateway/src/cluster/gossip.rs
+++ b/crates/gateway/src/cluster/gossip.rs
@@ -166,6 +166,7 @@
         quota.retain(|peer| members.is_known(peer));
     }
     state.watches.retain(|node| members.get(node).is_some());
+    state.streams.confirmations.retain(|node| members.is_known(node));
     // An earlier incarnation of a restarted node would count beside the current one.
     state.facts.retain(|peer| members.is_known(peer));
     set_own(state, now);
--- a/crates/gateway/src/cluster/mod.rs
+++ b/crates/gateway/src/cluster/mod.rs
@@ -21,6 +21,7 @@
 mod receive;
 mod reply_budget;
 mod stream_copies;
+mod version_servers;
 mod watches;
 
 pub use backends::follow_backends;
@@ -38,6 +39,9 @@
 pub use stream_copies::{
     COPIES_PATH, CopiesTaken, FIND_PATH, FindStreams, copy_streams, find_stream, hand_over_streams,
 };
+pub use version_servers::{
+    FindServers, SERVERS_PATH, VersionServers, known_servers, learn_servers,
+};
 pub use watches::{ReportedProof, WatchReport, WatchSubject, Watches};
 
 /// `MemberUpdates` are updates of the records of nodes in the key-value service.
--- a/crates/gateway/src/cluster/peer_port.rs
+++ b/crates/gateway/src/cluster/peer_port.rs
@@ -15,13 +15,14 @@
     clock,
     cluster::{
         CARRY_PATH, COPIES_PATH, CarriedRequest, Digest, DigestScope, Document, FIND_PATH,
-        FindStreams, MemberUpdates, RecordCursor,
+        FindServers, FindStreams, MemberUpdates, RecordCursor, SERVERS_PATH,
         advertise::{DigestOptions, build_digest},
         carry::carry,
         gossip::{
             DIGEST_PATH, DOCUMENT_PATH, MAX_MESSAGE_BYTES, RESPONSE_TIMEOUT, endpoint,
             fetch_document,
         },
+        known_servers,
         receive::{DocumentFetch, receive_digest},
         stream_copies::{known_streams, take_copies},
     },
@@ -90,6 +91,10 @@
                 Ok(asked) => encoded(&known_streams(&self.gateway, &asked)),
                 Err(_) => refuse(StatusCode::BAD_REQUEST),
             },
+            SERVERS_PATH => match rmp_serde::from_slice::<FindServers>(&body) {
+                Ok(asked) => encoded(&known_servers(&self.gateway, &asked)),
+                Err(_) => refuse(StatusCode::BAD_REQUEST),
+            },
             STATUS_PATH => json(&NodeReport::of(&self.gateway)),
             BLOCKS_PATH => json(&block_statuses(&self.gateway)),
             LIFT_PATH => self.lift(query.as_deref().unwrap_or_default()),
--- a/crates/gateway/src/cluster/receive.rs
+++ b/crates/gateway/src/cluster/receive.rs
@@ -28,6 +28,7 @@
     reported_facts::{apply_received, receive_earlier_fields},
     rollouts::{ReportedCounts, note_ended},
     startup::Stage,
+    streams::note_active,
     table::RouteTable,
 };
 
@@ -67,6 +68,7 @@
     let table = gateway.table.load_full();
     let document = table.as_ref().map(|table| table.document.len());
     gateway.with(|state| {
+        note_active(state, now);
         let name = &gateway.settings.gateway.name;
         if let Some(record) = digest.record.take() {
             state.members.note_self_reported(&digest.node, record);
@@ -90,6 +92,7 @@
             Some(digest.wall_clock_ms as i64 - as_millis(gateway.own_wall_clock()) as i64);
         if let Some(versions) = &digest.versions {
             state.streams.versions.receive(now, versions);
+            state.streams.confirmations.note(now, digest.incarnation, versions);
         }
         member.block_mark = digest.crashes.as_ref().map(|crashes| crashes.mark);
         if let Some(crashes) = digest.crashes.take() {
--- a/crates/gateway/src/cluster/stream_copies.rs
+++ b/crates/gateway/src/cluster/stream_copies.rs
@@ -12,10 +12,13 @@
 use crate::{
     brittle::node_hash,
     clock,
-    cluster::gossip::{RESPONSE_TIMEOUT, call},
+    cluster::{
+        Member,
+        gossip::{RESPONSE_TIMEOUT, call},
+    },
     gateway::{Gateway, State},
     meters,
-    streams::StreamState,
+    streams::{StreamState, note_active},
 };
 
 /// The path to which copies are sent.
@@ -28,6 +31,10 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// How long answers to a question are waited for.
 const FIND_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long after this node stood still the others are asked that were alive before: their next digests arrive within it.
+const PAUSE_COUNTS_FOR: Duration = Duration::from_millis(1_500);
+/// How long nodes that may be dead are not asked again after none answered.
+const VAIN_COUNTS_FOR: Duration = Duration::from_millis(500);
 /// How long a node that stops waits until its copies are with others.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(300);
 /// The time limits of these messages.
@@ -92,36 +99,80 @@
 /// Asks other nodes for a stream; returns what the first one answers that knows it.
 pub async fn find_stream(gateway: &Gateway, key: StreamKey) -> Option<Found> {
     let began = clock::now();
-    let peers = gateway.with(|state| live_peers(state));
+    let question = FindStreams { streams: vec![key] };
+    let found = ask_others(gateway, key, (FIND_PATH, &question), |known: StreamBatch| {
+        known.iter().find(|(known, _)| *known == key).map(|(_, origin)| Found::new(origin))
+    });
+    let found = found.await;
+    let outcome = if found.is_some() { "found" } else { "unknown" };
+    meters::stream_asked(outcome, clock::now().since(began));
+    found
+}
+
+/// Asks the nodes that may know of a stream; returns the first answer that `read` finds something in.
+pub async fn ask_others<T: DeserializeOwned, U>(
+    gateway: &Gateway,
+    key: StreamKey,
+    (path, question): (&str, &impl Serialize),
+    read: impl Fn(T) -> Option<U>,
+) -> Option<U> {
+    let Asked { peers, may_be_dead } = gateway.with(|state| asked(state))?;
     let mut answers = FuturesUnordered::new();
     for endpoint in asked_nodes(key, peers) {
-        answers.push(ask(endpoint, key));
+        answers.push(async move { send::<T>(&endpoint, path, question).await });
     }
+    let mut answered = false;
     let first = async {
         while let Some(answer) = answers.next().await {
-            if answer.is_some() {
-                return answer;
-            }
+            answered |= answer.is_some();
+            let Some(found) = answer.and_then(&read) else { continue };
+            return Some(found);
         }
         None
     };
     let found = timeout(FIND_TIMEOUT, first).await.ok().flatten();
-    let outcome = if found.is_some() { "found" } else { "unknown" };
-    meters::stream_asked(outcome, clock::now().since(began));
+    if may_be_dead && !answered {
+        gateway.with(|state| state.streams.unanswered_at = Some(clock::now()));
+    }
     found
 }
 
-async fn ask(endpoint: Arc<Endpoint>, key: StreamKey) -> Option<Found> {
-    let question = FindStreams { streams: vec![key] };
-    let known: StreamBatch = send(&endpoint, FIND_PATH, &question).await?;
-    known.iter().find(|(known, _)| *known == key).map(|(_, origin)| Found::new(origin))
+/// The nodes that may be asked.
+struct Asked {
+    peers: HashMap<u64, Arc<Endpoint>>,
+    /// Whether nothing shows that one of them is alive.
+    may_be_dead: bool,
+}
+
+// Returns the nodes to ask: those that are alive, also those that were when this node began to stand still. A node that
+// hears of no other one asks all, unless that was in vain lately.
+fn asked(state: &mut State) -> Option<Asked> {
+    let now = clock::now();
+    note_active(state, now);
+    let pause = state.streams.pauses.recent(now, PAUSE_COUNTS_FOR);
+    let is_live = |member: &Member| {
+        member.is_live(now) || pause.is_some_and(|pause| member.is_live(pause.began))
+    };
+    let live = peers(state, is_live);
+    if !live.is_empty() {
+        return Some(Asked { peers: live, may_be_dead: false });
+    }
+    let was_in_vain = |at| now.since(at) < VAIN_COUNTS_FOR;
+    if state.streams.unanswered_at.is_some_and(was_in_vain) {
+        return None;
+    }
+    Some(Asked { peers: peers(state, |_| true), may_be_dead: true })
 }
 
 // Returns the other nodes that are alive, by their hashes.
 fn live_peers(state: &State) -> HashMap<u64, Arc<Endpoint>> {
     let now = clock::now();
-    let live = state.members.iter().filter(|(_, member)| member.is_live(now));
-    live.map(|(name, member)| (node_hash(name), Arc::clone(&member.endpoint))).collect()
+    peers(state, |member| member.is_live(now))
+}
+
+fn peers(state: &State, is_taken: impl Fn(&Member) -> bool) -> HashMap<u64, Arc<Endpoint>> {
+    let taken = state.members.iter().filter(|(_, member)| is_taken(member));
+    taken.map(|(name, member)| (node_hash(name), Arc::clone(&member.endpoint))).collect()
 }
 
 /// Copies on their way to one node.
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -33,6 +33,7 @@
 const STREAMS_COPIED: &str = "bulrush_route_streams_copied_total";
 /// The time that other nodes took to answer at which version a stream began.
 const STREAM_ASKED_SECONDS: &str = "bulrush_route_stream_asked_seconds";
+const STREAM_SERVERS_ASKED: &str = "bulrush_route_stream_servers_asked_total";
 /// Crashes of backend servers in the middle of answers.
 const SERVERS_CRASHED: &str = "bulrush_route_servers_crashed_total";
 /// The blocks of prompt parts that are in force.
@@ -92,7 +93,7 @@
 }
 
 /// Every metric.
-pub const ROUTE_METRICS: [RouteMetric; 34] = [
+pub const ROUTE_METRICS: [RouteMetric; 35] = [
     RouteMetric { name: REQUESTS, kind: "counter", labels: "kind, outcome" },
     RouteMetric { name: REQUEST_SECONDS, kind: "histogram", labels: "kind" },
     RouteMetric { name: FIRST_SECONDS, kind: "histogram", labels: "kind" },
@@ -104,6 +105,7 @@
     RouteMetric { name: STREAM_RESUMPTIONS, kind: "counter", labels: "outcome" },
     RouteMetric { name: STREAMS_COPIED, kind: "counter", labels: "outcome" },
     RouteMetric { name: STREAM_ASKED_SECONDS, kind: "histogram", labels: "outcome" },
+    RouteMetric { name: STREAM_SERVERS_ASKED, kind: "counter", labels: "outcome" },
     RouteMetric { name: SERVERS_CRASHED, kind: "counter", labels: "" },
     RouteMetric { name: PARTS_BLOCKED, kind: "gauge", labels: "" },
     RouteMetric { name: PARTS_REFUSED, kind: "counter", labels: "" },
@@ -209,6 +211,11 @@
     histogram!(STREAM_ASKED_SECONDS, "outcome" => outcome).record(took.as_secs_f64());
 }
 
+/// Counts questions to other nodes for servers of a version, by whether one knew any.
+pub fn servers_asked(outcome: &'static str) {
+    counter!(STREAM_SERVERS_ASKED, "outcome" => outcome).increment(1);
+}
+
 /// Counts an outage of a service of the platform, by the prefix of the keys that were requested.
 pub fn dependency_lost(prefix: &'static str) {
     counter!(DEPENDENCIES_LOST, "prefix" => prefix).increment(1);
--- a/crates/gateway/src/pipeline/placement.rs
+++ b/crates/gateway/src/pipeline/placement.rs
@@ -41,6 +41,7 @@
     reported_facts::offered_by_others,
     rollouts::{AnswerKey, VersionFilter},
     speed_settings::SpeedSource,
+    streams::held_for,
     table::{EngineSizes, ServiceEntry},
 };
 
@@ -188,7 +189,7 @@
         }
     }
 
-    // Leaves out the versions that other nodes may not know yet, if there are others: a node that knows of one
+    // Leaves out the versions that other nodes may not know yet, unless there never was another: a node that knows of one
     // version only takes all streams to have begun there.
     fn without_new_versions(
         &self,
@@ -206,19 +207,30 @@
                 versions.push(version);
             }
         }
-        if versions.len() < 2 {
-            return filter;
-        }
-        let is_settled =
-            |version: &&str| state.streams.versions.is_settled(now, self.service, version);
-        let (settled, unsettled): (Vec<&str>, Vec<&str>) =
+        let known = &state.streams.versions;
+        let is_settled = |version: &&str| known.is_settled(now, self.service, version);
+        let (settled, mut unsettled): (Vec<&str>, Vec<&str>) =
             versions.into_iter().partition(is_settled);
         if settled.is_empty() {
+            unsettled.retain(|version| held_for(state, now, self.service, version).is_some());
+        }
+        if unsettled.is_empty() {
             return filter;
         }
         filter.without(unsettled.into_iter().map(str::to_owned).collect())
     }
 
+    // Returns how long no version gets new streams, if that is why there is no server.
+    fn held_for(&self, state: &State, now: Stamp) -> Option<Duration> {
+        if self.req.route.cfg.kind != RouteKind::ResumableStream {
+            return None;
+        }
+        let accepting = state.backends.accepting(self.service);
+        let held = accepting
+            .filter_map(|(_, backend)| held_for(state, now, self.service, &backend.record.version));
+        held.min()
+    }
+
     fn choose_engine_server(
         &self,
         state: &mut State,
@@ -575,10 +587,12 @@
             }
         }
         let Some(wait) = waits.into_iter().min() else {
-            return if self.origin.is_some() {
-                Failure::VersionUnavailable
-            } else {
-                Failure::NoBackend
+            if self.origin.is_some() {
+                return Failure::VersionUnavailable;
+            }
+            return match self.held_for(state, now) {
+                Some(left) => Failure::ServersLimited(left.max(MIN_RETRY_AFTER)),
+                None => Failure::NoBackend,
             };
         };
         if let (Some(prompt), true) = (&self.req.call.prompt, self.tried.is_empty()) {
--- a/crates/gateway/src/pipeline/resumption.rs
+++ b/crates/gateway/src/pipeline/resumption.rs
@@ -1,11 +1,11 @@
 //! The origin of a stream that a caller resumes.
 
-use bulrushhall_coord::streams::{Found, StreamOrigin};
+use bulrushhall_coord::streams::{Found, StreamKey, StreamOrigin};
 use bulrushhall_core::config::RouteKind;
 
 use crate::{
     clock,
-    cluster::find_stream,
+    cluster::{find_stream, learn_servers},
     gateway::Gateway,
     meters,
     pipeline::{Failure, identify::IdentifiedRequest, serve::service_hash},
@@ -28,7 +28,7 @@
     let now = clock::now();
     let known = key.and_then(|key| gateway.with(|state| state.streams.origins.find(now, key)));
     if let Some(found) = known {
-        return served_origin(req, found, "known").map(Some);
+        return reachable_origin(gateway, req, (key, found), "known").await.map(Some);
     }
     if let Some(only) = only_origin(gateway, req) {
         meters::stream_resumption("only_version");
@@ -36,7 +36,21 @@
     }
     let Some(key) = key else { return Err(unknown()) };
     let found = find_stream(gateway, key).await.ok_or_else(unknown)?;
-    served_origin(req, found, "asked").map(Some)
+    reachable_origin(gateway, req, (Some(key), found), "asked").await.map(Some)
+}
+
+// Returns the origin if the route still leads to its service, and learns of its servers from other nodes if need be.
+async fn reachable_origin(
+    gateway: &Gateway,
+    req: &IdentifiedRequest,
+    (key, found): (Option<StreamKey>, Found),
+    outcome: &'static str,
+) -> Result<StreamOrigin, Failure> {
+    let origin = served_origin(req, found, outcome)?;
+    if let Some(key) = key {
+        learn_servers(gateway, key, &origin).await;
+    }
+    Ok(origin)
 }
 
 fn unknown() -> Failure {
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -108,11 +108,14 @@
 }
 
 impl VersionFilter {
-    /// Returns the filter without some versions; one version stays as it is.
+    /// Returns the filter without some versions.
     pub fn without(self, versions: Vec<String>) -> VersionFilter {
         match self {
             VersionFilter::Any => VersionFilter::Except(versions),
             VersionFilter::Except(except) => VersionFilter::Except([except, versions].concat()),
+            VersionFilter::Only { version, .. } if versions.contains(&version) => {
+                VersionFilter::Nothing
+            }
             VersionFilter::Only { .. } | VersionFilter::Nothing => self,
         }
     }
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use bulrushhall_coord::streams::{ServiceVersions, StreamCopies, StreamKey, StreamOrigins};
+use bulrushhall_coord::{
+    Pauses,
+    streams::{ServiceVersions, StreamCopies, StreamKey, StreamOrigins, VersionConfirmations},
+};
 use bulrushhall_core::{ServiceName, Stamp, config::RouteConfig};
 
 use crate::{
@@ -25,6 +28,12 @@
     pub copies: StreamCopies,
     /// The versions of each service that nodes have seen.
     pub versions: ServiceVersions,
+    /// Which nodes know them.
+    pub confirmations: VersionConfirmations,
+    /// When this node stood still.
+    pub pauses: Pauses,
+    /// When other nodes that may be dead were last asked and none answered.
+    pub unanswered_at: Option<Stamp>,
 }
 
 impl StreamState {
@@ -58,7 +67,7 @@
     // A caller names the first of its attempts that brought events.
     let attempts = [Some(req.call.id.as_str()), req.call.resumes.as_deref()];
     gateway.with(|state| {
-        let StreamState { origins, copies, versions } = &mut state.streams;
+        let StreamState { origins, copies, versions, .. } = &mut state.streams;
         for attempt in attempts.into_iter().flatten() {
             let key = stream_key(req, attempt);
             origins.note(now, lifetime, key, origin);
@@ -81,8 +90,30 @@
     }
 }
 
+/// Returns how long a version gets no new streams although no settled one serves: until all other nodes know it, or are
+/// out of touch.
+pub fn held_for(
+    state: &State,
+    now: Stamp,
+    service: &ServiceName,
+    version: &str,
+) -> Option<Duration> {
+    let StreamState { versions, confirmations, .. } = &state.streams;
+    let left = versions.held_for(now, service, version)?;
+    let others = state.members.iter().map(|(_, member)| member.record.incarnation);
+    (!confirmations.all_know(now, service, version, others)).then_some(left)
+}
+
+/// Notes whether this node stood still until now. What it has received since shows nothing of the time before.
+pub fn note_active(state: &mut State, now: Stamp) {
+    if state.streams.pauses.note_active(now) {
+        state.streams.versions.note_out_of_touch(now);
+    }
+}
+
 /// Notes whether this node is out of touch with another one, which may know versions that it does not know.
 pub fn note_touch(state: &mut State, now: Stamp) {
+    note_active(state, now);
     if state.members.live_count(now) + 1 < state.members.count() {
         state.streams.versions.note_out_of_touch(now);
     }
