Bound the nesting depth of messages and records of other nodes

What callers saw: a process that ended by itself. One value in MessagePack nested deeply, as a record among those of nodes, a block, or a message, made its reader overflow the stack, which no task survives: the process aborts, starts again, reads the same record and aborts again.

Cause: decoding is recursive, also of unknown fields. rmp-serde allows 1,024 levels by default, each of which takes several stack frames.

Ruled out: JSON. serde_json stops at 128 levels, and skips unknown fields without recursion; records of backend servers, the configuration and orders pass the same play before this change.

Change: `decode_message` of the coord crate decodes with at most 64 levels; all readers of records, messages, replies, facts and kept answers use it.

--- a/crates/coord/src/facts/wire.rs
+++ b/crates/coord/src/facts/wire.rs
@@ -8,6 +8,8 @@
     de::{self, Visitor},
 };
 
+use crate::decoding::decode_next;
+
 use super::{
     FactKindId, FactRefusal, FactScope, FactValue, MAX_NUMBERS, MAX_SUBJECT_BYTES,
     positions::{PRIORITIES, Positions},
@@ -174,11 +176,11 @@
         return Err(FactRefusal::TooLarge);
     }
     let mut rest = bytes;
-    let header: Header = rmp_serde::from_read(&mut rest).map_err(|_| FactRefusal::Malformed)?;
+    let header: Header = decode_next(&mut rest).map_err(|_| FactRefusal::Malformed)?;
     let mut entries = Vec::new();
     let count: u64 = header.counts.iter().map(|count| u64::from(*count)).sum();
     for _ in 0..count {
-        entries.push(rmp_serde::from_read(&mut rest).map_err(|_| FactRefusal::Malformed)?);
+        entries.push(decode_next(&mut rest).map_err(|_| FactRefusal::Malformed)?);
     }
     if !rest.is_empty() {
         return Err(FactRefusal::Malformed);
--- a/crates/daemon/src/handoff/portable.rs
+++ b/crates/daemon/src/handoff/portable.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bulrushhall_coord::decode_message;
 use bulrushhall_core::{RequestId, TeamName};
 use bulrushhall_external::{CallError, CallFault};
 use bytes::Bytes;
@@ -33,7 +34,7 @@
 
     /// Decodes a request.
     pub fn decode(bytes: &[u8]) -> Result<Portable, CallError> {
-        rmp_serde::from_slice(bytes).map_err(|_| CallError::not_done(CallFault::Malformed))
+        decode_message(bytes).map_err(|_| CallError::not_done(CallFault::Malformed))
     }
 
     /// Returns a new answer to the request, without tokens.
@@ -53,5 +54,5 @@
 
 /// Decodes the end of an answer.
 pub(super) fn decode_end(bytes: &[u8]) -> Option<AnswerEnd> {
-    rmp_serde::from_slice(bytes).ok()
+    decode_message(bytes).ok()
 }
--- a/crates/daemon/src/keyed/stored.rs
+++ b/crates/daemon/src/keyed/stored.rs
@@ -1,5 +1,6 @@
 //! Responses of plain services that are stored for retries.
 
+use bulrushhall_coord::decode_message;
 use bulrushhall_external::{
     http::{Body, full},
     service::ServiceResponse,
@@ -42,7 +43,7 @@
 
     /// Decodes a stored response.
     pub fn decode(bytes: &[u8]) -> Option<StoredResponse> {
-        rmp_serde::from_slice(bytes).ok()
+        decode_message(bytes).ok()
     }
 
     /// Returns it as an HTTP response.
--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use bulrushhall_coord::decode_message;
 use bulrushhall_core::Incarnation;
 use bulrushhall_external::{
     CallError, CallFault,
@@ -84,7 +85,7 @@
             read_with_timeouts(response.into_body(), MESSAGE_LIMIT, REPLY_BODY_TIMEOUTS).await;
         let reply = reply.map_err(|error| CallError::unknown(error.into()))?;
         let reply: Envelope<M::Reply> =
-            rmp_serde::from_slice(&reply).map_err(|_| CallError::unknown(CallFault::Malformed))?;
+            decode_message(&reply).map_err(|_| CallError::unknown(CallFault::Malformed))?;
         cx.note_peer();
         cx.note_revision(reply.from.revision, reply.from.incarnation);
         Ok((reply.from, reply.body))
--- a/crates/daemon/src/peers/port.rs
+++ b/crates/daemon/src/peers/port.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, future::Future, sync::Arc, time::Duration};
 
+use bulrushhall_coord::decode_message;
 use bulrushhall_external::{
     BoxFuture,
     http::{Body, Handler, empty, full, read_limited},
@@ -84,7 +85,7 @@
     fn receive(&self, message: Bytes) -> BoxFuture<'_, Result<Vec<u8>, StatusCode>> {
         Box::pin(async move {
             let envelope: Envelope<M> =
-                rmp_serde::from_slice(&message).map_err(|_| StatusCode::BAD_REQUEST)?;
+                decode_message(&message).map_err(|_| StatusCode::BAD_REQUEST)?;
             // IP addresses are reused: a message to an earlier incarnation must not be acted on.
             if envelope.to.is_some_and(|to| to != self.cx.incarnation) {
                 return Err(StatusCode::GONE);
--- a/crates/gateway/src/cluster/block_records.rs
+++ b/crates/gateway/src/cluster/block_records.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use bulrushhall_coord::crashes::{Block, PartIds};
+use bulrushhall_coord::{
+    crashes::{Block, PartIds},
+    decode_message,
+};
 use bulrushhall_core::Stamp;
 use bulrushhall_external::{
     CallError,
@@ -91,7 +94,11 @@
 fn read_block(change: &Change) -> Option<Block> {
     change.key.strip_prefix(BLOCK_PREFIX)?;
     let value = change.value.as_ref().filter(|_| !change.removed)?;
-    rmp_serde::from_slice(value).ok()
+    decode(value)
+}
+
+fn decode(value: &Bytes) -> Option<Block> {
+    decode_message(value).ok()
 }
 
 fn due_write(state: &State, now: Stamp) -> Option<Block> {
@@ -113,7 +120,7 @@
     let mut found = kv.get(&key).await?;
     loop {
         if found.version != Version(0)
-            && let Ok(stored) = rmp_serde::from_slice::<Block>(&found.value)
+            && let Some(stored) = decode(&found.value)
             && (!block.is_after(&stored) || !may_replace(&stored))
         {
             gateway.with(|state| receive_block(gateway, state, stored, SOURCE));
--- a/crates/gateway/src/cluster/gossip.rs
+++ b/crates/gateway/src/cluster/gossip.rs
@@ -7,7 +7,9 @@
     time::Duration,
 };
 
-use bulrushhall_coord::{RelayOptions, RelayPeer, RelayRanking, RelayRequested, Role};
+use bulrushhall_coord::{
+    RelayOptions, RelayPeer, RelayRanking, RelayRequested, Role, decode_message,
+};
 use bulrushhall_core::{Event, NodeName, Stamp};
 use bulrushhall_external::{
     CallError, CallFault,
@@ -376,5 +378,5 @@
     let response = endpoint.send(req.map_err(|_| malformed())?).await?;
     let body = read_with_timeouts(response.into_body(), MAX_MESSAGE_BYTES, timeouts).await;
     let body = body.map_err(|error| CallError::unknown(error.into()))?;
-    rmp_serde::from_slice(&body).map_err(|_| malformed())
+    decode_message(&body).map_err(|_| malformed())
 }
--- a/crates/gateway/src/cluster/membership.rs
+++ b/crates/gateway/src/cluster/membership.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use bulrushhall_coord::{RecordCall, RecordLease, RecordLeaseOptions, RecordPresence, RecordReply};
+use bulrushhall_coord::{
+    RecordCall, RecordLease, RecordLeaseOptions, RecordPresence, RecordReply, decode_message,
+};
 use bulrushhall_core::{NodeName, Stamp};
 use bulrushhall_external::{
     CallError, CallFault,
@@ -159,7 +161,7 @@
             self.gateway.with(|state| state.members.note_unlisted(&name));
             return None;
         };
-        let record: MemberRecord = rmp_serde::from_slice(value).ok()?;
+        let record: MemberRecord = decode_message(value).ok()?;
         self.gateway.with(|state| state.members.note_listed(&name, record));
         Some(name)
     }
--- a/crates/gateway/src/cluster/peer_port.rs
+++ b/crates/gateway/src/cluster/peer_port.rs
@@ -2,7 +2,7 @@
 
 use std::{str::FromStr, sync::Arc};
 
-use bulrushhall_coord::{crashes::PartIds, streams::StreamBatch};
+use bulrushhall_coord::{crashes::PartIds, decode_message, streams::StreamBatch};
 use bulrushhall_external::{
     BoxFuture,
     http::{Body, Handler, empty, full, read_limited},
@@ -63,7 +63,7 @@
         };
         match path.as_str() {
             DIGEST_PATH => {
-                let Ok(digest) = rmp_serde::from_slice::<Digest>(&body) else {
+                let Ok(digest) = decode_message::<Digest>(&body) else {
                     return refuse(StatusCode::BAD_REQUEST);
                 };
                 let (reply, fetch) = reply_to_digest(&self.gateway, digest);
@@ -78,15 +78,15 @@
                 let bytes = table.map(|table| table.document.clone()).unwrap_or_default();
                 encoded(&Document { bytes })
             }
-            CARRY_PATH => match rmp_serde::from_slice::<CarriedRequest>(&body) {
+            CARRY_PATH => match decode_message::<CarriedRequest>(&body) {
                 Ok(carried) => carry(&self.gateway, carried).await,
                 Err(_) => refuse(StatusCode::BAD_REQUEST),
             },
-            COPIES_PATH => match rmp_serde::from_slice::<StreamBatch>(&body) {
+            COPIES_PATH => match decode_message::<StreamBatch>(&body) {
                 Ok(batch) => encoded(&take_copies(&self.gateway, &batch)),
                 Err(_) => refuse(StatusCode::BAD_REQUEST),
             },
-            FIND_PATH => match rmp_serde::from_slice::<FindStreams>(&body) {
+            FIND_PATH => match decode_message::<FindStreams>(&body) {
                 Ok(asked) => encoded(&known_streams(&self.gateway, &asked)),
                 Err(_) => refuse(StatusCode::BAD_REQUEST),
             },
--- a/crates/gateway/src/duties/usage.rs
+++ b/crates/gateway/src/duties/usage.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use bulrushhall_coord::{FixedReports, Role, TeamCounts, Window};
+use bulrushhall_coord::{FixedReports, Role, TeamCounts, Window, decode_message};
 use bulrushhall_core::{Era, Event, Stamp};
 use bulrushhall_external::{
     CallError, CallFault,
@@ -89,7 +89,7 @@
         let found = within(CALL_TIMEOUT, gateway.platform.key_value.get(REPORTS_KEY)).await?;
         let fixed: FixedReports = match found.value.is_empty() {
             true => FixedReports::default(),
-            false => rmp_serde::from_slice(&found.value)
+            false => decode_message(&found.value)
                 .map_err(|_| CallError::not_done(CallFault::Malformed))?,
         };
         let era = gateway.era();
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::{pin::pin, sync::Arc, time::Duration};
 
+use bulrushhall_coord::decode_message;
 use bulrushhall_core::{Event, Ran, Stamp};
 use bulrushhall_external::http::read_limited;
 use bytes::Bytes;
@@ -355,7 +356,7 @@
         return not_run(SendFault::NotOpened(OpenError::Unreachable));
     }
     let body = read_limited(response.into_body(), MAX_FAILURE_BYTES, FAILURE_TIMEOUT).await;
-    let failure = body.ok().and_then(|body| rmp_serde::from_slice::<CarryFailure>(&body).ok());
+    let failure = body.ok().and_then(|body| decode_message::<CarryFailure>(&body).ok());
     match failure {
         Some(CarryFailure { ran: Ran::No, blocked: true, .. }) => not_run(SendFault::Blocked),
         Some(CarryFailure { ran: Ran::No, full, .. }) => {
