Refuse blocks whose counts can't be counted on

What callers saw: requests with a prompt part that stay refused, since nobody can lift the block: the generation of its record is the greatest number there is.

Cause: lifting and probing a block count its generation and probes on by one. From the greatest one a debug build panics, with the state locked, and a release build continues at 0, which all nodes take for an older record.

Change: a block with a generation or probes above 2^30 is not valid and counts as unreadable, like one without parts; the next write replaces it.

--- a/crates/coord/src/crashes/block.rs
+++ b/crates/coord/src/crashes/block.rs
@@ -37,6 +37,9 @@
     }
 }
 
+/// The greatest generation, and number of probes, that a record may have: each is counted on by one.
+const MAX_COUNT: u32 = 1 << 30;
+
 /// A `Block` refuses requests whose prompts have all of its parts, or one request.
 ///
 /// Nodes and the key-value service keep the record with the highest generation. Odd generations are in force, even ones are
@@ -60,6 +63,12 @@
 }
 
 impl Block {
+    /// Returns whether nodes may have written it.
+    pub fn is_valid(&self) -> bool {
+        let are_parts = !self.parts.0.is_empty() && self.parts.0.is_sorted();
+        are_parts && self.generation <= MAX_COUNT && self.probes <= MAX_COUNT
+    }
+
     /// Returns whether it is in force.
     pub fn state(&self) -> BlockState {
         if self.generation % 2 == 1 { BlockState::InForce } else { BlockState::Lifted }
--- a/crates/coord/src/crashes/blocks.rs
+++ b/crates/coord/src/crashes/blocks.rs
@@ -106,7 +106,7 @@
 
     /// Applies a record of another node or of the key-value service.
     pub fn receive(&mut self, now: Stamp, block: Block) -> Received {
-        if block.parts.0.is_empty() || !block.parts.0.is_sorted() {
+        if !block.is_valid() {
             return Received::Nothing;
         }
         let known = self.get(&block.parts);
--- a/crates/gateway/src/cluster/block_records.rs
+++ b/crates/gateway/src/cluster/block_records.rs
@@ -98,7 +98,7 @@
 }
 
 fn decode(value: &Bytes) -> Option<Block> {
-    decode_message(value).ok()
+    decode_message(value).ok().filter(Block::is_valid)
 }
 
 fn due_write(state: &State, now: Stamp) -> Option<Block> {
