Let sums of numbers that other nodes report saturate

What callers saw: nothing yet. A clock, a load or a count near the greatest number in one digest of a node makes sums overflow: a debug build panics, in the handler of the digest or in the task of the duties, which then stays ended; a release build goes on with a wrong sum, and would start the requests of a full server, or fix reports of windows that are already fixed.

Cause: these sums took the numbers for small.

Change: they saturate; an offset of clocks that has no number is left out.

Test: odd_messages, which hands 10,380 variants of a digest with all its fields, of record updates, and of carried requests, copies and questions to a running node. Before: panics at crates/gateway/src/cluster/receive.rs:90 and at crates/gateway/src/duties/rollout.rs:257. After: none; the node serves, and follows its records.

--- a/crates/coord/src/usage.rs
+++ b/crates/coord/src/usage.rs
@@ -153,10 +153,10 @@
     pub fn next(&self, last_ended: Window) -> Option<Window> {
         let oldest = Window(last_ended.0.saturating_sub(RETAINED_WINDOWS / 2));
         let next = match self.windows.last_key_value() {
-            Some((newest, _)) => Window(newest.0 + 1).max(oldest),
+            Some((newest, _)) => Window(newest.0.saturating_add(1)).max(oldest),
             None => last_ended,
         };
-        let next = self.lost_until.map_or(next, |lost| next.max(Window(lost.0 + 1)));
+        let next = self.lost_until.map_or(next, |lost| next.max(Window(lost.0.saturating_add(1))));
         (next <= last_ended).then_some(next)
     }
 
--- a/crates/gateway/src/backends/backend.rs
+++ b/crates/gateway/src/backends/backend.rs
@@ -157,7 +157,8 @@
 
     /// Returns the number of requests of all nodes there.
     pub fn requests(&self, now: Stamp) -> u32 {
-        self.own.requests + self.valid_reports(now).map(|load| load.requests).sum::<u32>()
+        let others = self.valid_reports(now).map(|load| load.requests);
+        others.fold(self.own.requests, u32::saturating_add)
     }
 
     /// Returns the waiting tokens of all nodes there with a priority at least as urgent as `rank`.
--- a/crates/gateway/src/cluster/receive.rs
+++ b/crates/gateway/src/cluster/receive.rs
@@ -86,8 +86,8 @@
         state.startup.note(now, Stage::PeerHeard);
         member.lost_services = lost_services(&digest.lost_services, digest.incarnation);
         member.sends_facts = digest.facts.is_some();
-        member.clock_offset_ms =
-            Some(digest.wall_clock_ms as i64 - as_millis(gateway.own_wall_clock()) as i64);
+        let offset = digest.wall_clock_ms.checked_signed_diff(as_millis(gateway.own_wall_clock()));
+        member.clock_offset_ms = offset.or(member.clock_offset_ms);
         if let Some(versions) = &digest.versions {
             state.streams.versions.receive(now, versions);
         }
--- a/crates/gateway/src/duties/rollout.rs
+++ b/crates/gateway/src/duties/rollout.rs
@@ -253,8 +253,8 @@
     fn report(&mut self, service: &ServiceName, seen: &RolloutObservation, verdict: Verdict) {
         let sum = |track| {
             let of_track = seen.counts.iter().filter(|((_, group), _)| group.track() == track);
-            of_track.fold((0, 0), |(answers, bad), (_, counts): (_, &TrackCounts)| {
-                (answers + counts.answers, bad + counts.bad)
+            of_track.fold((0_u64, 0_u64), |(answers, bad), (_, counts): (_, &TrackCounts)| {
+                (answers.saturating_add(counts.answers), bad.saturating_add(counts.bad))
             })
         };
         let (current, target) = (sum(Track::Current), sum(Track::Target));
--- a/crates/gateway/src/duties/usage.rs
+++ b/crates/gateway/src/duties/usage.rs
@@ -69,7 +69,7 @@
         let role = gateway.with(|state| state.relays.role);
         let final_after = if role == Role::Flat { FINAL_AFTER } else { FINAL_AFTER_WITH_RELAYS };
         let is_final = final_after <= gateway.time_into_window();
-        let last_final = if is_final { last_ended } else { Window(last_ended.0 - 1) };
+        let last_final = if is_final { last_ended } else { Window(last_ended.0.saturating_sub(1)) };
         let next = self.fixed.as_ref().and_then(|(_, fixed)| fixed.next(last_final));
         if let Some(window) = next {
             self.store(gateway, window).await?;
@@ -78,7 +78,7 @@
             let Some(orders) = &gateway.platform.orders else { return Ok(()) };
             let Some(authority) = holder.authority() else { return Ok(()) };
             orders.report(&authority, window, counts).await?;
-            let total: u64 = counts.values().sum();
+            let total = counts.values().fold(0_u64, |sum, count| sum.saturating_add(*count));
             tracing::info!(event = Event::UsageReported.number(), window = window.0, total);
             self.unsent.remove(&window);
         }
--- a/crates/policy/src/rollout/controller.rs
+++ b/crates/policy/src/rollout/controller.rs
@@ -391,7 +391,7 @@
             sums[at] = sums[at].plus(*counts);
         }
         let [current, target] = sums;
-        let sent = (current.sent + target.sent) as f64;
+        let sent = current.sent as f64 + target.sent as f64;
         let elapsed = now.since(controller.ordered_at).max(MIN_RATE_TIME);
         let per_second = sent / elapsed.as_secs_f64();
         let left = controller.deadline.since(now).as_secs_f64();
