Ignore usage windows of the far future

What callers saw: nothing; operators saw usage reports without counts. A node that reports counts of a window of the far future made all others drop the counts of the present windows for good, since nodes keep the newest twelve.

Cause: the newest window of any report decides which ones are kept.

Change: windows more than six ahead of the node's own one are ignored and counted as ignored. Clocks are corrected by the median of all nodes', and counts are repeated, so counts of a node whose clock is off arrive once it is corrected.

Test: far_window.

--- a/crates/coord/src/usage.rs
+++ b/crates/coord/src/usage.rs
@@ -8,7 +8,7 @@
 use crate::node_counts::{CountScope, NodeCounts};
 
 /// The number of windows before the newest that are kept: more than any report may be delayed.
-const RETAINED_WINDOWS: u64 = 12;
+pub const RETAINED_WINDOWS: u64 = 12;
 /// The number of newest windows whose counts may still change: the current one, and earlier ones as
 /// wall clocks of nodes differ and messages are lost.
 const NEWEST_WINDOWS: usize = 3;
--- a/crates/gateway/src/cluster/receive.rs
+++ b/crates/gateway/src/cluster/receive.rs
@@ -8,9 +8,10 @@
 };
 
 use bulrushhall_coord::{
-    CountScope, FactScope, Role, SourceChoice, UpdateScope,
+    CountScope, FactScope, Role, SourceChoice, UpdateScope, Window,
     facts::FactRefusal,
     rollouts::{RolloutPhase, RolloutReport},
+    usage::RETAINED_WINDOWS,
 };
 use bulrushhall_core::{
     Event, Incarnation, ServiceName, Stamp, TeamName, ZoneName, bounded_seconds,
@@ -39,6 +40,9 @@
 const KEY_VALUE_HEAD_START: Duration = Duration::from_millis(500);
 /// The bytes of a configuration for which the key-value service gets another second.
 const KEY_VALUE_BYTES_PER_S: f64 = 1_000_000.0;
+/// The windows by which the counts of another node may be ahead: half of those that are kept, since newer windows replace
+/// the oldest ones.
+const MAX_WINDOW_LEAD: u64 = RETAINED_WINDOWS / 2;
 
 /// A `DocumentFetch` is the permission to fetch a configuration from another node; there is one at a time.
 pub struct DocumentFetch {
@@ -66,6 +70,7 @@
     receive_era(gateway, now, &digest);
     let table = gateway.table.load_full();
     let document = table.as_ref().map(|table| table.document.len());
+    let newest_window = Window(gateway.window().0.saturating_add(MAX_WINDOW_LEAD));
     gateway.with(|state| {
         let name = &gateway.settings.gateway.name;
         if let Some(record) = digest.record.take() {
@@ -119,7 +124,8 @@
             state.backends.drop_missing();
         }
         let revision = digest.revision;
-        let received = ReceivedDigest { gateway, now, zone, table: table.as_deref() };
+        let received =
+            ReceivedDigest { gateway, now, zone, table: table.as_deref(), newest_window };
         received.apply(state, digest);
         state.catch_up.observe(now, own, revision);
         let head_start = document.map_or(Duration::ZERO, head_start);
@@ -167,6 +173,8 @@
     /// The sender's availability zone.
     zone: ZoneName,
     table: Option<&'a RouteTable>,
+    /// The newest usage window that may have counts.
+    newest_window: Window,
 }
 
 impl ReceivedDigest<'_> {
@@ -284,6 +292,10 @@
     fn apply_usage(&self, state: &mut State, digest: &Digest) {
         let Some(of) = self.count_scope(digest) else { return };
         for (window, counts) in &digest.usage {
+            if self.newest_window < *window {
+                meters::digest_ignored("window");
+                continue;
+            }
             state.usage.merge(*window, of, counts);
         }
     }
