Ignore usage of teams that is no number

What callers saw: nothing yet. MessagePack can hold NaN and infinity. One such report of a team's usage made the sum of all nodes' usage one as well, and it stayed one: NaN or infinity plus any number is never finite again. It also went on to other zones.

Cause: totals of other nodes are added up as they are, unlike limits and rooms, which are checked.

Change: a report that isn't finite is ignored and counted as ignored.

--- a/crates/gateway/src/cluster/receive.rs
+++ b/crates/gateway/src/cluster/receive.rs
@@ -316,6 +316,10 @@
         for (team, total) in &digest.quotas {
             let demand = demands.get(team).copied().unwrap_or(0.0);
             let report = QuotaReport { total: *total, demand };
+            if !report.is_finite() {
+                meters::digest_ignored("quota");
+                continue;
+            }
             let quota = state.quota(team);
             match digest.scope {
                 DigestScope::Own => quota.receive(self.now, digest.incarnation, report),
--- a/crates/policy/src/quota_limit.rs
+++ b/crates/policy/src/quota_limit.rs
@@ -77,3 +77,10 @@
     /// The amount per second that the team requests there.
     pub demand: f64,
 }
+
+impl QuotaReport {
+    /// Returns whether both are numbers: sums with any other never recover.
+    pub fn is_finite(&self) -> bool {
+        self.total.is_finite() && self.demand.is_finite()
+    }
+}
