Ignore orders for roll-outs of an era that can't be

What callers saw: a roll-out that nothing replaces. Orders are compared by the era of the key-value service first, so an order with a false era, in the digest of one node, went before all that operators write later, on every node.

Cause: eras in digests are checked for plausibility, those of orders were not.

Change: the same check for orders. A node that knows no era yet believes them.

--- a/crates/gateway/src/cluster/receive.rs
+++ b/crates/gateway/src/cluster/receive.rs
@@ -137,6 +137,12 @@
 
 fn receive_rollouts(state: &mut State, now: Stamp, reports: impl Iterator<Item = RolloutReport>) {
     for report in reports {
+        // No later order would replace it.
+        let era = report.order.era.filter(|_| state.eras.current().is_some());
+        if era.is_some_and(|era| !state.eras.is_plausible(era)) {
+            meters::digest_ignored("era");
+            continue;
+        }
         let service = report.service.clone();
         let State { rollouts, backends, .. } = &mut *state;
         if !rollouts.known.receive(now, report) {
