--- a/crates/gateway/src/cluster/receive.rs
+++ b/crates/gateway/src/cluster/receive.rs
@@ -8,9 +8,10 @@
 };
 
 use bulrushhall_coord::{
-    CountScope, FactScope, Role, SourceChoice, UpdateScope,
+    CountScope, FactScope, Role, SourceChoice, UpdateScope, Window,
     facts::FactRefusal,
     rollouts::{RolloutPhase, RolloutReport},
+    usage::RETAINED_WINDOWS,
 };
 use bulrushhall_core::{
     Event, Incarnation, ServiceName, Stamp, TeamName, ZoneName, bounded_seconds,
@@ -40,6 +41,9 @@
 const KEY_VALUE_HEAD_START: Duration = Duration::from_millis(500);
 /// The bytes of a configuration for which the key-value service gets another second.
 const KEY_VALUE_BYTES_PER_S: f64 = 1_000_000.0;
+/// The windows by which the counts of another node may be ahead: half of those that are kept, since newer windows replace
+/// the oldest ones.
+const MAX_WINDOW_LEAD: u64 = RETAINED_WINDOWS / 2;
 
 /// A `DocumentFetch` is the permission to fetch a configuration from another node; there is one at a time.
 pub struct DocumentFetch {
@@ -67,6 +71,7 @@
     receive_era(gateway, now, &digest);
     let table = gateway.table.load_full();
     let document = table.as_ref().map(|table| table.document.len());
+    let newest_window = Window(gateway.window().0.saturating_add(MAX_WINDOW_LEAD));
     gateway.with(|state| {
         note_active(state, now);
         let name = &gateway.settings.gateway.name;
@@ -88,8 +93,8 @@
         state.startup.note(now, Stage::PeerHeard);
         member.lost_services = lost_services(&digest.lost_services, digest.incarnation);
         member.sends_facts = digest.facts.is_some();
-        member.clock_offset_ms =
-            Some(digest.wall_clock_ms as i64 - as_millis(gateway.own_wall_clock()) as i64);
+        let offset = digest.wall_clock_ms.checked_signed_diff(as_millis(gateway.own_wall_clock()));
+        member.clock_offset_ms = offset.or(member.clock_offset_ms);
         if let Some(versions) = &digest.versions {
             state.streams.versions.receive(now, versions);
             state.streams.confirmations.note(now, digest.incarnation, versions);
@@ -122,7 +127,8 @@
             state.backends.drop_missing();
         }
         let revision = digest.revision;
-        let received = ReceivedDigest { gateway, now, zone, table: table.as_deref() };
+        let received =
+            ReceivedDigest { gateway, now, zone, table: table.as_deref(), newest_window };
         received.apply(state, digest);
         state.catch_up.observe(now, own, revision);
         let head_start = document.map_or(Duration::ZERO, head_start);
@@ -134,6 +140,12 @@
 
 fn receive_rollouts(state: &mut State, now: Stamp, reports: impl Iterator<Item = RolloutReport>) {
     for report in reports {
+        // No later order would replace it.
+        let era = report.order.era.filter(|_| state.eras.current().is_some());
+        if era.is_some_and(|era| !state.eras.is_plausible(era)) {
+            meters::digest_ignored("era");
+            continue;
+        }
         let service = report.service.clone();
         let State { rollouts, backends, .. } = &mut *state;
         if !rollouts.known.receive(now, report) {
@@ -170,6 +182,8 @@
     /// The sender's availability zone.
     zone: ZoneName,
     table: Option<&'a RouteTable>,
+    /// The newest usage window that may have counts.
+    newest_window: Window,
 }
 
 impl ReceivedDigest<'_> {
@@ -287,6 +301,10 @@
     fn apply_usage(&self, state: &mut State, digest: &Digest) {
         let Some(of) = self.count_scope(digest) else { return };
         for (window, counts) in &digest.usage {
+            if self.newest_window < *window {
+                meters::digest_ignored("window");
+                continue;
+            }
             state.usage.merge(*window, of, counts);
         }
     }
@@ -307,6 +325,10 @@
         for (team, total) in &digest.quotas {
             let demand = demands.get(team).copied().unwrap_or(0.0);
             let report = QuotaReport { total: *total, demand };
+            if !report.is_finite() {
+                meters::digest_ignored("quota");
+                continue;
+            }
             let quota = state.quota(team);
             match digest.scope {
                 DigestScope::Own => quota.receive(self.now, digest.incarnation, report),
--- a/crates/gateway/src/duties/usage.rs
+++ b/crates/gateway/src/duties/usage.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use bulrushhall_coord::{FixedReports, Role, TeamCounts, Window};
+use bulrushhall_coord::{FixedReports, Role, TeamCounts, Window, decode_message};
 use bulrushhall_core::{Era, Event, Stamp};
 use bulrushhall_external::{
     CallError, CallFault,
@@ -69,7 +69,7 @@
         let role = gateway.with(|state| state.relays.role);
         let final_after = if role == Role::Flat { FINAL_AFTER } else { FINAL_AFTER_WITH_RELAYS };
         let is_final = final_after <= gateway.time_into_window();
-        let last_final = if is_final { last_ended } else { Window(last_ended.0 - 1) };
+        let last_final = if is_final { last_ended } else { Window(last_ended.0.saturating_sub(1)) };
         let next = self.fixed.as_ref().and_then(|(_, fixed)| fixed.next(last_final));
         if let Some(window) = next {
             self.store(gateway, window).await?;
@@ -78,7 +78,7 @@
             let Some(orders) = &gateway.platform.orders else { return Ok(()) };
             let Some(authority) = holder.authority() else { return Ok(()) };
             orders.report(&authority, window, counts).await?;
-            let total: u64 = counts.values().sum();
+            let total = counts.values().fold(0_u64, |sum, count| sum.saturating_add(*count));
             tracing::info!(event = Event::UsageReported.number(), window = window.0, total);
             self.unsent.remove(&window);
         }
@@ -89,7 +89,7 @@
         let found = within(CALL_TIMEOUT, gateway.platform.key_value.get(REPORTS_KEY)).await?;
         let fixed: FixedReports = match found.value.is_empty() {
             true => FixedReports::default(),
-            false => rmp_serde::from_slice(&found.value)
+            false => decode_message(&found.value)
                 .map_err(|_| CallError::not_done(CallFault::Malformed))?,
         };
         let era = gateway.era();
