--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -162,6 +162,7 @@
             (Some(key), _) => self.ledger.execute(key),
             (None, _) => self.ledger.execute("(no key)"),
         };
+        self.switches.wait_while_frozen().await;
         if self.switches.should_lose_reply() {
             return reply::status(StatusCode::GATEWAY_TIMEOUT);
         }
--- a/crates/standin/src/switches.rs
+++ b/crates/standin/src/switches.rs
@@ -57,6 +57,11 @@
         if 0 < slow_ms {
             tokio::time::sleep(Duration::from_millis(slow_ms)).await;
         }
+        self.wait_while_frozen().await
+    }
+
+    /// Waits while the server is frozen; returns the faults in force afterwards.
+    pub async fn wait_while_frozen(&self) -> Faults {
         let mut faults = self.faults.subscribe();
         let unfrozen = faults.wait_for(|faults| !faults.frozen).await.map(|faults| *faults);
         unfrozen.unwrap_or_default()
