--- a/crates/gateway/src/cluster/peer_port.rs
+++ b/crates/gateway/src/cluster/peer_port.rs
@@ -91,7 +91,7 @@
                 Ok(asked) => encoded(&known_streams(&self.gateway, &asked)),
                 Err(_) => refuse(StatusCode::BAD_REQUEST),
             },
-            SERVERS_PATH => match rmp_serde::from_slice::<FindServers>(&body) {
+            SERVERS_PATH => match decode_message::<FindServers>(&body) {
                 Ok(asked) => encoded(&known_servers(&self.gateway, &asked)),
                 Err(_) => refuse(StatusCode::BAD_REQUEST),
             },
