Ask silent servers of a plain service again before a call is refused

Callers of the own interface got 503 (not run, without a time to return) for calls of a plain service whose only server was silent for 1.3 s and would have answered within the service's timeout of 10 s.

Cause: the identity of a server is checked on each new connection, for 0.8 s at most. A server that was silent then counted as one that failed, and the call was given up when no other server was left. The class is that of silent servers at routes: an attempt is given up before anything takes over.

Ruled out: servers that have got the call. These are waited for until the timeout, and orders run once. Engines: a run is sent again until its deadline.

Change: servers that were silent before they got the call are asked again, one after the other, until the service's timeout. Such an attempt certainly did not run, so orders go by the same rule. Servers that refuse connections, and those that may have run the call, are treated as before, and another server that answers is used as soon as before. The sending of one call moves to a type of its own.

--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -15,6 +15,7 @@
 mod requests;
 mod respond;
 mod router;
+mod sending;
 pub(crate) mod sent;
 pub(crate) mod services;
 mod settle;
--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -2,34 +2,34 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bulrushhall_coord::Attempts;
 use bulrushhall_core::{
     Incarnation, Ran, ServiceName, TeamName,
     config::{ServiceConfig, ServiceType},
 };
 use bulrushhall_external::{
-    CallError, CallFault,
+    CallError,
     http::{Body, full},
     service::{ServiceCall, ServiceResponse},
 };
 use bulrushhall_policy::WorkerKey;
 use bytes::Bytes;
 use hyper::{
-    HeaderMap, Response, StatusCode,
+    HeaderMap, Response,
     header::{CONTENT_TYPE, RETRY_AFTER},
     http::request::Parts,
 };
 
 use crate::{
-    backends::{Backend, BackendClient},
+    backends::Backend,
     callers::{
         ApiCode, ApiError,
         identify::identify,
+        sending::{Next, Sending},
         sent::{Repeat, Sent},
     },
     carried,
     context::Context,
-    crashes::{self, SentTo},
+    crashes,
     keyed::{self, KeyedCall, StoredResponse},
 };
 
@@ -112,84 +112,35 @@
 }
 
 /// Sends a call to the backend servers that this node reaches, one after the other, until one responds.
+///
+/// Servers that were silent before they got the call are asked again until its time is over: all may be silent for a moment.
 pub(crate) async fn send(
     cx: &Arc<Context>,
     service: &ServiceName,
     call: &ServiceCall,
     repeat: Repeat,
 ) -> Result<Sent, ApiError> {
-    let mut attempts = Attempts::default();
-    let mut sent = Sent::default();
-    let mut unreachable = 0;
     let digest = crashes::call_digest(service, call);
     if let Some(refusal) = crashes::refusal(cx, digest) {
         return Err(refusal.error);
     }
-    let backends = backends_by_distance(cx, service)?;
+    let mut backends = backends_by_distance(cx, service)?;
+    let until = cx.clock.now() + call_timeout(cx, service);
+    let mut sending = Sending::new(cx, call, repeat, digest);
     let count = backends.len();
-    for (key, backend) in backends {
-        attempts.begin();
-        let sent_at = cx.clock.now();
-        let ended = forward(cx, key, &backend, call.clone()).await;
-        attempts.end(ran_of(call, &ended));
-        sent.ran = attempts.ran();
-        match ended {
-            Ok(response) => {
-                crashes::note_answered(cx, digest);
-                let is_turned_away = response.rest().is_some();
-                sent.response = Some(response);
-                if repeat == Repeat::Allowed && !is_turned_away {
-                    return Ok(sent);
-                }
-            }
-            Err(error) => {
-                unreachable += usize::from(error == CallError::not_done(CallFault::Connect));
-                let attempt = SentTo { digest, backend: &backend, at: sent_at };
-                crashes::note_failed(cx, attempt, &error).await;
-                let may_repeat = error.ran == Ran::No || crashes::may_repeat(cx, digest, &backend);
-                sent.error = Some(error);
-                if !may_repeat {
-                    break;
-                }
-            }
-        }
-        if repeat == Repeat::AfterNotRun && !attempts.may_retry() {
-            break;
-        }
+    while sending.send_to_each(backends).await == Next::GoOn && cx.clock.now() < until {
+        backends = backends_by_distance(cx, service).unwrap_or_default();
+        backends.retain(|(key, _)| sending.silent.contains(key));
     }
+    let Sending { mut sent, unreachable, .. } = sending;
     sent.is_lost = 0 < count && unreachable == count;
     Ok(sent)
 }
 
-// A backend server that checks fencing numbers refuses the call before it runs anything.
-fn ran_of(call: &ServiceCall, ended: &Result<ServiceResponse, CallError>) -> Ran {
-    match ended {
-        Err(error) => error.ran,
-        Ok(response)
-            if call.fence.is_some() && response.status == StatusCode::PRECONDITION_FAILED =>
-        {
-            Ran::No
-        }
-        Ok(response) if response.status.is_server_error() => Ran::Unknown,
-        Ok(_) => Ran::Yes,
-    }
-}
-
-// Sends a call to one backend server.
-async fn forward(
-    cx: &Context,
-    key: WorkerKey,
-    backend: &Backend,
-    call: ServiceCall,
-) -> Result<ServiceResponse, CallError> {
-    let BackendClient::Plain(service) = &backend.client else {
-        return Err(CallError::not_done(CallFault::Identity));
-    };
-    let response = service.call(call).await?;
-    if let Some(rest) = response.rest() {
-        cx.backends.note_rest(key, cx.clock.now() + rest);
-    }
-    Ok(response)
+fn call_timeout(cx: &Context, service: &ServiceName) -> Duration {
+    let in_force = cx.in_force();
+    let cfg = in_force.deployment.services.get(service);
+    cfg.map_or(Duration::ZERO, |cfg| cfg.timeout.into())
 }
 
 fn forwarded_call(parts: &Parts, service: &str, body: Bytes) -> ServiceCall {
--- a/crates/daemon/tests/silent_engines.rs
+++ b/crates/daemon/tests/silent_engines.rs
@@ -9,6 +9,7 @@
     Caller, CallerError, StreamedAnswer, Testbed, TestbedOptions,
     testbed::{LEDGER, MODEL},
 };
+use bulrushhall_core::Ran;
 use bulrushhall_standin::{engine::expected_answer, service::ServiceOptions, switches::Faults};
 use hyper::Method;
 use rstest::rstest;
@@ -27,6 +28,9 @@
 const WORK: Duration = Duration::from_millis(400);
 /// How soon an answer is whole whose engine is dead, beyond the limit for silent ones and the time of the answer.
 const TAKEOVER_LIMIT: Duration = Duration::from_millis(3_000);
+/// The time limit of plain services, and how much longer a call may take that is being opened.
+const TIME_LIMIT: Duration = Duration::from_secs(10);
+const END_MARGIN: Duration = Duration::from_millis(1_300);
 /// The time limit for the requests to reach a moment.
 const MOMENT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -68,12 +72,12 @@
     Arc::new(Testbed::start(options).await.expect("a testbed"))
 }
 
-fn set_frozen(testbed: &Testbed, count: usize, frozen: bool) {
+fn set_silent(testbed: &Testbed, count: usize, silent: bool) {
     for engine in &testbed.engines[..count] {
-        engine.switches().set(Faults { frozen, ..Faults::default() });
+        engine.switches().set(Faults { silent, ..Faults::default() });
     }
     for service in testbed.services.iter().take(count) {
-        service.switches().set(Faults { frozen, ..Faults::default() });
+        service.switches().set(Faults { silent, ..Faults::default() });
     }
 }
 
@@ -125,13 +129,13 @@
 ) {
     let testbed = start(TestbedOptions { engines, ..options(limit) }).await;
     if moment == Moment::Before {
-        set_frozen(&testbed, silent, true);
+        set_silent(&testbed, silent, true);
     }
     let sent = send_chats(&testbed);
     reach(&testbed, moment).await;
-    set_frozen(&testbed, silent, true);
+    set_silent(&testbed, silent, true);
     sleep(SILENCE).await;
-    set_frozen(&testbed, silent, false);
+    set_silent(&testbed, silent, false);
     assert_whole(sent).await;
     if limit.is_none() {
         assert_eq!(generates(&testbed), REQUESTS as u64);
@@ -144,7 +148,7 @@
     let testbed = start(TestbedOptions { engines: 2, ..options(Some(SHORT_LIMIT)) }).await;
     let sent = send_chats(&testbed);
     reach(&testbed, Moment::Middle).await;
-    set_frozen(&testbed, 1, true);
+    set_silent(&testbed, 1, true);
     let silent_since = Instant::now();
     assert_whole(sent).await;
     let took = silent_since.elapsed();
@@ -173,7 +177,7 @@
     let options = TestbedOptions { services, service, engines: 3, ..options(None) };
     let testbed = start(options).await;
     if moment == Moment::Before {
-        set_frozen(&testbed, silent, true);
+        set_silent(&testbed, silent, true);
     }
     let mut sent = Vec::new();
     for number in 0..REQUESTS {
@@ -181,9 +185,9 @@
         sent.push(tokio::spawn(async move { call(&caller, path, number).await }));
     }
     sleep(WORK / 2).await;
-    set_frozen(&testbed, silent, true);
+    set_silent(&testbed, silent, true);
     sleep(SILENCE).await;
-    set_frozen(&testbed, silent, false);
+    set_silent(&testbed, silent, false);
     for (number, response) in sent.into_iter().enumerate() {
         let response = response.await.expect("a caller").expect("an answer");
         let runs = u64::from(path == "orders");
@@ -192,3 +196,29 @@
     let calls: u64 = testbed.services.iter().map(|service| service.calls()).sum();
     assert_eq!(calls, REQUESTS as u64);
 }
+
+// Guards against a call that waits for a dead server although another one could take it.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn dead_service_is_left(#[values("stock", "orders")] path: &'static str) {
+    let testbed = start(TestbedOptions { services: 2, ..options(None) }).await;
+    set_silent(&testbed, 1, true);
+    for number in 0..testbed.nodes.len() {
+        let sent_at = Instant::now();
+        call(&testbed.caller(number), path, number).await.expect("an answer");
+        assert!(sent_at.elapsed() < SILENCE, "{:?}", sent_at.elapsed());
+    }
+}
+
+// Guards against a call that outlasts the time limit of its service, or is said to have run, because its server stays silent.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn time_limit_holds(#[values("stock", "orders")] path: &'static str) {
+    let testbed = start(options(None)).await;
+    set_silent(&testbed, 1, true);
+    let sent_at = Instant::now();
+    let response = call(&testbed.caller(0), path, 0).await;
+    let took = sent_at.elapsed();
+    assert!(matches!(response, Err(CallerError::Refused { ran: Ran::No, .. })), "{response:?}");
+    assert!(TIME_LIMIT <= took && took < TIME_LIMIT + END_MARGIN, "{took:?}");
+}
--- a/crates/standin/src/engine/server.rs
+++ b/crates/standin/src/engine/server.rs
@@ -291,6 +291,7 @@
     async fn respond(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
         let path = req.uri().path().to_owned();
         if path == "/identity" {
+            self.switches.wait_while_silent().await;
             return reply::identity(&self.vm, &self.options.version);
         }
         let faults = self.switches.delay_call().await;
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -139,6 +139,7 @@
 impl Shared {
     async fn respond(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
         if req.uri().path() == "/identity" {
+            self.switches.wait_while_silent().await;
             return reply::identity(&self.vm, "");
         }
         self.calls.fetch_add(1, Ordering::Relaxed);
--- a/crates/standin/src/switches.rs
+++ b/crates/standin/src/switches.rs
@@ -18,6 +18,8 @@
     pub rest_s: u32,
     /// Whether all calls hang until the switch is turned off.
     pub frozen: bool,
+    /// Whether nothing at all is sent until the switch is turned off, not even an identity.
+    pub silent: bool,
     /// Whether an engine answers with comment lines without end.
     pub endless: bool,
     /// The delay of each call, in milliseconds.
@@ -60,11 +62,16 @@
         self.wait_while_frozen().await
     }
 
-    /// Waits while the server is frozen; returns the faults in force afterwards.
+    /// Waits while the server is frozen or silent; returns the faults in force afterwards.
     pub async fn wait_while_frozen(&self) -> Faults {
         let mut faults = self.faults.subscribe();
-        let unfrozen = faults.wait_for(|faults| !faults.frozen).await.map(|faults| *faults);
-        unfrozen.unwrap_or_default()
+        let unfrozen = faults.wait_for(|faults| !faults.frozen && !faults.silent).await;
+        unfrozen.map(|faults| *faults).unwrap_or_default()
+    }
+
+    /// Waits while the server is silent.
+    pub async fn wait_while_silent(&self) {
+        let _ = self.faults.subscribe().wait_for(|faults| !faults.silent).await;
     }
 
     /// Returns whether the reply to the current call is lost, at random.
