KNOWN-RED: equal_requests_at_load, equal requests at overloaded servers are blocked

Callers of equal requests, none of which was answered yet, get 503 for 30 s when three overloaded servers fall under them one after the other and do not say that they are brittle.

Cause: a request that was never answered is blamed after three crashes. Reports hold the digest, the parts and the age of each request in flight, and these are the same for a request that crashes servers and has many callers.

--- a/crates/coord/tests/crash_requests.rs
+++ b/crates/coord/tests/crash_requests.rs
@@ -33,8 +33,9 @@
         self.now = self.now + PAUSE;
         self.servers += 1;
         let crashed = CrashedServer { server: self.servers, end, at: self.now };
-        let requests = requests.iter().map(|(digest, parts, begun_ms)| CrashedRequest {
-            request: digest.0 * 1_000 + self.servers,
+        let numbered = requests.iter().zip(0u64..);
+        let requests = numbered.map(|((digest, parts, begun_ms), number)| CrashedRequest {
+            request: (number * 1_000 + digest.0) * 1_000 + self.servers,
             age_ms: begun_ms + 20,
             begun_ms: Some(*begun_ms),
             parts: parts.to_vec(),
@@ -212,3 +213,18 @@
     observer.wait(Duration::from_millis(250));
     assert_eq!(observer.blocked(), []);
 }
+
+// Guards against equal requests of many callers that are blocked because overloaded servers fall under them, one after the other.
+#[test]
+fn equal_requests_at_load() {
+    let mut observer = Observer::new();
+    for _ in 0..3 {
+        let mut requests: Vec<(PartId, &[PartId], u64)> = Vec::new();
+        for copy in 0..12 {
+            requests.push((REQUEST, &[], 400 + 50 * copy));
+        }
+        observer.crash(ServerEnd::Seen, &requests);
+    }
+    observer.wait(Duration::from_secs(2));
+    assert_eq!(observer.blocked(), []);
+}
