An older configuration does not come back when two sources bring one at the same moment

What callers could see: a node that takes an older configuration into force again serves routes and keys that a newer one removed, and refuses those that it added, until the next version is written. Found by reading; not reported, and no request was seen to end without an answer by it.

Cause: activate_config compared the version with the one in force and then replaced it, in two steps. The watch of the key-value service and a fetch from another node run at the same time on several threads. Class: check, then act. The own interface compares and replaces under one lock.

Change: the comparison and the replacement are one atomic step (rcu).

--- a/crates/gateway/src/cluster/config.rs
+++ b/crates/gateway/src/cluster/config.rs
@@ -49,22 +49,25 @@
             return None;
         }
     };
-    // Documents may arrive out of order. An older one would restore a route or key that was removed
-    // since.
-    let before = gateway.revision();
-    let revision = table.revision;
+    // Documents may arrive out of order, and from several sources at once. An older one would restore a route or key that was
+    // removed since.
+    let (revision, table) = (table.revision, Arc::new(table));
+    let before = gateway.table.rcu(|current| match current {
+        Some(current) if revision <= current.revision => Some(Arc::clone(current)),
+        _ => Some(Arc::clone(&table)),
+    });
+    let before = before.map_or(Revision(0), |table| table.revision);
     if revision <= before {
         return Some(revision);
     }
     tracing::info!(
         event = Event::ConfigInForce.number(),
-        revision = table.revision.0,
+        revision = revision.0,
         before = before.0,
         bytes = document.len(),
         source
     );
-    meters::revision(table.revision.0);
-    gateway.table.store(Some(Arc::new(table)));
+    meters::revision(gateway.revision().0);
     gateway.note_stage(Stage::Configured);
     Some(revision)
 }
