--- a/crates/coord/tests/stream_model/world.rs
+++ b/crates/coord/tests/stream_model/world.rs
@@ -387,8 +387,14 @@
             let version = &self.servers[*server].version;
             self.nodes[node].versions.is_settled(self.now, &self.service, version)
         };
+        let is_held = |server: &usize| {
+            let version = &self.servers[*server].version;
+            self.nodes[node].versions.held_for(self.now, &self.service, version).is_some()
+        };
         if candidates.iter().any(settled) {
             candidates.retain(settled);
+        } else {
+            candidates.retain(|server| !is_held(server));
         }
         candidates.choose(&mut self.random).copied()
     }
--- a/crates/coord/tests/stream_origins.rs
+++ b/crates/coord/tests/stream_origins.rs
@@ -4,9 +4,9 @@
 
 use bulrushhall_coord::streams::{
     COPIES, Found, ServiceVersions, StreamBatch, StreamCopies, StreamKey, StreamOrigin,
-    StreamOrigins, VersionsReport, asked_nodes, copy_holders,
+    StreamOrigins, VersionConfirmations, VersionsReport, asked_nodes, copy_holders,
 };
-use bulrushhall_core::{ServiceName, Stamp, TeamName};
+use bulrushhall_core::{Incarnation, ServiceName, Stamp, TeamName};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -179,6 +179,28 @@
     assert!(!held(now + SECOND * 2, "v2"));
 }
 
+// Guards against a version that counts as known to all because some know it, or knew it once.
+#[test]
+fn all_nodes_confirm() {
+    let now = T0 + SECOND * 3;
+    let nodes = [Incarnation(1), Incarnation(2)];
+    let mut confirmations = VersionConfirmations::default();
+    let all_know = |confirmations: &VersionConfirmations, at| {
+        confirmations.all_know(at, &service(), "v2", nodes)
+    };
+    confirmations.note(now, nodes[0], &other_report(now, "v2"));
+    confirmations.note(now, nodes[1], &other_report(now, "v1"));
+    assert!(!all_know(&confirmations, now));
+    let long_ago = other_report(now + SECOND * 60, "v2");
+    confirmations.note(now, nodes[1], &long_ago);
+    assert!(!all_know(&confirmations, now));
+    confirmations.note(now, nodes[1], &other_report(now, "v2"));
+    assert!(all_know(&confirmations, now));
+    assert!(!all_know(&confirmations, now + SECOND * 3));
+    confirmations.retain(|node| node == nodes[0]);
+    assert!(!all_know(&confirmations, now));
+}
+
 // Guards against a start of all nodes that keeps streams waiting.
 #[rstest]
 #[case::one(&[(0, "v1")])]
--- a/crates/gateway/src/cluster/stream_copies.rs
+++ b/crates/gateway/src/cluster/stream_copies.rs
@@ -116,7 +116,7 @@
     (path, question): (&str, &impl Serialize),
     read: impl Fn(T) -> Option<U>,
 ) -> Option<U> {
-    let Asked { peers, may_be_dead } = gateway.with(|state| asked(state))?;
+    let Asked { peers, may_be_dead } = gateway.with(asked)?;
     let mut answers = FuturesUnordered::new();
     for endpoint in asked_nodes(key, peers) {
         answers.push(async move { send::<T>(&endpoint, path, question).await });
--- a/crates/gateway/src/cluster/version_servers.rs
+++ b/crates/gateway/src/cluster/version_servers.rs
@@ -62,7 +62,10 @@
     meters::servers_asked(if found.is_some() { "found" } else { "unknown" });
     let now = clock::now();
     gateway.with(|state| {
-        for (name, record) in found.unwrap_or_default() {
+        for (name, record) in found.unwrap_or_default().into_iter().take(MAX_SERVERS) {
+            if record.service != origin.service || record.version != origin.version {
+                continue;
+            }
             state.backends.note_reported(now, &name, record);
         }
     });
