Refute reported revisions that the key-value service did not have

What callers saw: 503 for every request, from a node that is not ready any more. One digest with a revision that is too large made its receiver count as outdated for good: nothing but a configuration at least as new ended that.

Cause: a node that hears of a newer configuration and doesn't get it within `config_apply` refuses requests, as its routes may be gone. Nothing withdrew the report.

Ruled out: load.

Change: each proof that the active configuration was the newest one at a moment refutes the reports from before that moment: a node had its configuration from the service, whose answers are linearizable. Not for 10 s after a restore, when the service may lack what nodes still have.

--- a/crates/coord/src/catch_up.rs
+++ b/crates/coord/src/catch_up.rs
@@ -27,6 +27,11 @@
         }
     }
 
+    /// Notes that no revision above this node's own was in force at `at`: those reported before can't be.
+    pub fn refute(&mut self, at: Stamp) {
+        self.first_reported.retain(|_, reported_at| at < *reported_at);
+    }
+
     /// Returns the newest revision that is known, while this node has `own`.
     pub fn newest(&self, own: Revision) -> Revision {
         self.first_reported.keys().next_back().map_or(own, |newest| own.max(*newest))
--- a/crates/coord/tests/catching_up.rs
+++ b/crates/coord/tests/catching_up.rs
@@ -51,3 +51,14 @@
     assert_eq!(catch_up.behind_since(Revision(7)), Some(at(300)));
     assert_eq!(catch_up.behind_since(Revision(9)), None);
 }
+
+// Guards against nodes that count as outdated for good by the report of a revision that there is not.
+#[test]
+fn refuted_revision() {
+    let mut catch_up = CatchUp::default();
+    catch_up.observe(at(1_000), OWN, Revision(u64::MAX));
+    catch_up.refute(at(999));
+    assert_eq!(catch_up.behind_since(OWN), Some(at(1_000)));
+    catch_up.refute(at(1_000));
+    assert_eq!(catch_up.behind_since(OWN), None);
+}
--- a/crates/gateway/src/cluster/config.rs
+++ b/crates/gateway/src/cluster/config.rs
@@ -89,7 +89,7 @@
             }
             // A restored service may lack a newer configuration until its operators write it again.
             if readable && own != Revision(0) && !state.config_restored_older {
-                state.freshness.note(known_at);
+                state.note_config_newest(known_at);
             }
         });
     }
--- a/crates/gateway/src/cluster/receive.rs
+++ b/crates/gateway/src/cluster/receive.rs
@@ -114,7 +114,7 @@
         if let (Some(since), Some(age)) = (since, digest.config_age_ms)
             && digest.revision == own
         {
-            state.freshness.note(since - Duration::from_millis(age));
+            state.note_config_newest(since - Duration::from_millis(age));
         }
         if let Some(since) = since {
             state.watches.receive((since, now), &digest.node, digest.era, digest.watches);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -56,6 +56,8 @@
 /// The margin within the time bound for configurations: for learning of a newer one, which takes a gossip
 /// interval of 250 ms, and for a request in transit to a backend server.
 const CONFIG_MARGIN: Duration = Duration::from_millis(500);
+/// How long after a restore of the key-value service operators may not have written its configuration again.
+const RESTORED_CONFIG_TIMEOUT: Duration = Duration::from_secs(10);
 /// The age from which a configuration may be outdated, so that an unknown route or key may be a new one.
 /// It is three times the duration of a watch.
 const MAX_CERTAIN_CONFIG_AGE: Duration = Duration::from_millis(4_500);
@@ -176,6 +178,16 @@
 }
 
 impl State {
+    /// Notes that the active configuration was the newest one at `at`.
+    pub fn note_config_newest(&mut self, at: Stamp) {
+        self.freshness.note(at);
+        // A restored service may lack a newer configuration that nodes still have.
+        let restored_at = self.eras.restored_at();
+        if restored_at.is_none_or(|restored_at| restored_at + RESTORED_CONFIG_TIMEOUT < at) {
+            self.catch_up.refute(at);
+        }
+    }
+
     /// Returns the position in the records that a relay supplies; none while no relay does.
     pub fn relay_cursor(&self, now: Stamp) -> Option<RecordCursor> {
         let (cursor, at) = self.relayed_records?;
