Plan fleets under limits that contradict each other

What callers saw: no orders and no usage reports any more, from the node that holds the duties, with a configuration whose `min` is above its `max` for a service.

Cause: clamping to such limits panics, in release builds too, and the task of the duties ends.

Change: the maximum holds.

Test: odd_configurations. Before: panic "min > max. min = 1, max = 0" at crates/policy/src/fleet_counts/planner.rs:225.

--- a/crates/policy/src/fleet_counts/planner.rs
+++ b/crates/policy/src/fleet_counts/planner.rs
@@ -222,7 +222,7 @@
         for zone in by_price(limits) {
             let extra = remainder.min(1);
             remainder -= extra;
-            targets.insert(zone.clone(), (per_zone + extra).clamp(limits.min, limits.max));
+            targets.insert(zone.clone(), (per_zone + extra).max(limits.min).min(limits.max));
         }
         // Reclaimable servers released while no new ones are available would be replaced by far more
         // expensive on-demand ones.
