--- a/crates/daemon/tests/stopped_process.rs
+++ b/crates/daemon/tests/stopped_process.rs
@@ -15,7 +15,7 @@
 use futures_util::future::join_all;
 use harness::Harness;
 use rstest::rstest;
-use step_play::{Counts, Joins, NodeProcess, Older, Play, SEEDS, Trouble};
+use step_play::{Counts, Joins, NodeProcess, Older, Play, SEEDS, Trouble, report};
 
 /// The part of the take-ups that have to go on where other nodes are reachable that know the stream and its servers.
 const MIN_WENT_ON: f64 = 0.9;
@@ -69,9 +69,9 @@
                 of_time.add(counts);
             }
         }
-        println!("{lasts} ms: {of_time:?}");
+        report(&format!("{lasts} ms: {of_time:?}"));
         sum.add(of_time);
     }
-    println!("all: {sum:?}");
+    report(&format!("all: {sum:?}"));
     assert_eq!(sum.joined, 0);
 }
