--- a/crates/daemon/tests/changed_configuration.rs
+++ b/crates/daemon/tests/changed_configuration.rs
@@ -20,7 +20,7 @@
 };
 use bulrushhall_standin::{engine::expected_answer, service::ServiceOptions};
 use hyper::Method;
-use rand::{RngExt, SeedableRng};
+use rand::{RngExt, SeedableRng, seq::SliceRandom};
 use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -28,8 +28,9 @@
 
 /// The callers of a play.
 const CALLERS: u64 = 16;
-/// The duration of a play in CI.
-const SHORT_PLAY: Duration = Duration::from_millis(2_500);
+/// The duration of a play in CI, and the time between two changes in it, so that each kind occurs.
+const SHORT_PLAY: Duration = Duration::from_millis(3_600);
+const SHORT_PAUSE: Duration = Duration::from_millis(120);
 /// The duration of a play that is run by hand.
 const LONG_PLAY: Duration = Duration::from_secs(25);
 /// How long a request may take, the time without its service included.
@@ -223,10 +224,13 @@
     let endpoint = Endpoint::new(testbed.kv.address(), EndpointOptions::default());
     let kv = HttpKeyValue::new(endpoint);
     let mut random = Pcg64Mcg::seed_from_u64(seed);
-    let changed = changed(&testbed.config);
+    let mut changed = changed(&testbed.config);
+    changed.shuffle(&mut random);
     let mut changes = 0;
-    while Instant::now() < end {
-        let text = &changed[random.random_range(0..changed.len())];
+    for text in changed.iter().cycle() {
+        if end <= Instant::now() {
+            break;
+        }
         for text in [text, &testbed.config] {
             changes += usize::from(config_chain::apply(&kv, None, text).await.is_ok());
             sleep(every).await;
@@ -279,7 +283,7 @@
 // Guards against a whole request that ends without an answer or a refusal beside a change of the configuration.
 #[tokio::test(flavor = "multi_thread")]
 async fn all_end() {
-    let tally = play(7, SHORT_PLAY, Duration::from_millis(150)).await;
+    let tally = play(7, SHORT_PLAY, SHORT_PAUSE).await;
     assert!(tally.faults.is_empty(), "{tally:#?}");
     assert!(0 < tally.changes && 0 < tally.refused, "{tally:?}");
     assert!(MIN_ANSWERED < tally.answered, "{tally:?}");
