End a request in time whose second server sends a head and then nothing

While the first server is silent, the response of another one is read ahead of its head, under a time limit that began again with the head, so a request was held for up to twice its time: 504 after 7.5 s instead of 5 s.

Cause: only a held error had a deadline in the sender's wait.

Change: every wait of the sender ends with the time of the request. What is read ahead of a stream is bounded in bytes as well, since a server may repeat earlier events without end (by reading, no test of its own).

--- a/crates/gateway/src/pipeline/events.rs
+++ b/crates/gateway/src/pipeline/events.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// The maximum size of an event, in bytes: a stream whose event never ends must not exhaust memory.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
 /// The maximum size of the comments before an event, in bytes.
 const MAX_COMMENT_BYTES: usize = 16 * 1_024;
 
--- a/crates/gateway/src/pipeline/response_body.rs
+++ b/crates/gateway/src/pipeline/response_body.rs
@@ -6,7 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Frame, Incoming};
 
-use crate::pipeline::events::EventSplitter;
+use crate::pipeline::events::{EventSplitter, MAX_EVENT_BYTES};
 
 /// The maximum number of bytes of a response that are read before it is forwarded, unless it is a stream of events.
 const MAX_AHEAD_BYTES: usize = 64 << 10;
@@ -59,11 +59,14 @@
     /// Reads up to the first event after the one with the id `after`.
     pub async fn read_event_ahead(&mut self, after: Option<u64>) -> Result<Ahead, hyper::Error> {
         let mut splitter = EventSplitter::after(after);
+        let mut bytes_ahead = 0;
         while let Some(bytes) = self.read_ahead().await? {
             if splitter.push(&bytes).is_some() {
                 return Ok(Ahead::Part);
             }
-            if splitter.is_event_too_large() {
+            bytes_ahead += bytes.len();
+            // A server may repeat earlier events without end.
+            if splitter.is_event_too_large() || MAX_EVENT_BYTES < bytes_ahead {
                 return Ok(Ahead::Cut);
             }
         }
--- a/crates/gateway/src/pipeline/send/sender.rs
+++ b/crates/gateway/src/pipeline/send/sender.rs
@@ -173,7 +173,7 @@
         self.log_silence(Ok(()));
         let (mut open, mut silent_for_long) = self.begin(placement, began);
         loop {
-            let (has_error, left) = (self.error_response.is_some(), self.time_to_wait());
+            let left = self.time_to_wait();
             tokio::select! {
                 biased;
                 answer = &mut open.answer => return self.ended(open, answer),
@@ -187,7 +187,7 @@
                     self.note_silent(open);
                     return Ok(None);
                 }
-                () = sleep(left), if has_error => {
+                () = sleep(left) => {
                     self.note_silent(open);
                     return Ok(None);
                 }
