Spread the return of callers while a new version is held back

All callers that were refused meanwhile got the same time and would have returned at once. Found by the review, by reading; no test of its own.

--- a/crates/gateway/src/pipeline/placement.rs
+++ b/crates/gateway/src/pipeline/placement.rs
@@ -591,7 +591,7 @@
                 return Failure::VersionUnavailable;
             }
             return match self.held_for(state, now) {
-                Some(left) => Failure::ServersLimited(left.max(MIN_RETRY_AFTER)),
+                Some(left) => Failure::ServersLimited(spread(left.max(MIN_RETRY_AFTER), random)),
                 None => Failure::NoBackend,
             };
         };
@@ -602,7 +602,7 @@
         }
         let is_brittle = state.brittle.get(self.service).is_some();
         let min = if is_brittle { BRITTLE_RETRY_AFTER } else { MIN_RETRY_AFTER };
-        Failure::ServersLimited(wait.max(min).mul_f64(random.random_range(1.0..1.5)))
+        Failure::ServersLimited(spread(wait.max(min), random))
     }
 
     fn check_wait(&self, wait: Duration, random: &mut dyn Rng) -> Result<(), Failure> {
@@ -673,3 +673,8 @@
     let nodes = u32::try_from(nodes).unwrap_or(u32::MAX).saturating_add(1);
     (connections / nodes).max(2)
 }
+
+// Spreads the times at which refused callers return.
+fn spread(wait: Duration, random: &mut dyn Rng) -> Duration {
+    wait.mul_f64(random.random_range(1.0..1.5))
+}
