Stream servers: a report of a server ends with the list it comes from

What callers saw: after a node that no longer reached the key-value service, but the other nodes, answered with a server that had left, another node sent resumptions, and all other requests of the service, to that server for 5 s more, and as a relay passed it on to its members.

Cause: any node answered, however old its list; a reported server counted as one from the store.

Change: a node answers only while its list was complete less than 1.6 s ago, and says how long ago. The asking node uses the servers until 2 s after that moment, only for streams of that version. It supplies them to no member, and tells members when the store confirms one. A node carries no request to one after that time.

--- a/crates/gateway/src/backends/directory.rs
+++ b/crates/gateway/src/backends/directory.rs
@@ -25,9 +25,6 @@
 /// expired records within two seconds.
 const MISSING_GRACE: Duration = Duration::from_millis(2_200);
 
-/// How long a server is kept that only another node has reported: longer than an answer takes to begin.
-const REPORTED_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// How long after a restore of the key-value service records of servers that have left may be in it:
 /// they expire after three heartbeats without a write.
 const RESTORED_RECORDS_TIMEOUT: Duration = Duration::from_secs(10);
@@ -64,14 +61,19 @@
         }
         if let Some(backend) = self.named_mut(name) {
             if record.is_before(&backend.record) {
-                backend.reported_until = None;
+                if backend.reported_until.take().is_some() {
+                    self.note_change(name);
+                }
                 return;
             }
             if record.is_same_incarnation(&backend.record) {
                 backend.missing_until = None;
-                backend.reported_until = None;
+                let was_reported = backend.reported_until.take().is_some();
                 if backend.record.says_same(&record) {
                     backend.record = record;
+                    if was_reported {
+                        self.note_change(name);
+                    }
                     return;
                 }
                 if backend.record.state != record.state {
@@ -99,13 +101,12 @@
         self.note_change(&name);
     }
 
-    /// Adds a server that another node reports for a stream that began at its version. A server that is known, or whose
-    /// record was removed after that one, stays as it is.
-    pub fn note_reported(&mut self, now: Stamp, name: &str, record: BackendRecord) {
-        let until = Some(now + REPORTED_TIMEOUT);
+    /// Adds a server until `until` that another node reports for a stream that began at its version. A server that is
+    /// known, or whose record was removed after that one, stays as it is.
+    pub fn note_reported(&mut self, now: Stamp, until: Stamp, name: &str, record: BackendRecord) {
         if let Some(backend) = self.named_mut(name) {
             if backend.reported_until.is_some() && record.is_same_incarnation(&backend.record) {
-                backend.reported_until = until;
+                backend.reported_until = backend.reported_until.max(Some(until));
             }
             return;
         }
@@ -114,7 +115,7 @@
         }
         self.upsert(now, name, record);
         if let Some(backend) = self.named_mut(name) {
-            backend.reported_until = until;
+            backend.reported_until = Some(until);
         }
     }
 
@@ -125,14 +126,20 @@
         }
     }
 
-    /// Returns the updates after the change `after`, or all records if the log does not reach back that far.
+    /// Returns the updates after the change `after`, or all records if the log does not reach back that far. Servers that
+    /// only other nodes have reported are left out.
     pub fn updates_since(&self, after: u64) -> BackendUpdates {
         let entry = |backend: &Backend| (backend.name.to_string(), backend.record.clone());
         let records = |after| {
-            let changed = self.arena.values().filter(|backend| after < backend.changed_at);
-            changed.map(entry).collect()
+            let listed = self.arena.values().filter(|backend| backend.reported_until.is_none());
+            listed.filter(|backend| after < backend.changed_at).map(entry).collect()
         };
-        self.changes.updates_since(after, records, |name| self.names.contains_key(name.as_str()))
+        self.changes.updates_since(after, records, |name| self.is_listed(name))
+    }
+
+    fn is_listed(&self, name: &str) -> bool {
+        let backend = self.names.get(name).and_then(|key| self.arena.get(*key));
+        backend.is_some_and(|backend| backend.reported_until.is_none())
     }
 
     /// Applies updates from another node.
@@ -224,7 +231,10 @@
     // Removes a backend server of which it is not known that it has left.
     fn forget(&mut self, name: &str) -> Option<Backend> {
         let backend = self.names.remove(name).and_then(|key| self.arena.remove(key))?;
-        self.changes.note_removed(name.to_owned());
+        // Members have not been told of a server that only another node has reported.
+        if backend.reported_until.is_none() {
+            self.changes.note_removed(name.to_owned());
+        }
         tracing::info!(event = Event::BackendGone.number(), backend = name);
         Some(backend)
     }
@@ -308,16 +318,35 @@
             backend.record.service == *service
                 && !backend.replaced
                 && backend.missing_until.is_none()
+                && backend.reported_until.is_none()
         })
     }
 
-    /// Returns the servers of a service that accept new work.
+    /// Returns the servers of a version that accept new work of streams that began there, also those that only other
+    /// nodes have reported.
+    pub fn accepting_resumed<'a>(
+        &'a self,
+        now: Stamp,
+        service: &'a ServiceName,
+        version: &'a str,
+    ) -> impl Iterator<Item = (WorkerKey, &'a Backend)> {
+        self.arena.iter().filter(move |(_, backend)| {
+            backend.record.service == *service
+                && backend.record.version == version
+                && backend.accepts_work()
+                && backend.reported_until.is_none_or(|until| now < until)
+        })
+    }
+
+    /// Returns the servers of a service that accept new work, without those that only other nodes have reported.
     pub fn accepting<'a>(
         &'a self,
         service: &'a ServiceName,
     ) -> impl Iterator<Item = (WorkerKey, &'a Backend)> {
         self.arena.iter().filter(move |(_, backend)| {
-            backend.record.service == *service && backend.accepts_work()
+            backend.record.service == *service
+                && backend.reported_until.is_none()
+                && backend.accepts_work()
         })
     }
 }
--- a/crates/gateway/src/cluster/carry.rs
+++ b/crates/gateway/src/cluster/carry.rs
@@ -127,6 +127,7 @@
         let backend = backends.get_mut(key).ok_or(NOT_RUN)?;
         let accepts = backend.record.born == carried.born
             && backend.accepts_work()
+            && backend.reported_until.is_none_or(|until| now < until)
             && !backend.announced.is_resting(now);
         if !accepts {
             return Err(NOT_RUN);
--- a/crates/gateway/src/cluster/mod.rs
+++ b/crates/gateway/src/cluster/mod.rs
@@ -40,7 +40,7 @@
     COPIES_PATH, CopiesTaken, FIND_PATH, FindStreams, copy_streams, find_stream, hand_over_streams,
 };
 pub use version_servers::{
-    FindServers, SERVERS_PATH, VersionServers, known_servers, learn_servers,
+    FindServers, SERVERS_PATH, VersionServers, known_servers, learn_servers, used_until,
 };
 pub use watches::{ReportedProof, WatchReport, WatchSubject, Watches};
 
--- a/crates/gateway/src/cluster/peer_port.rs
+++ b/crates/gateway/src/cluster/peer_port.rs
@@ -92,7 +92,11 @@
                 Err(_) => refuse(StatusCode::BAD_REQUEST),
             },
             SERVERS_PATH => match decode_message::<FindServers>(&body) {
-                Ok(asked) => encoded(&known_servers(&self.gateway, &asked)),
+                Ok(asked) => {
+                    let now = clock::now();
+                    let known = self.gateway.with(|state| known_servers(state, now, &asked));
+                    encoded(&known)
+                }
                 Err(_) => refuse(StatusCode::BAD_REQUEST),
             },
             STATUS_PATH => json(&NodeReport::of(&self.gateway)),
--- a/crates/gateway/src/cluster/version_servers.rs
+++ b/crates/gateway/src/cluster/version_servers.rs
@@ -1,12 +1,15 @@
 //! Servers of a version that other nodes know, for streams that began there.
 
+use std::time::Duration;
+
 use bulrushhall_coord::streams::{StreamKey, StreamOrigin};
+use bulrushhall_core::Stamp;
 use serde::{Deserialize, Serialize};
 
 use crate::{
     adapter::BackendRecord,
     clock,
-    cluster::stream_copies::ask_others,
+    cluster::{as_millis, stream_copies::ask_others},
     gateway::{Gateway, State},
     meters,
 };
@@ -15,6 +18,10 @@
 pub const SERVERS_PATH: &str = "/streams/servers";
 /// The maximum number of servers in an answer: a stream needs one.
 const MAX_SERVERS: usize = 8;
+/// How long after its record says so a server that leaves may get requests.
+const LEAVING_KNOWN_WITHIN: Duration = Duration::from_millis(2_000);
+/// The age of its list of servers up to which a node answers: the asking node still has to get the answer and send a request.
+const MAX_ANSWERED_AGE: Duration = Duration::from_millis(1_600);
 
 /// `FindServers` asks for servers of a version; the reply is [`VersionServers`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,50 +35,62 @@
 pub struct VersionServers {
     /// The servers.
     pub servers: Vec<(String, BackendRecord)>,
+    /// The time since the node's list of servers was known to be complete, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// Returns servers of a version that this node knows.
-pub fn known_servers(gateway: &Gateway, asked: &FindServers) -> VersionServers {
-    let servers = gateway.with(|state| {
-        let mut servers = Vec::new();
-        for (_, backend) in state.backends.accepting(&asked.origin.service) {
-            // What this node has heard from others itself may be old.
-            if backend.record.version != asked.origin.version || backend.reported_until.is_some() {
-                continue;
-            }
-            servers.push((backend.name.to_string(), backend.record.clone()));
-            if servers.len() == MAX_SERVERS {
-                break;
-            }
+pub fn known_servers(state: &State, now: Stamp, asked: &FindServers) -> VersionServers {
+    let Some(age) = state.records_age(now).filter(|age| *age < MAX_ANSWERED_AGE) else {
+        return VersionServers::default();
+    };
+    let mut servers = Vec::new();
+    // What this node has heard from others itself is left out.
+    for (_, backend) in state.backends.accepting(&asked.origin.service) {
+        if backend.record.version != asked.origin.version {
+            continue;
         }
-        servers
-    });
-    VersionServers { servers }
+        servers.push((backend.name.to_string(), backend.record.clone()));
+        if servers.len() == MAX_SERVERS {
+            break;
+        }
+    }
+    // Rounded up, so that no list counts as newer than it is.
+    VersionServers { servers, age_ms: as_millis(age) + 1 }
+}
+
+/// Returns until when servers are used that were asked for at `asked_at`; a server that leaves gets no requests after it.
+pub fn used_until(asked_at: Stamp, known: &VersionServers) -> Stamp {
+    asked_at + LEAVING_KNOWN_WITHIN.saturating_sub(Duration::from_millis(known.age_ms))
 }
 
 /// Learns from other nodes of servers of the version at which a stream began, if this node knows none.
 ///
 /// Its list of servers is behind while it does not reach the key-value service, and after it stood still.
 pub async fn learn_servers(gateway: &Gateway, key: StreamKey, origin: &StreamOrigin) {
-    if gateway.with(|state| has_server(state, origin)) {
+    let asked_at = clock::now();
+    if gateway.with(|state| has_server(state, asked_at, origin)) {
         return;
     }
     let question = FindServers { origin: origin.clone() };
-    let read = |known: VersionServers| (!known.servers.is_empty()).then_some(known.servers);
+    let read = |known: VersionServers| (!known.servers.is_empty()).then_some(known);
     let found = ask_others(gateway, key, (SERVERS_PATH, &question), read).await;
     meters::servers_asked(if found.is_some() { "found" } else { "unknown" });
-    let now = clock::now();
+    let Some(known) = found else { return };
+    let (now, until) = (clock::now(), used_until(asked_at, &known));
+    if until <= now {
+        return;
+    }
     gateway.with(|state| {
-        for (name, record) in found.unwrap_or_default().into_iter().take(MAX_SERVERS) {
+        for (name, record) in known.servers.into_iter().take(MAX_SERVERS) {
             if record.service != origin.service || record.version != origin.version {
                 continue;
             }
-            state.backends.note_reported(now, &name, record);
+            state.backends.note_reported(now, until, &name, record);
         }
     });
 }
 
-fn has_server(state: &State, origin: &StreamOrigin) -> bool {
-    let mut accepting = state.backends.accepting(&origin.service);
-    accepting.any(|(_, backend)| backend.record.version == origin.version)
+fn has_server(state: &State, now: Stamp, origin: &StreamOrigin) -> bool {
+    state.backends.accepting_resumed(now, &origin.service, &origin.version).next().is_some()
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -217,6 +217,16 @@
         self.records_known_at.is_some_and(|at| now.since(at) < MAX_SUPPLIED_RECORDS_AGE)
     }
 
+    /// Returns the time since the records of backend servers were known to be complete; none if they never were.
+    pub fn records_age(&self, now: Stamp) -> Option<Duration> {
+        // What a relay supplies replaces what this node knew, and may be older.
+        if self.relay_cursor(now).is_some() {
+            let (_, at) = self.relayed_records?;
+            return Some(now.since(at) + MAX_SUPPLIED_RECORDS_AGE);
+        }
+        self.records_known_at.map(|at| now.since(at))
+    }
+
     /// Returns whether relays keep this node's configuration up to date.
     pub fn is_config_relayed(&self, now: Stamp, own: Revision) -> bool {
         self.relays.role == Role::Member
--- a/crates/gateway/src/pipeline/placement.rs
+++ b/crates/gateway/src/pipeline/placement.rs
@@ -478,7 +478,7 @@
         let Some(brittleness) = state.brittle.get(self.service) else { return self.way };
         let now = clock::now();
         let filter = self.filter(state, now);
-        let mut servers = state.backends.accepting(self.service);
+        let mut servers = self.accepting(state, now);
         let has_room = servers.any(|(key, backend)| {
             self.tried.allows(key, Way::Own)
                 && filter.selects(&backend.record.version, backend.identity)
@@ -559,12 +559,26 @@
         !self.tried.was_full(server) || self.carriers(state, now, server).next().is_some()
     }
 
+    // Returns the servers that accept work; those that only other nodes have reported are for streams that began there.
+    fn accepting<'s>(
+        &'s self,
+        state: &'s State,
+        now: Stamp,
+    ) -> Box<dyn Iterator<Item = (WorkerKey, &'s Backend)> + 's> {
+        match self.origin {
+            Some(origin) => {
+                Box::new(state.backends.accepting_resumed(now, self.service, &origin.version))
+            }
+            None => Box::new(state.backends.accepting(self.service)),
+        }
+    }
+
     fn untried_at_any_time<'s>(
         &'s self,
         state: &'s State,
         filter: &'s VersionFilter,
     ) -> impl Iterator<Item = (WorkerKey, &'s Backend)> + 's {
-        state.backends.accepting(self.service).filter(|(key, backend)| {
+        self.accepting(state, clock::now()).filter(|(key, backend)| {
             self.tried.allows(*key, self.way)
                 && filter.selects(&backend.record.version, backend.identity)
         })
