A call ends with the time limit of its service, also when it is sent late

Callers saw a call take up to about twice its time limit: the limit was checked between two sends, and a send that began just before it had the whole response timeout once more.

Each send now has the time left, in every step: connecting, the identity check, the response and its body. What was not written by then is reported as not run, so a send may still begin with less time than an identity check takes; refusing to begin would end calls to silent servers before their limit, which time_limit_holds forbids.

--- a/crates/daemon/src/callers/sending.rs
+++ b/crates/daemon/src/callers/sending.rs
@@ -1,9 +1,9 @@
 //! A call of a plain service on its way to the backend servers.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bulrushhall_coord::{Attempts, crashes::PartId};
-use bulrushhall_core::Ran;
+use bulrushhall_core::{Ran, Stamp};
 use bulrushhall_external::{
     CallError, CallFault,
     service::{ServiceCall, ServiceResponse},
@@ -33,6 +33,8 @@
     call: &'a ServiceCall,
     repeat: Repeat,
     digest: PartId,
+    /// When the time of the call is over.
+    until: Stamp,
     attempts: Attempts,
     /// What came of it.
     pub(crate) sent: Sent,
@@ -49,16 +51,19 @@
         call: &'a ServiceCall,
         repeat: Repeat,
         digest: PartId,
+        until: Stamp,
     ) -> Sending<'a> {
         let (attempts, sent) = (Attempts::default(), Sent::default());
-        Sending { cx, call, repeat, digest, attempts, sent, unreachable: 0, silent: Vec::new() }
+        let (unreachable, silent) = (0, Vec::new());
+        Sending { cx, call, repeat, digest, until, attempts, sent, unreachable, silent }
     }
 
     /// Sends the call to each server until one responds.
     pub(crate) async fn send_to_each(&mut self, backends: Vec<(WorkerKey, Backend)>) -> Next {
         self.silent.clear();
         for (key, backend) in backends {
-            if self.send_to(key, &backend).await == Next::End {
+            let is_over = self.send_to(key, &backend).await == Next::End;
+            if is_over || self.until <= self.cx.clock.now() {
                 return Next::End;
             }
         }
@@ -70,7 +75,8 @@
         let (cx, digest) = (self.cx, self.digest);
         self.attempts.begin();
         let sent_at = cx.clock.now();
-        let ended = forward(cx, key, backend, self.call.clone()).await;
+        let left = self.until.since(sent_at);
+        let ended = forward(cx, key, backend, self.call.clone(), left).await;
         self.attempts.end(ran_of(self.call, &ended));
         self.sent.ran = self.attempts.ran();
         match ended {
@@ -121,11 +127,12 @@
     key: WorkerKey,
     backend: &Backend,
     call: ServiceCall,
+    limit: Duration,
 ) -> Result<ServiceResponse, CallError> {
     let BackendClient::Plain(service) = &backend.client else {
         return Err(CallError::not_done(CallFault::Identity));
     };
-    let response = service.call(call).await?;
+    let response = service.call_within(call, limit).await?;
     if let Some(rest) = response.rest() {
         cx.backends.note_rest(key, cx.clock.now() + rest);
     }
--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -126,9 +126,9 @@
     }
     let mut backends = backends_by_distance(cx, service)?;
     let until = cx.clock.now() + call_timeout(cx, service);
-    let mut sending = Sending::new(cx, call, repeat, digest);
+    let mut sending = Sending::new(cx, call, repeat, digest, until);
     let count = backends.len();
-    while sending.send_to_each(backends).await == Next::GoOn && cx.clock.now() < until {
+    while sending.send_to_each(backends).await == Next::GoOn {
         backends = backends_by_distance(cx, service).unwrap_or_default();
         backends.retain(|(key, _)| sending.silent.contains(key));
     }
--- a/crates/daemon/tests/silent_engines.rs
+++ b/crates/daemon/tests/silent_engines.rs
@@ -222,3 +222,21 @@
     assert!(matches!(response, Err(CallerError::Refused { ran: Ran::No, .. })), "{response:?}");
     assert!(TIME_LIMIT <= took && took < TIME_LIMIT + END_MARGIN, "{took:?}");
 }
+
+// Guards against a call that is sent shortly before its time limit, and then has all its time once more.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn late_send_is_cut(#[values("stock", "orders")] path: &'static str) {
+    let service = ServiceOptions { work: TIME_LIMIT - SILENCE, ..ServiceOptions::default() };
+    let testbed = start(TestbedOptions { service, ..options(None) }).await;
+    set_silent(&testbed, 1, true);
+    let caller = testbed.caller(0);
+    let sent_at = Instant::now();
+    let sent = tokio::spawn(async move { call(&caller, path, 0).await });
+    sleep(TIME_LIMIT / 2).await;
+    set_silent(&testbed, 1, false);
+    let response = sent.await.expect("a caller");
+    let took = sent_at.elapsed();
+    assert!(response.is_err(), "{response:?}");
+    assert!(took < TIME_LIMIT + END_MARGIN, "{took:?}");
+}
--- a/crates/external/src/clients/service.rs
+++ b/crates/external/src/clients/service.rs
@@ -1,6 +1,6 @@
 //! The HTTP client of a plain service.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http_body_util::Full;
 use hyper::Request;
@@ -32,7 +32,12 @@
 
 impl PlainService for HttpService {
     fn call(&self, call: ServiceCall) -> Call<'_, ServiceResponse> {
+        self.call_within(call, Duration::MAX)
+    }
+
+    fn call_within(&self, call: ServiceCall, limit: Duration) -> Call<'_, ServiceResponse> {
         Box::pin(async move {
+            let began = Instant::now();
             let mut builder = Request::builder().method(call.method).uri(call.path);
             if let Some(headers) = builder.headers_mut() {
                 *headers = call.headers;
@@ -43,9 +48,10 @@
             let req = builder.body(Full::new(call.body));
             let req = req.map_err(|_| CallError::not_done(CallFault::Malformed))?;
 
-            let response = self.endpoint.send(req).await?;
+            let response = self.endpoint.send_within(req, limit).await?;
             let (parts, body) = response.into_parts();
-            let body = read_limited(body, MAX_RESPONSE_BYTES, self.timeout).await;
+            let left = limit.saturating_sub(began.elapsed()).min(self.timeout);
+            let body = read_limited(body, MAX_RESPONSE_BYTES, left).await;
             let body = body.map_err(|_| CallError::unknown(CallFault::Closed))?;
             Ok(ServiceResponse { status: parts.status, headers: parts.headers, body })
         })
--- a/crates/external/src/http/endpoint.rs
+++ b/crates/external/src/http/endpoint.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bulrushhall_core::{Ran, VmName};
@@ -102,6 +102,24 @@
     }
 }
 
+/// A `TimeLeft` is the time that a request may still take.
+#[derive(Clone, Copy, Debug)]
+struct TimeLeft {
+    began: Instant,
+    limit: Duration,
+}
+
+impl TimeLeft {
+    fn new(limit: Duration) -> TimeLeft {
+        TimeLeft { began: Instant::now(), limit }
+    }
+
+    // Returns the time limit of one step.
+    fn cap(self, time: Duration) -> Duration {
+        self.limit.saturating_sub(self.began.elapsed()).min(time)
+    }
+}
+
 /// An `Endpoint` is a client of one server, with a pool of idle connections.
 #[derive(Debug)]
 pub struct Endpoint {
@@ -160,13 +178,25 @@
     /// The error states whether the request may have reached the server: a request that hyper
     /// returns was never written.
     pub async fn send(&self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallError> {
+        self.send_within(req, Duration::MAX).await
+    }
+
+    /// Sends a request and returns the response once its headers have arrived, if they do within `limit`.
+    ///
+    /// A request that was not written by then is not written any more, which the error states.
+    pub async fn send_within(
+        &self,
+        req: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Response<Incoming>, CallError> {
         let span = trace::call_span(self.address, req.uri().path());
-        self.send_traced(req).instrument(span).await
+        self.send_traced(req, TimeLeft::new(limit)).instrument(span).await
     }
 
     async fn send_traced(
         &self,
         mut req: Request<Full<Bytes>>,
+        left: TimeLeft,
     ) -> Result<Response<Incoming>, CallError> {
         req.headers_mut().insert(HOST, self.host.clone());
         trace::inject(req.headers_mut());
@@ -174,24 +204,26 @@
         // The server may have closed an idle connection in the meantime. Hyper then returns the
         // unsent request, which is sent on another connection.
         while let Some(sender) = self.take_idle() {
-            match self.send_on(sender, req).await {
+            match self.send_on(sender, req, left).await {
                 Ok(response) => return Ok(response),
                 Err((Some(unsent), _)) => req = unsent,
                 Err((None, error)) => return Err(error),
             }
         }
 
-        let sender = self.open().await?;
-        self.send_on(sender, req).await.map_err(|(_, error)| error)
+        let sender = self.open(left).await?;
+        self.send_on(sender, req, left).await.map_err(|(_, error)| error)
     }
 
     async fn send_on(
         &self,
         mut sender: Sender,
         req: Request<Full<Bytes>>,
+        left: TimeLeft,
     ) -> Result<Response<Incoming>, (Option<Request<Full<Bytes>>>, CallError)> {
         let permit = req.extensions().get::<SendPermit>().cloned();
-        if permit.as_ref().is_some_and(|permit| !permit.is_valid()) {
+        let limit = left.cap(self.options.response_timeout);
+        if limit.is_zero() || permit.as_ref().is_some_and(|permit| !permit.is_valid()) {
             self.put_idle(sender);
             return Err((None, CallError::not_done(CallFault::Timeout)));
         }
@@ -199,7 +231,7 @@
         sender.head_limit.begin();
         let sending = sender.sender.try_send_request(req);
         let mut pending = PendingRequest { sender: Some(sender) };
-        let sent = timeout(self.options.response_timeout, sending).await;
+        let sent = timeout(limit, sending).await;
         let Some(sender) = pending.sender.take() else {
             return Err((None, CallError::unknown(CallFault::Closed)));
         };
@@ -226,31 +258,41 @@
         }
     }
 
-    async fn open(&self) -> Result<Sender, CallError> {
+    async fn open(&self, left: TimeLeft) -> Result<Sender, CallError> {
         let failed = || CallError::not_done(CallFault::Connect);
-        let opened = AbortiveStream::connect(self.address, self.options.connect_options()).await;
+        let mut options = self.options.connect_options();
+        options.connect_timeout = left.cap(options.connect_timeout);
+        let opened = AbortiveStream::connect(self.address, options).await;
         let stream = opened.map_err(|_| failed())?;
         let gate = stream.gate();
         let head_limit = HeadLimit::default();
-        let io = TokioIo::new(head_limit.apply(self.start_tls(stream).await?));
+        let io = TokioIo::new(head_limit.apply(self.start_tls(stream, left).await?));
         let mut builder = http1::Builder::new();
         let handshake = builder.max_buf_size(MAX_BUFFER).handshake(io).await;
         let (sender, connection) = handshake.map_err(|_| failed())?;
         // The request on the connection reports its error.
         let task = tokio::spawn(async move { drop(connection.await) });
-        self.check_identity(Sender { sender, head_limit, gate, task }).await
+        self.check_identity(Sender { sender, head_limit, gate, task }, left).await
     }
 
-    async fn start_tls(&self, stream: AbortiveStream) -> Result<Box<dyn Connection>, CallError> {
+    async fn start_tls(
+        &self,
+        stream: AbortiveStream,
+        left: TimeLeft,
+    ) -> Result<Box<dyn Connection>, CallError> {
         let Some(tls) = &self.options.tls else { return Ok(Box::new(stream)) };
         let tls_failed = || CallError::not_done(CallFault::Identity);
-        let handshake = timeout(self.options.connect_timeout, tls.connect(stream)).await;
+        let handshake = timeout(left.cap(self.options.connect_timeout), tls.connect(stream)).await;
         handshake.map_err(|_| tls_failed())?.map_err(|_| tls_failed())
     }
 
     // IP addresses are reused: a new VM may have the address of an old one. Checking the identity on
     // each new connection keeps a request from reaching the wrong server.
-    async fn check_identity(&self, mut sender: Sender) -> Result<Sender, CallError> {
+    async fn check_identity(
+        &self,
+        mut sender: Sender,
+        left: TimeLeft,
+    ) -> Result<Sender, CallError> {
         let Some(vm) = &self.options.vm else { return Ok(sender) };
         let mismatch = || CallError::not_done(CallFault::Identity);
         let req = Request::get(IDENTITY_PATH)
@@ -259,16 +301,16 @@
             .map_err(|_| mismatch())?;
 
         sender.head_limit.begin();
-        let sent = timeout(self.options.connect_timeout, sender.sender.send_request(req)).await;
+        let limit = left.cap(self.options.connect_timeout);
+        let sent = timeout(limit, sender.sender.send_request(req)).await;
         sender.head_limit.end();
         let response = sent.map_err(|_| CallError::not_done(CallFault::Timeout))?;
         let response = response.map_err(|_| CallError::not_done(CallFault::Closed))?;
         if response.status() != StatusCode::OK {
             return Err(mismatch());
         }
-        let body =
-            read_limited(response.into_body(), MAX_IDENTITY_BYTES, self.options.connect_timeout)
-                .await;
+        let limit = left.cap(self.options.connect_timeout);
+        let body = read_limited(response.into_body(), MAX_IDENTITY_BYTES, limit).await;
         let body = body.map_err(|_| mismatch())?;
         let identity: Identity = serde_json::from_slice(&body).map_err(|_| mismatch())?;
         let is_other_version =
--- a/crates/external/src/service.rs
+++ b/crates/external/src/service.rs
@@ -5,8 +5,12 @@
 use bulrushhall_core::FencingNumber;
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, StatusCode, header::RETRY_AFTER};
+use tokio::time::timeout;
 
-use crate::Call;
+use crate::{
+    Call,
+    errors::{CallError, CallFault},
+};
 
 /// A `ServiceCall` is a caller's call as forwarded to a plain service.
 #[derive(Clone, Debug)]
@@ -53,4 +57,12 @@
 pub trait PlainService: Send + Sync {
     /// Forwards a call and returns the complete response.
     fn call(&self, call: ServiceCall) -> Call<'_, ServiceResponse>;
+
+    /// Forwards a call and returns the complete response, if it arrives within `limit`.
+    fn call_within(&self, call: ServiceCall, limit: Duration) -> Call<'_, ServiceResponse> {
+        Box::pin(async move {
+            let called = timeout(limit, self.call(call)).await;
+            called.unwrap_or(Err(CallError::unknown(CallFault::Timeout)))
+        })
+    }
 }
