A node that leaves discards the body of a refused request for 1 s at most

Since bodies of refused requests are discarded as they arrive, a body that drips kept its connection for the idle timeout (the body timeout at the own interface), and the stop of the node waited for it.

The discard now ends 1 s after the node has begun to leave, also if the request was refused before that. At the gateway a request refused while the node leaves was no cause: its response closes the connection; the one refused shortly before was.

--- a/crates/daemon/src/callers/router.rs
+++ b/crates/daemon/src/callers/router.rs
@@ -86,7 +86,8 @@
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
         Box::pin(async move {
             let (parts, body) = req.into_parts();
-            let body = UnreadBody::new(body, self.body_limits());
+            let cx = Arc::clone(&self.cx);
+            let body = UnreadBody::new(body, self.body_limits(), move || cx.is_leaving());
             let observation = Observation::begin(&self.cx, &parts);
             let span = observation.span(&parts);
             let response = match self.route(parts, body).instrument(span).await {
--- a/crates/daemon/tests/refused_requests.rs
+++ b/crates/daemon/tests/refused_requests.rs
@@ -1,6 +1,6 @@
 //! A request that is refused as not run has not run, and its error names the cause.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bulrushhall_bench::{Probe, Testbed, TestbedOptions};
 use bulrushhall_core::Ran;
@@ -14,6 +14,8 @@
 
 const CHAT: &str = "/v1/chat/completions";
 const ORDERS: &str = "/v1/services/guild-ledger/orders";
+/// The longest stop of a node that has nothing to finish but the body of a refused request, of which it discards 1 s.
+const MAX_STOP: Duration = Duration::from_secs(2);
 const MESSAGES: &str = r#"[{"role":"user","content":"a"}]"#;
 
 fn chat_body(model: &str, messages: &str, rest: &str) -> String {
@@ -125,3 +127,23 @@
     assert!(received.starts_with(refusal), "{received}");
     assert_eq!(received.matches("HTTP/1.1").count(), 2, "{received}");
 }
+
+// Guards against a node whose stop waits for the body of a request that it has refused while it leaves.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_while_leaving(#[values(false, true)] leaves_before: bool) {
+    let testbed = Testbed::start(TestbedOptions::default()).await.expect("a testbed");
+    let node = &testbed.nodes[0];
+    let mut stream = TcpStream::connect(node.callers()).await.expect("a connection");
+    if leaves_before {
+        node.context().leave();
+    }
+    let refused = "POST /v2/models HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\nas";
+    stream.write_all(refused.as_bytes()).await.expect("an open connection");
+    let mut refusal = [0; 12];
+    stream.read_exact(&mut refusal).await.expect("a refusal");
+    assert_eq!(&refusal, b"HTTP/1.1 404");
+    let stopped_at = Instant::now();
+    node.stop().await;
+    assert!(stopped_at.elapsed() < MAX_STOP, "{:?}", stopped_at.elapsed());
+}
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -71,7 +71,9 @@
     log_entry: &mut AccessLogEntry,
 ) -> Result<Handled, Failure> {
     let (head, body) = req.into_parts();
-    let body = UnreadBody::new(body, discard_limits(gateway));
+    let leaving = Arc::clone(gateway);
+    let is_leaving = move || Phase::Serving < leaving.phase();
+    let body = UnreadBody::new(body, discard_limits(gateway), is_leaving);
     let mut req = identify(gateway, &head)?;
     log_entry.note_identified(&req);
     if gateway.phase() == Phase::Draining {
