--- a/crates/daemon/src/callers/admit.rs
+++ b/crates/daemon/src/callers/admit.rs
@@ -26,6 +26,9 @@
     telemetry::trace_parent,
 };
 
+/// How many times its size a prompt takes.
+const PROMPT_COPIES: usize = 2;
+
 /// Accepts a request and starts running it, or refuses it.
 pub async fn admit(
     cx: &Arc<Context>,
@@ -38,6 +41,9 @@
     if let Some(refusal) = crashes::refusal(cx, crashes::request_digest(&request)) {
         return Err(refusal.error);
     }
+    // The prompt is kept in the request and in its encoded form until the answer ends.
+    let room = cx.bodies.try_reserve(request.prompt.len() * PROMPT_COPIES);
+    let room = room.ok_or_else(ApiError::no_memory)?;
     let mut reservation = TeamReservation::reserve(cx, &team, &request)?;
     let engines = EligibleEngines::default();
     let queued = enqueue(cx, &team, &request, AdmissionStatus::New, &engines).await?;
@@ -62,6 +68,7 @@
         async move {
             running.await;
             drop(reservation);
+            drop(room);
         }
         .in_current_span(),
     );
--- a/crates/daemon/src/callers/error.rs
+++ b/crates/daemon/src/callers/error.rs
@@ -10,6 +10,9 @@
 };
 use serde::{Deserialize, Serialize};
 
+/// The retry delay that a caller is given when the node has no memory.
+const RETRY_AFTER_NO_MEMORY: Duration = Duration::from_secs(1);
+
 /// An `ApiError` is the error that the caller of a failed request receives.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ApiError {
@@ -97,6 +100,13 @@
         ApiError { code, message: message.into(), ran: Ran::No, retry_after: None }
     }
 
+    /// Returns the error of a request for which there is no memory.
+    pub fn no_memory() -> ApiError {
+        let error =
+            ApiError::not_run(ApiCode::Unavailable, "the node has no memory for the request");
+        error.retry_after(RETRY_AFTER_NO_MEMORY)
+    }
+
     /// Sets whether the request may have run.
     pub fn ran(self, ran: Ran) -> ApiError {
         ApiError { ran, ..self }
@@ -168,6 +178,7 @@
         let code = match error {
             BodyError::TooLarge => ApiCode::BodyTooLarge,
             BodyError::Timeout | BodyError::Closed => ApiCode::BodyIncomplete,
+            BodyError::NoRoom => return ApiError::no_memory(),
         };
         ApiError::not_run(code, error.to_string())
     }
--- a/crates/daemon/src/callers/router.rs
+++ b/crates/daemon/src/callers/router.rs
@@ -5,15 +5,19 @@
 use bulrushhall_core::Event;
 use bulrushhall_external::{
     BoxFuture,
-    http::{Body, DiscardLimits, Handler, UnreadBody},
+    http::{Body, BodyLimits, BodyRoom, CloseReason, DiscardLimits, Handler, UnreadBody},
 };
 use bytes::Bytes;
 use hyper::{Method, Request, Response, body::Incoming, http::request::Parts};
 use tracing::Instrument;
 
 use crate::{
-    callers::{ApiCode, ApiError, chat, entries, models, observe::Observation, requests, services},
+    callers::{
+        ApiCode, ApiError, chat, entries, identify::identify, models, observe::Observation,
+        requests, services,
+    },
     context::Context,
+    meters::Metric,
 };
 
 /// A `CallerPort` handles the HTTP requests that arrive on the callers' port.
@@ -46,12 +50,12 @@
             }
             ["v1", "chat", "completions"] => {
                 require_method(&parts, &[Method::POST])?;
-                let body = self.read_body(body).await?;
+                let (body, _room) = self.read_body(&parts, body).await?;
                 chat::complete(cx, &parts, body).await
             }
             ["v1", "requests"] => {
                 require_method(&parts, &[Method::POST])?;
-                let body = self.read_body(body).await?;
+                let (body, _room) = self.read_body(&parts, body).await?;
                 requests::submit(cx, &parts, body).await
             }
             ["v1", "requests", id] => {
@@ -63,16 +67,23 @@
                 requests::stream(cx, &parts, id).await
             }
             ["v1", "services", service, ..] => {
-                let body = self.read_body(body).await?;
+                let (body, _room) = self.read_body(&parts, body).await?;
                 services::call(cx, &parts, service, body).await
             }
             _ => Err(ApiError::not_run(ApiCode::NotFound, format!("nothing is at {path}"))),
         }
     }
 
-    async fn read_body(&self, body: UnreadBody) -> Result<Bytes, ApiError> {
+    // A body is read only for a team of the deployment.
+    async fn read_body(
+        &self,
+        parts: &Parts,
+        body: UnreadBody,
+    ) -> Result<(Bytes, BodyRoom), ApiError> {
+        identify(&self.cx.in_force().deployment, parts)?;
         let DiscardLimits { bytes, time } = self.body_limits();
-        Ok(body.read(bytes, time).await?)
+        let limits = BodyLimits { bytes, time, copies: 1 };
+        Ok(body.read(&self.cx.bodies, limits).await?)
     }
 
     fn body_limits(&self) -> DiscardLimits {
@@ -85,9 +96,8 @@
 impl Handler for CallerPort {
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
         Box::pin(async move {
-            let (parts, body) = req.into_parts();
             let cx = Arc::clone(&self.cx);
-            let body = UnreadBody::new(body, self.body_limits(), move || cx.is_leaving());
+            let (parts, body) = UnreadBody::take(req, self.body_limits(), move || cx.is_leaving());
             let observation = Observation::begin(&self.cx, &parts);
             let span = observation.span(&parts);
             let response = match self.route(parts, body).instrument(span).await {
@@ -101,6 +111,14 @@
             observation.attach(response)
         })
     }
+
+    fn note_closed(&self, reason: CloseReason) {
+        self.cx.meters.count(
+            Metric::ConnectionsClosed,
+            &[("port", "callers"), ("reason", reason.as_str())],
+            1,
+        );
+    }
 }
 
 fn require_method(parts: &Parts, methods: &[Method]) -> Result<(), ApiError> {
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -12,7 +12,7 @@
 use arc_swap::ArcSwap;
 use bulrushhall_coord::{CallBudget, Ledger, Notices, Purpose, Source, crashes::CrashWatch};
 use bulrushhall_core::{Deployment, Incarnation, RequestId, Revision, Stamp, VmName};
-use bulrushhall_external::KeyValue;
+use bulrushhall_external::{KeyValue, http::BodyBudget};
 use bulrushhall_policy::team_limits::TeamLimiter;
 use bytes::Bytes;
 use tokio::sync::{mpsc, watch};
@@ -61,6 +61,10 @@
     pub answers: Answers,
     /// The known backend servers.
     pub backends: Backends,
+    /// The memory for the bodies and prompts of requests.
+    pub bodies: BodyBudget,
+    /// The memory for the messages of other nodes.
+    pub messages: BodyBudget,
     /// The actor that queues and places requests.
     pub dispatcher: Address<Dispatcher>,
     /// The actor that knows which requests the node owns.
--- a/crates/daemon/src/meters/catalogue.rs
+++ b/crates/daemon/src/meters/catalogue.rs
@@ -51,11 +51,15 @@
     Backends,
     /// Whether the node refuses new work.
     Leaving,
+    /// The memory for bodies and prompts that is in use.
+    BodyBytes,
+    /// Connections that were closed to stay within the limits of their port.
+    ConnectionsClosed,
 }
 
 impl Metric {
     /// Every metric.
-    pub const ALL: [Metric; 17] = [
+    pub const ALL: [Metric; 19] = [
         Metric::Requests,
         Metric::RequestSeconds,
         Metric::FirstByteSeconds,
@@ -73,6 +77,8 @@
         Metric::Members,
         Metric::Backends,
         Metric::Leaving,
+        Metric::BodyBytes,
+        Metric::ConnectionsClosed,
     ];
 
     /// Returns its exported name.
@@ -95,6 +101,8 @@
             Metric::Members => "bulrush_members",
             Metric::Backends => "bulrush_backends",
             Metric::Leaving => "bulrush_leaving",
+            Metric::BodyBytes => "bulrush_body_bytes",
+            Metric::ConnectionsClosed => "bulrush_connections_closed_total",
         }
     }
 
@@ -105,7 +113,8 @@
             | Metric::FailedAttempts
             | Metric::Uncopied
             | Metric::RecomputedTokens
-            | Metric::KeyValueCalls => Kind::Counter,
+            | Metric::KeyValueCalls
+            | Metric::ConnectionsClosed => Kind::Counter,
             Metric::RequestSeconds | Metric::FirstByteSeconds | Metric::KeyValueSeconds => {
                 Kind::Histogram
             }
@@ -117,7 +126,8 @@
             | Metric::RevisionLag
             | Metric::Members
             | Metric::Backends
-            | Metric::Leaving => Kind::Gauge,
+            | Metric::Leaving
+            | Metric::BodyBytes => Kind::Gauge,
         }
     }
 
@@ -130,6 +140,7 @@
             Metric::RecomputedTokens => &["cause"],
             Metric::KeyValueCalls => &["purpose", "outcome"],
             Metric::KeyValueSeconds => &["purpose"],
+            Metric::ConnectionsClosed => &["port", "reason"],
             Metric::Backends | Metric::QueueWaiting | Metric::QueueRunning => &["service"],
             Metric::InFlight
             | Metric::Uncopied
@@ -137,7 +148,8 @@
             | Metric::Revision
             | Metric::RevisionLag
             | Metric::Members
-            | Metric::Leaving => &[],
+            | Metric::Leaving
+            | Metric::BodyBytes => &[],
         }
     }
 
--- a/crates/daemon/src/meters/recorder.rs
+++ b/crates/daemon/src/meters/recorder.rs
@@ -83,6 +83,7 @@
         self.set(Metric::Members, &[], as_value(cx.members.current().len() as u64));
         self.set(Metric::Unfinished, &[], as_value(cx.answers.unfinished() as u64));
         self.set(Metric::Leaving, &[], as_value(u64::from(cx.is_leaving())));
+        self.set(Metric::BodyBytes, &[], as_value(cx.bodies.used_bytes() as u64));
         for depth in cx.dispatcher.send(Queues).await.unwrap_or_default() {
             let labels = [("service", depth.service.as_str())];
             self.set(Metric::QueueWaiting, &labels, as_value(depth.waiting as u64));
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -18,7 +18,10 @@
 use bulrushhall_external::{
     KeyValue,
     clients::HttpKeyValue,
-    http::{ClientAuth, Endpoint, EndpointOptions, Handler, ServerOptions, listen, serve},
+    http::{
+        BodyBudget, ClientAuth, Endpoint, EndpointOptions, Handler, NodeMemory, PortShare,
+        ServerOptions, listen, serve,
+    },
 };
 use error_stack::{Report, ResultExt};
 use tokio::{
@@ -59,6 +62,17 @@
 /// The poll interval for unfinished answers while the node shuts down.
 const DRAIN_PAUSE: Duration = Duration::from_millis(20);
 
+/// The connections of callers.
+const CALLERS: PortShare = PortShare { share: 0.3, min: 64, max: 16_384 };
+/// The connections of other nodes.
+const PEERS: PortShare = PortShare { share: 0.08, min: 64, max: 2_000 };
+/// The connections of operators and monitoring.
+const OPERATORS: PortShare = PortShare { share: 0.02, min: 32, max: 256 };
+/// The share of a node's memory for the messages of other nodes.
+const MESSAGE_SHARE: f64 = 0.12;
+/// The least memory for them, in bytes: the largest message, and what is kept for what can't wait.
+const MIN_MESSAGE_BYTES: usize = 5 << 20;
+
 /// A `Node` is one running node.
 pub struct Node {
     cx: Arc<Context>,
@@ -84,6 +98,7 @@
         let (ownership, mailbox) = Mailbox::unbounded();
         let (claimer, claimer_mailbox) = Mailbox::unbounded();
         let (leaving_updates, updates) = mpsc::unbounded_channel();
+        let memory = NodeMemory::of_bytes(settings.limits.memory.as_u64());
         let cx = Arc::new(Context {
             settings,
             incarnation,
@@ -91,6 +106,8 @@
             config: ArcSwap::default(),
             answers: Answers::default(),
             backends: Backends::default(),
+            bodies: BodyBudget::of_node(memory),
+            messages: BodyBudget::with_bytes(memory.share(MESSAGE_SHARE).max(MIN_MESSAGE_BYTES)),
             dispatcher,
             ownership,
             claimer: claimer.clone(),
@@ -133,16 +150,20 @@
 
         let (stop, stopped) = watch::channel(false);
         let mut ports = JoinSet::new();
-        let handlers: [(TcpListener, Arc<dyn Handler>, ClientAuth); 3] = [
-            (callers, Arc::new(CallerPort::new(Arc::clone(&cx))), ClientAuth::Disabled),
-            (peer_listener, Arc::new(peer_port), ClientAuth::Required),
-            (operators, Arc::new(OperatorPort::new(Arc::clone(&cx))), ClientAuth::Required),
+        let caller_port = CallerPort::new(Arc::clone(&cx));
+        let operator_port = OperatorPort::new(Arc::clone(&cx));
+        let handlers: [(TcpListener, Arc<dyn Handler>, ClientAuth, PortShare); 3] = [
+            (callers, Arc::new(caller_port), ClientAuth::Disabled, CALLERS),
+            (peer_listener, Arc::new(peer_port), ClientAuth::Required, PEERS),
+            (operators, Arc::new(operator_port), ClientAuth::Required, OPERATORS),
         ];
-        for (listener, handler, clients) in handlers {
+        for (listener, handler, clients, share) in handlers {
             let limits = &cx.settings.limits;
             let options = ServerOptions {
                 header_timeout: limits.header_timeout.into(),
                 drain_timeout: limits.drain.into(),
+                max_connections: share.connections(memory),
+                bodies: cx.bodies.clone(),
                 tls: tls.clone().map(|tls| (tls, clients)),
                 ..ServerOptions::default()
             };
--- a/crates/daemon/src/operators/port.rs
+++ b/crates/daemon/src/operators/port.rs
@@ -5,7 +5,7 @@
 use bulrushhall_core::RequestId;
 use bulrushhall_external::{
     BoxFuture,
-    http::{Body, Handler, full},
+    http::{Body, CloseReason, Handler, full},
 };
 use hyper::{
     Method, Request, Response, StatusCode,
@@ -16,6 +16,7 @@
 
 use crate::{
     context::Context,
+    meters::Metric,
     operators::{NodeStatus, RequestStatus},
 };
 
@@ -84,6 +85,14 @@
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
         Box::pin(async move { self.respond(req.method(), req.uri().path()).await })
     }
+
+    fn note_closed(&self, reason: CloseReason) {
+        self.cx.meters.count(
+            Metric::ConnectionsClosed,
+            &[("port", "operators"), ("reason", reason.as_str())],
+            1,
+        );
+    }
 }
 
 fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
--- a/crates/daemon/src/peers/port.rs
+++ b/crates/daemon/src/peers/port.rs
@@ -5,7 +5,7 @@
 use bulrushhall_coord::decode_message;
 use bulrushhall_external::{
     BoxFuture,
-    http::{Body, Handler, empty, full, read_limited},
+    http::{Body, BodyLimits, CloseReason, Handler, UnreadBody, empty, full},
 };
 use bytes::Bytes;
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
@@ -13,6 +13,7 @@
 
 use crate::{
     context::Context,
+    meters::Metric,
     peers::{Envelope, PeerMessage, Sender},
     telemetry::{TRACE_PARENT, with_remote_parent},
 };
@@ -66,7 +67,9 @@
             return refuse(StatusCode::NOT_FOUND);
         };
         let handler = Arc::clone(handler);
-        let Ok(body) = read_limited(req.into_body(), MESSAGE_LIMIT, MESSAGE_TIMEOUT).await else {
+        let limits = BodyLimits { bytes: MESSAGE_LIMIT, time: MESSAGE_TIMEOUT, copies: 1 };
+        let (_, body) = UnreadBody::take_whole(req);
+        let Ok((body, _room)) = body.read(&self.cx.messages, limits).await else {
             return refuse(StatusCode::BAD_REQUEST);
         };
         match handler.receive(body).await {
@@ -113,6 +116,14 @@
         };
         Box::pin(async move { self.respond(req).await }.instrument(span))
     }
+
+    fn note_closed(&self, reason: CloseReason) {
+        self.cx.meters.count(
+            Metric::ConnectionsClosed,
+            &[("port", "peers"), ("reason", reason.as_str())],
+            1,
+        );
+    }
 }
 
 fn refuse(status: StatusCode) -> Response<Body> {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -71,6 +71,9 @@
     /// The maximum size of a body.
     #[serde_as(as = "ExactSize")]
     pub body: ByteSize,
+    /// The memory that the process may use.
+    #[serde_as(as = "ExactSize")]
+    pub memory: ByteSize,
     /// The maximum time in which a body must arrive.
     #[serde_as(as = "DisplayFromStr")]
     pub body_timeout: humantime::Duration,
@@ -206,6 +209,7 @@
     fn default() -> Self {
         LimitSettings {
             body: ByteSize::mib(2),
+            memory: ByteSize::mib(128),
             body_timeout: Duration::from_secs(10).into(),
             header_timeout: Duration::from_secs(10).into(),
             engine_progress: Duration::from_secs(5).into(),
--- a/crates/external/src/errors.rs
+++ b/crates/external/src/errors.rs
@@ -58,7 +58,7 @@
         match error {
             BodyError::TooLarge => CallFault::TooLarge,
             BodyError::Timeout => CallFault::Timeout,
-            BodyError::Closed => CallFault::Closed,
+            BodyError::Closed | BodyError::NoRoom => CallFault::Closed,
         }
     }
 }
--- a/crates/external/src/http/body.rs
+++ b/crates/external/src/http/body.rs
@@ -22,6 +22,8 @@
     Timeout,
     /// The connection was closed within the body.
     Closed,
+    /// There was no memory for the body, or it arrived too slowly while others waited for memory.
+    NoRoom,
 }
 
 /// `BodyTimeouts` are the time limits for reading a body that may be large or on a slow link.
@@ -39,6 +41,7 @@
             BodyError::TooLarge => "the body is too large",
             BodyError::Timeout => "the body did not arrive in time",
             BodyError::Closed => "the connection ended within the body",
+            BodyError::NoRoom => "there is no memory for the body",
         })
     }
 }
@@ -66,12 +69,7 @@
     B: hyper::body::Body<Data = Bytes>,
     B::Error: Into<Box<dyn error::Error + Send + Sync>>,
 {
-    let collected = tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await;
-    match collected {
-        Err(_) => Err(BodyError::Timeout),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) => Err(to_body_error(&error)),
-    }
+    read_with_timeouts(body, limit, BodyTimeouts { idle: timeout, total: timeout }).await
 }
 
 fn to_body_error(error: &BoxError) -> BodyError {
--- a/crates/external/src/http/mod.rs
+++ b/crates/external/src/http/mod.rs
@@ -2,11 +2,16 @@
 
 mod abortive_stream;
 mod body;
+mod body_budget;
+mod client_stream;
+mod connections;
 mod endpoint;
 mod head_limit;
 mod head_timer;
 mod listen;
+mod node_memory;
 mod send_permit;
+mod served_body;
 mod server;
 mod tls;
 mod trace;
@@ -17,11 +22,14 @@
     Body, BodyError, BodyTimeouts, BoxError, empty, full, read_limited, read_with_timeouts,
     streamed,
 };
+pub use body_budget::{BodyBudget, BodyRoom, NoRoom, SMALL_BYTES};
+pub use connections::{CloseReason, ConnectionState, PortShare};
 pub use endpoint::{Endpoint, EndpointOptions, Identity};
 pub use head_limit::{HeadLimit, HeadLimited};
 pub use listen::listen;
+pub use node_memory::NodeMemory;
 pub use send_permit::SendPermit;
 pub use server::{Handler, ServerOptions, serve};
 pub use tls::{ClientAuth, Connection, TLS_SERVER_NAME, Tls, TlsError, TlsFiles};
 pub use trace::set_trace_injector;
-pub use unread_body::{DiscardLimits, UnreadBody};
+pub use unread_body::{BodyLimits, DiscardLimits, UnreadBody};
--- a/crates/external/src/http/server.rs
+++ b/crates/external/src/http/server.rs
@@ -1,16 +1,34 @@
 //! The HTTP server.
 
-use std::{convert::Infallible, io, sync::Arc, time::Duration};
+use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use bulrushhall_core::Event;
-use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::{rt::TokioIo, server::graceful::GracefulShutdown};
-use tokio::{net::TcpListener, sync::watch, task::JoinSet};
+use hyper::{
+    Request, Response,
+    body::{Body as _, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::{
+    rt::TokioIo,
+    server::graceful::{GracefulShutdown, Watcher},
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinSet,
+};
 use tokio_io_timeout::TimeoutStream;
 
 use crate::{
     BoxFuture,
-    http::{Body, ClientAuth, Connection, Tls, head_timer::HeadTimer},
+    http::{
+        Body, BodyBudget, ClientAuth, CloseReason, Connection, Tls,
+        client_stream::ClientStream,
+        connections::{Connections, OpenConnection},
+        head_timer::HeadTimer,
+        served_body::ServedBody,
+    },
 };
 
 /// The pause after a failed accept, which prevents a busy loop when file handles run out.
@@ -26,6 +44,9 @@
     fn header_timeout(&self) -> Option<Duration> {
         None
     }
+
+    /// Counts a connection that was closed to stay within the limits of the port.
+    fn note_closed(&self, _reason: CloseReason) {}
 }
 
 /// `ServerOptions` are the limits and TLS settings of the connections of one port.
@@ -39,8 +60,11 @@
     pub max_buffer: usize,
     /// The time limit for a peer to accept written bytes.
     pub write_timeout: Duration,
-    /// The maximum number of open connections; further ones are closed at once.
+    /// The maximum number of open connections; another one takes the place of the one that has waited the longest for its
+    /// client.
     pub max_connections: usize,
+    /// The memory for long heads.
+    pub bodies: BodyBudget,
     /// The time limit for in-flight responses after the stop.
     pub drain_timeout: Duration,
     /// The TLS configuration and client authentication, if connections use TLS.
@@ -55,6 +79,7 @@
             max_buffer: 64 * 1024,
             write_timeout: Duration::from_secs(30),
             max_connections: 16_384,
+            bodies: BodyBudget::default(),
             drain_timeout: Duration::from_secs(30),
             tls: None,
         }
@@ -78,6 +103,7 @@
         .max_headers(options.max_headers)
         .max_buf_size(options.max_buffer);
 
+    let open = Connections::new(options.max_connections);
     let mut connections = JoinSet::new();
     loop {
         let accepted = tokio::select! {
@@ -89,44 +115,81 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        // Peers that connect and do nothing would otherwise use up all file handles.
-        if options.max_connections <= connections.len() {
-            continue;
+        let (connection, closed) = open.add();
+        if let Some(reason) = closed {
+            tracing::debug!(event = Event::ConnectionFailed.number(), reason = reason.as_str());
+            handler.note_closed(reason);
         }
+        let Some(connection) = connection else { continue };
         // Tokens are small; without this, each would wait for the acknowledgement of the previous one.
         let _ = stream.set_nodelay(true);
+        let accepted = Accepted {
+            stream,
+            remote,
+            connection,
+            handler: Arc::clone(&handler),
+            options: options.clone(),
+        };
+        let (builder, graceful) = (builder.clone(), graceful.watcher());
+        connections.spawn(async move {
+            let state = Arc::clone(accepted.connection.state());
+            tokio::select! {
+                () = accepted.serve(builder, graceful) => {}
+                () = state.closing() => {}
+            }
+        });
+    }
+
+    drop(listener);
+    let _ = tokio::time::timeout(options.drain_timeout, graceful.shutdown()).await;
+}
+
+/// A connection that was accepted.
+struct Accepted {
+    stream: TcpStream,
+    remote: SocketAddr,
+    connection: OpenConnection,
+    handler: Arc<dyn Handler>,
+    options: ServerOptions,
+}
+
+impl Accepted {
+    async fn serve(self, builder: http1::Builder, graceful: Watcher) {
+        let Accepted { stream, remote, connection, handler, options } = self;
         // A peer that never reads would keep its response in memory forever. Its connection fails
         // once nothing could be written for this long, which releases all its resources.
         let mut stream = TimeoutStream::new(stream);
         stream.set_write_timeout(Some(options.write_timeout));
-        let stream = Box::pin(stream);
-        let request_handler = Arc::clone(&handler);
+        // The handshake runs in the task of the connection: a client that never completes it must
+        // not keep others from connecting.
+        let stream = match start_tls(Box::pin(stream), options.tls).await {
+            Ok(stream) => stream,
+            Err(error) => {
+                tracing::debug!(event = Event::ConnectionFailed.number(), %error);
+                return;
+            }
+        };
+        let state = Arc::clone(connection.state());
+        let memory = (options.bodies, options.max_buffer);
+        let stream = ClientStream::new(stream, Arc::clone(&state), Arc::clone(&handler), memory);
         let service = service_fn(move |mut req: Request<Incoming>| {
+            let request = state.begin_request();
+            if req.body().is_end_stream() {
+                state.begin_serving();
+            }
             req.extensions_mut().insert(remote);
-            let response = Arc::clone(&request_handler).handle(req);
-            async move { Ok::<_, Infallible>(response.await) }
-        });
-        let watcher = graceful.watcher();
-        let (builder, tls) = (builder.clone(), options.tls.clone());
-        connections.spawn(async move {
-            // The handshake runs in the task of the connection: a client that never completes it must
-            // not keep others from connecting.
-            let stream = match start_tls(stream, tls).await {
-                Ok(stream) => TokioIo::new(stream),
-                Err(error) => {
-                    tracing::debug!(event = Event::ConnectionFailed.number(), %error);
-                    return;
-                }
-            };
-            let connection = watcher.watch(builder.serve_connection(stream, service));
-            if let Err(error) = connection.await {
-                tracing::debug!(event = Event::ConnectionFailed.number(), %error);
+            req.extensions_mut().insert(Arc::clone(&state));
+            let response = Arc::clone(&handler).handle(req);
+            async move {
+                let response = response.await;
+                Ok::<_, Infallible>(response.map(|body| ServedBody::new(body, request)))
             }
         });
+        let serving = builder.serve_connection(TokioIo::new(stream), service);
+        if let Err(error) = graceful.watch(serving).await {
+            tracing::debug!(event = Event::ConnectionFailed.number(), %error);
+        }
     }
-
-    drop(listener);
-    let _ = tokio::time::timeout(options.drain_timeout, graceful.shutdown()).await;
 }
 
 async fn start_tls(
--- a/crates/external/src/http/unread_body.rs
+++ b/crates/external/src/http/unread_body.rs
@@ -1,19 +1,33 @@
 //! The body of a request that may be refused before it has arrived.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
+use hyper::{
+    Request,
+    body::{Body as _, Incoming},
+    http::request::Parts,
+};
 use tokio::{runtime::Handle, time::timeout};
 
-use crate::http::{BodyError, read_limited};
+use crate::http::{
+    BodyBudget, BodyError, BodyRoom, ConnectionState, NoRoom, SMALL_BYTES, connections::ReadBody,
+};
 
 /// The longest time for which a node that leaves discards a body: its stop waits for that.
 const LEAVING_DISCARD_TIME: Duration = Duration::from_secs(1);
 /// The longest time until a body that is being discarded is affected by the node's leaving.
 const LEAVING_PAUSE: Duration = Duration::from_millis(100);
 
+/// How many times its room a body without an announced length gets when it needs more.
+const GROWTH: usize = 4;
+/// The first size of the buffer of a body, in bytes.
+const MIN_CAPACITY: usize = 512;
+
 /// Returns whether the node leaves.
 type IsLeaving = Box<dyn Fn() -> bool + Send + Sync>;
 
@@ -34,16 +48,40 @@
     body: Option<Incoming>,
     limits: DiscardLimits,
     is_leaving: Option<IsLeaving>,
+    connection: Option<ReadBody>,
+}
+
+/// A `BodyLimits` bound a body that is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyLimits {
+    /// The maximum number of bytes.
+    pub bytes: usize,
+    /// The longest time, also for the wait for memory.
+    pub time: Duration,
+    /// How many times its size its request takes.
+    pub copies: usize,
 }
 
 impl UnreadBody {
-    /// Returns the body of a request; less of it is discarded once `is_leaving` returns `true`.
-    pub fn new(
-        body: Incoming,
+    /// Takes the body of a request; less of it is discarded once `is_leaving` returns `true`.
+    pub fn take(
+        req: Request<Incoming>,
         limits: DiscardLimits,
         is_leaving: impl Fn() -> bool + Send + Sync + 'static,
-    ) -> UnreadBody {
-        UnreadBody { body: Some(body), limits, is_leaving: Some(Box::new(is_leaving)) }
+    ) -> (Parts, UnreadBody) {
+        let (parts, body) = req.into_parts();
+        let connection = parts.extensions.get::<Arc<ConnectionState>>();
+        let connection = connection.map(ConnectionState::begin_body);
+        let is_leaving: IsLeaving = Box::new(is_leaving);
+        let body =
+            UnreadBody { body: Some(body), limits, is_leaving: Some(is_leaving), connection };
+        (parts, body)
+    }
+
+    /// Takes the body of a request of which nothing is discarded.
+    pub fn take_whole(req: Request<Incoming>) -> (Parts, UnreadBody) {
+        let limits = DiscardLimits { bytes: 0, time: Duration::ZERO };
+        UnreadBody::take(req, limits, || false)
     }
 
     /// Returns whether it has no bytes.
@@ -54,15 +92,93 @@
     /// Returns its size in bytes, if that is announced.
     pub fn announced(&self) -> Option<usize> {
         let bytes = self.body.as_ref()?.size_hint().exact()?;
-        usize::try_from(bytes).ok()
+        Some(usize::try_from(bytes).unwrap_or(usize::MAX))
     }
 
-    /// Returns all its bytes, of which there may be at most `limit`, if they arrive within `time`.
-    pub async fn read(mut self, limit: usize, time: Duration) -> Result<Bytes, BodyError> {
-        let Some(body) = &mut self.body else { return Ok(Bytes::new()) };
-        let bytes = read_limited(body, limit, time).await?;
+    /// Returns all its bytes, with their room.
+    pub async fn read(
+        mut self,
+        budget: &BodyBudget,
+        limits: BodyLimits,
+    ) -> Result<(Bytes, BodyRoom), BodyError> {
+        let announced = self.announced();
+        if announced.is_some_and(|announced| limits.bytes < announced) {
+            return Err(BodyError::TooLarge);
+        }
+        let until = Instant::now() + limits.time;
+        let first = announced.unwrap_or(SMALL_BYTES.min(limits.bytes));
+        let room = budget.reserve(first.saturating_mul(limits.copies), limits.time).await;
+        let room = room.map_err(|NoRoom| BodyError::NoRoom)?;
+        let Some(body) = &mut self.body else { return Ok((Bytes::new(), BodyRoom::default())) };
+        let mut reading = Reading { budget, limits, until, announced, room, read: Vec::new() };
+        let left = until.saturating_duration_since(Instant::now());
+        match timeout(left, reading.run(body)).await {
+            Ok(read) => read?,
+            Err(_) => return Err(BodyError::Timeout),
+        }
         self.body = None;
-        Ok(bytes)
+        if let Some(connection) = &self.connection {
+            connection.begin_serving();
+        }
+        Ok(reading.finish())
+    }
+}
+
+/// A body that is being read.
+struct Reading<'a> {
+    budget: &'a BodyBudget,
+    limits: BodyLimits,
+    until: Instant,
+    announced: Option<usize>,
+    room: BodyRoom,
+    read: Vec<u8>,
+}
+
+impl Reading<'_> {
+    async fn run(&mut self, body: &mut Incoming) -> Result<(), BodyError> {
+        loop {
+            let frame = tokio::select! {
+                biased;
+                () = self.room.revoked() => return Err(BodyError::NoRoom),
+                frame = body.frame() => frame,
+            };
+            let Some(frame) = frame else { return Ok(()) };
+            let Ok(data) = frame.map_err(|_| BodyError::Closed)?.into_data() else { continue };
+            self.add(&data).await?;
+        }
+    }
+
+    // A frame keeps the whole buffer that it was read into, so its bytes are copied.
+    async fn add(&mut self, data: &[u8]) -> Result<(), BodyError> {
+        let size = self.read.len() + data.len();
+        if self.limits.bytes < size {
+            return Err(BodyError::TooLarge);
+        }
+        let room = self.room.bytes() / self.limits.copies.max(1);
+        if room < size && self.announced.is_none() {
+            self.extend(room.saturating_mul(GROWTH).max(size)).await?;
+        }
+        self.room.note_arrived(data.len());
+        if self.read.capacity() < size {
+            let most = self.announced.unwrap_or(self.limits.bytes).max(size);
+            let capacity = (self.read.capacity() * 2).max(size).max(MIN_CAPACITY).min(most);
+            self.read.reserve_exact(capacity - self.read.len());
+        }
+        self.read.extend_from_slice(data);
+        Ok(())
+    }
+
+    async fn extend(&mut self, bytes: usize) -> Result<(), BodyError> {
+        let bytes = bytes.min(self.limits.bytes).saturating_mul(self.limits.copies);
+        let left = self.until.saturating_duration_since(Instant::now());
+        let extending = self.room.extend(self.budget, bytes, left);
+        extending.await.map_err(|NoRoom| BodyError::NoRoom)
+    }
+
+    fn finish(mut self) -> (Bytes, BodyRoom) {
+        self.room.complete(self.read.len().saturating_mul(self.limits.copies));
+        self.read.shrink_to_fit();
+        (Bytes::from(self.read), self.room)
     }
 }
 
@@ -71,7 +187,11 @@
         let Some(body) = self.body.take().filter(|body| !body.is_end_stream()) else { return };
         let Ok(runtime) = Handle::try_current() else { return };
         let Some(is_leaving) = self.is_leaving.take() else { return };
-        runtime.spawn(discard(body, self.limits, is_leaving));
+        let (limits, connection) = (self.limits, self.connection.take());
+        runtime.spawn(async move {
+            discard(body, limits, is_leaving).await;
+            drop(connection);
+        });
     }
 }
 
--- a/crates/gateway/src/cluster/carry.rs
+++ b/crates/gateway/src/cluster/carry.rs
@@ -32,7 +32,7 @@
 };
 
 /// The failure of a request that the server did not get.
-const NOT_RUN: CarryFailure = CarryFailure { ran: Ran::No, full: false, blocked: false };
+pub const NOT_RUN: CarryFailure = CarryFailure { ran: Ran::No, full: false, blocked: false };
 /// The failure of a request that the server may have run.
 const LOST: CarryFailure = CarryFailure { ran: Ran::Unknown, full: false, blocked: false };
 
--- a/crates/gateway/src/cluster/peer_port.rs
+++ b/crates/gateway/src/cluster/peer_port.rs
@@ -5,19 +5,20 @@
 use bulrushhall_coord::{crashes::PartIds, decode_message, streams::StreamBatch};
 use bulrushhall_external::{
     BoxFuture,
-    http::{Body, Handler, empty, full, read_limited},
+    http::{Body, BodyError, BodyLimits, CloseReason, Handler, UnreadBody, empty, full},
 };
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use serde::Serialize;
 
 use crate::{
     backends::BackendUpdates,
+    body_budget::Port,
     clock,
     cluster::{
         CARRY_PATH, COPIES_PATH, CarriedRequest, Digest, DigestScope, Document, FIND_PATH,
         FindServers, FindStreams, MemberUpdates, RecordCursor, SERVERS_PATH,
         advertise::{DigestOptions, build_digest},
-        carry::carry,
+        carry::{NOT_RUN, carry, failure_response},
         gossip::{
             DIGEST_PATH, DOCUMENT_PATH, MAX_MESSAGE_BYTES, RESPONSE_TIMEOUT, endpoint,
             fetch_document,
@@ -55,12 +56,17 @@
     async fn respond(&self, req: Request<Incoming>) -> Response<Body> {
         let path = req.uri().path().to_owned();
         let query = req.uri().query().map(str::to_owned);
-        let limit = match path.as_str() {
-            CARRY_PATH => self.max_carried_bytes(),
-            _ => MAX_MESSAGE_BYTES,
+        // A carried request is held as a message and decoded.
+        let (budget, bytes, copies) = match path.as_str() {
+            CARRY_PATH => (&self.gateway.bodies, self.max_carried_bytes(), 2),
+            _ => (&self.gateway.messages, MAX_MESSAGE_BYTES, 1),
         };
-        let Ok(body) = read_limited(req.into_body(), limit, RESPONSE_TIMEOUT).await else {
-            return refuse(StatusCode::BAD_REQUEST);
+        let limits = BodyLimits { bytes, time: RESPONSE_TIMEOUT, copies };
+        let (_, body) = UnreadBody::take_whole(req);
+        let (body, _room) = match body.read(budget, limits).await {
+            Ok(read) => read,
+            Err(BodyError::NoRoom) if path == CARRY_PATH => return failure_response(NOT_RUN),
+            Err(_) => return refuse(StatusCode::BAD_REQUEST),
         };
         match path.as_str() {
             DIGEST_PATH => {
@@ -174,6 +180,10 @@
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
         Box::pin(async move { self.respond(req).await })
     }
+
+    fn note_closed(&self, reason: CloseReason) {
+        Port::Peers.note_closed(reason);
+    }
 }
 
 fn encoded(message: &impl Serialize) -> Response<Body> {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,7 +24,7 @@
 use crate::{
     adapter::{Orders, Records, Wire},
     backends::{Backend, Backends},
-    body_budget::BodyBudget,
+    body_budget::{BodyBudget, message_budget},
     brittle::{BrittleServices, node_hash},
     clock,
     cluster::{MemberRecord, Members, RecordCursor, ReplyBudget, Watches},
@@ -290,6 +290,8 @@
 pub struct Gateway {
     /// The memory for the bodies of callers' requests.
     pub bodies: BodyBudget,
+    /// The memory for the messages of other nodes.
+    pub messages: BodyBudget,
     /// Its settings.
     pub settings: Settings,
     /// Its incarnation.
@@ -343,6 +345,7 @@
         let calls = Arc::new(PlatformCalls::default());
         Gateway {
             bodies: BodyBudget::new(settings.capacity.memory_mb),
+            messages: message_budget(&settings.capacity),
             settings,
             incarnation,
             platform: calls.counted(platform),
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -78,6 +78,10 @@
 const WAITING_SECONDS: &str = "bulrush_route_waiting_seconds";
 /// Requests that were refused because they would wait, or have waited, too long for an engine.
 const WAITING_REFUSED: &str = "bulrush_route_waiting_refused_total";
+/// The memory for the bodies of requests that is in use.
+const BODY_BYTES: &str = "bulrush_route_body_bytes";
+/// Connections that were closed to stay within the limits of their port.
+const CONNECTIONS_CLOSED: &str = "bulrush_route_connections_closed_total";
 /// Whether the node holds the duties.
 const DUTIES: &str = "bulrush_route_duties_held";
 
@@ -93,7 +97,7 @@
 }
 
 /// Every metric.
-pub const ROUTE_METRICS: [RouteMetric; 35] = [
+pub const ROUTE_METRICS: [RouteMetric; 37] = [
     RouteMetric { name: REQUESTS, kind: "counter", labels: "kind, outcome" },
     RouteMetric { name: REQUEST_SECONDS, kind: "histogram", labels: "kind" },
     RouteMetric { name: FIRST_SECONDS, kind: "histogram", labels: "kind" },
@@ -128,6 +132,8 @@
     RouteMetric { name: WAITING_TOKENS, kind: "gauge", labels: "priority" },
     RouteMetric { name: WAITING_SECONDS, kind: "histogram", labels: "priority" },
     RouteMetric { name: WAITING_REFUSED, kind: "counter", labels: "reason, priority" },
+    RouteMetric { name: BODY_BYTES, kind: "gauge", labels: "" },
+    RouteMetric { name: CONNECTIONS_CLOSED, kind: "counter", labels: "port, reason" },
     RouteMetric { name: DUTIES, kind: "gauge", labels: "" },
 ];
 
@@ -142,6 +148,16 @@
     }
 }
 
+/// Sets the memory for the bodies of requests that is in use.
+pub fn body_bytes(used: usize) {
+    gauge!(BODY_BYTES).set(used as f64);
+}
+
+/// Counts a connection that was closed to stay within the limits of its port.
+pub fn connection_closed(port: &'static str, reason: &'static str) {
+    counter!(CONNECTIONS_CLOSED, "port" => port, "reason" => reason).increment(1);
+}
+
 /// Counts a queued request that is started.
 pub fn waited(rank: u8, waited: Duration) {
     histogram!(WAITING_SECONDS, "priority" => priority_label(rank)).record(waited.as_secs_f64());
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::{
+    body_budget::Port,
     cluster::{
         PeerPort, copy_streams, follow_backends, follow_config, follow_members, gossip,
         hand_over_streams, register, store_blocks,
@@ -32,10 +33,6 @@
 /// How long the last bytes of carried answers may take to leave the process.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
 
-/// The maximum number of connections on a port: half of the file descriptors of the smallest supported VM;
-/// the rest is for connections to backend servers.
-const MAX_CONNECTIONS: usize = 2_000;
-
 /// A `NodeError` is the reason why a node could not start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NodeError {
@@ -68,20 +65,19 @@
     pub fn start(settings: Settings, platform: Platform) -> Result<Node, Report<NodeError>> {
         let gateway = Arc::new(Gateway::new(settings, platform));
         let stop = watch::Sender::new(false);
-        let ports = &gateway.settings.ports;
         let handler: Arc<dyn Handler> = Arc::new(CallerPort::new(Arc::clone(&gateway)));
-        let callers = open(ports.callers, handler, &gateway, stop.subscribe())?;
-        let others: [(SocketAddr, Arc<dyn Handler>); 2] = [
-            (ports.directory, Arc::new(DirectoryPort::new(Arc::clone(&gateway)))),
-            (ports.readiness, Arc::new(ReadinessPort::new(Arc::clone(&gateway)))),
+        let callers = open(Port::Callers, handler, &gateway, stop.subscribe())?;
+        let others: [(Port, Arc<dyn Handler>); 2] = [
+            (Port::Directory, Arc::new(DirectoryPort::new(Arc::clone(&gateway)))),
+            (Port::Readiness, Arc::new(ReadinessPort::new(Arc::clone(&gateway)))),
         ];
         // These ports stay open until the process ends: a node that is stopping still takes part in gossip.
         let running = watch::Sender::new(false);
         let handler: Arc<dyn Handler> = Arc::new(PeerPort::new(Arc::clone(&gateway)));
-        let peers = open(ports.peers, handler, &gateway, running.subscribe())?;
+        let peers = open(Port::Peers, handler, &gateway, running.subscribe())?;
         let mut tasks = Vec::new();
-        for (address, handler) in others {
-            tasks.push(open(address, handler, &gateway, running.subscribe())?);
+        for (port, handler) in others {
+            tasks.push(open(port, handler, &gateway, running.subscribe())?);
         }
         tasks.push(tokio::spawn(follow_config(Arc::clone(&gateway))));
         tasks.push(tokio::spawn(follow_backends(Arc::clone(&gateway))));
@@ -140,17 +136,25 @@
 }
 
 fn open(
-    address: SocketAddr,
+    port: Port,
     handler: Arc<dyn Handler>,
     gateway: &Gateway,
     stop: watch::Receiver<bool>,
 ) -> Result<JoinHandle<()>, Report<NodeError>> {
+    let ports = &gateway.settings.ports;
+    let address = match port {
+        Port::Callers => ports.callers,
+        Port::Directory => ports.directory,
+        Port::Peers => ports.peers,
+        Port::Readiness => ports.readiness,
+    };
     let listener: io::Result<_> = listen(address);
     let listener = listener.change_context(NodeError::Port(address))?;
     let grace = gateway.settings.bounds.grace.into();
     let options = ServerOptions {
         drain_timeout: grace,
-        max_connections: MAX_CONNECTIONS,
+        max_connections: port.max_connections(&gateway.settings.capacity),
+        bodies: gateway.bodies.clone(),
         ..ServerOptions::default()
     };
     Ok(tokio::spawn(serve(listener, handler, options, stop)))
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -306,7 +306,11 @@
     (resume_after, sent): (Option<u64>, Option<&SentRequest>),
 ) -> Result<(hyper::Response<Incoming>, Connection), SendError> {
     let mut outgoing = backend_request(gateway, req, original, placement, resume_after)?;
+    let mut _room = None;
     if placement.carrier.is_some() {
+        // The message has a copy of the body.
+        let room = gateway.bodies.try_reserve(original.body.len());
+        _room = Some(room.ok_or_else(|| not_run(SendFault::NotOpened(OpenError::Full)))?);
         outgoing = carried_request(original, placement, &outgoing)?;
     }
     loop {
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -3,7 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use bulrushhall_core::{Ran, Stamp};
-use bulrushhall_external::http::{Body, BodyError, DiscardLimits, UnreadBody, empty, full};
+use bulrushhall_external::http::{
+    Body, BodyError, BodyLimits, DiscardLimits, UnreadBody, empty, full,
+};
 use bytes::Bytes;
 use hyper::{
     Request, Response,
@@ -13,10 +15,11 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    body_budget::{BodyRoom, NoRoom},
+    body_budget::BodyRoom,
     clock,
     crashes::{Fingerprint, admit},
     gateway::{Gateway, Phase},
+    meters,
     pipeline::{
         Failure,
         access_log::AccessLogEntry,
@@ -70,10 +73,9 @@
     started: Stamp,
     log_entry: &mut AccessLogEntry,
 ) -> Result<Handled, Failure> {
-    let (head, body) = req.into_parts();
     let leaving = Arc::clone(gateway);
     let is_leaving = move || Phase::Serving < leaving.phase();
-    let body = UnreadBody::new(body, discard_limits(gateway), is_leaving);
+    let (head, body) = UnreadBody::take(req, discard_limits(gateway), is_leaving);
     let mut req = identify(gateway, &head)?;
     log_entry.note_identified(&req);
     if gateway.phase() == Phase::Draining {
@@ -140,17 +142,15 @@
     if body.is_empty() {
         return Ok((Bytes::new(), BodyRoom::default()));
     }
-    let max_bytes = req.table.limits.body_bytes;
-    let announced = body.announced().unwrap_or(max_bytes).min(max_bytes);
-    let reserving = gateway.bodies.reserve(announced, time_limit).await;
-    let room = reserving.map_err(|NoRoom| Failure::NoMemory)?;
-    let read = body.read(max_bytes, time_limit).await;
-    let bytes = read.map_err(|error| match error {
+    let limits = BodyLimits { bytes: req.table.limits.body_bytes, time: time_limit, copies: 1 };
+    let read = body.read(&gateway.bodies, limits).await;
+    meters::body_bytes(gateway.bodies.used_bytes());
+    read.map_err(|error| match error {
         BodyError::TooLarge => Failure::BodyTooLarge,
         BodyError::Timeout => Failure::TimedOut(Ran::No),
         BodyError::Closed => Failure::BodyLost,
-    })?;
-    Ok((bytes, room))
+        BodyError::NoRoom => Failure::NoMemory,
+    })
 }
 
 fn quota_amount(req: &IdentifiedRequest) -> f64 {
--- a/crates/gateway/src/ports/callers.rs
+++ b/crates/gateway/src/ports/callers.rs
@@ -4,11 +4,11 @@
 
 use bulrushhall_external::{
     BoxFuture,
-    http::{Body, Handler},
+    http::{Body, CloseReason, Handler},
 };
 use hyper::{Request, Response, body::Incoming};
 
-use crate::{gateway::Gateway, pipeline::serve};
+use crate::{body_budget::Port, gateway::Gateway, pipeline::serve};
 
 /// A `CallerPort` handles callers' requests.
 pub struct CallerPort {
@@ -27,6 +27,10 @@
         Box::pin(serve(Arc::clone(&self.gateway), req))
     }
 
+    fn note_closed(&self, reason: CloseReason) {
+        Port::Callers.note_closed(reason);
+    }
+
     // The server uses one limit for the head and for an idle connection, so it is the longer of the two:
     // a caller may reuse a connection that was idle for most of the idle timeout.
     fn header_timeout(&self) -> Option<Duration> {
--- a/crates/gateway/src/ports/directory.rs
+++ b/crates/gateway/src/ports/directory.rs
@@ -8,11 +8,12 @@
 use bulrushhall_core::ZoneName;
 use bulrushhall_external::{
     BoxFuture,
-    http::{Body, Handler, empty, full},
+    http::{Body, CloseReason, Handler, empty, full},
 };
 use hyper::{Request, Response, StatusCode, body::Incoming};
 
 use crate::{
+    body_budget::Port,
     clock,
     gateway::{Gateway, State},
     reachability::is_isolated,
@@ -111,6 +112,10 @@
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
         Box::pin(async move { self.respond(req) })
     }
+
+    fn note_closed(&self, reason: CloseReason) {
+        Port::Directory.note_closed(reason);
+    }
 }
 
 fn status(status: StatusCode) -> Response<Body> {
--- a/crates/gateway/src/ports/readiness.rs
+++ b/crates/gateway/src/ports/readiness.rs
@@ -4,11 +4,11 @@
 
 use bulrushhall_external::{
     BoxFuture,
-    http::{Body, Handler, empty},
+    http::{Body, CloseReason, Handler, empty},
 };
 use hyper::{Request, Response, StatusCode, body::Incoming};
 
-use crate::gateway::Gateway;
+use crate::{body_budget::Port, gateway::Gateway};
 
 /// A `ReadinessPort` returns the status 200 while the node serves, and 503 otherwise.
 pub struct ReadinessPort {
@@ -30,4 +30,8 @@
         }
         Box::pin(async move { response })
     }
+
+    fn note_closed(&self, reason: CloseReason) {
+        Port::Readiness.note_closed(reason);
+    }
 }
