--- a/crates/daemon/src/callers/classify.rs
+++ b/crates/daemon/src/callers/classify.rs
@@ -7,7 +7,7 @@
 use hyper::http::request::Parts;
 use serde::{Deserialize, Serialize};
 
-use crate::callers::{ApiCode, ApiError};
+use crate::callers::{ApiCode, ApiError, prompt::Prompt};
 
 /// The header that names the class of a request.
 const CLASS_HEADER: &str = "x-request-class";
@@ -62,7 +62,7 @@
 #[derive(Deserialize)]
 struct ChatBody {
     model: String,
-    messages: Vec<Message>,
+    messages: Prompt,
     #[serde(default)]
     stream: Option<bool>,
     #[serde(default)]
@@ -79,26 +79,6 @@
     include_usage: Option<bool>,
 }
 
-#[derive(Deserialize)]
-struct Message {
-    role: String,
-    #[serde(default)]
-    content: Option<Content>,
-}
-
-#[derive(Deserialize)]
-#[serde(untagged)]
-enum Content {
-    Text(String),
-    Parts(Vec<ContentPart>),
-}
-
-#[derive(Deserialize)]
-struct ContentPart {
-    #[serde(default)]
-    text: Option<String>,
-}
-
 /// Parses a model request and looks up its model and class.
 pub fn classify(
     deployment: &Deployment,
@@ -108,7 +88,7 @@
 ) -> Result<Classified, ApiError> {
     let body: ChatBody = serde_json::from_slice(body)
         .map_err(|error| ApiError::not_run(ApiCode::MalformedJson, error.to_string()))?;
-    if body.messages.is_empty() {
+    if !body.messages.has_messages {
         return Err(ApiError::not_run(ApiCode::InvalidValue, "messages is empty"));
     }
     let (model, cfg) = find_model(deployment, &body.model)?;
@@ -118,7 +98,7 @@
     if requested == 0 {
         return Err(ApiError::not_run(ApiCode::InvalidValue, "max_tokens must be at least 1"));
     }
-    let prompt = build_prompt(&body.messages);
+    let prompt = body.messages.text;
     let include_usage =
         body.stream_options.and_then(|options| options.include_usage).unwrap_or(false);
     Ok(Classified {
@@ -170,22 +150,3 @@
     };
     found.map(|(name, cfg)| (name.clone(), cfg)).ok_or_else(unknown)
 }
-
-fn build_prompt(messages: &[Message]) -> String {
-    let mut prompt = String::new();
-    for message in messages {
-        prompt.push_str(&message.role);
-        prompt.push_str(": ");
-        match &message.content {
-            None => {}
-            Some(Content::Text(text)) => prompt.push_str(text),
-            Some(Content::Parts(parts)) => {
-                for part in parts {
-                    prompt.push_str(part.text.as_deref().unwrap_or(""));
-                }
-            }
-        }
-        prompt.push('\n');
-    }
-    prompt
-}
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -11,6 +11,7 @@
 mod limit;
 mod models;
 mod observe;
+mod prompt;
 pub(crate) mod relay;
 mod requests;
 mod respond;
