--- a/crates/daemon/src/answers/answer.rs
+++ b/crates/daemon/src/answers/answer.rs
@@ -15,7 +15,7 @@
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::callers::ApiError;
+use crate::{answers::tokens::Tokens, callers::ApiError};
 
 /// An `Answer` collects the tokens of one request, which any number of readers follow.
 ///
@@ -87,7 +87,7 @@
 
 #[derive(Default)]
 struct State {
-    tokens: Vec<String>,
+    tokens: Tokens,
     checks: Vec<u32>,
     end: Option<AnswerEnd>,
 }
@@ -145,7 +145,7 @@
         for token in tokens.into_iter().skip(known) {
             let before = state.checks.last().copied().unwrap_or(0);
             state.checks.push(next_check(before, &token));
-            state.tokens.push(token);
+            state.tokens.push(&token);
         }
         let length = state.tokens.len();
         drop(state);
@@ -159,19 +159,28 @@
             return;
         }
         state.end = Some(end);
+        state.tokens.shrink();
+        state.checks.shrink_to_fit();
         drop(state);
         self.length.send_modify(|_| ());
     }
 
     /// Returns the tokens so far.
     pub fn tokens(&self) -> Vec<String> {
-        self.lock().tokens.clone()
+        self.tokens_from(0).0
+    }
+
+    /// Returns the memory that its tokens take, in bytes.
+    pub fn memory(&self) -> usize {
+        let state = self.lock();
+        state.tokens.memory() + state.checks.capacity() * size_of::<u32>()
     }
 
     /// Returns the tokens from number `first` on, and how the answer ended if it did.
     pub fn tokens_from(&self, first: usize) -> (Vec<String>, Option<AnswerEnd>) {
         let state = self.lock();
-        (state.tokens.iter().skip(first).cloned().collect(), state.end.clone())
+        let tokens = state.tokens.from(first).map(|(_, token)| token.to_owned());
+        (tokens.collect(), state.end.clone())
     }
 
     /// Returns the position of the last token.
@@ -374,9 +383,9 @@
                 }
             }
         }
-        for (number, token) in state.tokens.iter().enumerate().skip(self.next) {
+        for (number, token) in state.tokens.from(self.next) {
             let position = TokenPosition { number, check: state.checks[number] };
-            parts.push(Part::Token(position, token.clone()));
+            parts.push(Part::Token(position, token.to_owned()));
         }
         self.next = self.next.max(state.tokens.len());
         if let Some(end) = &state.end {
--- a/crates/daemon/src/answers/mod.rs
+++ b/crates/daemon/src/answers/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod registry;
+mod tokens;
 
 pub use answer::{Answer, AnswerEnd, EvacuationState, Part, Reader, TokenPosition};
 pub use registry::Answers;
--- a/crates/daemon/src/answers/registry.rs
+++ b/crates/daemon/src/answers/registry.rs
@@ -14,7 +14,7 @@
 const FINISHED_RETENTION: Duration = Duration::from_secs(300);
 /// The maximum number of finished answers that are kept.
 const MAX_FINISHED: usize = 20_000;
-/// The maximum total size of the finished answers that are kept, in bytes.
+/// The maximum memory of the tokens of finished answers that are kept, in bytes.
 const MAX_FINISHED_BYTES: usize = 16 << 20;
 
 /// An `Answers` is the registry of a node's answers, by request.
@@ -45,7 +45,7 @@
     pub fn finished(&self, now: Stamp, id: RequestId) {
         let mut state = self.lock();
         let Some(answer) = state.by_id.get(&id) else { return };
-        let bytes = answer.tokens().iter().map(String::len).sum();
+        let bytes = answer.memory();
         state.bytes += bytes;
         state.finished.push_back((now, id, bytes));
         while let Some(&(at, oldest, bytes)) = state.finished.front() {
