--- a/crates/daemon/tests/crowds_at_routes.rs
+++ b/crates/daemon/tests/crowds_at_routes.rs
@@ -38,14 +38,18 @@
 
 impl Deployment {
     async fn start() -> Deployment {
+        Deployment::start_with(Behavior::Complete, ROUTE_TIMEOUT_MS).await
+    }
+
+    async fn start_with(behavior: Behavior, timeout_ms: u64) -> Deployment {
         let harness = Harness::without_node().await;
         let mut cfg = default_config(1);
         cfg["limits"]["max_body_bytes"] = json!(MAX_BODY);
         for route in cfg["routes"].as_array_mut().expect("routes") {
-            route["timeout_ms"] = json!(ROUTE_TIMEOUT_MS);
+            route["timeout_ms"] = json!(timeout_ms);
         }
         harness.store.put("op/config", &cfg.to_string());
-        let backend = Backend::new("b-1", Behavior::Complete);
+        let backend = Backend::new("b-1", behavior);
         let server = start_server(Arc::<Backend>::clone(&backend));
         let record = backend_record(LEDGER, server.address, "ready").to_string();
         harness.store.put("servers/b-1", &record);
@@ -148,6 +152,16 @@
     deployment.withstand(callers, client, count).await;
 }
 
+// Guards against answers that clients don't read, and that the node holds for them.
+#[tokio::test(flavor = "multi_thread")]
+async fn unread_answers() {
+    let _alone = alone().await;
+    let deployment = Deployment::start_with(Behavior::Events(50_000), 3_000).await;
+    let callers = deployment.callers;
+    let client = Client { head: with_length("/look/1", 0), ..Client::default() };
+    deployment.withstand(callers, client, 300).await;
+}
+
 // Guards against clients of the ports for addresses and for nodes, which share the memory of the process.
 #[rstest]
 #[case::messages(64, Client { head: with_length("/digest", 4 << 20), pieces: Pieces::of_size(65_535, 64), ..Client::default() })]
