--- a/crates/gateway/src/duties/usage.rs
+++ b/crates/gateway/src/duties/usage.rs
@@ -89,8 +89,7 @@
         let found = within(CALL_TIMEOUT, gateway.platform.key_value.get(REPORTS_KEY)).await?;
         let fixed: FixedReports = match found.value.is_empty() {
             true => FixedReports::default(),
-            false => decode_message(&found.value)
-                .map_err(|_| CallError::not_done(CallFault::Malformed))?,
+            false => decode_message(&found.value).unwrap_or_else(|_| self.replaced(gateway)),
         };
         let era = gateway.era();
         let fixed = match gateway.with(|state| state.eras.restored_at()) {
@@ -116,6 +115,16 @@
         Ok(())
     }
 
+    // Returns the reports in place of some that can't be read: those that this node has stored, or none of the windows until
+    // now, any of which may have been reported with other counts.
+    fn replaced(&self, gateway: &Gateway) -> FixedReports {
+        let held = self.held.is_some();
+        tracing::warn!(event = Event::RecordIgnored.number(), record = REPORTS_KEY, held);
+        let ended = Window(gateway.window().0.saturating_sub(1));
+        let lost = FixedReports { lost_until: Some(ended), ..FixedReports::default() };
+        self.held.clone().unwrap_or(lost)
+    }
+
     // Stores a report before it is sent. A write whose response is lost may still take effect, but only
     // on this version; reading the key again shows which report was stored.
     async fn store(&mut self, gateway: &Gateway, window: Window) -> Result<(), CallError> {
