--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -11,7 +11,7 @@
     NodeStopped,
     /// A node's start is complete, or 10 s have passed since it began.
     StartupTimeline,
-    /// A connection was closed because of an error on it.
+    /// A connection was closed because of an error on it, or to stay within the limits of its port (`reason`).
     ConnectionFailed,
     /// The certificates were reloaded and are used for new connections.
     CertificatesChanged,
@@ -67,7 +67,7 @@
     BackendGone,
     /// A backend server failed so often that its circuit breaker opened; others are preferred.
     BackendDoubted,
-    /// The record of a backend server cannot be read and is ignored.
+    /// The record of a backend server cannot be read and is ignored; or the usage reports (`record`), which are replaced.
     RecordIgnored,
     /// A backend server limits the requests that it accepts from all nodes together.
     BackendLimited,
