--- a/crates/external/src/http/mod.rs
+++ b/crates/external/src/http/mod.rs
@@ -3,13 +3,19 @@
 mod abortive_stream;
 mod body;
 mod body_budget;
+mod body_reading;
+mod body_room;
 mod client_stream;
+mod close_reason;
+mod connection_state;
 mod connections;
 mod endpoint;
 mod head_limit;
 mod head_timer;
+mod held_bodies;
 mod listen;
 mod node_memory;
+mod port_share;
 mod send_permit;
 mod served_body;
 mod server;
@@ -22,14 +28,18 @@
     Body, BodyError, BodyTimeouts, BoxError, empty, full, read_limited, read_with_timeouts,
     streamed,
 };
-pub use body_budget::{BodyBudget, BodyRoom, NoRoom, SMALL_BYTES};
-pub use connections::{CloseReason, ConnectionState, PortShare};
+pub use body_budget::BodyBudget;
+pub use body_reading::BodyLimits;
+pub use body_room::{BodyRoom, NoRoom, SMALL_BYTES};
+pub use close_reason::CloseReason;
+pub use connection_state::ConnectionState;
 pub use endpoint::{Endpoint, EndpointOptions, Identity};
 pub use head_limit::{HeadLimit, HeadLimited};
 pub use listen::listen;
 pub use node_memory::NodeMemory;
+pub use port_share::PortShare;
 pub use send_permit::SendPermit;
 pub use server::{Handler, ServerOptions, serve};
 pub use tls::{ClientAuth, Connection, TLS_SERVER_NAME, Tls, TlsError, TlsFiles};
 pub use trace::set_trace_injector;
-pub use unread_body::{BodyLimits, DiscardLimits, UnreadBody};
+pub use unread_body::{DiscardLimits, UnreadBody};
--- a/crates/external/src/http/served_body.rs
+++ b/crates/external/src/http/served_body.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 
-use crate::http::{Body, BoxError, connections::ServedRequest};
+use crate::http::{Body, BoxError, connection_state::ServedRequest};
 
 /// A `ServedBody` is the body of a response, whose connection waits for its client again when it is dropped.
 pub struct ServedBody {
--- a/crates/external/src/http/unread_body.rs
+++ b/crates/external/src/http/unread_body.rs
@@ -15,7 +15,8 @@
 use tokio::{runtime::Handle, time::timeout};
 
 use crate::http::{
-    BodyBudget, BodyError, BodyRoom, ConnectionState, NoRoom, SMALL_BYTES, connections::ReadBody,
+    BodyBudget, BodyError, BodyLimits, BodyRoom, ConnectionState, NoRoom, SMALL_BYTES,
+    body_reading::Reading, connection_state::ReadBody,
 };
 
 /// The longest time for which a node that leaves discards a body: its stop waits for that.
@@ -23,11 +24,6 @@
 /// The longest time until a body that is being discarded is affected by the node's leaving.
 const LEAVING_PAUSE: Duration = Duration::from_millis(100);
 
-/// How many times its room a body without an announced length gets when it needs more.
-const GROWTH: usize = 4;
-/// The first size of the buffer of a body, in bytes.
-const MIN_CAPACITY: usize = 512;
-
 /// Returns whether the node leaves.
 type IsLeaving = Box<dyn Fn() -> bool + Send + Sync>;
 
@@ -51,17 +47,6 @@
     connection: Option<ReadBody>,
 }
 
-/// A `BodyLimits` bound a body that is read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct BodyLimits {
-    /// The maximum number of bytes.
-    pub bytes: usize,
-    /// The longest time, also for the wait for memory.
-    pub time: Duration,
-    /// How many times its size its request takes.
-    pub copies: usize,
-}
-
 impl UnreadBody {
     /// Takes the body of a request; less of it is discarded once `is_leaving` returns `true`.
     pub fn take(
@@ -124,64 +109,6 @@
     }
 }
 
-/// A body that is being read.
-struct Reading<'a> {
-    budget: &'a BodyBudget,
-    limits: BodyLimits,
-    until: Instant,
-    announced: Option<usize>,
-    room: BodyRoom,
-    read: Vec<u8>,
-}
-
-impl Reading<'_> {
-    async fn run(&mut self, body: &mut Incoming) -> Result<(), BodyError> {
-        loop {
-            let frame = tokio::select! {
-                biased;
-                () = self.room.revoked() => return Err(BodyError::NoRoom),
-                frame = body.frame() => frame,
-            };
-            let Some(frame) = frame else { return Ok(()) };
-            let Ok(data) = frame.map_err(|_| BodyError::Closed)?.into_data() else { continue };
-            self.add(&data).await?;
-        }
-    }
-
-    // A frame keeps the whole buffer that it was read into, so its bytes are copied.
-    async fn add(&mut self, data: &[u8]) -> Result<(), BodyError> {
-        let size = self.read.len() + data.len();
-        if self.limits.bytes < size {
-            return Err(BodyError::TooLarge);
-        }
-        let room = self.room.bytes() / self.limits.copies.max(1);
-        if room < size && self.announced.is_none() {
-            self.extend(room.saturating_mul(GROWTH).max(size)).await?;
-        }
-        self.room.note_arrived(data.len());
-        if self.read.capacity() < size {
-            let most = self.announced.unwrap_or(self.limits.bytes).max(size);
-            let capacity = (self.read.capacity() * 2).max(size).max(MIN_CAPACITY).min(most);
-            self.read.reserve_exact(capacity - self.read.len());
-        }
-        self.read.extend_from_slice(data);
-        Ok(())
-    }
-
-    async fn extend(&mut self, bytes: usize) -> Result<(), BodyError> {
-        let bytes = bytes.min(self.limits.bytes).saturating_mul(self.limits.copies);
-        let left = self.until.saturating_duration_since(Instant::now());
-        let extending = self.room.extend(self.budget, bytes, left);
-        extending.await.map_err(|NoRoom| BodyError::NoRoom)
-    }
-
-    fn finish(mut self) -> (Bytes, BodyRoom) {
-        self.room.complete(self.read.len().saturating_mul(self.limits.copies));
-        self.read.shrink_to_fit();
-        (Bytes::from(self.read), self.room)
-    }
-}
-
 impl Drop for UnreadBody {
     fn drop(&mut self) {
         let Some(body) = self.body.take().filter(|body| !body.is_end_stream()) else { return };
--- a/crates/gateway/src/cluster/peer_port.rs
+++ b/crates/gateway/src/cluster/peer_port.rs
@@ -12,7 +12,6 @@
 
 use crate::{
     backends::BackendUpdates,
-    body_budget::Port,
     clock,
     cluster::{
         CARRY_PATH, COPIES_PATH, CarriedRequest, Digest, DigestScope, Document, FIND_PATH,
@@ -29,6 +28,7 @@
     },
     crashes::{block_statuses, lift},
     gateway::Gateway,
+    ports::Port,
     status::NodeReport,
 };
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -12,14 +12,13 @@
 };
 
 use crate::{
-    body_budget::Port,
     cluster::{
         PeerPort, copy_streams, follow_backends, follow_config, follow_members, gossip,
         hand_over_streams, register, store_blocks,
     },
     duties::{Holder, keep_lease, run_duties},
     gateway::{Gateway, Phase, Platform},
-    ports::{CallerPort, DirectoryPort, ReadinessPort},
+    ports::{CallerPort, DirectoryPort, Port, ReadinessPort},
     settings::Settings,
     waiting::run_waiting,
 };
@@ -141,13 +140,7 @@
     gateway: &Gateway,
     stop: watch::Receiver<bool>,
 ) -> Result<JoinHandle<()>, Report<NodeError>> {
-    let ports = &gateway.settings.ports;
-    let address = match port {
-        Port::Callers => ports.callers,
-        Port::Directory => ports.directory,
-        Port::Peers => ports.peers,
-        Port::Readiness => ports.readiness,
-    };
+    let address = port.address(&gateway.settings.ports);
     let listener: io::Result<_> = listen(address);
     let listener = listener.change_context(NodeError::Port(address))?;
     let grace = gateway.settings.bounds.grace.into();
--- a/crates/gateway/src/ports/callers.rs
+++ b/crates/gateway/src/ports/callers.rs
@@ -8,7 +8,7 @@
 };
 use hyper::{Request, Response, body::Incoming};
 
-use crate::{body_budget::Port, gateway::Gateway, pipeline::serve};
+use crate::{gateway::Gateway, pipeline::serve, ports::Port};
 
 /// A `CallerPort` handles callers' requests.
 pub struct CallerPort {
--- a/crates/gateway/src/ports/directory.rs
+++ b/crates/gateway/src/ports/directory.rs
@@ -13,9 +13,9 @@
 use hyper::{Request, Response, StatusCode, body::Incoming};
 
 use crate::{
-    body_budget::Port,
     clock,
     gateway::{Gateway, State},
+    ports::Port,
     reachability::is_isolated,
 };
 
--- a/crates/gateway/src/ports/mod.rs
+++ b/crates/gateway/src/ports/mod.rs
@@ -2,8 +2,10 @@
 
 mod callers;
 mod directory;
+mod port;
 mod readiness;
 
 pub use callers::CallerPort;
 pub use directory::DirectoryPort;
+pub use port::Port;
 pub use readiness::ReadinessPort;
--- a/crates/gateway/src/ports/readiness.rs
+++ b/crates/gateway/src/ports/readiness.rs
@@ -8,7 +8,7 @@
 };
 use hyper::{Request, Response, StatusCode, body::Incoming};
 
-use crate::{body_budget::Port, gateway::Gateway};
+use crate::{gateway::Gateway, ports::Port};
 
 /// A `ReadinessPort` returns the status 200 while the node serves, and 503 otherwise.
 pub struct ReadinessPort {
