--- a/crates/daemon/src/answers/tokens.rs
+++ b/crates/daemon/src/answers/tokens.rs
@@ -1,7 +1,7 @@
 //! The tokens of an answer, in one text.
 
-/// `Tokens` are the tokens of an answer. They are kept as one text: most have a few bytes, and each would take ten times
-/// that in an allocation of its own.
+/// `Tokens` are the tokens of an answer. They are kept as one text: most have a few bytes, less than an allocation
+/// of their own takes.
 #[derive(Debug, Default)]
 pub struct Tokens {
     text: String,
--- a/crates/daemon/tests/crowds_at_routes.rs
+++ b/crates/daemon/tests/crowds_at_routes.rs
@@ -11,8 +11,8 @@
 use harness::{
     Harness, LEDGER, TestServer,
     backend::{Backend, Behavior},
-    caller::{get_status, post, send_raw, try_post},
-    document::{HOST, KEY, backend_record, default_config},
+    caller::{get_status, post, raw_head, send_raw, try_post},
+    document::{CONFIG_KEY, backend_record, default_config},
     start_server,
 };
 use rstest::rstest;
@@ -48,7 +48,7 @@
         for route in cfg["routes"].as_array_mut().expect("routes") {
             route["timeout_ms"] = json!(timeout_ms);
         }
-        harness.store.put("op/config", &cfg.to_string());
+        harness.store.put(CONFIG_KEY, &cfg.to_string());
         let backend = Backend::new("b-1", behavior);
         let server = start_server(Arc::<Backend>::clone(&backend));
         let record = backend_record(LEDGER, server.address, "ready").to_string();
@@ -99,19 +99,12 @@
     line.expect("a setting").parse().expect("an address")
 }
 
-fn head_to(path: &str, framing: &str) -> String {
-    format!(
-        "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\n\
-         bulrushhall-attempt-id: crowd\r\n{framing}\r\n\r\n"
-    )
-}
-
 fn with_length(path: &str, length: usize) -> String {
-    head_to(path, &format!("content-length: {length}"))
+    raw_head(path, &format!("content-length: {length}"))
 }
 
 fn chunked(path: &str) -> String {
-    head_to(path, "transfer-encoding: chunked")
+    raw_head(path, "transfer-encoding: chunked")
 }
 
 // Guards against bodies of clients that stay, whose sum takes the node over its memory.
--- a/crates/external/src/http/body_room.rs
+++ b/crates/external/src/http/body_room.rs
@@ -111,7 +111,7 @@
         self.arrival.revoked.notified().await;
     }
 
-    /// Keeps room for a body of this many bytes that has arrived; it is no longer revoked.
+    /// Keeps room for a body of this many bytes that has arrived; it can't be revoked then.
     pub fn complete(&mut self, bytes: usize) {
         let Some((shared, key)) = &self.held else { return };
         let bytes = if bytes <= SMALL_BYTES { 0 } else { bytes.min(self.bytes) };
