--- a/crates/standin/src/loopback.rs
+++ b/crates/standin/src/loopback.rs
@@ -11,6 +11,8 @@
     },
 };
 
+use socket2::{Domain, Socket, Type};
+
 /// The first IP address that a process can reserve.
 const FIRST_IP: Ipv4Addr = Ipv4Addr::new(127, 16, 0, 0);
 /// The number of IP addresses that a process can reserve.
@@ -38,12 +40,21 @@
         let number = NEXT_PORT.fetch_add(1, Ordering::Relaxed) % u32::from(PORTS.end - PORTS.start);
         let address = SocketAddr::from((reservation.ip, PORTS.start + number as u16));
         // A server of all IP addresses of the machine may have the port.
-        if TcpListener::bind(address).is_ok() {
+        if is_free(address) {
             return address;
         }
     }
 }
 
+// A process that another thread starts has the socket open until it executes its program. It is bound only, since a listening one
+// would keep the address in use until then.
+fn is_free(address: SocketAddr) -> bool {
+    let probe = Socket::new(Domain::for_address(address), Type::STREAM, None);
+    probe.is_ok_and(|probe| {
+        probe.set_reuse_address(true).is_ok() && probe.bind(&address.into()).is_ok()
+    })
+}
+
 fn reserve() -> Option<Reservation> {
     for offset in 0..IP_COUNT {
         let number = process::id().wrapping_add(offset) % IP_COUNT;
