--- a/crates/daemon/tests/crowds_at_routes.rs
+++ b/crates/daemon/tests/crowds_at_routes.rs
@@ -11,18 +11,26 @@
 use harness::{
     Harness, LEDGER, TestServer,
     backend::{Backend, Behavior},
-    caller::{get_status, post, raw_head, send_raw, try_post},
+    caller::{get_status, post, raw_head, send_raw, try_post, try_post_body},
     document::{CONFIG_KEY, backend_record, default_config},
     start_server,
 };
 use rstest::rstest;
 use serde_json::json;
+use tokio::{task::JoinSet, time::sleep};
 
 /// The memory of the VM, in bytes: what the settings say, and the bound of the process.
 const MEMORY: usize = 64 << 20;
 /// The largest body of a request, in bytes.
 const MAX_BODY: usize = 1 << 20;
 
+/// The size of a large order, in bytes, and how many are sent at once.
+const LARGE_BODY: usize = 1 << 19;
+const LARGE_ORDERS: usize = 8;
+/// How often a caller sends a refused order again.
+const MAX_ATTEMPTS: usize = 30;
+/// The time after which a caller whose connection was closed opens another one.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
 /// The longest time of a request, in which a slow machine can read what a crowd sends.
 const ROUTE_TIMEOUT_MS: u64 = 20_000;
 
@@ -33,6 +41,7 @@
     callers: SocketAddr,
     directory: SocketAddr,
     peers: SocketAddr,
+    backend: Arc<Backend>,
     _server: TestServer,
 }
 
@@ -64,7 +73,8 @@
             ["callers", "directory", "readiness", "peers"].map(address);
         let is_ready = async || get_status(readiness, "/readyz").await == Some(200);
         wait_until("the node is ready", is_ready).await;
-        let deployment = Deployment { harness, daemon, callers, directory, peers, _server: server };
+        let deployment =
+            Deployment { harness, daemon, callers, directory, peers, backend, _server: server };
         deployment.wait_for_answer().await;
         deployment
     }
@@ -78,6 +88,20 @@
         wait_until("an ordinary request is answered", answered).await;
     }
 
+    // Ordinary callers send large orders, each until it is done.
+    async fn serve_large_orders(&self, round: &str) {
+        let mut orders = JoinSet::new();
+        for number in 0..LARGE_ORDERS {
+            orders.spawn(order_until_done(self.callers, format!("{round}-{number}")));
+        }
+        for Attempts { done, refused } in orders.join_all().await {
+            assert_eq!(self.backend.received_times(&done), 1);
+            for id in refused {
+                assert_eq!(self.backend.received_times(&id), 0, "the refused order {id} has run");
+            }
+        }
+    }
+
     // Plays a crowd at a port, and checks what has to hold while it is there and afterwards.
     async fn withstand(mut self, address: SocketAddr, client: Client, count: usize) {
         let before = self.daemon.descriptors();
@@ -129,6 +153,51 @@
     deployment.withstand(callers, client, count).await;
 }
 
+// Guards against a crowd that keeps the room that large orders of ordinary callers need, and against a refusal of an order
+// that has run.
+#[rstest]
+#[case::stopped(160, Client { head: with_length("/look/1", MAX_BODY), pieces: Pieces::of_size(65_535, 16), ..Client::default() })]
+#[case::stopped_chunks(160, Client { head: chunked("/look/1"), pieces: Pieces::of_chunks(262_143, 1, 4), ..Client::default() })]
+#[case::announced_only(400, Client { head: with_length("/look/1", MAX_BODY), pieces: Pieces::of_size(1, 1), ..Client::default() })]
+#[tokio::test(flavor = "multi_thread")]
+async fn large_orders(#[case] count: usize, #[case] client: Client) {
+    let _alone = alone().await;
+    let deployment = Deployment::start().await;
+    let address = deployment.callers;
+    let gathering = tokio::spawn(async move { Crowd::gather(address, &client, count).await });
+    deployment.serve_large_orders("beside").await;
+    let _crowd = gathering.await.expect("a crowd");
+    deployment.serve_large_orders("after").await;
+}
+
+/// The ids under which a caller sent an order.
+struct Attempts {
+    done: String,
+    refused: Vec<String>,
+}
+
+// An ordinary caller sends an order anew, under another id, when it was refused or its connection was closed.
+async fn order_until_done(address: SocketAddr, name: String) -> Attempts {
+    let mut refused = Vec::new();
+    for attempt in 0..MAX_ATTEMPTS {
+        let id = format!("{name}-{attempt}");
+        let Some(response) = try_post_body(address, &id, "/order/1", vec![b'a'; LARGE_BODY]).await
+        else {
+            sleep(RECONNECT_PAUSE).await;
+            continue;
+        };
+        if response.status == 200 {
+            return Attempts { done: id, refused };
+        }
+        assert_eq!(response.status, 503, "{}", response.body);
+        let delay = response.headers.get("retry-after").expect("a time to return");
+        let seconds = delay.to_str().expect("text").parse::<f64>().expect("a number");
+        refused.push(id);
+        sleep(Duration::from_secs_f64(seconds)).await;
+    }
+    panic!("{name} was refused {MAX_ATTEMPTS} times")
+}
+
 // Guards against heads, chunk extensions, trailers and idle connections that take the node over its memory.
 #[rstest]
 #[case::half_heads(800, Client { head: "GET /look/1 HTTP/1.1\r\n".to_owned(), pieces: Pieces { bytes: Bytes::from(format!("x-long: {}\r\n", "a".repeat(2_000))), count: 30, pause: None }, ..Client::default() })]
