--- a/crates/daemon/tests/crowds_at_callers.rs
+++ b/crates/daemon/tests/crowds_at_callers.rs
@@ -119,6 +119,7 @@
 #[case::tiny_chunks(20, Client { head: chunked("/v1/chat/completions"), pieces: Pieces::of_chunks(1, 4_096, 200), ..Client::default() })]
 #[case::tiny_chunks_over(6, Client { head: chunked("/v1/chat/completions"), pieces: Pieces::of_chunks(1, 4_096, 520), ..Client::default() })]
 #[case::announced_over(400, Client { head: with_length("/v1/chat/completions", 1 << 40), pieces: Pieces::of_size(65_536, 4), ..Client::default() })]
+#[case::sent_over(400, Client { head: chunked("/v1/chat/completions"), pieces: Pieces::of_chunks(65_536, 1, 64), ..Client::default() })]
 #[case::calls(100, Client { head: with_length(&format!("/v1/services/{LEDGER}/orders"), MAX_BODY), pieces: Pieces::of_size(65_535, 32), ..Client::default() })]
 #[case::unknown_path(400, Client { head: with_length("/v1/nothing", MAX_BODY), pieces: Pieces::of_size(65_535, 32), ..Client::default() })]
 #[case::messages(12, whole("/v1/chat/completions", body_of_parts("{\"role\":\"\"}", MAX_BODY - 1_000)))]
--- a/crates/external/src/http/body_reading.rs
+++ b/crates/external/src/http/body_reading.rs
@@ -6,12 +6,10 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use crate::http::{BodyBudget, BodyError, BodyRoom, NoRoom};
+use crate::http::{BodyBudget, BodyError, BodyRoom, NoRoom, body_segments::BodySegments};
 
 /// How many times its room a body without an announced length gets when it needs more.
 const GROWTH: usize = 4;
-/// The first size of the buffer of a body, in bytes.
-const MIN_CAPACITY: usize = 512;
 
 /// A `BodyLimits` bound a body that is read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,7 +29,7 @@
     pub(super) until: Instant,
     pub(super) announced: Option<usize>,
     pub(super) room: BodyRoom,
-    pub(super) read: Vec<u8>,
+    pub(super) read: BodySegments,
 }
 
 impl Reading<'_> {
@@ -60,12 +58,8 @@
             self.extend(room.saturating_mul(GROWTH).max(size)).await?;
         }
         self.room.note_arrived(data.len());
-        if self.read.capacity() < size {
-            let most = self.announced.unwrap_or(self.limits.bytes).max(size);
-            let capacity = (self.read.capacity() * 2).max(size).max(MIN_CAPACITY).min(most);
-            self.read.reserve_exact(capacity - self.read.len());
-        }
-        self.read.extend_from_slice(data);
+        let max = self.announced.unwrap_or(self.limits.bytes);
+        self.read.add(data, max);
         Ok(())
     }
 
@@ -79,7 +73,6 @@
     /// Returns its bytes and their room.
     pub(super) fn finish(mut self) -> (Bytes, BodyRoom) {
         self.room.complete(self.read.len().saturating_mul(self.limits.copies));
-        self.read.shrink_to_fit();
-        (Bytes::from(self.read), self.room)
+        (Bytes::from(self.read.concat()), self.room)
     }
 }
--- a/crates/external/src/http/mod.rs
+++ b/crates/external/src/http/mod.rs
@@ -5,6 +5,7 @@
 mod body_budget;
 mod body_reading;
 mod body_room;
+mod body_segments;
 mod client_stream;
 mod close_reason;
 mod connection_state;
--- a/crates/external/src/http/unread_body.rs
+++ b/crates/external/src/http/unread_body.rs
@@ -16,7 +16,7 @@
 
 use crate::http::{
     BodyBudget, BodyError, BodyLimits, BodyRoom, ConnectionState, NoRoom, SMALL_BYTES,
-    body_reading::Reading, connection_state::ReadBody,
+    body_reading::Reading, body_segments::BodySegments, connection_state::ReadBody,
 };
 
 /// The longest time for which a node that leaves discards a body: its stop waits for that.
@@ -95,7 +95,8 @@
         let room = budget.reserve(first.saturating_mul(limits.copies), limits.time).await;
         let room = room.map_err(|NoRoom| BodyError::NoRoom)?;
         let Some(body) = &mut self.body else { return Ok((Bytes::new(), BodyRoom::default())) };
-        let mut reading = Reading { budget, limits, until, announced, room, read: Vec::new() };
+        let read = BodySegments::default();
+        let mut reading = Reading { budget, limits, until, announced, room, read };
         let left = until.saturating_duration_since(Instant::now());
         match timeout(left, reading.run(body)).await {
             Ok(read) => read?,
