--- a/crates/cli/tests/page_commands.rs
+++ b/crates/cli/tests/page_commands.rs
@@ -96,7 +96,7 @@
     assert_eq!(commands[..expected.len()], expected);
     let ci = read(".ci/run");
     assert!(ci.contains("cargo test --workspace"), ".ci/run runs the workspace's tests");
-    assert!(ci.contains("--bin bulrush -- demo"), ".ci/run runs the demo");
+    assert!(ci.contains("/debug/bulrush\" demo\n"), ".ci/run runs the demo");
 
     let directory = std::env::temp_dir().join(format!("bulrush-readme-{}", std::process::id()));
     fs::create_dir_all(&directory).expect("a directory");
