--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -7,6 +7,7 @@
 use bulrushhall_external::CallFault;
 use bulrushhall_policy::server_speed::SpeedVerdict;
 use bulrushhall_policy::waiting::{QueuedWork, RANKS};
+use bulrushhall_policy::windowed_retry_budget::RetryAllowance;
 use metrics::{counter, gauge, histogram};
 
 use crate::platform_calls::CallPurpose;
@@ -21,6 +22,12 @@
 const SENDS_FAILED: &str = "bulrush_route_sends_failed_total";
 /// Silences of backend servers in answers.
 const SERVERS_SILENT: &str = "bulrush_route_servers_silent_total";
+/// Retries that were paid from the retry budget of their service, and requests that it refused one.
+const RETRIES: &str = "bulrush_route_retries_total";
+/// The retries that this node may send to a service in a window, by what allows them.
+const RETRY_ALLOWANCE: &str = "bulrush_route_retry_allowance";
+/// The number of nodes among which the headroom for retries is divided.
+const RETRY_NODES: &str = "bulrush_route_retry_nodes";
 /// Statements of backend servers about the requests that they accept, in their responses.
 const ANNOUNCEMENTS: &str = "bulrush_route_announcements_total";
 /// The services that the node has lost its way to.
@@ -97,12 +104,15 @@
 }
 
 /// Every metric.
-pub const ROUTE_METRICS: [RouteMetric; 37] = [
+pub const ROUTE_METRICS: [RouteMetric; 40] = [
     RouteMetric { name: REQUESTS, kind: "counter", labels: "kind, outcome" },
     RouteMetric { name: REQUEST_SECONDS, kind: "histogram", labels: "kind" },
     RouteMetric { name: FIRST_SECONDS, kind: "histogram", labels: "kind" },
     RouteMetric { name: SENDS_FAILED, kind: "counter", labels: "fault" },
     RouteMetric { name: SERVERS_SILENT, kind: "counter", labels: "stage, takeover" },
+    RouteMetric { name: RETRIES, kind: "counter", labels: "service, outcome" },
+    RouteMetric { name: RETRY_ALLOWANCE, kind: "gauge", labels: "service, part" },
+    RouteMetric { name: RETRY_NODES, kind: "gauge", labels: "" },
     RouteMetric { name: ANNOUNCEMENTS, kind: "counter", labels: "kind" },
     RouteMetric { name: SERVICES_LOST, kind: "gauge", labels: "" },
     RouteMetric { name: CARRIED, kind: "counter", labels: "outcome" },
@@ -197,6 +207,21 @@
     counter!(SERVERS_SILENT, "stage" => stage, "takeover" => takeover).increment(1);
 }
 
+/// Counts a retry that was paid or refused, and sets what allows them.
+pub fn retry(service: &ServiceName, is_paid: bool, allowance: RetryAllowance) {
+    let outcome = if is_paid { "paid" } else { "refused" };
+    let service = service.as_str().to_owned();
+    counter!(RETRIES, "service" => service.clone(), "outcome" => outcome).increment(1);
+    gauge!(RETRY_ALLOWANCE, "service" => service.clone(), "part" => "earned")
+        .set(allowance.earned);
+    gauge!(RETRY_ALLOWANCE, "service" => service, "part" => "headroom").set(allowance.headroom);
+}
+
+/// Sets the number of nodes among which the headroom for retries is divided.
+pub fn retry_nodes(count: usize) {
+    gauge!(RETRY_NODES).set(count as f64);
+}
+
 /// Counts a response in which a backend server states which requests it accepts.
 pub fn announced(kind: &'static str) {
     counter!(ANNOUNCEMENTS, "kind" => kind).increment(1);
--- a/crates/gateway/src/pipeline/send/retry_gate.rs
+++ b/crates/gateway/src/pipeline/send/retry_gate.rs
@@ -4,11 +4,13 @@
 
 use bulrushhall_coord::Attempts;
 use bulrushhall_core::{Event, ServiceName};
+use bulrushhall_policy::windowed_retry_budget::RetryAllowance;
 
 use crate::{
     clock,
     crashes::{may_repeat, server_hash},
     gateway::Gateway,
+    meters,
     pipeline::{
         identify::IdentifiedRequest, placement::Placement, send::NotSent, silence::NoTakeover,
     },
@@ -76,12 +78,13 @@
             return Err(NotSent::rejected(NoTakeover::Blocked));
         }
         let limit = cx.gateway.retry_limit();
-        let remaining = cx.gateway.with(|state| {
-            let nodes = state.members.count();
+        let (remaining, allowance, nodes) = cx.gateway.with(|state| {
+            let (now, nodes) = (clock::now(), state.members.count());
             let budget = state.retry_budgets.entry(cx.service.clone()).or_default();
-            budget.remaining(clock::now(), limit, nodes)
+            let remaining = budget.remaining(now, limit, nodes);
+            (remaining, budget.allowance(now, limit, nodes), nodes)
         });
-        if remaining == 0 { Err(self.refuse(cx)) } else { Ok(()) }
+        if remaining == 0 { Err(self.refuse(cx, allowance, nodes)) } else { Ok(()) }
     }
 
     /// Takes a due retry from the budget, once there is a server for it.
@@ -90,29 +93,43 @@
             return Ok(());
         }
         let limit = cx.gateway.retry_limit();
-        let is_paid = cx.gateway.with(|state| {
-            let nodes = state.members.count();
+        let (is_paid, allowance, nodes) = cx.gateway.with(|state| {
+            let (now, nodes) = (clock::now(), state.members.count());
             let budget = state.retry_budgets.entry(cx.service.clone()).or_default();
-            let is_paid = budget.take(clock::now(), limit, nodes);
+            let is_paid = budget.take(now, limit, nodes);
+            let allowance = budget.allowance(now, limit, nodes);
             if let (false, Some(backend)) = (is_paid, state.backends.get_mut(placement.key)) {
                 backend.announced.refund_request();
             }
-            is_paid
+            (is_paid, allowance, nodes)
         });
         if !is_paid {
-            return Err(self.refuse(cx));
+            return Err(self.refuse(cx, allowance, nodes));
         }
+        meters::retry_nodes(nodes);
+        meters::retry(cx.service, true, allowance);
         self.is_due = false;
         Ok(())
     }
 
-    fn refuse(&mut self, cx: RetryContext<'_>) -> NotSent {
+    fn refuse(
+        &mut self,
+        cx: RetryContext<'_>,
+        allowance: RetryAllowance,
+        nodes: usize,
+    ) -> NotSent {
         if !std::mem::replace(&mut self.is_refusal_logged, true) {
+            meters::retry_nodes(nodes);
+            meters::retry(cx.service, false, allowance);
             tracing::info!(
                 event = Event::RepeatRefused.number(),
                 id = cx.req.call.id.as_str(),
                 service = cx.service.as_str(),
-                sends = cx.sends
+                sends = cx.sends,
+                earned = allowance.earned,
+                headroom = allowance.headroom,
+                spent = allowance.spent,
+                nodes
             );
         }
         NotSent::rejected(NoTakeover::Budget)
--- a/crates/policy/src/windowed_retry_budget.rs
+++ b/crates/policy/src/windowed_retry_budget.rs
@@ -19,6 +19,17 @@
     pub window: Duration,
 }
 
+/// A `RetryAllowance` is what a node may send to one service in a window, and what it has sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RetryAllowance {
+    /// The retries that its requests have earned.
+    pub earned: f64,
+    /// The node's part of the headroom.
+    pub headroom: f64,
+    /// The retries that were paid.
+    pub spent: usize,
+}
+
 /// A `WindowedRetryBudget` limits the retries to one service at one node.
 ///
 /// While a backend server is down every call fails, and unlimited retries would multiply the load
@@ -44,13 +55,21 @@
 
     /// Returns the remaining retries; `nodes` is the number of all nodes, including this one.
     pub fn remaining(&mut self, now: Stamp, limit: RetryLimit, nodes: usize) -> u32 {
-        self.remove_expired(now, limit);
-        let allowed =
-            limit.ratio * self.first_attempts.len() as f64 + limit.headroom / nodes.max(1) as f64;
-        let remaining = allowed * USABLE_SHARE - self.retries.len() as f64;
+        let RetryAllowance { earned, headroom, spent } = self.allowance(now, limit, nodes);
+        let remaining = earned + headroom - spent as f64;
         if remaining < 1.0 { 0 } else { remaining as u32 }
     }
 
+    /// Returns what is allowed in the window that ends now, and what was paid in it.
+    pub fn allowance(&mut self, now: Stamp, limit: RetryLimit, nodes: usize) -> RetryAllowance {
+        self.remove_expired(now, limit);
+        RetryAllowance {
+            earned: limit.ratio * self.first_attempts.len() as f64 * USABLE_SHARE,
+            headroom: limit.headroom / nodes.max(1) as f64 * USABLE_SHARE,
+            spent: self.retries.len(),
+        }
+    }
+
     fn remove_expired(&mut self, now: Stamp, limit: RetryLimit) {
         for times in [&mut self.first_attempts, &mut self.retries] {
             while times.front().is_some_and(|at| limit.window <= now.since(*at)) {
