Tests: retries to a failing service over all processes (red)

Five processes of the daemon, four servers that fail, refuse or fall silent, window 6 s, headroom 50, 50 requests a second. A request that the caller sends anew counts once here, which allows less than the platform's rule.

--- /dev/null
+++ b/crates/daemon/tests/retry_budget.rs
@@ -0,0 +1,115 @@
+//! The retries that a service gets from all processes together, while its servers fail and processes come and go.
+
+#[path = "../../../platform/tests/harness/mod.rs"]
+mod harness;
+#[path = "retry_budget/play.rs"]
+mod play;
+
+use std::time::Duration;
+
+use harness::backend::Behavior;
+use play::{Play, Process, Signal};
+use rstest::rstest;
+use tokio::time::sleep;
+
+/// How long processes have to be down to be missed by the others.
+const DOWN: Duration = Duration::from_millis(600);
+/// How long a paused process stands still.
+const PAUSE: Duration = Duration::from_millis(2_800);
+/// The part of what is allowed that has to be used where no process ends.
+const MIN_USED: f64 = 0.9;
+
+/// What happens to the processes, each of which starts again.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    Nothing,
+    AllKilled,
+    KilledTwice,
+    KilledInTurn,
+    TwoKilled,
+    StoppedInTurn,
+    FourPaused,
+    StoreAway,
+}
+
+impl Trouble {
+    async fn happen(self, play: &mut Play) {
+        let count = play.processes.len();
+        match self {
+            Trouble::Nothing => {}
+            Trouble::AllKilled => play.restart(0..count, Signal::Kill, DOWN).await,
+            Trouble::KilledTwice => {
+                play.restart(0..count, Signal::Kill, DOWN).await;
+                sleep(DOWN).await;
+                play.restart(0..count, Signal::Kill, DOWN).await;
+            }
+            Trouble::KilledInTurn | Trouble::StoppedInTurn => {
+                let is_kill = matches!(self, Trouble::KilledInTurn);
+                let signal = if is_kill { Signal::Kill } else { Signal::Terminate };
+                for process in 0..count {
+                    play.restart(process..process + 1, signal, Duration::from_millis(100)).await;
+                }
+            }
+            Trouble::TwoKilled => play.restart(0..2, Signal::Kill, DOWN).await,
+            Trouble::FourPaused => {
+                play.signal_all(1..count, Signal::Pause);
+                sleep(PAUSE).await;
+                play.signal_all(1..count, Signal::Continue);
+            }
+            Trouble::StoreAway => play.stop_store(),
+        }
+    }
+}
+
+// Guards against processes that together send a failing service more retries than its requests and the headroom allow.
+#[rstest]
+#[case::calm(Trouble::Nothing, Behavior::Failing)]
+#[case::calm_not_run(Trouble::Nothing, Behavior::NotExecuted)]
+#[case::all_killed(Trouble::AllKilled, Behavior::Failing)]
+#[case::killed_twice(Trouble::KilledTwice, Behavior::NotExecuted)]
+#[case::killed_in_turn(Trouble::KilledInTurn, Behavior::Failing)]
+#[case::two_killed(Trouble::TwoKilled, Behavior::NotExecuted)]
+#[case::stopped_in_turn(Trouble::StoppedInTurn, Behavior::Failing)]
+#[case::four_paused(Trouble::FourPaused, Behavior::NotExecuted)]
+#[case::store_away(Trouble::StoreAway, Behavior::Failing)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn sum_is_kept(#[case] trouble: Trouble, #[case] behavior: Behavior) {
+    let mut play = Play::start(5, Behavior::Complete).await;
+    play.warm_up().await;
+    play.set_behavior(&behavior);
+    sleep(Duration::from_secs(1)).await;
+    trouble.happen(&mut play).await;
+    let worst = play.finish().await;
+    assert!(worst.retries <= worst.allowed, "{worst:?}");
+    if matches!(trouble, Trouble::Nothing) {
+        assert!(MIN_USED * worst.allowed <= worst.retries, "{worst:?}");
+    }
+}
+
+// Guards against servers that fall silent and get retries beyond the allowance through the race for an answer.
+#[rstest]
+#[case::calm(Trouble::Nothing)]
+#[case::all_killed(Trouble::AllKilled)]
+#[case::four_paused(Trouble::FourPaused)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn silent_servers(#[case] trouble: Trouble) {
+    let mut play = Play::start(5, Behavior::Complete).await;
+    play.warm_up().await;
+    play.set_behavior(&Behavior::Silent);
+    sleep(Duration::from_secs(1)).await;
+    trouble.happen(&mut play).await;
+    let worst = play.finish().await;
+    assert!(worst.retries <= worst.allowed, "{worst:?}");
+}
+
+// Guards against a process that ends under SIGTERM and leaves its successor without retries for a whole window.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn successor_retries() {
+    let mut play = Play::start(5, Behavior::Complete).await;
+    play.warm_up().await;
+    play.restart(0..1, Signal::Terminate, Duration::ZERO).await;
+    let successor: &Process = &play.processes[0];
+    play.servers[0].set_behavior(Behavior::Failing);
+    let answered = play.answered_by(successor, 20).await;
+    assert_eq!(answered, 20);
+}
--- /dev/null
+++ b/crates/daemon/tests/retry_budget/play.rs
@@ -0,0 +1,282 @@
+//! Processes under an even load, whose failing servers count the retries.
+
+use std::{
+    collections::HashMap,
+    env, fs,
+    io::{self, Write},
+    net::SocketAddr,
+    ops::Range,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use tokio::{task::JoinHandle, time::sleep};
+
+use crate::harness::{
+    Harness, LEDGER, TestServer,
+    backend::{Backend, Behavior},
+    caller::{get_status, post, post_if_open},
+    store::Fault,
+    wait_until,
+};
+
+/// The window in which retries are counted.
+const WINDOW: Duration = Duration::from_secs(6);
+/// The retries that are free in it.
+const HEADROOM: f64 = 50.0;
+/// The retries that each request allows.
+const RATIO: f64 = 0.2;
+/// The time between two requests.
+const PAUSE: Duration = Duration::from_millis(20);
+/// How long servers fail.
+const FAILING_TIME: Duration = Duration::from_secs(10);
+const SERVERS: usize = 4;
+
+/// A `Signal` is what a process gets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    Kill,
+    Terminate,
+    Pause,
+    Continue,
+}
+
+impl Signal {
+    fn flag(self) -> &'static str {
+        match self {
+            Signal::Kill => "-KILL",
+            Signal::Terminate => "-TERM",
+            Signal::Pause => "-STOP",
+            Signal::Continue => "-CONT",
+        }
+    }
+}
+
+/// A `Process` is a node.
+pub struct Process {
+    pub callers: SocketAddr,
+    readiness: SocketAddr,
+    settings: PathBuf,
+    /// The settings of its successors, which are no first start.
+    next_settings: PathBuf,
+    child: Child,
+}
+
+/// The `Worst` window is the one with the most retries beyond those that are allowed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Worst {
+    pub retries: f64,
+    pub allowed: f64,
+}
+
+/// A `Play` is a deployment under load.
+pub struct Play {
+    pub processes: Vec<Process>,
+    pub servers: Vec<Arc<Backend>>,
+    harness: Harness,
+    sent: Arc<Mutex<Vec<Instant>>>,
+    stopped: Arc<AtomicBool>,
+    load: Option<JoinHandle<()>>,
+    failing_since: Option<Instant>,
+    _ports: Vec<TestServer>,
+}
+
+impl Process {
+    fn start(harness: &Harness, name: &str) -> Process {
+        let text = harness.settings_text(name);
+        let address = |key: &str| -> SocketAddr {
+            let line = text.lines().find_map(|line| line.strip_prefix(&format!("{key} = ")));
+            line.expect("a setting").parse().expect("an address")
+        };
+        let (callers, readiness) = (address("callers"), address("readiness"));
+        let file = format!("bulrush-retries-{}-{}.ini", std::process::id(), callers.port());
+        let settings = env::temp_dir().join(file);
+        let next_settings = settings.with_extension("next.ini");
+        let first = text.replace("[gateway]\n", "[gateway]\nfirst_start = true\n");
+        fs::write(&settings, first).expect("a written file");
+        fs::write(&next_settings, text).expect("a written file");
+        let child = spawn(&settings);
+        Process { callers, readiness, settings, next_settings, child }
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args([signal.flag(), &pid]).status().expect("a signal");
+        assert!(sent.success());
+    }
+
+    async fn wait_for_end(&mut self) {
+        while self.child.try_wait().expect("a child").is_none() {
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+        let _ = fs::remove_file(&self.next_settings);
+    }
+}
+
+fn spawn(settings: &Path) -> Child {
+    let mut daemon = Command::new(env!("CARGO_BIN_EXE_bulrushd"));
+    daemon.arg("--settings").arg(settings).stdout(Stdio::null()).stderr(Stdio::null());
+    daemon.spawn().expect("a started daemon")
+}
+
+impl Play {
+    /// Starts processes and servers and waits until all processes know each other and the servers.
+    pub async fn start(count: usize, behavior: Behavior) -> Play {
+        let mut harness = Harness::without_node().await;
+        harness.sections = "retry_window = 6s\nretry_headroom = 50\nretry_ratio = 0.2\n";
+        let (mut servers, mut ports) = (Vec::new(), Vec::new());
+        for number in 0..SERVERS {
+            let server = Backend::new(&format!("b-{number}"), behavior.clone());
+            ports.push(harness.add_backend(LEDGER, &server).await);
+            servers.push(server);
+        }
+        let start = |number| Process::start(&harness, &format!("node-{number}"));
+        let processes: Vec<Process> = (0..count).map(start).collect();
+        for process in &processes {
+            wait_until(async || get_status(process.readiness, "/readyz").await == Some(200)).await;
+        }
+        Play {
+            processes,
+            servers,
+            harness,
+            sent: Arc::default(),
+            stopped: Arc::default(),
+            load: None,
+            failing_since: None,
+            _ports: ports,
+        }
+    }
+
+    /// Sends requests to all processes in turn, for as long as it takes until a window before the present one is whole.
+    pub async fn warm_up(&mut self) {
+        let addresses: Vec<SocketAddr> = self.processes.iter().map(|it| it.callers).collect();
+        let (sent, stopped) = (Arc::clone(&self.sent), Arc::clone(&self.stopped));
+        self.load = Some(tokio::spawn(async move {
+            let next = Arc::new(AtomicUsize::new(0));
+            while !stopped.load(Ordering::Relaxed) {
+                let (addresses, sent) = (addresses.clone(), Arc::clone(&sent));
+                let number = next.fetch_add(1, Ordering::Relaxed);
+                tokio::spawn(async move { ask(number, &addresses, &sent).await });
+                sleep(PAUSE).await;
+            }
+        }));
+        sleep(2 * WINDOW + Duration::from_secs(1)).await;
+    }
+
+    pub fn set_behavior(&mut self, behavior: &Behavior) {
+        for server in &self.servers {
+            server.set_behavior(behavior.clone());
+        }
+        self.failing_since = Some(Instant::now());
+    }
+
+    pub fn signal_all(&self, range: Range<usize>, signal: Signal) {
+        for process in &self.processes[range] {
+            process.signal(signal);
+        }
+    }
+
+    /// Ends processes, and starts their successors after a time.
+    pub async fn restart(&mut self, range: Range<usize>, signal: Signal, down: Duration) {
+        self.signal_all(range.clone(), signal);
+        for process in &mut self.processes[range.clone()] {
+            process.wait_for_end().await;
+        }
+        sleep(down).await;
+        for process in &mut self.processes[range.clone()] {
+            process.child = spawn(&process.next_settings);
+        }
+        for process in &self.processes[range] {
+            wait_until(async || get_status(process.readiness, "/readyz").await == Some(200)).await;
+        }
+    }
+
+    pub fn stop_store(&self) {
+        self.harness.store.set_fault(Fault::Down);
+    }
+
+    /// Returns how many of a number of requests to a process succeed.
+    pub async fn answered_by(&self, process: &Process, count: usize) -> usize {
+        let mut answered = 0;
+        for number in 0..count {
+            let response = post(process.callers, &format!("own-{number}"), "/look/1").await;
+            answered += usize::from(response.status == 200);
+        }
+        answered
+    }
+
+    /// Ends the load and returns the worst window.
+    pub async fn finish(self) -> Worst {
+        let since = self.failing_since.expect("servers that fail");
+        sleep(FAILING_TIME.saturating_sub(since.elapsed())).await;
+        self.stopped.store(true, Ordering::Relaxed);
+        sleep(Duration::from_millis(300)).await;
+        let sent = self.sent.lock().expect("no panic while it is held").clone();
+        let worst = worst_window(&sent, &self.retries());
+        let _ = writeln!(io::stderr(), "{worst:?}");
+        worst
+    }
+
+    // Returns when servers got requests that had reached one before.
+    fn retries(&self) -> Vec<Instant> {
+        let mut arrivals: HashMap<String, Vec<Instant>> = HashMap::new();
+        for server in &self.servers {
+            for request in server.received() {
+                let id = request.header("bulrushhall-attempt-id").to_owned();
+                arrivals.entry(id).or_default().push(request.at);
+            }
+        }
+        let mut retries = Vec::new();
+        for times in arrivals.values_mut() {
+            times.sort_unstable();
+            retries.extend(&times[1..]);
+        }
+        retries.sort_unstable();
+        retries
+    }
+}
+
+// Returns the requests or retries in the window that ends at a time.
+fn count(times: &[Instant], end: Instant) -> f64 {
+    times.iter().filter(|at| **at <= end && end.duration_since(**at) < WINDOW).count() as f64
+}
+
+// The requests of a window are those in it, in the one before it or in the one half a window before it, whichever are most.
+fn worst_window(sent: &[Instant], retries: &[Instant]) -> Worst {
+    let mut worst = Worst { retries: 0.0, allowed: f64::INFINITY };
+    for end in retries {
+        let requests =
+            [Duration::ZERO, WINDOW / 2, WINDOW].map(|before| count(sent, *end - before));
+        let requests = requests.into_iter().fold(0.0, f64::max);
+        let window = Worst { retries: count(retries, *end), allowed: RATIO * requests + HEADROOM };
+        if worst.allowed - worst.retries > window.allowed - window.retries {
+            worst = window;
+        }
+    }
+    worst
+}
+
+// Sends a request to a process, or to the next one that takes it. It counts once, although callers send new ones.
+async fn ask(number: usize, addresses: &[SocketAddr], sent: &Mutex<Vec<Instant>>) {
+    sent.lock().expect("no panic while it is held").push(Instant::now());
+    for attempt in 0..addresses.len() {
+        let address = addresses[(number + attempt) % addresses.len()];
+        let id = format!("r-{number}-{attempt}");
+        if post_if_open(address, &id, "/look/1").await.is_some() {
+            return;
+        }
+    }
+}
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -212,8 +212,7 @@
     let outcome = if is_paid { "paid" } else { "refused" };
     let service = service.as_str().to_owned();
     counter!(RETRIES, "service" => service.clone(), "outcome" => outcome).increment(1);
-    gauge!(RETRY_ALLOWANCE, "service" => service.clone(), "part" => "earned")
-        .set(allowance.earned);
+    gauge!(RETRY_ALLOWANCE, "service" => service.clone(), "part" => "earned").set(allowance.earned);
     gauge!(RETRY_ALLOWANCE, "service" => service, "part" => "headroom").set(allowance.headroom);
 }
 
--- a/crates/gateway/src/pipeline/send/retry_gate.rs
+++ b/crates/gateway/src/pipeline/send/retry_gate.rs
@@ -112,12 +112,7 @@
         Ok(())
     }
 
-    fn refuse(
-        &mut self,
-        cx: RetryContext<'_>,
-        allowance: RetryAllowance,
-        nodes: usize,
-    ) -> NotSent {
+    fn refuse(&mut self, cx: RetryContext<'_>, allowance: RetryAllowance, nodes: usize) -> NotSent {
         if !std::mem::replace(&mut self.is_refusal_logged, true) {
             meters::retry_nodes(nodes);
             meters::retry(cx.service, false, allowance);
