Bound the incomplete events of all streams by the memory of the node

Callers lost their requests when a node ran out of memory: each of its streams may hold an incomplete event of 1 MiB, and nothing counted their sum. What a race reads ahead is copied out of hyper's buffers and counts twice. The check whether a server responds has the limits of heads, too.

--- a/crates/daemon/tests/crowd/mod.rs
+++ b/crates/daemon/tests/crowd/mod.rs
@@ -1,6 +1,6 @@
 //! Crowds of clients that don't behave, and the process that has to withstand them.
 
-#![allow(dead_code, reason = "each test uses a part of it")]
+#![allow(dead_code, unused_imports, reason = "each test uses a part of it")]
 
 mod client;
 mod process;
--- a/crates/daemon/tests/crowd/process.rs
+++ b/crates/daemon/tests/crowd/process.rs
@@ -1,7 +1,7 @@
 //! A daemon as a separate process.
 
 use std::{
-    fs,
+    env, fs,
     io::{BufRead, BufReader},
     process::{Child, Command, Stdio},
     time::Duration,
@@ -9,6 +9,8 @@
 
 use tokio::time::{sleep, timeout};
 
+/// The variable with the path of another build of the daemon.
+const DAEMON: &str = "BULRUSH_DAEMON";
 /// The longest time that a test waits for a condition.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 /// The descriptors that a process may have in addition after a crowd has left: pooled connections.
@@ -39,6 +41,13 @@
         self.child.try_wait().expect("a child").is_none()
     }
 
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &pid]).status().expect("a signal");
+        assert!(sent.success());
+    }
+
     /// Returns the most memory that it has had so far, in bytes.
     pub fn peak_memory(&self) -> usize {
         let path = format!("/proc/{}/status", self.child.id());
@@ -83,7 +92,8 @@
     let file = format!("bulrushd-crowd-{}-{name}.ini", std::process::id());
     let path = std::env::temp_dir().join(file);
     fs::write(&path, settings).expect("a written file");
-    let mut daemon = Command::new(env!("CARGO_BIN_EXE_bulrushd"));
+    let daemon = env::var(DAEMON).unwrap_or_else(|_| env!("CARGO_BIN_EXE_bulrushd").to_owned());
+    let mut daemon = Command::new(daemon);
     daemon.arg("--settings").arg(&path).stdout(out).stderr(Stdio::null());
     daemon.spawn().expect("a started daemon")
 }
--- a/crates/gateway/src/backends/connection.rs
+++ b/crates/gateway/src/backends/connection.rs
@@ -161,8 +161,12 @@
 }
 
 async fn ping(address: SocketAddr) -> Result<(), BoxError> {
-    let io = TokioIo::new(AbortiveStream::connect(address, connect_options()).await?);
-    let (mut sender, connection) = http1::handshake(io).await?;
+    let head_limit = HeadLimit::default();
+    let stream = AbortiveStream::connect(address, connect_options()).await?;
+    let io = TokioIo::new(head_limit.apply(stream));
+    let mut builder = http1::Builder::new();
+    let (mut sender, connection) = builder.max_buf_size(MAX_BUFFER).handshake(io).await?;
+    head_limit.begin();
     tokio::spawn(connection);
     let req = Request::options("*").header(HOST, address.to_string());
     sender.send_request(req.body(Empty::<Bytes>::new())?).await?;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,7 +24,7 @@
 use crate::{
     adapter::{Orders, Records, Wire},
     backends::{Backend, Backends},
-    body_budget::{BodyBudget, message_budget},
+    body_budget::{BodyBudget, event_budget, message_budget},
     brittle::{BrittleServices, node_hash},
     clock,
     cluster::{MemberRecord, Members, RecordCursor, ReplyBudget, Watches},
@@ -292,6 +292,8 @@
     pub bodies: BodyBudget,
     /// The memory for the messages of other nodes.
     pub messages: BodyBudget,
+    /// The memory for incomplete events of backend servers.
+    pub events: BodyBudget,
     /// Its settings.
     pub settings: Settings,
     /// Its incarnation.
@@ -346,6 +348,7 @@
         Gateway {
             bodies: BodyBudget::new(settings.capacity.memory_mb),
             messages: message_budget(&settings.capacity),
+            events: event_budget(&settings.capacity),
             settings,
             incarnation,
             platform: calls.counted(platform),
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -26,7 +26,7 @@
     adapter::{ResponseHead, SendHead},
     announcements::note_response,
     backends::{Connection, OpenError, is_malformed},
-    body_budget::BodyRoom,
+    body_budget::{BodyBudget, BodyRoom},
     brittle, clock,
     cluster::{CARRIED_HEADER, CARRIED_UNDELIMITED, CARRY_PATH, CarriedRequest, CarryFailure},
     crashes::{SentRequest, log_broken_answer, note_answering, note_unopened},
@@ -170,7 +170,8 @@
     let answered = match answered {
         Ok((head, parts, mut body, connection)) if limit.waits_for_body(&head) => {
             let is_marked = placement.carrier.is_some() || is_delimited(&parts.headers);
-            let reading = read_ahead(req, &head, &mut body, (resume_after, is_marked));
+            let reading =
+                read_ahead(req, &head, &mut body, (resume_after, is_marked), &gateway.events);
             let is_silent = || note_silent(gateway, placement, &mut in_flight, sent.as_ref());
             let read = limit.outlast(reading, is_silent).await;
             if let (Some(sent), true) = (&mut sent, body.has_ahead()) {
@@ -255,10 +256,14 @@
     head: &ResponseHead,
     body: &mut ResponseBody,
     (after, is_marked): (Option<u64>, bool),
+    budget: &BodyBudget,
 ) -> Result<(), SendFault> {
     let is_stream = req.route.cfg.kind.is_stream() && head.status.is_success();
-    let read =
-        if is_stream { body.read_event_ahead(after).await } else { body.read_to_end_ahead().await };
+    let read = if is_stream {
+        body.read_event_ahead(after, budget).await
+    } else {
+        body.read_to_end_ahead().await
+    };
     match read {
         Ok(Ahead::Part) => Ok(()),
         // The forwarder judges a plain answer without a mark of its end.
--- a/crates/gateway/src/pipeline/events.rs
+++ b/crates/gateway/src/pipeline/events.rs
@@ -2,10 +2,16 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::body_budget::{BodyBudget, BodyRoom};
+
 /// The maximum size of an event, in bytes: a stream whose event never ends must not exhaust memory.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 /// The maximum size of the comments before an event, in bytes.
 const MAX_COMMENT_BYTES: usize = 16 * 1_024;
+/// The size up to which an incomplete event needs no room, in bytes: the memory of a connection includes it.
+const SMALL_EVENT_BYTES: usize = 16 * 1_024;
+/// The factor by which the room of an incomplete event grows.
+const ROOM_GROWTH: usize = 4;
 
 /// `CompleteEvents` are consecutive complete events of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,6 +40,12 @@
     /// Whether the block that is not complete yet has a field.
     has_field: bool,
     skip_to: Option<u64>,
+    /// The memory for incomplete events of all streams, if it is bounded.
+    budget: Option<BodyBudget>,
+    /// How often the bytes are held.
+    copies: usize,
+    room: BodyRoom,
+    has_no_room: bool,
 }
 
 impl EventSplitter {
@@ -42,14 +54,26 @@
         EventSplitter { skip_to: after, ..EventSplitter::default() }
     }
 
+    /// Returns the same splitter with a bound of the incomplete events of all streams, whose bytes are held `copies` times.
+    pub fn within(self, budget: &BodyBudget, copies: usize) -> EventSplitter {
+        EventSplitter { budget: Some(budget.clone()), copies, ..self }
+    }
+
     /// Adds bytes of the stream; returns the events that are complete now, if any.
     pub fn push(&mut self, bytes: &[u8]) -> Option<CompleteEvents> {
+        if !self.reserve(self.pending.len() + bytes.len()) {
+            return None;
+        }
         self.pending.extend_from_slice(bytes);
         let (end, events) = self.end()?;
         let complete = self.pending.split_to(end).freeze();
         self.searched -= end;
         self.line_start -= end;
         self.block_end -= end;
+        if self.pending.is_empty() {
+            self.pending = BytesMut::new();
+            self.room = BodyRoom::default();
+        }
         let last_id = last_event_id(&complete);
         let Some(skip_to) = self.skip_to else {
             return Some(CompleteEvents { bytes: complete, last_id, events });
@@ -78,12 +102,36 @@
         (!rest.is_empty()).then_some(rest)
     }
 
-    /// Returns whether the incomplete event, or the comments before the next one, exceed the maximum size.
+    /// Returns whether the incomplete event, or the comments before the next one, exceed the maximum size or the memory.
     pub fn is_event_too_large(&self) -> bool {
+        if self.has_no_room {
+            return true;
+        }
         let max = if self.has_field { MAX_EVENT_BYTES } else { MAX_COMMENT_BYTES };
         max < self.pending.len()
     }
 
+    // Takes room and capacity for bytes that are held back; returns whether there is any.
+    fn reserve(&mut self, bytes: usize) -> bool {
+        let reserved = self.room.bytes() / self.copies.max(1);
+        if bytes <= SMALL_EVENT_BYTES.max(reserved) || self.has_no_room {
+            return !self.has_no_room;
+        }
+        let Some(budget) = &self.budget else { return true };
+        let wanted = (reserved * ROOM_GROWTH).clamp(bytes, MAX_EVENT_BYTES.max(bytes));
+        let Some(room) = budget.try_reserve(wanted * self.copies) else {
+            self.has_no_room = true;
+            // Nothing of it is forwarded.
+            self.pending = BytesMut::new();
+            self.room = BodyRoom::default();
+            return false;
+        };
+        self.room = room;
+        // A buffer that doubles leaves holes of its earlier sizes.
+        self.pending.reserve(wanted - self.pending.len());
+        true
+    }
+
     // Returns the end of the last complete event, after its empty line, and the number of events.
     fn end(&mut self) -> Option<(usize, u32)> {
         let (mut end, mut events) = (None, 0);
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -143,6 +143,7 @@
         let binding = req.origin.clone().map_or(Binding::Free, Binding::Bound);
         let is_success = backend_response.head.status.is_success();
         let forwards_events = req.route.cfg.kind.is_stream() && is_success;
+        let splitter = EventSplitter::default().within(&gateway.events, 1);
         ResponseForwarder {
             gateway,
             req,
@@ -151,7 +152,7 @@
             tried,
             log_entry,
             forwards_events,
-            splitter: EventSplitter::default(),
+            splitter,
             gaps: StreamGaps::default(),
             last_event,
             binding,
@@ -306,7 +307,7 @@
     }
 
     fn begin_rest(&mut self, backend_response: BackendResponse) {
-        self.splitter = EventSplitter::after(self.last_event);
+        self.splitter = EventSplitter::after(self.last_event).within(&self.gateway.events, 1);
         (self.progressed_at, self.received) = (clock::now(), Received::default());
         self.backend_response = Some(backend_response);
     }
--- a/crates/gateway/src/pipeline/response_body.rs
+++ b/crates/gateway/src/pipeline/response_body.rs
@@ -6,7 +6,10 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Frame, Incoming};
 
-use crate::pipeline::events::{EventSplitter, MAX_EVENT_BYTES};
+use crate::{
+    body_budget::BodyBudget,
+    pipeline::events::{EventSplitter, MAX_EVENT_BYTES},
+};
 
 /// The maximum number of bytes of a response that are read before it is forwarded, unless it is a stream of events.
 const MAX_AHEAD_BYTES: usize = 64 << 10;
@@ -56,9 +59,13 @@
         !self.ahead.is_empty()
     }
 
-    /// Reads up to the first event after the one with the id `after`.
-    pub async fn read_event_ahead(&mut self, after: Option<u64>) -> Result<Ahead, hyper::Error> {
-        let mut splitter = EventSplitter::after(after);
+    /// Reads up to the first event after the one with the id `after`; `budget` bounds the incomplete events of all streams.
+    pub async fn read_event_ahead(
+        &mut self,
+        after: Option<u64>,
+        budget: &BodyBudget,
+    ) -> Result<Ahead, hyper::Error> {
+        let mut splitter = EventSplitter::after(after).within(budget, 2);
         let mut bytes_ahead = 0;
         while let Some(bytes) = self.read_ahead().await? {
             if splitter.push(&bytes).is_some() {
@@ -88,6 +95,8 @@
         loop {
             let Some(frame) = self.rest.frame().await.transpose()? else { return Ok(None) };
             let Ok(bytes) = frame.into_data() else { continue };
+            // A frame keeps the whole buffer that it was read into.
+            let bytes = Bytes::copy_from_slice(&bytes);
             self.ahead.push_back(bytes.clone());
             return Ok(Some(bytes));
         }
