Refuse requests that the end of a stopping node would cut

Callers of a node that was being stopped lost orders without an answer: it takes requests for a third of its grace period and cut the open ones 0.7 s before the end of it, whatever they need. A node knows when it will cut: what is expected to end later (longest call of the service that it has seen; first token and tokens of the answer) is refused as not run before it is sent, at once, so that the caller goes elsewhere. That holds for each attempt, for queued and for carried requests. Open answers are cut 0.3 s before the end of the grace period; streams are handed over while they go on.

--- a/crates/gateway/src/cluster/carry.rs
+++ b/crates/gateway/src/cluster/carry.rs
@@ -2,7 +2,7 @@
 
 use std::{io, sync::Arc, time::Duration};
 
-use bulrushhall_core::{Ran, Stamp};
+use bulrushhall_core::{Ran, ServiceName, Stamp};
 use bulrushhall_external::http::{Body, BoxError, full};
 use bulrushhall_policy::placement::WorkerKey;
 use bytes::Bytes;
@@ -27,7 +27,7 @@
     },
     gateway::{Gateway, Phase, State},
     meters,
-    pipeline::{connection_share, is_delimited},
+    pipeline::{Work, connection_share, ends_in_time, is_delimited},
     reachability::{note_opened, note_unreachable},
 };
 
@@ -67,6 +67,7 @@
 /// A backend server to which this node may send.
 struct Target {
     key: WorkerKey,
+    service: ServiceName,
     pool: Arc<Pool>,
     connections: u32,
     in_flight: CarriedInFlight,
@@ -141,7 +142,8 @@
         let connections = connection_share(service.connections, members.count());
         backend.room.begin();
         let in_flight = CarriedInFlight::begin(gateway, key, &backend.name);
-        Ok(Target { key, pool: Arc::clone(&backend.pool), connections, in_flight })
+        let service = backend.record.service.clone();
+        Ok(Target { key, service, pool: Arc::clone(&backend.pool), connections, in_flight })
     })
 }
 
@@ -149,12 +151,17 @@
     gateway: &Arc<Gateway>,
     carried: &CarriedRequest,
 ) -> Result<CarriedResponse, CarryFailure> {
-    let Target { key, pool, connections, in_flight } = target(gateway, carried)?;
+    let Target { key, service, pool, connections, in_flight } = target(gateway, carried)?;
     let mut req = carried.request().ok_or(NOT_RUN)?;
     let call = call(gateway, &req);
     let fingerprint = call
         .as_ref()
         .map(|call| Arc::new(Fingerprint::new(req.method(), &carried.path, call, &carried.body)));
+    let prompt = call.as_ref().and_then(|call| call.prompt.as_ref());
+    let (first, left) = (Duration::ZERO, carried.left);
+    if !ends_in_time(gateway, Work { service: &service, prompt, first, left }) {
+        return Err(NOT_RUN);
+    }
     let is_refused = |fingerprint| gateway.with(|state| is_blocked(state, fingerprint));
     if fingerprint.as_deref().is_some_and(is_refused) {
         return Err(CarryFailure { blocked: true, ..NOT_RUN });
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, OnceLock},
     time::Duration,
 };
 
@@ -306,6 +306,8 @@
     pub table: ArcSwapOption<RouteTable>,
     /// The stage of its shutdown.
     pub phase: watch::Sender<Phase>,
+    /// When open answers are cut; unset before the shutdown begins.
+    pub cut_at: OnceLock<Stamp>,
     /// The requests of other nodes that it carries.
     pub carried: watch::Sender<usize>,
     /// Notified when origins of streams have to be copied to other nodes.
@@ -355,6 +357,7 @@
             calls,
             table: ArcSwapOption::empty(),
             phase: watch::Sender::new(Phase::Serving),
+            cut_at: OnceLock::new(),
             carried: watch::Sender::new(0),
             copies_due: Notify::new(),
             blocks_due: Notify::new(),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,6 +1,6 @@
 //! Start and shutdown of a node.
 
-use std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{fmt, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use bulrushhall_core::Event;
 use bulrushhall_external::http::{Handler, ServerOptions, listen, serve};
@@ -12,6 +12,7 @@
 };
 
 use crate::{
+    clock,
     cluster::{
         PeerPort, copy_streams, follow_backends, follow_config, follow_members, gossip,
         hand_over_streams, register, store_blocks,
@@ -26,8 +27,10 @@
 /// How long a node still accepts requests after its shutdown begins: other nodes stop giving out its
 /// address within half a second, and callers refresh addresses every two seconds.
 const LEAVING_TIME: Duration = Duration::from_millis(2_200);
-/// The part of the grace period that remains when the node aborts unfinished requests.
-const GRACE_MARGIN: Duration = Duration::from_millis(700);
+/// The part of the grace period that remains when the node cuts unfinished answers: the process has to end within it.
+const END_MARGIN: Duration = Duration::from_millis(300);
+/// The time in which other nodes get what they need to know, while unfinished answers go on.
+const HANDOVER_TIME: Duration = Duration::from_millis(300);
 
 /// How long the last bytes of carried answers may take to leave the process.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
@@ -109,19 +112,30 @@
         tracing::info!(event = Event::NodeLeaving.number(), %node);
         let grace = Duration::from(self.gateway.settings.bounds.grace);
         let leaving = LEAVING_TIME.min(grace / 3);
+        let cut_after = grace.saturating_sub(END_MARGIN);
+        // It is set once, as a node is stopped once.
+        let _ = self.gateway.cut_at.set(clock::now() + cut_after);
         self.gateway.phase.send_replace(Phase::Leaving);
         sleep(leaving).await;
         self.gateway.phase.send_replace(Phase::Draining);
         self.gateway.waiting_due.notify_one();
         self.stop.send_replace(true);
-        let left = grace.saturating_sub(leaving + GRACE_MARGIN);
         let mut carried = self.gateway.carried.subscribe();
-        let draining = async {
+        let mut draining = pin!(async {
             let _ = self.callers.await;
             let _ = carried.wait_for(|carried| *carried == 0).await;
+        });
+        let left = cut_after.saturating_sub(leaving + HANDOVER_TIME);
+        let mut ended = timeout(left, &mut draining).await.is_ok();
+        let handover = async {
+            hand_over_streams(&self.gateway).await;
         };
-        let ended = timeout(left, draining).await.is_ok();
-        hand_over_streams(&self.gateway).await;
+        if ended {
+            handover.await;
+        } else {
+            let (drained, ()) = tokio::join!(timeout(HANDOVER_TIME, draining), handover);
+            ended = drained.is_ok();
+        }
         self.running.send_replace(true);
         let mut peers = self.peers;
         if timeout(FLUSH_TIME, &mut peers).await.is_err() {
--- a/crates/gateway/src/pipeline/send/sender.rs
+++ b/crates/gateway/src/pipeline/send/sender.rs
@@ -24,6 +24,7 @@
         access_log::AccessLogEntry,
         attempt::{BackendResponse, OriginalRequest, SilenceLimit, attempt, note_unanswered},
         identify::IdentifiedRequest,
+        node_end::{Work, ends_in_time},
         placement::{BRITTLE_RETRY_AFTER, Placement, PlacementQuery, Way},
         queueing::Queueing,
         room_search::RoomSearch,
@@ -169,6 +170,7 @@
         }
         self.retry.check(self.retry_context()).await?;
         let placement = self.place().await?;
+        self.check_end(&placement)?;
         self.retry.pay(self.retry_context(), &placement)?;
         self.log_silence(Ok(()));
         let (mut open, mut silent_for_long) = self.begin(placement, began);
@@ -237,6 +239,22 @@
         })
     }
 
+    // Refuses a request whose answer this node would cut, so that another node takes it.
+    fn check_end(&self, placement: &Placement) -> Result<(), NotSent> {
+        let prompt = self.req.call.prompt.as_ref();
+        let first = placement.expected + placement.wait;
+        let work = Work { service: self.service, prompt, first, left: self.left() };
+        if ends_in_time(self.gateway, work) {
+            return Ok(());
+        }
+        self.gateway.with(|state| {
+            if let Some(backend) = state.backends.get_mut(placement.key) {
+                backend.announced.refund_request();
+            }
+        });
+        Err(NotSent { failure: Failure::Leaving, reason: NoTakeover::Leaving })
+    }
+
     fn begin(
         &mut self,
         placement: Placement,
--- a/crates/gateway/src/pipeline/silence.rs
+++ b/crates/gateway/src/pipeline/silence.rs
@@ -44,6 +44,8 @@
     NoServer,
     /// Its time is over.
     Late,
+    /// The node shuts down before another server would have answered.
+    Leaving,
 }
 
 impl NoTakeover {
@@ -57,6 +59,7 @@
             NoTakeover::Version => "version",
             NoTakeover::NoServer => "no_server",
             NoTakeover::Late => "late",
+            NoTakeover::Leaving => "leaving",
         }
     }
 }
--- a/crates/policy/src/observed/call_times.rs
+++ b/crates/policy/src/observed/call_times.rs
@@ -47,6 +47,11 @@
         self.median
     }
 
+    /// Returns the longest latency of the calls that are kept; none without calls.
+    pub fn longest(&self) -> Option<Duration> {
+        self.recent.quantile(1.0).map(bounded_seconds)
+    }
+
     /// Returns the 95th percentile of the latency.
     pub fn p95(&self) -> Duration {
         self.p95
