Keep the retry budget over all nodes while processes come and go

What callers and servers saw: a failing service got up to twice the retries that its requests and the headroom allow, when nodes were killed, stopped or started beside it. Cause: the sum over all nodes was kept by each process for itself, by what it saw at the moment. A new process owned its part again, who knew fewer nodes took more, and requests earned at the node to which callers moved what had been spent at another. Now requests earn what the window before confirms; the headroom is divided in whole retries by the most nodes of a window; a process has no part of it for a window and 2 s after its start, unless its predecessor handed over what it has sent; a node that isn't counted by the others has none. Retries count for half a second longer in place of the fifth that was kept back.

--- a/crates/daemon/tests/retry_budget.rs
+++ b/crates/daemon/tests/retry_budget.rs
@@ -108,6 +108,8 @@
     let mut play = Play::start(5, Behavior::Complete).await;
     play.warm_up().await;
     play.restart(0..1, Signal::Terminate, Duration::ZERO).await;
+    // It learns of its predecessor with the first messages of the others.
+    sleep(Duration::from_secs(1)).await;
     let successor: &Process = &play.processes[0];
     play.servers[0].set_behavior(Behavior::Failing);
     let answered = play.answered_by(successor, 20).await;
--- a/crates/daemon/tests/retry_budget/play.rs
+++ b/crates/daemon/tests/retry_budget/play.rs
@@ -97,9 +97,9 @@
         let file = format!("bulrush-retries-{}-{}.ini", std::process::id(), callers.port());
         let settings = env::temp_dir().join(file);
         let next_settings = settings.with_extension("next.ini");
-        let first = text.replace("[gateway]\n", "[gateway]\nfirst_start = true\n");
-        fs::write(&settings, first).expect("a written file");
-        fs::write(&next_settings, text).expect("a written file");
+        let next = text.replace("first_start = true", "first_start = false");
+        fs::write(&settings, text).expect("a written file");
+        fs::write(&next_settings, next).expect("a written file");
         let child = spawn(&settings);
         Process { callers, readiness, settings, next_settings, child }
     }
@@ -136,6 +136,7 @@
     /// Starts processes and servers and waits until all processes know each other and the servers.
     pub async fn start(count: usize, behavior: Behavior) -> Play {
         let mut harness = Harness::without_node().await;
+        harness.first_start = true;
         harness.sections = "retry_window = 6s\nretry_headroom = 50\nretry_ratio = 0.2\n";
         let (mut servers, mut ports) = (Vec::new(), Vec::new());
         for number in 0..SERVERS {
--- a/crates/gateway/src/cluster/advertise.rs
+++ b/crates/gateway/src/cluster/advertise.rs
@@ -70,6 +70,7 @@
             rooms: room_reports(state, now),
             lost_services: own_lost_services(gateway, state),
             versions: versions_report(state, now),
+            ended_retries: state.retries.ended(now),
             crashes: Some(crash_digest(state, now)),
             facts: Some(FactBatch::default()),
             scope,
--- a/crates/gateway/src/cluster/digest.rs
+++ b/crates/gateway/src/cluster/digest.rs
@@ -14,6 +14,7 @@
     cluster::{MemberRecord, MemberUpdates, WatchReport},
     crashes::CrashDigest,
     demand::Offered,
+    retries::EndedRetries,
     rollouts::ReportedCounts,
 };
 
@@ -154,6 +155,9 @@
     /// The versions of services that the sender knows; nodes of an earlier version do not send them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub versions: Option<VersionsReport>,
+    /// The retries of nodes that have stopped lately.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ended_retries: Vec<EndedRetries>,
     /// What the sender knows of crashes of backend servers; nodes of an earlier version do not send it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub crashes: Option<CrashDigest>,
@@ -204,6 +208,7 @@
             rooms: Vec::new(),
             lost_services: Vec::new(),
             versions: None,
+            ended_retries: Vec::new(),
             crashes: None,
             latency_models: Vec::new(),
             facts: None,
--- a/crates/gateway/src/cluster/gossip.rs
+++ b/crates/gateway/src/cluster/gossip.rs
@@ -37,6 +37,7 @@
     prefix_homes::exchange_prefixes,
     reachability::probe_lost,
     reported_facts::set_own,
+    retries::member_view,
     server_speeds::exchange_speeds,
     speed_settings::SpeedSource,
     startup::Stage,
@@ -68,7 +69,7 @@
 /// The timeout for a response of a node.
 pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
 /// The time limits of a digest: one that takes longer is outdated on arrival.
-const DIGEST_TIMEOUTS: BodyTimeouts =
+pub const DIGEST_TIMEOUTS: BodyTimeouts =
     BodyTimeouts { idle: RESPONSE_TIMEOUT, total: RESPONSE_TIMEOUT };
 /// The time limits of a configuration.
 const DOCUMENT_TIMEOUTS: BodyTimeouts =
@@ -171,6 +172,8 @@
     state.streams.confirmations.retain(|node| members.is_known(node));
     // An earlier incarnation of a restarted node would count beside the current one.
     state.facts.retain(|peer| members.is_known(peer));
+    let view = member_view(state, now, &gateway.settings.gateway.name);
+    state.retries.note_members(now, view);
     set_own(state, now);
     if state.speed_source == SpeedSource::AllNodes {
         exchange_speeds(state, now);
--- a/crates/gateway/src/cluster/mod.rs
+++ b/crates/gateway/src/cluster/mod.rs
@@ -30,7 +30,7 @@
 pub use config::{activate_config, follow_config};
 pub use digest::{BackendLoad, Digest, DigestScope, Document, LiveNode, RecordCursor};
 pub use follow::{Follower, follow};
-pub use gossip::{due_digests, gossip, round_interval};
+pub use gossip::{DIGEST_TIMEOUTS, call, due_digests, gossip, round_interval};
 pub use members::{Member, MemberRecord, Members};
 pub use membership::{DUTY_KEY, PREFIX, follow_members, register};
 pub use peer_port::{PeerPort, reply_to_digest};
--- a/crates/gateway/src/cluster/peer_port.rs
+++ b/crates/gateway/src/cluster/peer_port.rs
@@ -29,6 +29,7 @@
     crashes::{block_statuses, lift},
     gateway::Gateway,
     ports::Port,
+    retries::{ENDED_PATH, EndedRetries, receive_ended},
     status::NodeReport,
 };
 
@@ -105,6 +106,14 @@
                 }
                 Err(_) => refuse(StatusCode::BAD_REQUEST),
             },
+            ENDED_PATH => match decode_message::<EndedRetries>(&body) {
+                Ok(ended) => {
+                    let received = vec![ended.clone()];
+                    self.gateway.with(|state| receive_ended(&self.gateway, state, received));
+                    encoded(&ended)
+                }
+                Err(_) => refuse(StatusCode::BAD_REQUEST),
+            },
             STATUS_PATH => json(&NodeReport::of(&self.gateway)),
             BLOCKS_PATH => json(&block_statuses(&self.gateway)),
             LIFT_PATH => self.lift(query.as_deref().unwrap_or_default()),
--- a/crates/gateway/src/cluster/receive.rs
+++ b/crates/gateway/src/cluster/receive.rs
@@ -27,6 +27,7 @@
     gateway::{Gateway, State},
     meters,
     reported_facts::{apply_received, receive_earlier_fields},
+    retries::receive_ended,
     rollouts::{ReportedCounts, note_ended},
     startup::Stage,
     streams::note_active,
@@ -109,6 +110,7 @@
         let brittle_services = std::mem::take(&mut digest.brittle_services);
         let rooms = std::mem::take(&mut digest.rooms);
         brittle::receive(state, now, name, brittle_services, rooms);
+        receive_ended(gateway, state, std::mem::take(&mut digest.ended_retries));
         let member = state.members.get_mut(&digest.node)?;
         let address = member.record.peers;
         let zone = member.record.zone.clone();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,7 +17,7 @@
     placement::WorkerKey,
     quota::{Quota, QuotaSlack},
     server_speed::LinkOffset,
-    windowed_retry_budget::{RetryLimit, WindowedRetryBudget},
+    windowed_retry_budget::RetryLimit,
 };
 use tokio::sync::{Notify, watch};
 
@@ -36,8 +36,9 @@
     prefix_homes::PrefixState,
     reachability::ServiceReachability,
     reported_facts::registry,
+    retries::RetryState,
     rollouts::RolloutState,
-    settings::Settings,
+    settings::{BoundSettings, Settings},
     speed_settings::SpeedSource,
     startup::{Stage, Startup},
     status::TeamCounts,
@@ -149,8 +150,8 @@
     pub restarted_at: Option<Stamp>,
     /// The number of statements of backend servers about their limits that this node received.
     pub limit_notes: u64,
-    /// The retry budget of each service.
-    pub retry_budgets: HashMap<ServiceName, WindowedRetryBudget>,
+    /// The retry budgets.
+    pub retries: RetryState,
     /// The number of requests started by each team.
     pub usage: UsageCounts,
     /// The load that this node offers to the engines of each service.
@@ -336,6 +337,7 @@
         let shares_models = settings.fleet.shared_model;
         let prefixes = PrefixState::new(settings.prefixes);
         let startup = Startup::new(clock::now());
+        let retries = RetryState::new(retry_limit(&settings.bounds), settings.gateway.first_start);
         let state = State {
             speed_source,
             shares_models,
@@ -344,6 +346,7 @@
             facts,
             prefixes,
             startup,
+            retries,
             ..State::default()
         };
         let calls = Arc::new(PlatformCalls::default());
@@ -492,14 +495,13 @@
             headroom: bounds.quota_headroom,
         }
     }
+}
 
-    /// Returns the limit on retries.
-    pub fn retry_limit(&self) -> RetryLimit {
-        let bounds = &self.settings.bounds;
-        RetryLimit {
-            ratio: bounds.retry_ratio,
-            headroom: bounds.retry_headroom,
-            window: bounds.retry_window.into(),
-        }
+/// Returns the limit on retries in the settings of a node.
+pub fn retry_limit(bounds: &BoundSettings) -> RetryLimit {
+    RetryLimit {
+        ratio: bounds.retry_ratio,
+        headroom: bounds.retry_headroom,
+        window: bounds.retry_window.into(),
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod prefix_homes;
 pub mod reachability;
 pub mod reported_facts;
+pub mod retries;
 pub mod rollouts;
 pub mod server_speeds;
 pub mod settings;
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -10,7 +10,7 @@
 use bulrushhall_policy::windowed_retry_budget::RetryAllowance;
 use metrics::{counter, gauge, histogram};
 
-use crate::platform_calls::CallPurpose;
+use crate::{platform_calls::CallPurpose, retries::RetryCheck};
 
 /// Callers' requests by their outcome.
 const REQUESTS: &str = "bulrush_route_requests_total";
@@ -208,17 +208,15 @@
 }
 
 /// Counts a retry that was paid or refused, and sets what allows them.
-pub fn retry(service: &ServiceName, is_paid: bool, allowance: RetryAllowance) {
-    let outcome = if is_paid { "paid" } else { "refused" };
+pub fn retry(service: &ServiceName, checked: RetryCheck) {
+    let outcome = if checked.is_allowed { "paid" } else { "refused" };
+    let RetryAllowance { earned, headroom, .. } = checked.allowance;
     let service = service.as_str().to_owned();
     counter!(RETRIES, "service" => service.clone(), "outcome" => outcome).increment(1);
-    gauge!(RETRY_ALLOWANCE, "service" => service.clone(), "part" => "earned").set(allowance.earned);
-    gauge!(RETRY_ALLOWANCE, "service" => service, "part" => "headroom").set(allowance.headroom);
-}
-
-/// Sets the number of nodes among which the headroom for retries is divided.
-pub fn retry_nodes(count: usize) {
-    gauge!(RETRY_NODES).set(count as f64);
+    gauge!(RETRY_ALLOWANCE, "service" => service.clone(), "part" => "earned")
+        .set(f64::from(earned));
+    gauge!(RETRY_ALLOWANCE, "service" => service, "part" => "headroom").set(f64::from(headroom));
+    gauge!(RETRY_NODES).set(f64::from(checked.nodes));
 }
 
 /// Counts a response in which a backend server states which requests it accepts.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -20,6 +20,7 @@
     duties::{Holder, keep_lease, run_duties},
     gateway::{Gateway, Phase, Platform},
     ports::{CallerPort, DirectoryPort, Port, ReadinessPort},
+    retries::hand_over_retries,
     settings::Settings,
     waiting::run_waiting,
 };
@@ -128,7 +129,7 @@
         let left = cut_after.saturating_sub(leaving + HANDOVER_TIME);
         let mut ended = timeout(left, &mut draining).await.is_ok();
         let handover = async {
-            hand_over_streams(&self.gateway).await;
+            tokio::join!(hand_over_streams(&self.gateway), hand_over_retries(&self.gateway));
         };
         if ended {
             handover.await;
--- a/crates/gateway/src/pipeline/send/retry_gate.rs
+++ b/crates/gateway/src/pipeline/send/retry_gate.rs
@@ -4,7 +4,6 @@
 
 use bulrushhall_coord::Attempts;
 use bulrushhall_core::{Event, ServiceName};
-use bulrushhall_policy::windowed_retry_budget::RetryAllowance;
 
 use crate::{
     clock,
@@ -14,6 +13,7 @@
     pipeline::{
         identify::IdentifiedRequest, placement::Placement, send::NotSent, silence::NoTakeover,
     },
+    retries::RetryCheck,
 };
 
 /// A `RetryContext` is the request that may be sent again.
@@ -77,14 +77,8 @@
         {
             return Err(NotSent::rejected(NoTakeover::Blocked));
         }
-        let limit = cx.gateway.retry_limit();
-        let (remaining, allowance, nodes) = cx.gateway.with(|state| {
-            let (now, nodes) = (clock::now(), state.members.count());
-            let budget = state.retry_budgets.entry(cx.service.clone()).or_default();
-            let remaining = budget.remaining(now, limit, nodes);
-            (remaining, budget.allowance(now, limit, nodes), nodes)
-        });
-        if remaining == 0 { Err(self.refuse(cx, allowance, nodes)) } else { Ok(()) }
+        let checked = cx.gateway.with(|state| state.retries.check(clock::now(), cx.service));
+        if checked.is_allowed { Ok(()) } else { Err(self.refuse(cx, checked)) }
     }
 
     /// Takes a due retry from the budget, once there is a server for it.
@@ -92,30 +86,27 @@
         if !self.is_due {
             return Ok(());
         }
-        let limit = cx.gateway.retry_limit();
-        let (is_paid, allowance, nodes) = cx.gateway.with(|state| {
-            let (now, nodes) = (clock::now(), state.members.count());
-            let budget = state.retry_budgets.entry(cx.service.clone()).or_default();
-            let is_paid = budget.take(now, limit, nodes);
-            let allowance = budget.allowance(now, limit, nodes);
-            if let (false, Some(backend)) = (is_paid, state.backends.get_mut(placement.key)) {
+        let checked = cx.gateway.with(|state| {
+            let checked = state.retries.pay(clock::now(), cx.service);
+            if let (false, Some(backend)) =
+                (checked.is_allowed, state.backends.get_mut(placement.key))
+            {
                 backend.announced.refund_request();
             }
-            (is_paid, allowance, nodes)
+            checked
         });
-        if !is_paid {
-            return Err(self.refuse(cx, allowance, nodes));
+        if !checked.is_allowed {
+            return Err(self.refuse(cx, checked));
         }
-        meters::retry_nodes(nodes);
-        meters::retry(cx.service, true, allowance);
+        meters::retry(cx.service, checked);
         self.is_due = false;
         Ok(())
     }
 
-    fn refuse(&mut self, cx: RetryContext<'_>, allowance: RetryAllowance, nodes: usize) -> NotSent {
+    fn refuse(&mut self, cx: RetryContext<'_>, checked: RetryCheck) -> NotSent {
         if !std::mem::replace(&mut self.is_refusal_logged, true) {
-            meters::retry_nodes(nodes);
-            meters::retry(cx.service, false, allowance);
+            meters::retry(cx.service, checked);
+            let RetryCheck { allowance, nodes, .. } = checked;
             tracing::info!(
                 event = Event::RepeatRefused.number(),
                 id = cx.req.call.id.as_str(),
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -103,10 +103,7 @@
         }
     }
     let service = req.service().cloned().ok_or(Failure::NoBackend)?;
-    let limit = gateway.retry_limit();
-    gateway.with(|state| {
-        state.retry_budgets.entry(service.clone()).or_default().note_first(clock::now(), limit);
-    });
+    gateway.with(|state| state.retries.note_first(clock::now(), &service));
     let mut tried = TriedServers::default();
     let state = (&mut tried, log_entry);
     let mut sender =
--- a/crates/policy/src/windowed_retry_budget.rs
+++ b/crates/policy/src/windowed_retry_budget.rs
@@ -4,9 +4,11 @@
 
 use bulrushhall_core::Stamp;
 
-/// The share of the limit that is used: the counts of a node and of a backend server differ by the
-/// requests that are in flight.
-const USABLE_SHARE: f64 = 0.8;
+use crate::{node_share::NodeShare, slot_counts::SlotCounts};
+
+/// The time between the payment of a retry and its arrival at a backend server: retries count for that much longer than a
+/// window.
+const TRANSIT_TIME: Duration = Duration::from_millis(500);
 
 /// A `RetryLimit` is the limit on retries to one service over all nodes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -20,14 +22,14 @@
 }
 
 /// A `RetryAllowance` is what a node may send to one service in a window, and what it has sent.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RetryAllowance {
     /// The retries that its requests have earned.
-    pub earned: f64,
+    pub earned: u32,
     /// The node's part of the headroom.
-    pub headroom: f64,
+    pub headroom: u32,
     /// The retries that were paid.
-    pub spent: usize,
+    pub spent: u32,
 }
 
 /// A `WindowedRetryBudget` limits the retries to one service at one node.
@@ -35,55 +37,81 @@
 /// While a backend server is down every call fails, and unlimited retries would multiply the load
 /// when capacity is lowest. Each node applies the ratio to its own requests and gets an equal part
 /// of the headroom, so the limit holds over all nodes without communication.
+///
+/// Requests earn retries only if as many arrived in the window before. Otherwise requests that move from one node to another, or
+/// to the next process of a node, would earn at both within one window.
 #[derive(Clone, Debug, Default)]
 pub struct WindowedRetryBudget {
-    first_attempts: VecDeque<Stamp>,
+    first_attempts: SlotCounts,
     retries: VecDeque<Stamp>,
 }
 
+impl Default for RetryLimit {
+    fn default() -> Self {
+        RetryLimit { ratio: 0.2, headroom: 50.0, window: Duration::from_secs(10) }
+    }
+}
+
+impl RetryAllowance {
+    /// Returns the remaining retries.
+    pub fn remaining(self) -> u32 {
+        (self.earned + self.headroom).saturating_sub(self.spent)
+    }
+}
+
 impl WindowedRetryBudget {
     /// Records a request, whether or not it is sent to a backend server.
     pub fn note_first(&mut self, now: Stamp, limit: RetryLimit) {
-        self.first_attempts.push_back(now);
-        self.remove_expired(now, limit);
+        self.first_attempts.note(now, limit.window);
     }
 
-    /// Returns the number of recorded requests and retries, which are those of one window.
+    /// Returns the number of entries that are kept.
     pub fn recorded(&self) -> usize {
         self.first_attempts.len() + self.retries.len()
     }
 
-    /// Returns the remaining retries; `nodes` is the number of all nodes, including this one.
-    pub fn remaining(&mut self, now: Stamp, limit: RetryLimit, nodes: usize) -> u32 {
-        let RetryAllowance { earned, headroom, spent } = self.allowance(now, limit, nodes);
-        let remaining = earned + headroom - spent as f64;
-        if remaining < 1.0 { 0 } else { remaining as u32 }
-    }
-
-    /// Returns what is allowed in the window that ends now, and what was paid in it.
-    pub fn allowance(&mut self, now: Stamp, limit: RetryLimit, nodes: usize) -> RetryAllowance {
+    /// Returns what is allowed in the window that ends now, and what was paid in it; `share` is the node's part of the
+    /// headroom, if it has one.
+    pub fn allowance(
+        &mut self,
+        now: Stamp,
+        limit: RetryLimit,
+        share: Option<NodeShare>,
+    ) -> RetryAllowance {
         self.remove_expired(now, limit);
+        let (last, before) = self.first_attempts.windows(now, limit.window);
         RetryAllowance {
-            earned: limit.ratio * self.first_attempts.len() as f64 * USABLE_SHARE,
-            headroom: limit.headroom / nodes.max(1) as f64 * USABLE_SHARE,
-            spent: self.retries.len(),
-        }
-    }
-
-    fn remove_expired(&mut self, now: Stamp, limit: RetryLimit) {
-        for times in [&mut self.first_attempts, &mut self.retries] {
-            while times.front().is_some_and(|at| limit.window <= now.since(*at)) {
-                times.pop_front();
-            }
+            earned: (limit.ratio * f64::from(last.min(before))) as u32,
+            headroom: share.map_or(0, |share| share.of(limit.headroom as u32)),
+            spent: u32::try_from(self.retries.len()).unwrap_or(u32::MAX),
         }
     }
 
     /// Takes one retry from the budget; returns whether one remained.
-    pub fn take(&mut self, now: Stamp, limit: RetryLimit, nodes: usize) -> bool {
-        if self.remaining(now, limit, nodes) == 0 {
+    pub fn take(&mut self, now: Stamp, limit: RetryLimit, share: Option<NodeShare>) -> bool {
+        if self.allowance(now, limit, share).remaining() == 0 {
             return false;
         }
         self.retries.push_back(now);
         true
     }
+
+    /// Returns when the retries were paid that still count.
+    pub fn spent(&mut self, now: Stamp, limit: RetryLimit) -> impl Iterator<Item = Stamp> {
+        self.remove_expired(now, limit);
+        self.retries.iter().copied()
+    }
+
+    /// Adds retries that the previous process of the node has paid.
+    pub fn inherit(&mut self, paid: impl IntoIterator<Item = Stamp>) {
+        self.retries.extend(paid);
+        self.retries.make_contiguous().sort_unstable();
+    }
+
+    fn remove_expired(&mut self, now: Stamp, limit: RetryLimit) {
+        let kept_for = limit.window + TRANSIT_TIME;
+        while self.retries.front().is_some_and(|at| kept_for <= now.since(*at)) {
+            self.retries.pop_front();
+        }
+    }
 }
--- /dev/null
+++ b/crates/policy/tests/retry_sum.rs
@@ -0,0 +1,182 @@
+//! The sum of the retries of all nodes, while processes end and start, callers move, and nodes are seen late.
+
+use std::time::Duration;
+
+use bulrushhall_core::Stamp;
+use bulrushhall_policy::{
+    headroom_share::{HeadroomShare, MemberView},
+    windowed_retry_budget::{RetryLimit, WindowedRetryBudget},
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use rstest::rstest;
+
+const LIMIT: RetryLimit =
+    RetryLimit { ratio: 0.2, headroom: 52.0, window: Duration::from_secs(10) };
+/// The length of a run in milliseconds.
+const END: u64 = 90_000;
+/// When servers begin to fail.
+const FAILING_FROM: u64 = 30_000;
+/// The time between two rounds of gossip.
+const ROUND: u64 = 250;
+/// After this time the others know that a node has ended or is there.
+const SEEN_AFTER: u64 = 1_500;
+/// The part of what is allowed that has to be used in the worst window in calm.
+const MIN_USED: f64 = 0.85;
+
+struct Node {
+    budget: WindowedRetryBudget,
+    share: HeadroomShare,
+    /// Whether its process runs.
+    runs: bool,
+    /// Since when it has run, or not.
+    since: u64,
+}
+
+impl Node {
+    fn new(is_first: bool) -> Node {
+        let share = HeadroomShare::new(LIMIT.window, is_first);
+        Node { budget: WindowedRetryBudget::default(), share, runs: true, since: 0 }
+    }
+
+    fn is_known(&self, at: u64) -> bool {
+        let is_settled = SEEN_AFTER <= at - self.since;
+        if is_settled { self.runs } else { !self.runs || self.since == 0 }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Trouble {
+    Calm,
+    /// Processes are killed, and start again.
+    Kills,
+    /// All are killed at once, again and again.
+    All,
+    /// Callers move from some nodes to others.
+    Moves,
+}
+
+struct Run {
+    nodes: Vec<Node>,
+    weights: Vec<f64>,
+    requests: Vec<u64>,
+    retries: Vec<u64>,
+}
+
+impl Run {
+    fn play(count: usize, per_second: u64, trouble: Trouble, seed: u64) -> Run {
+        let mut random = Pcg64::seed_from_u64(seed);
+        let nodes = (0..count).map(|_| Node::new(true)).collect();
+        let weights = vec![1.0; count];
+        let mut run = Run { nodes, weights, requests: Vec::new(), retries: Vec::new() };
+        let mut trouble_at = FAILING_FROM + random.random_range(0..3_000);
+        for at in 0..END {
+            if at.is_multiple_of(ROUND) {
+                run.gossip(at);
+            }
+            if at == trouble_at {
+                run.disturb(at, trouble, &mut random);
+                trouble_at += random.random_range(1_000..15_000);
+            }
+            run.restart(at, &mut random);
+            if random.random_bool(per_second as f64 / 1_000.0) {
+                run.request(at, &mut random);
+            }
+        }
+        run
+    }
+
+    fn gossip(&mut self, at: u64) {
+        let known: Vec<bool> = self.nodes.iter().map(|node| node.is_known(at)).collect();
+        for own in 0..self.nodes.len() {
+            let is_other = |other: &usize| known[*other] || *other == own;
+            let rank = (0..own).filter(is_other).count() as u32;
+            let nodes = (0..self.nodes.len()).filter(is_other).count() as u32;
+            let node = &mut self.nodes[own];
+            if node.runs {
+                let view = MemberView { nodes, rank, is_counted: true };
+                node.share.note(Stamp::from_millis(at), view);
+            }
+        }
+    }
+
+    fn disturb(&mut self, at: u64, trouble: Trouble, random: &mut Pcg64) {
+        for number in 0..self.nodes.len() {
+            let is_hit = match trouble {
+                Trouble::Calm => false,
+                Trouble::Kills => random.random_bool(0.4),
+                Trouble::All => true,
+                Trouble::Moves => {
+                    self.weights[number] = if random.random_bool(0.5) { 1.0 } else { 0.02 };
+                    false
+                }
+            };
+            if is_hit && self.nodes[number].runs {
+                self.nodes[number].runs = false;
+                self.nodes[number].since = at;
+            }
+        }
+    }
+
+    fn restart(&mut self, at: u64, random: &mut Pcg64) {
+        for node in self.nodes.iter_mut().filter(|node| !node.runs) {
+            if 500 <= at - node.since && random.random_bool(0.001) {
+                *node = Node { since: at, ..Node::new(false) };
+            }
+        }
+    }
+
+    fn request(&mut self, at: u64, random: &mut Pcg64) {
+        self.requests.push(at);
+        let running: Vec<usize> =
+            (0..self.nodes.len()).filter(|number| self.nodes[*number].runs).collect();
+        let sum: f64 = running.iter().map(|number| self.weights[*number]).sum();
+        let mut drawn = random.random_range(0.0..1.0) * sum;
+        for number in running {
+            drawn -= self.weights[number];
+            if 0.0 < drawn {
+                continue;
+            }
+            let (now, node) = (Stamp::from_millis(at), &mut self.nodes[number]);
+            node.budget.note_first(now, LIMIT);
+            let share = node.share.get(now);
+            if FAILING_FROM <= at && node.budget.take(now, LIMIT, share) {
+                self.retries.push(at);
+            }
+            return;
+        }
+    }
+
+    /// Returns the retries in the worst window and what is allowed there.
+    fn worst(&self) -> (f64, f64) {
+        let count = |times: &[u64], from: u64, to: u64| {
+            times.partition_point(|at| *at < to) - times.partition_point(|at| *at < from)
+        };
+        let window = LIMIT.window.as_millis() as u64;
+        let mut worst = (0.0, f64::INFINITY);
+        for to in self.retries.iter().map(|at| at + 1) {
+            let requests = [0, window / 2, window]
+                .map(|before| count(&self.requests, to - window - before, to - before) as f64);
+            let allowed = LIMIT.ratio * requests.into_iter().fold(0.0, f64::max) + LIMIT.headroom;
+            let retries = count(&self.retries, to - window, to) as f64;
+            if worst.1 - worst.0 > allowed - retries {
+                worst = (retries, allowed);
+            }
+        }
+        worst
+    }
+}
+
+// Guards against nodes that together send more retries than a service may get, though each keeps to its own part.
+#[rstest]
+fn sum_is_kept(
+    #[values((2, 25), (5, 25), (5, 50), (60, 200))] (nodes, per_second): (usize, u64),
+    #[values(Trouble::Calm, Trouble::Kills, Trouble::All, Trouble::Moves)] trouble: Trouble,
+    #[values(1, 2, 3, 4, 5)] seed: u64,
+) {
+    let (retries, allowed) = Run::play(nodes, per_second, trouble, seed).worst();
+    assert!(retries <= allowed, "{retries} of {allowed}");
+    if trouble == Trouble::Calm {
+        assert!(MIN_USED * allowed <= retries, "{retries} of {allowed}");
+    }
+}
