Bound interim heads by their number, and know the nodes at each retry

Traced with the log of the node: outcome config_unknown with a configuration age of 4,605 ms, 4,600 allowed. Each of 150 connections may send 256 KiB of interim heads, which are 6,000 heads to parse; the watch of the configuration doesn't get its turn meanwhile. A response may have 16 interim heads now; the next read fails after that.

--- a/crates/external/src/http/endpoint.rs
+++ b/crates/external/src/http/endpoint.rs
@@ -218,7 +218,7 @@
     async fn send_on(
         &self,
         mut sender: Sender,
-        req: Request<Full<Bytes>>,
+        mut req: Request<Full<Bytes>>,
         left: TimeLeft,
     ) -> Result<Response<Incoming>, (Option<Request<Full<Bytes>>>, CallError)> {
         let permit = req.extensions().get::<SendPermit>().cloned();
@@ -228,7 +228,7 @@
             return Err((None, CallError::not_done(CallFault::Timeout)));
         }
         sender.gate.set(permit);
-        sender.head_limit.begin();
+        sender.head_limit.begin(&mut req);
         let sending = sender.sender.try_send_request(req);
         let mut pending = PendingRequest { sender: Some(sender) };
         let sent = timeout(limit, sending).await;
@@ -295,12 +295,12 @@
     ) -> Result<Sender, CallError> {
         let Some(vm) = &self.options.vm else { return Ok(sender) };
         let mismatch = || CallError::not_done(CallFault::Identity);
-        let req = Request::get(IDENTITY_PATH)
+        let mut req = Request::get(IDENTITY_PATH)
             .header(HOST, self.host.clone())
             .body(Full::default())
             .map_err(|_| mismatch())?;
 
-        sender.head_limit.begin();
+        sender.head_limit.begin(&mut req);
         let limit = left.cap(self.options.connect_timeout);
         let sent = timeout(limit, sender.sender.send_request(req)).await;
         sender.head_limit.end();
--- a/crates/external/src/http/head_limit.rs
+++ b/crates/external/src/http/head_limit.rs
@@ -10,11 +10,15 @@
     task::{Context, Poll, ready},
 };
 
+use hyper::{Request, ext::on_informational};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// The maximum size of the head of a response with all interim heads before it, in bytes. The first bytes of the body may
 /// arrive with them.
 const MAX_HEAD_BYTES: usize = 256 * 1_024;
+/// The interim heads that may come before the head of a response. Each has to be parsed, which keeps other connections
+/// waiting.
+const MAX_INTERIM_HEADS: usize = 16;
 /// The count of a connection that does not wait for a head.
 const UNLIMITED: usize = usize::MAX;
 
@@ -23,18 +27,34 @@
 #[derive(Clone, Debug)]
 pub struct HeadLimit {
     left: Arc<AtomicUsize>,
+    interim_left: Arc<AtomicUsize>,
 }
 
 impl Default for HeadLimit {
     fn default() -> HeadLimit {
-        HeadLimit { left: Arc::new(AtomicUsize::new(UNLIMITED)) }
+        HeadLimit {
+            left: Arc::new(AtomicUsize::new(UNLIMITED)),
+            interim_left: Arc::new(AtomicUsize::new(MAX_INTERIM_HEADS)),
+        }
     }
 }
 
 impl HeadLimit {
     /// Begins to count: a request is about to be sent.
-    pub fn begin(&self) {
+    pub fn begin<B>(&self, req: &mut Request<B>) {
         self.left.store(MAX_HEAD_BYTES, Ordering::Relaxed);
+        self.interim_left.store(MAX_INTERIM_HEADS, Ordering::Relaxed);
+        let limit = self.clone();
+        on_informational(req, move |_| limit.take_interim());
+    }
+
+    // The next read fails if there are too many.
+    fn take_interim(&self) {
+        let left = self.interim_left.load(Ordering::Relaxed);
+        match left.checked_sub(1) {
+            Some(left) => self.interim_left.store(left, Ordering::Relaxed),
+            None => self.left.store(0, Ordering::Relaxed),
+        }
     }
 
     /// Ends to count: the head of its response has arrived.
--- a/crates/gateway/src/backends/connection.rs
+++ b/crates/gateway/src/backends/connection.rs
@@ -88,9 +88,9 @@
     /// Sends a request and returns the response once its head has arrived.
     pub async fn send(
         &mut self,
-        req: Request<Full<Bytes>>,
+        mut req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
-        self.head_limit.begin();
+        self.head_limit.begin(&mut req);
         let sent = self.sender.try_send_request(req).await;
         self.head_limit.end();
         sent
@@ -166,10 +166,11 @@
     let io = TokioIo::new(head_limit.apply(stream));
     let mut builder = http1::Builder::new();
     let (mut sender, connection) = builder.max_buf_size(MAX_BUFFER).handshake(io).await?;
-    head_limit.begin();
     tokio::spawn(connection);
     let req = Request::options("*").header(HOST, address.to_string());
-    sender.send_request(req.body(Empty::<Bytes>::new())?).await?;
+    let mut req = req.body(Empty::<Bytes>::new())?;
+    head_limit.begin(&mut req);
+    sender.send_request(req).await?;
     Ok(())
 }
 
--- a/crates/gateway/src/cluster/gossip.rs
+++ b/crates/gateway/src/cluster/gossip.rs
@@ -37,7 +37,7 @@
     prefix_homes::exchange_prefixes,
     reachability::probe_lost,
     reported_facts::set_own,
-    retries::member_view,
+    retries::note_members,
     server_speeds::exchange_speeds,
     speed_settings::SpeedSource,
     startup::Stage,
@@ -172,8 +172,7 @@
     state.streams.confirmations.retain(|node| members.is_known(node));
     // An earlier incarnation of a restarted node would count beside the current one.
     state.facts.retain(|peer| members.is_known(peer));
-    let view = member_view(state, now, &gateway.settings.gateway.name);
-    state.retries.note_members(now, view);
+    note_members(gateway, state, now);
     set_own(state, now);
     if state.speed_source == SpeedSource::AllNodes {
         exchange_speeds(state, now);
--- a/crates/gateway/src/pipeline/send/retry_gate.rs
+++ b/crates/gateway/src/pipeline/send/retry_gate.rs
@@ -13,7 +13,7 @@
     pipeline::{
         identify::IdentifiedRequest, placement::Placement, send::NotSent, silence::NoTakeover,
     },
-    retries::RetryCheck,
+    retries::{RetryCheck, note_members},
 };
 
 /// A `RetryContext` is the request that may be sent again.
@@ -77,7 +77,11 @@
         {
             return Err(NotSent::rejected(NoTakeover::Blocked));
         }
-        let checked = cx.gateway.with(|state| state.retries.check(clock::now(), cx.service));
+        let checked = cx.gateway.with(|state| {
+            let now = clock::now();
+            note_members(cx.gateway, state, now);
+            state.retries.check(now, cx.service)
+        });
         if checked.is_allowed { Ok(()) } else { Err(self.refuse(cx, checked)) }
     }
 
@@ -87,7 +91,9 @@
             return Ok(());
         }
         let checked = cx.gateway.with(|state| {
-            let checked = state.retries.pay(clock::now(), cx.service);
+            let now = clock::now();
+            note_members(cx.gateway, state, now);
+            let checked = state.retries.pay(now, cx.service);
             if let (false, Some(backend)) =
                 (checked.is_allowed, state.backends.get_mut(placement.key))
             {
--- a/crates/gateway/src/retries/mod.rs
+++ b/crates/gateway/src/retries/mod.rs
@@ -4,4 +4,4 @@
 mod state;
 
 pub use ended::{ENDED_PATH, EndedRetries, hand_over_retries, receive_ended};
-pub use state::{RetryCheck, RetryState, member_view};
+pub use state::{RetryCheck, RetryState, note_members};
--- a/crates/gateway/src/retries/state.rs
+++ b/crates/gateway/src/retries/state.rs
@@ -12,7 +12,10 @@
     windowed_retry_budget::{RetryAllowance, RetryLimit, WindowedRetryBudget},
 };
 
-use crate::{gateway::State, retries::EndedRetries};
+use crate::{
+    gateway::{Gateway, State},
+    retries::EndedRetries,
+};
 
 /// The age of the records of nodes up to which this node's own record is known to be among them.
 const MAX_RECORDS_AGE: Duration = Duration::from_secs(2);
@@ -146,11 +149,17 @@
     }
 }
 
+/// Notes what a node knows of all nodes for its part of the headroom.
+pub fn note_members(gateway: &Gateway, state: &mut State, now: Stamp) {
+    let view = member_view(state, now, &gateway.settings.gateway.name);
+    state.retries.note_members(now, view);
+}
+
 /// Returns what a node knows of all nodes.
 ///
 /// The nodes that it hears count it. Those that it doesn't hear count it while it is in the key-value service; of two parts that
 /// don't hear each other only the larger one uses its headroom.
-pub fn member_view(state: &State, now: Stamp, own: &NodeName) -> MemberView {
+fn member_view(state: &State, now: Stamp, own: &NodeName) -> MemberView {
     let count = state.members.count();
     let records_age = state.records_age(now);
     let is_listed = records_age.is_some_and(|age| age < MAX_RECORDS_AGE);
