Bound what a node takes of the retries that others report

A message of another node with many services or ages could fill the memory (up to 4 MiB each, kept for 64 nodes and repeated in digests). More than 256 services or ages are not taken and counted as digests_ignored with the reason retries; at most 10,000 retries of a service are inherited.

--- a/crates/gateway/src/retries/ended.rs
+++ b/crates/gateway/src/retries/ended.rs
@@ -12,6 +12,7 @@
     clock,
     cluster::{DIGEST_TIMEOUTS, call},
     gateway::{Gateway, State},
+    meters,
 };
 
 /// The path to which a node that stops sends its retries.
@@ -23,7 +24,9 @@
 /// The unit of the ages of retries.
 const AGE_UNIT: Duration = Duration::from_millis(100);
 /// The most retries of a service that count.
-const MAX_PAID: u32 = 100_000;
+const MAX_PAID: u32 = 10_000;
+/// The most services, and ages of the retries to one, that a node reports.
+const MAX_ENTRIES: usize = 256;
 
 /// `EndedRetries` are the retries of a node that has stopped.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -62,6 +65,12 @@
         }
     }
 
+    /// Returns whether it is small enough to be kept.
+    pub fn is_bounded(&self) -> bool {
+        let has_few = |(_, ages): &(ServiceName, Vec<(u32, u32)>)| ages.len() <= MAX_ENTRIES;
+        self.services.len() <= MAX_ENTRIES && self.services.iter().all(has_few)
+    }
+
     /// Returns when the node has stopped.
     pub fn ended_at(&self, now: Stamp) -> Stamp {
         now - Duration::from_millis(self.age_ms)
@@ -113,7 +122,11 @@
 pub fn receive_ended(gateway: &Gateway, state: &mut State, ended: Vec<EndedRetries>) {
     let now = clock::now();
     let own = &gateway.settings.gateway.name;
-    for ended in ended {
+    for ended in ended.into_iter().take(MAX_ENTRIES) {
+        if !ended.is_bounded() {
+            meters::digest_ignored("retries");
+            continue;
+        }
         if ended.node != *own {
             state.retries.note_ended(now, ended);
             continue;
--- a/crates/gateway/src/retries/state.rs
+++ b/crates/gateway/src/retries/state.rs
@@ -8,7 +8,6 @@
 use bulrushhall_core::{NodeName, ServiceName, Stamp};
 use bulrushhall_policy::{
     headroom_share::{HeadroomShare, MemberView},
-    node_share::NodeShare,
     windowed_retry_budget::{RetryAllowance, RetryLimit, WindowedRetryBudget},
 };
 
@@ -90,11 +89,6 @@
         RetryCheck { is_allowed, allowance, nodes: self.share.nodes() }
     }
 
-    /// Returns the node's part of the headroom; none if it may not use it now.
-    pub fn share(&self, now: Stamp) -> Option<NodeShare> {
-        self.share.get(now)
-    }
-
     /// Notes what is known of the nodes.
     pub fn note_members(&mut self, now: Stamp, view: MemberView) {
         self.share.note(now, view);
