--- a/crates/policy/src/node_share.rs
+++ b/crates/policy/src/node_share.rs
@@ -23,7 +23,7 @@
 
 /// `PeakNodes` is the most nodes that were known at once in the last window.
 ///
-/// Nodes that are no longer known may still send, or have sent in the window.
+/// Nodes that have left the list may still send, or have sent in the window.
 #[derive(Clone, Debug, Default)]
 pub struct PeakNodes {
     /// The counts that no later one has reached, with the last time of each.
