Log why a response can't be used, and count it

Line 221 said foreign for every malformed answer and nothing for those that pass. Line 229 and bulrush_malformed_responses_total give the reason and the server: status, transfer coding, lengths, both, bytes behind the end. Nothing is refused yet.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -57,6 +57,8 @@
     ServerSilent,
     /// A backend server was silent in an answer, which has gone on or ended.
     SilenceEnded,
+    /// A response of a server or of another node can't be used.
+    ResponseMalformed,
     /// A newer configuration is in force on this node.
     ConfigInForce,
     /// A backend server accepts work.
@@ -171,6 +173,7 @@
         Event::RequestStartedLate,
         Event::ServerSilent,
         Event::SilenceEnded,
+        Event::ResponseMalformed,
         Event::ConfigInForce,
         Event::BackendReady,
         Event::BackendLeaving,
@@ -244,6 +247,7 @@
             Event::RequestStartedLate => 226,
             Event::ServerSilent => 227,
             Event::SilenceEnded => 228,
+            Event::ResponseMalformed => 229,
             Event::ConfigInForce => 400,
             Event::BackendReady => 410,
             Event::BackendLeaving => 411,
--- a/crates/external/src/http/endpoint.rs
+++ b/crates/external/src/http/endpoint.rs
@@ -21,8 +21,8 @@
 use crate::{
     errors::{CallError, CallFault},
     http::{
-        AbortiveStream, ConnectOptions, Connection, HeadLimit, SendPermit, Tls, read_limited,
-        send_permit::WriteGate, trace,
+        AbortiveStream, BodyEnd, ConnectOptions, Connection, HeadLimit, SendPermit, Tls,
+        read_limited, send_permit::WriteGate, trace,
     },
 };
 
@@ -228,6 +228,7 @@
             return Err((None, CallError::not_done(CallFault::Timeout)));
         }
         sender.gate.set(permit);
+        let method = req.method().clone();
         sender.head_limit.begin(&mut req);
         let sending = sender.sender.try_send_request(req);
         let mut pending = PendingRequest { sender: Some(sender) };
@@ -247,7 +248,11 @@
             }
             Ok(Ok(response)) => {
                 self.put_idle(sender);
-                Ok(response)
+                let (head, body) = response.into_parts();
+                if let Err(fault) = BodyEnd::of(&head, &method) {
+                    fault.note(self.address);
+                }
+                Ok(Response::from_parts(head, body))
             }
             Ok(Err(mut error)) => {
                 let unsent = error.take_message();
--- a/crates/external/src/http/mod.rs
+++ b/crates/external/src/http/mod.rs
@@ -3,6 +3,7 @@
 mod abortive_stream;
 mod body;
 mod body_budget;
+mod body_end;
 mod body_reading;
 mod body_room;
 mod body_segments;
@@ -17,6 +18,7 @@
 mod listen;
 mod node_memory;
 mod port_share;
+mod response_fault;
 mod send_permit;
 mod served_body;
 mod server;
@@ -30,6 +32,7 @@
     streamed,
 };
 pub use body_budget::BodyBudget;
+pub use body_end::BodyEnd;
 pub use body_reading::BodyLimits;
 pub use body_room::{BodyRoom, NoRoom, SMALL_BYTES};
 pub use close_reason::CloseReason;
@@ -39,6 +42,7 @@
 pub use listen::listen;
 pub use node_memory::NodeMemory;
 pub use port_share::PortShare;
+pub use response_fault::ResponseFault;
 pub use send_permit::SendPermit;
 pub use server::{Handler, ServerOptions, serve};
 pub use tls::{ClientAuth, Connection, TLS_SERVER_NAME, Tls, TlsError, TlsFiles};
--- a/crates/gateway/src/backends/connection.rs
+++ b/crates/gateway/src/backends/connection.rs
@@ -11,7 +11,9 @@
     time::Duration,
 };
 
-use bulrushhall_external::http::{AbortiveStream, BoxError, ConnectOptions, HeadLimit};
+use bulrushhall_external::http::{
+    AbortiveStream, BodyEnd, BoxError, ConnectOptions, HeadLimit, ResponseFault,
+};
 use bytes::Bytes;
 use http_body_util::{Empty, Full};
 use hyper::{
@@ -54,6 +56,7 @@
 pub struct Connection {
     /// The sender of requests.
     pub sender: SendRequest<Full<Bytes>>,
+    address: SocketAddr,
     /// The limit of the bytes that arrive before the head of a response.
     pub head_limit: HeadLimit,
     /// Whether it has carried an earlier request.
@@ -81,8 +84,15 @@
         let handshake = builder.max_buf_size(MAX_BUFFER).handshake(io).await;
         let (sender, connection) = handshake.map_err(|_| OpenError::Unreachable)?;
         // The request on the connection reports its error.
-        let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
-        Ok(Connection { sender, head_limit, reused: false, task, open: counted.keep() })
+        let task = tokio::spawn(async move {
+            let mut connection = connection;
+            let _ = std::future::poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
+            if !connection.into_parts().read_buf.is_empty() {
+                ResponseFault::BytesAfterEnd.note(address);
+            }
+        });
+        let task = task.abort_handle();
+        Ok(Connection { sender, address, head_limit, reused: false, task, open: counted.keep() })
     }
 
     /// Sends a request and returns the response once its head has arrived.
@@ -90,10 +100,15 @@
         &mut self,
         mut req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        let method = req.method().clone();
         self.head_limit.begin(&mut req);
         let sent = self.sender.try_send_request(req).await;
         self.head_limit.end();
-        sent
+        let (head, body) = sent?.into_parts();
+        if let Err(fault) = BodyEnd::of(&head, &method) {
+            fault.note(self.address);
+        }
+        Ok(Response::from_parts(head, body))
     }
 
     /// Returns whether a request can be sent now.
