Check heads and ends of responses in one place

A server in trouble sent a head that was spoilt where it tells the status or the length of the body, and callers got another body as a whole answer: chunk framing after a misspelt or several transfer codings, the first bytes after a length that is too small, a status of 101 or 999. hyper frames a body leniently, and the node judged its end by whether a field was there; nothing looked behind an announced length, and lines of a head could end in LF alone.

It checks the lines, the status and the framing of a head, returns the last bytes of a body only when nothing stands behind them, and refuses framing in a body whose end is not marked. What fails is malformed: another server, or 502; orders are sent once; no prompt is blamed.

--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -9,13 +9,13 @@
 use bulrushhall_core::Ran;
 use bulrushhall_external::{
     CallError,
-    http::{Endpoint, EndpointOptions, read_limited},
+    http::{CheckedBody, Endpoint, EndpointOptions, read_limited},
 };
 use bytes::Bytes;
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
 use http_body_util::{BodyDataStream, Full};
-use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use hyper::{Method, Request, Response, StatusCode};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
@@ -151,7 +151,7 @@
         path: &str,
         headers: &[(&str, &str)],
         body: &Value,
-    ) -> Result<Response<Incoming>, CallerError> {
+    ) -> Result<Response<CheckedBody>, CallerError> {
         let bytes = if body.is_null() { Vec::new() } else { body.to_string().into_bytes() };
         let mut builder = Request::builder().method(method).uri(path).header("x-team", &self.team);
         for (name, value) in headers {
@@ -167,7 +167,7 @@
     }
 }
 
-async fn refused(answer: Response<Incoming>) -> CallerError {
+async fn refused(answer: Response<CheckedBody>) -> CallerError {
     let status = answer.status();
     let retry_after = answer.headers().get("retry-after").and_then(|after| after.to_str().ok());
     let retry_after = retry_after.and_then(|after| after.parse().ok());
@@ -181,7 +181,11 @@
     }
 }
 
-async fn read_stream(answer: Response<Incoming>, started: Instant, answered: &mut StreamedAnswer) {
+async fn read_stream(
+    answer: Response<CheckedBody>,
+    started: Instant,
+    answered: &mut StreamedAnswer,
+) {
     let mut events = BodyDataStream::new(answer.into_body()).eventsource();
     let mut last = started;
     while let Some(Ok(event)) = events.next().await {
--- a/crates/bench/src/load/simulated_caller.rs
+++ b/crates/bench/src/load/simulated_caller.rs
@@ -7,7 +7,8 @@
 };
 
 use bulrushhall_core::Ran;
-use hyper::{Method, Response, body::Incoming};
+use bulrushhall_external::http::CheckedBody;
+use hyper::{Method, Response};
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
@@ -113,7 +114,7 @@
         &self,
         caller: &crate::Caller,
         record: &mut Record,
-    ) -> Result<Response<Incoming>, CallerError> {
+    ) -> Result<Response<CheckedBody>, CallerError> {
         let stream = record.kind == Kind::Chat;
         let path = if stream { "/v1/chat/completions" } else { "/v1/requests" };
         let body = json!({
@@ -130,7 +131,7 @@
         &self,
         record: &mut Record,
         reader: &mut StreamReader,
-        answer: Response<Incoming>,
+        answer: Response<CheckedBody>,
     ) -> Step {
         let is_new = record.request.is_none();
         let id = answer.headers().get(REQUEST_HEADER).and_then(|id| id.to_str().ok());
--- a/crates/bench/src/load/stream_reader.rs
+++ b/crates/bench/src/load/stream_reader.rs
@@ -6,10 +6,11 @@
 };
 
 use bulrushhall_core::{Ran, ids::StreamPosition};
+use bulrushhall_external::http::CheckedBody;
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
 use http_body_util::BodyDataStream;
-use hyper::{Response, body::Incoming};
+use hyper::Response;
 use serde::Deserialize;
 use serde_json::Value;
 use tokio::time::timeout;
@@ -71,7 +72,11 @@
 
 impl StreamReader {
     /// Reads the events of one connection until it ends.
-    pub async fn read(&mut self, answer: Response<Incoming>, idle_timeout: Duration) -> StreamEnd {
+    pub async fn read(
+        &mut self,
+        answer: Response<CheckedBody>,
+        idle_timeout: Duration,
+    ) -> StreamEnd {
         let mut events = BodyDataStream::new(answer.into_body()).eventsource();
         // A connection may stay silent forever without being closed. A caller that waited on it
         // would never receive the rest of its answer, so it abandons the connection after a
--- a/crates/bench/src/probe.rs
+++ b/crates/bench/src/probe.rs
@@ -5,11 +5,11 @@
 use bulrushhall_core::Ran;
 use bulrushhall_external::{
     CallError,
-    http::{Endpoint, EndpointOptions, read_limited},
+    http::{CheckedBody, Endpoint, EndpointOptions, read_limited},
 };
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, body::Incoming};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use serde_json::Value;
 
 /// The maximum size of an answer, in bytes.
@@ -65,7 +65,7 @@
         method: Method,
         path: &str,
         body: impl Into<Bytes>,
-    ) -> Result<Response<Incoming>, CallError> {
+    ) -> Result<Response<CheckedBody>, CallError> {
         let mut builder = Request::builder().method(method).uri(path);
         for (name, value) in &self.headers {
             builder = builder.header(name, value);
--- a/crates/daemon/src/callers/error.rs
+++ b/crates/daemon/src/callers/error.rs
@@ -177,7 +177,9 @@
     fn from(error: BodyError) -> ApiError {
         let code = match error {
             BodyError::TooLarge => ApiCode::BodyTooLarge,
-            BodyError::Timeout | BodyError::Closed => ApiCode::BodyIncomplete,
+            BodyError::Timeout | BodyError::Closed | BodyError::Malformed => {
+                ApiCode::BodyIncomplete
+            }
             BodyError::NoRoom => return ApiError::no_memory(),
         };
         ApiError::not_run(code, error.to_string())
--- a/crates/external/src/clients/engine.rs
+++ b/crates/external/src/clients/engine.rs
@@ -14,7 +14,7 @@
 use eventsource_stream::Eventsource;
 use futures_util::{StreamExt, stream};
 use http_body_util::{BodyDataStream, Full};
-use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use hyper::{Method, Request, Response, StatusCode};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::time::timeout;
 
@@ -22,7 +22,7 @@
     Call,
     engine::{CacheEvent, Engine, EngineLoad, EngineOrder, Frame, Frames, Generate},
     errors::{CallError, CallFault},
-    http::{Endpoint, read_limited},
+    http::{CheckedBody, Endpoint, read_limited},
 };
 
 /// The maximum size of a response that is not streamed, in bytes.
@@ -51,7 +51,7 @@
         &self,
         path: &str,
         body: impl Into<Bytes>,
-    ) -> Result<Response<Incoming>, CallError> {
+    ) -> Result<Response<CheckedBody>, CallError> {
         let req = Request::builder().method(Method::POST).uri(path).body(Full::new(body.into()));
         let req = req.map_err(|_| CallError::not_done(CallFault::Malformed))?;
         let response = self.endpoint.send(req).await?;
@@ -62,7 +62,7 @@
         Err(CallError::not_done(CallFault::Refused { status: response.status().as_u16() }))
     }
 
-    async fn read(response: Response<Incoming>, limit: usize) -> Result<Bytes, CallError> {
+    async fn read(response: Response<CheckedBody>, limit: usize) -> Result<Bytes, CallError> {
         let body = read_limited(response.into_body(), limit, BODY_TIMEOUT).await;
         body.map_err(|_| CallError::unknown(CallFault::Closed))
     }
@@ -115,7 +115,7 @@
 // A connection can become silent without being closed. If no frame arrives within the timeout, the
 // stream ends with an error, so that the request continues elsewhere. So does one whose frame does not end, or that has more
 // tokens than were asked for.
-fn frames(response: Response<Incoming>, frame_timeout: Duration, max_tokens: u32) -> Frames {
+fn frames(response: Response<CheckedBody>, frame_timeout: Duration, max_tokens: u32) -> Frames {
     let unread = Arc::new(AtomicUsize::new(0));
     let counted = Arc::clone(&unread);
     let body = BodyDataStream::new(response.into_body()).map(move |chunk| {
--- a/crates/external/src/clients/kv.rs
+++ b/crates/external/src/clients/kv.rs
@@ -4,13 +4,13 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Method, Request, Response, StatusCode, body::Incoming, http::request};
+use hyper::{Method, Request, Response, StatusCode, http::request};
 use serde::de::DeserializeOwned;
 
 use crate::{
     Call,
     errors::{CallError, CallFault},
-    http::{BodyTimeouts, Endpoint, read_with_timeouts},
+    http::{BodyTimeouts, CheckedBody, Endpoint, read_with_timeouts},
     kv::{CasOutcome, Changes, KeyValue, LeaseId, MAX_VALUE_BYTES, Version, Versioned},
 };
 
@@ -41,7 +41,7 @@
         &self,
         builder: request::Builder,
         body: Bytes,
-    ) -> Result<Response<Incoming>, CallError> {
+    ) -> Result<Response<CheckedBody>, CallError> {
         let req = builder.body(Full::new(body));
         let req = req.map_err(|_| CallError::not_done(CallFault::Malformed))?;
         let response = self.endpoint.send(req).await?;
@@ -139,7 +139,7 @@
     format!("/kv/{key}")
 }
 
-async fn read_versioned(response: Response<Incoming>) -> Result<Versioned, CallError> {
+async fn read_versioned(response: Response<CheckedBody>) -> Result<Versioned, CallError> {
     let malformed = || CallError::unknown(CallFault::Malformed);
     let header = response.headers().get(VERSION_HEADER).ok_or_else(malformed)?;
     let version = header.to_str().map_err(|_| malformed())?.parse().map_err(|_| malformed())?;
@@ -148,7 +148,7 @@
     Ok(Versioned { version: Version(version), value })
 }
 
-async fn read_json<T: DeserializeOwned>(response: Response<Incoming>) -> Result<T, CallError> {
+async fn read_json<T: DeserializeOwned>(response: Response<CheckedBody>) -> Result<T, CallError> {
     let body = read_with_timeouts(response.into_body(), MAX_RESPONSE_BYTES, BODY_TIMEOUTS).await;
     let body = body.map_err(|error| CallError::unknown(error.into()))?;
     serde_json::from_slice(&body).map_err(|_| CallError::unknown(CallFault::Malformed))
--- a/crates/external/src/clients/service.rs
+++ b/crates/external/src/clients/service.rs
@@ -8,7 +8,7 @@
 use crate::{
     Call,
     errors::{CallError, CallFault},
-    http::{Endpoint, read_limited},
+    http::{BodyError, Endpoint, read_limited},
     service::{PlainService, ServiceCall, ServiceResponse},
 };
 
@@ -52,8 +52,13 @@
             let (parts, body) = response.into_parts();
             let left = limit.saturating_sub(began.elapsed()).min(self.timeout);
             let body = read_limited(body, MAX_RESPONSE_BYTES, left).await;
-            let body = body.map_err(|_| CallError::unknown(CallFault::Closed))?;
+            let body = body.map_err(|error| CallError::unknown(body_fault(error)))?;
             Ok(ServiceResponse { status: parts.status, headers: parts.headers, body })
         })
     }
 }
+
+// A server that sends what is no answer has not crashed.
+fn body_fault(error: BodyError) -> CallFault {
+    if error == BodyError::Malformed { CallFault::Malformed } else { CallFault::Closed }
+}
--- a/crates/external/src/errors.rs
+++ b/crates/external/src/errors.rs
@@ -58,6 +58,7 @@
         match error {
             BodyError::TooLarge => CallFault::TooLarge,
             BodyError::Timeout => CallFault::Timeout,
+            BodyError::Malformed => CallFault::Malformed,
             BodyError::Closed | BodyError::NoRoom => CallFault::Closed,
         }
     }
--- a/crates/external/src/http/body.rs
+++ b/crates/external/src/http/body.rs
@@ -7,6 +7,8 @@
 use http_body_util::{BodyExt, Empty, Full, LengthLimitError, Limited, StreamBody, combinators};
 use hyper::body::Frame;
 
+use crate::http::ResponseError;
+
 /// The body of a response.
 pub type Body = combinators::UnsyncBoxBody<Bytes, BoxError>;
 
@@ -22,6 +24,8 @@
     Timeout,
     /// The connection was closed within the body.
     Closed,
+    /// The body is not what its head announced.
+    Malformed,
     /// There was no memory for the body, or it arrived too slowly while others waited for memory.
     NoRoom,
 }
@@ -41,6 +45,7 @@
             BodyError::TooLarge => "the body is too large",
             BodyError::Timeout => "the body did not arrive in time",
             BodyError::Closed => "the connection ended within the body",
+            BodyError::Malformed => "the body is not what its head announced",
             BodyError::NoRoom => "there is no memory for the body",
         })
     }
@@ -73,7 +78,11 @@
 }
 
 fn to_body_error(error: &BoxError) -> BodyError {
-    if error.is::<LengthLimitError>() { BodyError::TooLarge } else { BodyError::Closed }
+    if error.is::<LengthLimitError>() {
+        return BodyError::TooLarge;
+    }
+    let is_fault = error.downcast_ref().is_some_and(ResponseError::is_fault);
+    if is_fault { BodyError::Malformed } else { BodyError::Closed }
 }
 
 /// Returns all bytes of a body of at most `limit` bytes that arrives without long interruptions.
--- a/crates/external/src/http/endpoint.rs
+++ b/crates/external/src/http/endpoint.rs
@@ -6,23 +6,19 @@
     time::{Duration, Instant},
 };
 
-use bulrushhall_core::{Ran, VmName};
+use bulrushhall_core::VmName;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{
-    Request, Response, StatusCode, body::Incoming, client::conn::http1, header::HOST,
-    http::HeaderValue,
-};
-use hyper_util::rt::TokioIo;
+use hyper::{Request, Response, StatusCode, header::HOST, http::HeaderValue};
 use serde::{Deserialize, Serialize};
-use tokio::{task::JoinHandle, time::timeout};
+use tokio::time::timeout;
 use tracing::Instrument;
 
 use crate::{
     errors::{CallError, CallFault},
     http::{
-        AbortiveStream, BodyEnd, ConnectOptions, Connection, HeadLimit, SendPermit, Tls,
-        read_limited, send_permit::WriteGate, trace,
+        AbortiveStream, CheckedBody, ClientConnection, ConnectOptions, Connection, SendFailure,
+        SendPermit, Tls, read_limited, send_permit::WriteGate, trace,
     },
 };
 
@@ -37,8 +33,6 @@
 /// The lower limit of the kernel's retransmission timeout beyond the round-trip time (`TCP_RTO_MIN` of
 /// Linux).
 const MIN_RETRANSMISSION_TIMEOUT: Duration = Duration::from_millis(200);
-/// The size of the read buffer of a connection, which the head of a response has to fit in, in bytes.
-const MAX_BUFFER: usize = 64 * 1_024;
 
 /// An `Identity` states which VM a backend server runs on, and the version of its software.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -131,20 +125,8 @@
 
 #[derive(Debug)]
 struct Sender {
-    sender: http1::SendRequest<Full<Bytes>>,
-    head_limit: HeadLimit,
+    connection: ClientConnection,
     gate: WriteGate,
-    /// The task that owns the connection.
-    task: JoinHandle<()>,
-}
-
-impl Sender {
-    /// Resets the connection and waits until that is done.
-    async fn reset(mut self) {
-        self.task.abort();
-        // The error states that the task was aborted.
-        let _ = (&mut self.task).await;
-    }
 }
 
 /// A `PendingRequest` resets its connection when it is dropped before the response has arrived.
@@ -155,7 +137,7 @@
 impl Drop for PendingRequest {
     fn drop(&mut self) {
         if let Some(sender) = &self.sender {
-            sender.task.abort();
+            sender.connection.abort();
         }
     }
 }
@@ -177,7 +159,10 @@
     ///
     /// The error states whether the request may have reached the server: a request that hyper
     /// returns was never written.
-    pub async fn send(&self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallError> {
+    pub async fn send(
+        &self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<CheckedBody>, CallError> {
         self.send_within(req, Duration::MAX).await
     }
 
@@ -188,7 +173,7 @@
         &self,
         req: Request<Full<Bytes>>,
         limit: Duration,
-    ) -> Result<Response<Incoming>, CallError> {
+    ) -> Result<Response<CheckedBody>, CallError> {
         let span = trace::call_span(self.address, req.uri().path());
         self.send_traced(req, TimeLeft::new(limit)).instrument(span).await
     }
@@ -197,7 +182,7 @@
         &self,
         mut req: Request<Full<Bytes>>,
         left: TimeLeft,
-    ) -> Result<Response<Incoming>, CallError> {
+    ) -> Result<Response<CheckedBody>, CallError> {
         req.headers_mut().insert(HOST, self.host.clone());
         trace::inject(req.headers_mut());
 
@@ -217,10 +202,10 @@
 
     async fn send_on(
         &self,
-        mut sender: Sender,
-        mut req: Request<Full<Bytes>>,
+        sender: Sender,
+        req: Request<Full<Bytes>>,
         left: TimeLeft,
-    ) -> Result<Response<Incoming>, (Option<Request<Full<Bytes>>>, CallError)> {
+    ) -> Result<Response<CheckedBody>, (Option<Request<Full<Bytes>>>, CallError)> {
         let permit = req.extensions().get::<SendPermit>().cloned();
         let limit = left.cap(self.options.response_timeout);
         if limit.is_zero() || permit.as_ref().is_some_and(|permit| !permit.is_valid()) {
@@ -228,37 +213,34 @@
             return Err((None, CallError::not_done(CallFault::Timeout)));
         }
         sender.gate.set(permit);
-        let method = req.method().clone();
-        sender.head_limit.begin(&mut req);
-        let sending = sender.sender.try_send_request(req);
         let mut pending = PendingRequest { sender: Some(sender) };
-        let sent = timeout(limit, sending).await;
-        let Some(sender) = pending.sender.take() else {
-            return Err((None, CallError::unknown(CallFault::Closed)));
+        let sent = match &mut pending.sender {
+            Some(sender) => timeout(limit, sender.connection.send(req)).await,
+            None => unreachable!("it was set"),
         };
-        sender.head_limit.end();
+        let Some(sender) = pending.sender.take() else { unreachable!("it was set") };
         match sent {
             Err(_) => {
                 // The cause usually affects the other idle connections too, and each of them would
                 // cost another full timeout.
                 self.idle.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).clear();
                 // A later request must not overtake this one.
-                sender.reset().await;
+                sender.connection.reset().await;
                 Err((None, CallError::unknown(CallFault::Timeout)))
             }
             Ok(Ok(response)) => {
                 self.put_idle(sender);
-                let (head, body) = response.into_parts();
-                if let Err(fault) = BodyEnd::of(&head, &method) {
-                    fault.note(self.address);
-                }
-                Ok(Response::from_parts(head, body))
+                Ok(response)
             }
-            Ok(Err(mut error)) => {
-                let unsent = error.take_message();
-                let ran = if unsent.is_some() { Ran::No } else { Ran::Unknown };
-                sender.reset().await;
-                Err((unsent, CallError { fault: CallFault::Closed, ran }))
+            Ok(Err(failure)) => {
+                sender.connection.reset().await;
+                Err(match failure {
+                    SendFailure::Unsent(unsent) => {
+                        (Some(*unsent), CallError::not_done(CallFault::Closed))
+                    }
+                    SendFailure::Malformed(_) => (None, CallError::unknown(CallFault::Malformed)),
+                    SendFailure::Closed => (None, CallError::unknown(CallFault::Closed)),
+                })
             }
         }
     }
@@ -270,14 +252,10 @@
         let opened = AbortiveStream::connect(self.address, options).await;
         let stream = opened.map_err(|_| failed())?;
         let gate = stream.gate();
-        let head_limit = HeadLimit::default();
-        let io = TokioIo::new(head_limit.apply(self.start_tls(stream, left).await?));
-        let mut builder = http1::Builder::new();
-        let handshake = builder.max_buf_size(MAX_BUFFER).handshake(io).await;
-        let (sender, connection) = handshake.map_err(|_| failed())?;
-        // The request on the connection reports its error.
-        let task = tokio::spawn(async move { drop(connection.await) });
-        self.check_identity(Sender { sender, head_limit, gate, task }, left).await
+        let stream = self.start_tls(stream, left).await?;
+        let connection = ClientConnection::begin(stream, self.address).await;
+        let connection = connection.map_err(|_| failed())?;
+        self.check_identity(Sender { connection, gate }, left).await
     }
 
     async fn start_tls(
@@ -300,15 +278,13 @@
     ) -> Result<Sender, CallError> {
         let Some(vm) = &self.options.vm else { return Ok(sender) };
         let mismatch = || CallError::not_done(CallFault::Identity);
-        let mut req = Request::get(IDENTITY_PATH)
+        let req = Request::get(IDENTITY_PATH)
             .header(HOST, self.host.clone())
             .body(Full::default())
             .map_err(|_| mismatch())?;
 
-        sender.head_limit.begin(&mut req);
         let limit = left.cap(self.options.connect_timeout);
-        let sent = timeout(limit, sender.sender.send_request(req)).await;
-        sender.head_limit.end();
+        let sent = timeout(limit, sender.connection.send(req)).await;
         let response = sent.map_err(|_| CallError::not_done(CallFault::Timeout))?;
         let response = response.map_err(|_| CallError::not_done(CallFault::Closed))?;
         if response.status() != StatusCode::OK {
@@ -323,14 +299,14 @@
         if identity.vm != *vm || is_other_version {
             return Err(mismatch());
         }
-        sender.sender.ready().await.map_err(|_| CallError::not_done(CallFault::Closed))?;
+        sender.connection.ready().await.map_err(|_| CallError::not_done(CallFault::Closed))?;
         Ok(sender)
     }
 
     fn take_idle(&self) -> Option<Sender> {
         let mut idle = self.idle.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-        idle.retain(|idle| !idle.sender.is_closed());
-        let index = idle.iter().position(|idle| idle.sender.is_ready())?;
+        idle.retain(|idle| !idle.connection.is_closed());
+        let index = idle.iter().position(|idle| idle.connection.is_ready())?;
         Some(idle.swap_remove(index))
     }
 
--- a/crates/external/src/http/head_limit.rs
+++ b/crates/external/src/http/head_limit.rs
@@ -2,16 +2,15 @@
 
 use std::{
     io,
-    pin::Pin,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
     },
-    task::{Context, Poll, ready},
 };
 
 use hyper::{Request, ext::on_informational};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+use crate::http::head_lines::HeadLines;
 
 /// The maximum size of the head of a response with all interim heads before it, in bytes. The first bytes of the body may
 /// arrive with them.
@@ -22,12 +21,13 @@
 /// The count of a connection that does not wait for a head.
 const UNLIMITED: usize = usize::MAX;
 
-/// A `HeadLimit` bounds the bytes that arrive on a connection while a response is awaited: interim heads may follow each
-/// other without end.
+/// A `HeadLimit` bounds the bytes that arrive on a connection while a response is awaited, and checks their lines: interim
+/// heads may follow each other without end.
 #[derive(Clone, Debug)]
 pub struct HeadLimit {
     left: Arc<AtomicUsize>,
     interim_left: Arc<AtomicUsize>,
+    lines: Arc<Mutex<HeadLines>>,
 }
 
 impl Default for HeadLimit {
@@ -35,6 +35,7 @@
         HeadLimit {
             left: Arc::new(AtomicUsize::new(UNLIMITED)),
             interim_left: Arc::new(AtomicUsize::new(MAX_INTERIM_HEADS)),
+            lines: Arc::default(),
         }
     }
 }
@@ -44,6 +45,7 @@
     pub fn begin<B>(&self, req: &mut Request<B>) {
         self.left.store(MAX_HEAD_BYTES, Ordering::Relaxed);
         self.interim_left.store(MAX_INTERIM_HEADS, Ordering::Relaxed);
+        *self.lines.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) = HeadLines::default();
         let limit = self.clone();
         on_informational(req, move |_| limit.take_interim());
     }
@@ -62,72 +64,19 @@
         self.left.store(UNLIMITED, Ordering::Relaxed);
     }
 
-    /// Returns a stream that fails when the limit is exceeded.
-    pub fn apply<S>(&self, stream: S) -> HeadLimited<S> {
-        HeadLimited { stream, limit: self.clone() }
-    }
-
-    fn take(&self, count: usize) -> io::Result<()> {
+    /// Notes that bytes have arrived; returns an error if they are too many, or in lines that no head has.
+    pub(super) fn take(&self, bytes: &[u8]) -> io::Result<()> {
         let left = self.left.load(Ordering::Relaxed);
         if left == UNLIMITED {
             return Ok(());
         }
-        let Some(left) = left.checked_sub(count) else {
+        let Some(left) = left.checked_sub(bytes.len()) else {
             return Err(io::Error::new(
                 io::ErrorKind::InvalidData,
                 "the response head is too large",
             ));
         };
         self.left.store(left, Ordering::Relaxed);
-        Ok(())
-    }
-}
-
-/// A `HeadLimited` is a stream with a [`HeadLimit`].
-#[derive(Debug)]
-pub struct HeadLimited<S> {
-    stream: S,
-    limit: HeadLimit,
-}
-
-impl<S: AsyncRead + Unpin> AsyncRead for HeadLimited<S> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        Poll::Ready(self.limit.take(buf.filled().len() - before))
-    }
-}
-
-impl<S: AsyncWrite + Unpin> AsyncWrite for HeadLimited<S> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.lines.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).push(bytes)
     }
 }
--- a/crates/external/src/http/response_fault.rs
+++ b/crates/external/src/http/response_fault.rs
@@ -5,8 +5,10 @@
 use bulrushhall_core::Event;
 use metrics::counter;
 
+use crate::http::framing::FramingFault;
+
 /// Responses that can't be used, by their fault.
-const MALFORMED_RESPONSES: &str = "bulrush_malformed_responses_total";
+pub const MALFORMED_RESPONSES: &str = "bulrush_route_malformed_responses_total";
 
 /// A `ResponseFault` states why a response can't be used, although its connection has not failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,13 +44,23 @@
     }
 
     /// Counts and logs a response of a server that has this fault.
-    pub fn note(self, server: SocketAddr) {
+    pub(super) fn note(self, server: SocketAddr) {
         let reason = self.as_str();
         counter!(MALFORMED_RESPONSES, "reason" => reason).increment(1);
         tracing::info!(event = Event::ResponseMalformed.number(), %server, reason);
     }
 }
 
+impl From<FramingFault> for ResponseFault {
+    fn from(fault: FramingFault) -> ResponseFault {
+        match fault {
+            FramingFault::TransferCoding => ResponseFault::TransferCoding,
+            FramingFault::Length => ResponseFault::Length,
+            FramingFault::Both => ResponseFault::TwoFramings,
+        }
+    }
+}
+
 impl fmt::Display for ResponseFault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
--- a/crates/gateway/src/backends/connection.rs
+++ b/crates/gateway/src/backends/connection.rs
@@ -1,7 +1,6 @@
 //! One connection to a backend server.
 
 use std::{
-    error::Error as _,
     io,
     net::SocketAddr,
     sync::{
@@ -12,21 +11,12 @@
 };
 
 use bulrushhall_external::http::{
-    AbortiveStream, BodyEnd, BoxError, ConnectOptions, HeadLimit, ResponseFault,
+    AbortiveStream, BoxError, CheckedBody, ClientConnection, ConnectOptions, SendFailure,
 };
 use bytes::Bytes;
-use http_body_util::{Empty, Full};
-use hyper::{
-    Request, Response,
-    body::Incoming,
-    client::conn::{
-        TrySendError,
-        http1::{self, SendRequest},
-    },
-    header::HOST,
-};
-use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+use http_body_util::Full;
+use hyper::{Request, Response, header::HOST};
+use tokio::{net::TcpStream, time::timeout};
 
 /// The timeout for opening a connection: a hundred times the latency between two zones. TCP retransmits
 /// a lost SYN only after a second; by then another backend server would have responded.
@@ -34,9 +24,6 @@
 /// The timeout for a response to a request that a server does not run.
 const PING_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The size of the read buffer of a connection, which the head of a response has to fit in, in bytes.
-const MAX_BUFFER: usize = 64 * 1_024;
-
 /// An `OpenError` is the reason why no connection could be opened; nothing was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OpenError {
@@ -54,14 +41,9 @@
 /// closes it at once.
 #[derive(Debug)]
 pub struct Connection {
-    /// The sender of requests.
-    pub sender: SendRequest<Full<Bytes>>,
-    address: SocketAddr,
-    /// The limit of the bytes that arrive before the head of a response.
-    pub head_limit: HeadLimit,
+    connection: ClientConnection,
     /// Whether it has carried an earlier request.
     pub reused: bool,
-    task: AbortHandle,
     open: Arc<AtomicU32>,
 }
 
@@ -78,48 +60,33 @@
         let counted = OpeningCount::begin(open);
         let opened = AbortiveStream::connect(address, connect_options()).await;
         let stream = opened.map_err(|_| OpenError::Unreachable)?;
-        let head_limit = HeadLimit::default();
-        let mut builder = http1::Builder::new();
-        let io = TokioIo::new(head_limit.apply(stream));
-        let handshake = builder.max_buf_size(MAX_BUFFER).handshake(io).await;
-        let (sender, connection) = handshake.map_err(|_| OpenError::Unreachable)?;
-        // The request on the connection reports its error.
-        let task = tokio::spawn(async move {
-            let mut connection = connection;
-            let _ = std::future::poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
-            if !connection.into_parts().read_buf.is_empty() {
-                ResponseFault::BytesAfterEnd.note(address);
-            }
-        });
-        let task = task.abort_handle();
-        Ok(Connection { sender, address, head_limit, reused: false, task, open: counted.keep() })
+        let connection = ClientConnection::begin(stream, address).await;
+        let connection = connection.map_err(|_| OpenError::Unreachable)?;
+        Ok(Connection { connection, reused: false, open: counted.keep() })
     }
 
     /// Sends a request and returns the response once its head has arrived.
     pub async fn send(
         &mut self,
-        mut req: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
-        let method = req.method().clone();
-        self.head_limit.begin(&mut req);
-        let sent = self.sender.try_send_request(req).await;
-        self.head_limit.end();
-        let (head, body) = sent?.into_parts();
-        if let Err(fault) = BodyEnd::of(&head, &method) {
-            fault.note(self.address);
-        }
-        Ok(Response::from_parts(head, body))
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<CheckedBody>, SendFailure> {
+        self.connection.send(req).await
     }
 
     /// Returns whether a request can be sent now.
     pub fn is_ready(&self) -> bool {
-        self.sender.is_ready() && !self.sender.is_closed()
+        self.connection.is_ready()
+    }
+
+    /// Returns whether it has ended.
+    pub fn is_closed(&self) -> bool {
+        self.connection.is_closed()
     }
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.task.abort();
+        self.connection.abort();
         self.open.fetch_sub(1, Ordering::Relaxed);
     }
 }
@@ -148,13 +115,6 @@
     }
 }
 
-/// Returns whether the bytes that arrived are no response, or too long a head of one.
-pub fn is_malformed(error: &hyper::Error) -> bool {
-    let source = error.source().and_then(|source| source.downcast_ref::<io::Error>());
-    let is_too_long = source.is_some_and(|source| source.kind() == io::ErrorKind::InvalidData);
-    error.is_parse() || error.is_parse_too_large() || is_too_long
-}
-
 /// A `ListenerState` is whether anything accepts connections at an address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListenerState {
@@ -176,17 +136,12 @@
 }
 
 async fn ping(address: SocketAddr) -> Result<(), BoxError> {
-    let head_limit = HeadLimit::default();
     let stream = AbortiveStream::connect(address, connect_options()).await?;
-    let io = TokioIo::new(head_limit.apply(stream));
-    let mut builder = http1::Builder::new();
-    let (mut sender, connection) = builder.max_buf_size(MAX_BUFFER).handshake(io).await?;
-    tokio::spawn(connection);
+    let mut connection = ClientConnection::begin(stream, address).await?;
     let req = Request::options("*").header(HOST, address.to_string());
-    let mut req = req.body(Empty::<Bytes>::new())?;
-    head_limit.begin(&mut req);
-    sender.send_request(req).await?;
-    Ok(())
+    let sent = connection.send(req.body(Full::default())?).await;
+    connection.abort();
+    sent.map(drop).map_err(|_| io::Error::from(io::ErrorKind::InvalidData).into())
 }
 
 /// Opens a connection to an address and closes it again.
--- a/crates/gateway/src/backends/mod.rs
+++ b/crates/gateway/src/backends/mod.rs
@@ -12,9 +12,7 @@
 
 pub use announced::{Announced, LimitNote, LimitReport};
 pub use backend::Backend;
-pub use connection::{
-    Connection, ListenerState, OpenError, is_malformed, listener_state, responds,
-};
+pub use connection::{Connection, ListenerState, OpenError, listener_state, responds};
 pub use directory::Backends;
 pub use load::{Load, RANKS};
 pub use pool::Pool;
--- a/crates/gateway/src/backends/pool.rs
+++ b/crates/gateway/src/backends/pool.rs
@@ -74,7 +74,7 @@
         self.lock(|idle_connections| {
             // The most recently used one is taken, so that the others reach their idle timeout and few are
             // kept open.
-            idle_connections.retain(|idle| now < idle.until && !idle.connection.sender.is_closed());
+            idle_connections.retain(|idle| now < idle.until && !idle.connection.is_closed());
             let at = idle_connections.iter().rposition(|idle| idle.connection.is_ready())?;
             Some(idle_connections.remove(at).connection)
         })
--- a/crates/gateway/src/cluster/carry.rs
+++ b/crates/gateway/src/cluster/carry.rs
@@ -3,22 +3,18 @@
 use std::{io, sync::Arc, time::Duration};
 
 use bulrushhall_core::{Ran, ServiceName, Stamp};
-use bulrushhall_external::http::{Body, BoxError, full};
+use bulrushhall_external::http::{Body, BoxError, CheckedBody, SendFailure, full};
 use bulrushhall_policy::placement::WorkerKey;
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::{
-    Request, Response, StatusCode,
-    body::{Frame, Incoming},
-    header::HeaderValue,
-};
+use hyper::{Request, Response, StatusCode, body::Frame, header::HeaderValue};
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
     adapter::{Call, ResponseHead},
     announcements::note_response,
-    backends::{Connection, OpenError, Pool, is_malformed},
+    backends::{Connection, OpenError, Pool},
     brittle, clock,
     cluster::{CARRIED_HEADER, CARRIED_UNDELIMITED, CarriedRequest, CarryFailure},
     crashes::{
@@ -27,7 +23,7 @@
     },
     gateway::{Gateway, Phase, State},
     meters,
-    pipeline::{Work, connection_share, ends_in_time, is_delimited},
+    pipeline::{Work, connection_share, ends_in_time},
     reachability::{note_opened, note_unreachable},
 };
 
@@ -100,7 +96,7 @@
 
 /// A response of a backend server whose head has arrived.
 struct CarriedResponse {
-    response: Response<Incoming>,
+    response: Response<CheckedBody>,
     head: ResponseHead,
     connection: Connection,
     pool: Arc<Pool>,
@@ -192,21 +188,21 @@
                 let head = note_head(gateway, carried, (key, sent_at), &response);
                 return Ok(CarriedResponse { response, head, connection, pool, in_flight, sent });
             }
-            Err(mut error) => match error.take_message() {
-                Some(unsent) if connection.reused => req = unsent,
-                Some(_) => {
-                    settle(&mut sent);
-                    return Err(NOT_RUN);
-                }
-                None => {
-                    match &mut sent {
-                        Some(sent) if is_malformed(error.error()) => sent.settle(),
-                        Some(sent) => sent.note_broken(),
-                        None => {}
-                    }
-                    return Err(LOST);
+            Err(SendFailure::Unsent(unsent)) if connection.reused => req = *unsent,
+            Err(SendFailure::Unsent(_)) => {
+                settle(&mut sent);
+                return Err(NOT_RUN);
+            }
+            Err(SendFailure::Malformed(_)) => {
+                settle(&mut sent);
+                return Err(LOST);
+            }
+            Err(SendFailure::Closed) => {
+                if let Some(sent) = &mut sent {
+                    sent.note_broken();
                 }
-            },
+                return Err(LOST);
+            }
         }
     }
 }
@@ -222,7 +218,7 @@
     gateway: &Gateway,
     carried: &CarriedRequest,
     (key, sent_at): (WorkerKey, Stamp),
-    response: &Response<Incoming>,
+    response: &Response<CheckedBody>,
 ) -> ResponseHead {
     let mut parts = Response::new(()).into_parts().0;
     parts.status = response.status();
@@ -241,7 +237,7 @@
     fn forward(self, gateway: &Gateway, deadline: Instant) -> Response<Body> {
         let (parts, body) = self.response.into_parts();
         let mut headers = gateway.platform.wire.response_headers(&parts.headers);
-        let is_delimited = is_delimited(&parts.headers);
+        let is_delimited = body.end().is_marked();
         let mark = if is_delimited { "1" } else { CARRIED_UNDELIMITED };
         headers.insert(CARRIED_HEADER, HeaderValue::from_static(mark));
         let kept = Kept {
@@ -311,7 +307,7 @@
     }
 }
 
-type Open = Option<(Incoming, Kept)>;
+type Open = Option<(CheckedBody, Kept)>;
 type Forwarded = Result<Frame<Bytes>, BoxError>;
 
 async fn next_frame(open: Open, deadline: Instant) -> Option<(Forwarded, Open)> {
@@ -334,7 +330,11 @@
             Some((Ok(frame), Some((body, kept))))
         }
         Some(Err(error)) => {
-            kept.note_broken();
+            if error.is_fault() {
+                settle(&mut kept.sent);
+            } else {
+                kept.note_broken();
+            }
             Some((Err(error.into()), None))
         }
         None => {
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -4,7 +4,7 @@
 
 use bulrushhall_coord::{Role, facts::FactRefusal, rollouts::RolloutPhase};
 use bulrushhall_core::{ServiceName, config::RouteKind};
-use bulrushhall_external::CallFault;
+use bulrushhall_external::{CallFault, http::MALFORMED_RESPONSES};
 use bulrushhall_policy::server_speed::SpeedVerdict;
 use bulrushhall_policy::waiting::{QueuedWork, RANKS};
 use bulrushhall_policy::windowed_retry_budget::RetryAllowance;
@@ -104,11 +104,12 @@
 }
 
 /// Every metric.
-pub const ROUTE_METRICS: [RouteMetric; 40] = [
+pub const ROUTE_METRICS: [RouteMetric; 41] = [
     RouteMetric { name: REQUESTS, kind: "counter", labels: "kind, outcome" },
     RouteMetric { name: REQUEST_SECONDS, kind: "histogram", labels: "kind" },
     RouteMetric { name: FIRST_SECONDS, kind: "histogram", labels: "kind" },
     RouteMetric { name: SENDS_FAILED, kind: "counter", labels: "fault" },
+    RouteMetric { name: MALFORMED_RESPONSES, kind: "counter", labels: "reason" },
     RouteMetric { name: SERVERS_SILENT, kind: "counter", labels: "stage, takeover" },
     RouteMetric { name: RETRIES, kind: "counter", labels: "service, outcome" },
     RouteMetric { name: RETRY_ALLOWANCE, kind: "gauge", labels: "service, part" },
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -11,13 +11,11 @@
 
 use bulrushhall_coord::decode_message;
 use bulrushhall_core::{Event, Ran, Stamp};
-use bulrushhall_external::http::read_limited;
+use bulrushhall_external::http::{CheckedBody, SendFailure, read_limited};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
     HeaderMap, Method, Request, Uri,
-    body::Incoming,
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
     http::{request, response},
 };
 use tokio::{sync::oneshot, time::timeout};
@@ -25,7 +23,7 @@
 use crate::{
     adapter::{ResponseHead, SendHead},
     announcements::note_response,
-    backends::{Connection, OpenError, is_malformed},
+    backends::{Connection, OpenError},
     body_budget::{BodyBudget, BodyRoom},
     brittle, clock,
     cluster::{CARRIED_HEADER, CARRIED_UNDELIMITED, CARRY_PATH, CarriedRequest, CarryFailure},
@@ -101,15 +99,10 @@
 #[derive(Clone, Copy)]
 struct Undelimited;
 
-/// Returns whether the end of a body is marked: one without a length or chunks ends with its connection.
-pub fn is_delimited(headers: &HeaderMap) -> bool {
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
-}
-
 impl BackendResponse {
     /// Returns whether the end of the body is marked: one without a length or chunks ends with its connection.
     pub fn is_delimited(&self) -> bool {
-        self.parts.extensions.get::<Undelimited>().is_none() && is_delimited(&self.parts.headers)
+        self.parts.extensions.get::<Undelimited>().is_none() && self.body.end().is_marked()
     }
 
     /// Returns whether the end of the body proves that it is whole; that of a carried one is its carrier's to judge.
@@ -169,7 +162,7 @@
     });
     let answered = match answered {
         Ok((head, parts, mut body, connection)) if limit.waits_for_body(&head) => {
-            let is_marked = placement.carrier.is_some() || is_delimited(&parts.headers);
+            let is_marked = placement.carrier.is_some() || body.end().is_marked();
             let reading =
                 read_ahead(req, &head, &mut body, (resume_after, is_marked), &gateway.events);
             let is_silent = || note_silent(gateway, placement, &mut in_flight, sent.as_ref());
@@ -268,6 +261,7 @@
         Ok(Ahead::Part) => Ok(()),
         // The forwarder judges a plain answer without a mark of its end.
         Ok(Ahead::End) if is_marked || !is_stream => Ok(()),
+        Err(error) if error.is_fault() => Err(SendFault::Foreign),
         Ok(Ahead::End | Ahead::Cut) | Err(_) => Err(SendFault::Closed),
     }
 }
@@ -309,7 +303,7 @@
     original: &OriginalRequest,
     placement: &Placement,
     (resume_after, sent): (Option<u64>, Option<&SentRequest>),
-) -> Result<(hyper::Response<Incoming>, Connection), SendError> {
+) -> Result<(hyper::Response<CheckedBody>, Connection), SendError> {
     let mut outgoing = backend_request(gateway, req, original, placement, resume_after)?;
     let mut _room = None;
     if placement.carrier.is_some() {
@@ -334,16 +328,12 @@
                 return Ok((response, connection));
             }
             // A pooled connection may have been closed before anything was written to it.
-            Err(mut error) => match error.take_message() {
-                Some(unsent) if connection.reused => outgoing = unsent,
-                Some(_) => return Err(not_run(SendFault::Closed)),
-                None => {
-                    let is_malformed = is_malformed(error.error());
-                    let fault = if is_malformed { SendFault::Foreign } else { SendFault::Closed };
-                    let kept = connection.reused;
-                    return Err(SendError { kept, ..may_have_run(fault) });
-                }
-            },
+            Err(SendFailure::Unsent(unsent)) if connection.reused => outgoing = *unsent,
+            Err(SendFailure::Unsent(_)) => return Err(not_run(SendFault::Closed)),
+            Err(SendFailure::Malformed(_)) => {
+                return Err(lost(SendFault::Foreign, &connection));
+            }
+            Err(SendFailure::Closed) => return Err(lost(SendFault::Closed, &connection)),
         }
     }
 }
@@ -415,13 +405,13 @@
     req.map_err(|_| not_run(SendFault::Foreign))
 }
 
-fn is_carry_failure(placement: &Placement, response: &hyper::Response<Incoming>) -> bool {
+fn is_carry_failure(placement: &Placement, response: &hyper::Response<CheckedBody>) -> bool {
     placement.carrier.is_some() && !response.headers().contains_key(CARRIED_HEADER)
 }
 
 // Without a readable reason the request may have run, unless the node did not take it: an earlier version of it does not
 // know the path.
-async fn carry_failure(response: hyper::Response<Incoming>) -> SendError {
+async fn carry_failure(response: hyper::Response<CheckedBody>) -> SendError {
     if response.status().is_client_error() {
         return not_run(SendFault::NotOpened(OpenError::Unreachable));
     }
@@ -541,6 +531,10 @@
     SendError { fault, ran: Ran::No, kept: false }
 }
 
+fn lost(fault: SendFault, connection: &Connection) -> SendError {
+    SendError { kept: connection.reused, ..may_have_run(fault) }
+}
+
 fn may_have_run(fault: SendFault) -> SendError {
     SendError { fault, ran: Ran::Unknown, kept: false }
 }
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -224,6 +224,7 @@
         let Some(backend_response) = &mut self.backend_response else { return Step::Broken };
         let frame = match frame {
             Some(Ok(frame)) => frame,
+            Some(Err(error)) if error.is_fault() => return self.not_crashed(),
             Some(Err(_)) => return self.broken_off(),
             // A partial event at the end means that the stream was cut, even if the body ended regularly.
             None if self.splitter.has_partial_event() => return self.broken_off(),
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -23,7 +23,6 @@
 mod tried;
 
 pub use access_log::AccessLogEntry;
-pub use attempt::is_delimited;
 pub use binding::Binding;
 pub use events::{CompleteEvents, EventSplitter};
 pub use failure::Failure;
--- a/crates/gateway/src/pipeline/response_body.rs
+++ b/crates/gateway/src/pipeline/response_body.rs
@@ -2,9 +2,10 @@
 
 use std::collections::VecDeque;
 
+use bulrushhall_external::http::{BodyEnd, CheckedBody, ResponseError};
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body as _, Frame, Incoming};
+use hyper::body::{Body as _, Frame};
 
 use crate::{
     body_budget::BodyBudget,
@@ -15,7 +16,7 @@
 const MAX_AHEAD_BYTES: usize = 64 << 10;
 
 /// What a body brings next; none at its end.
-pub type BodyFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+pub type BodyFrame = Option<Result<Frame<Bytes>, ResponseError>>;
 
 /// An `Ahead` is what was read ahead of a body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,15 +33,20 @@
 #[derive(Debug)]
 pub struct ResponseBody {
     ahead: VecDeque<Bytes>,
-    rest: Incoming,
+    rest: CheckedBody,
 }
 
 impl ResponseBody {
     /// Returns a body of which nothing was read.
-    pub fn new(rest: Incoming) -> ResponseBody {
+    pub fn new(rest: CheckedBody) -> ResponseBody {
         ResponseBody { ahead: VecDeque::new(), rest }
     }
 
+    /// Returns what marks its end.
+    pub fn end(&self) -> BodyEnd {
+        self.rest.end()
+    }
+
     /// Waits for what it brings next.
     pub async fn frame(&mut self) -> BodyFrame {
         match self.ahead.pop_front() {
@@ -64,7 +70,7 @@
         &mut self,
         after: Option<u64>,
         budget: &BodyBudget,
-    ) -> Result<Ahead, hyper::Error> {
+    ) -> Result<Ahead, ResponseError> {
         let mut splitter = EventSplitter::after(after).within(budget, 2);
         let mut bytes_ahead = 0;
         while let Some(bytes) = self.read_ahead().await? {
@@ -81,7 +87,7 @@
     }
 
     /// Reads to the end, or as much as may be read ahead.
-    pub async fn read_to_end_ahead(&mut self) -> Result<Ahead, hyper::Error> {
+    pub async fn read_to_end_ahead(&mut self) -> Result<Ahead, ResponseError> {
         let mut bytes_ahead = 0;
         while bytes_ahead < MAX_AHEAD_BYTES {
             let Some(bytes) = self.read_ahead().await? else { return Ok(Ahead::End) };
@@ -91,7 +97,7 @@
     }
 
     // Returns the bytes that were read; none at the end.
-    async fn read_ahead(&mut self) -> Result<Option<Bytes>, hyper::Error> {
+    async fn read_ahead(&mut self) -> Result<Option<Bytes>, ResponseError> {
         loop {
             let Some(frame) = self.rest.frame().await.transpose()? else { return Ok(None) };
             let Ok(bytes) = frame.into_data() else { continue };
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -145,7 +145,7 @@
     read.map_err(|error| match error {
         BodyError::TooLarge => Failure::BodyTooLarge,
         BodyError::Timeout => Failure::TimedOut(Ran::No),
-        BodyError::Closed => Failure::BodyLost,
+        BodyError::Closed | BodyError::Malformed => Failure::BodyLost,
         BodyError::NoRoom => Failure::NoMemory,
     })
 }
