Refuse requests with a transfer coding other than chunked alone

hyper decodes the last coding of `gzip, chunked` and `chunked, chunked`, and the node sent the rest on to the backend server as if it were plain: the server ran another body than the caller meant. Requests now pass the same check of their framing as responses, and get 400; their connection is closed, since where the body ends is not certain. hyper itself removes a length beside chunks and repeated equal ones.

hostile_input, coded_chunks and chunked_twice: 200 from the server before, 400 now and nothing sent.

--- a/crates/external/src/http/server.rs
+++ b/crates/external/src/http/server.rs
@@ -4,8 +4,9 @@
 
 use bulrushhall_core::Event;
 use hyper::{
-    Request, Response,
+    Request, Response, StatusCode,
     body::{Body as _, Incoming},
+    header::{CONNECTION, HeaderValue},
     server::conn::http1,
     service::service_fn,
 };
@@ -26,6 +27,8 @@
         Body, BodyBudget, ClientAuth, CloseReason, Connection, Tls,
         client_stream::ClientStream,
         connections::{Connections, OpenConnection},
+        empty,
+        framing::Framing,
         head_timer::HeadTimer,
         served_body::ServedBody,
     },
@@ -179,9 +182,13 @@
             }
             req.extensions_mut().insert(remote);
             req.extensions_mut().insert(Arc::clone(&state));
-            let response = Arc::clone(&handler).handle(req);
+            let is_accepted = Framing::of(req.version(), req.headers()).is_ok();
+            let response = is_accepted.then(|| Arc::clone(&handler).handle(req));
             async move {
-                let response = response.await;
+                let response = match response {
+                    Some(response) => response.await,
+                    None => misframed(),
+                };
                 Ok::<_, Infallible>(response.map(|body| ServedBody::new(body, request)))
             }
         });
@@ -192,6 +199,14 @@
     }
 }
 
+// Where a body ends is not certain, so nothing after it is read.
+fn misframed() -> Response<Body> {
+    let mut response = Response::new(empty());
+    *response.status_mut() = StatusCode::BAD_REQUEST;
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 async fn start_tls(
     stream: impl Connection,
     tls: Option<(Arc<Tls>, ClientAuth)>,
