Reset the connection of a caller of HTTP/1.0 whose answer breaks off

Such a caller knows the end of a body without a length by that of its connection. An answer that broke off closed it in order, so the caller took the part for the whole. AcceptedStream resets it now; connections with a length or chunks are closed as before, since a reset may discard what their callers have not read.

--- a/crates/external/src/http/connection_state.rs
+++ b/crates/external/src/http/connection_state.rs
@@ -27,6 +27,8 @@
     unended: AtomicUsize,
     is_closing: AtomicBool,
     closing: Notify,
+    /// Whether a response has broken off whose end is that of the connection.
+    is_broken: AtomicBool,
 }
 
 /// A `ServedRequest` marks the end of a response when it is dropped.
@@ -52,6 +54,7 @@
             unended: AtomicUsize::new(0),
             is_closing: AtomicBool::new(false),
             closing: Notify::new(),
+            is_broken: AtomicBool::new(false),
         }
     }
 
@@ -105,6 +108,10 @@
         self.closing.notify_one();
     }
 
+    pub(super) fn is_broken(&self) -> bool {
+        self.is_broken.load(Ordering::Relaxed)
+    }
+
     pub(super) fn is_closing(&self) -> bool {
         self.is_closing.load(Ordering::Relaxed)
     }
@@ -133,6 +140,13 @@
     }
 }
 
+impl ServedRequest {
+    /// Notes that the response has broken off, and that only the end of the connection would mark its end.
+    pub fn note_broken(&self) {
+        self.state.is_broken.store(true, Ordering::Relaxed);
+    }
+}
+
 impl Drop for ServedRequest {
     fn drop(&mut self) {
         self.state.set_serving(false);
--- a/crates/external/src/http/mod.rs
+++ b/crates/external/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP server and client; the client reports whether a failed request may have been sent.
 
 mod abortive_stream;
+mod accepted_stream;
 mod body;
 mod body_budget;
 mod body_end;
--- a/crates/external/src/http/served_body.rs
+++ b/crates/external/src/http/served_body.rs
@@ -13,13 +13,14 @@
 /// A `ServedBody` is the body of a response, whose connection waits for its client again when it is dropped.
 pub struct ServedBody {
     body: Body,
-    _request: ServedRequest,
+    request: ServedRequest,
+    ends_with_connection: bool,
 }
 
 impl ServedBody {
-    /// Returns the body of the response to a request.
-    pub fn new(body: Body, request: ServedRequest) -> ServedBody {
-        ServedBody { body, _request: request }
+    /// Returns the body of the response to a request; `ends_with_connection` tells whether nothing else marks its end.
+    pub fn new(body: Body, request: ServedRequest, ends_with_connection: bool) -> ServedBody {
+        ServedBody { body, request, ends_with_connection }
     }
 }
 
@@ -31,7 +32,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if self.ends_with_connection && matches!(polled, Poll::Ready(Some(Err(_)))) {
+            self.request.note_broken();
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/external/src/http/server.rs
+++ b/crates/external/src/http/server.rs
@@ -4,9 +4,9 @@
 
 use bulrushhall_core::Event;
 use hyper::{
-    Request, Response, StatusCode,
+    Request, Response, StatusCode, Version,
     body::{Body as _, Incoming},
-    header::{CONNECTION, HeaderValue},
+    header::{CONNECTION, CONTENT_LENGTH, HeaderValue},
     server::conn::http1,
     service::service_fn,
 };
@@ -25,6 +25,7 @@
     BoxFuture,
     http::{
         Body, BodyBudget, ClientAuth, CloseReason, Connection, Tls,
+        accepted_stream::AcceptedStream,
         client_stream::ClientStream,
         connections::{Connections, OpenConnection},
         empty,
@@ -161,6 +162,7 @@
         let Accepted { stream, remote, connection, handler, options } = self;
         // A peer that never reads would keep its response in memory forever. Its connection fails
         // once nothing could be written for this long, which releases all its resources.
+        let stream = AcceptedStream::new(stream, Arc::clone(connection.state()));
         let mut stream = TimeoutStream::new(stream);
         stream.set_write_timeout(Some(options.write_timeout));
         // The handshake runs in the task of the connection: a client that never completes it must
@@ -182,14 +184,20 @@
             }
             req.extensions_mut().insert(remote);
             req.extensions_mut().insert(Arc::clone(&state));
-            let is_accepted = Framing::of(req.version(), req.headers()).is_ok();
+            let version = req.version();
+            let is_accepted = Framing::of(version, req.headers()).is_ok();
             let response = is_accepted.then(|| Arc::clone(&handler).handle(req));
             async move {
                 let response = match response {
                     Some(response) => response.await,
                     None => misframed(),
                 };
-                Ok::<_, Infallible>(response.map(|body| ServedBody::new(body, request)))
+                // A response of HTTP/1.0 has no chunks.
+                let is_measured = response.headers().contains_key(CONTENT_LENGTH)
+                    || response.body().size_hint().exact().is_some();
+                let ends_with_connection = version < Version::HTTP_11 && !is_measured;
+                let body = |body| ServedBody::new(body, request, ends_with_connection);
+                Ok::<_, Infallible>(response.map(body))
             }
         });
         let serving = builder.serve_connection(TokioIo::new(stream), service);
