--- a/crates/cli/tests/page_commands.rs
+++ b/crates/cli/tests/page_commands.rs
@@ -89,13 +89,15 @@
     let commands = commands("README.md");
     let expected = [
         "cargo run --release --bin bulrush -- demo",
-        "cargo test --workspace",
+        ".ci/test",
         "PYTHONPATH=operators/python python3 operators/python/examples/guild.py > guild.ini",
         "cargo run --release --bin bulrush -- check guild.ini",
     ];
     assert_eq!(commands[..expected.len()], expected);
     let ci = read(".ci/run");
-    assert!(ci.contains("cargo test --workspace"), ".ci/run runs the workspace's tests");
+    assert!(ci.contains("\n.ci/test --exact "), ".ci/run runs the workspace's tests");
+    let tests = read(".ci/test");
+    assert!(tests.contains("[CARGO, \"test\", \"--workspace\", \"--locked\"]"), "all of them");
     assert!(ci.contains("/debug/bulrush\" demo\n"), ".ci/run runs the demo");
 
     let directory = std::env::temp_dir().join(format!("bulrush-readme-{}", std::process::id()));
