Bodies get 0.30 of a node's memory, not 0.35

On x86-64 a crowd of 100 submitted prompts of 1 MB takes the own interface over its memory: crowds_at_callers, bodies::case_13_submitted, 134.6 and 135.5 MB of 131 in 2 of 4 runs on, 131.8 and 138.8 in 2 of 4 on (kB / 1000).

--- a/crates/daemon/tests/retry_budget.rs
+++ b/crates/daemon/tests/retry_budget.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use harness::backend::Behavior;
-use play::{Play, Process, Signal};
+use play::{HEADROOM, Play, Process, Signal};
 use rstest::rstest;
 use tokio::time::sleep;
 
@@ -133,6 +133,8 @@
     play.begin_load();
     play.set_behavior(&Behavior::Failing);
     let worst = play.finish().await;
-    println!("{is_later} {worst:?}");
     assert!(worst.retries <= worst.allowed, "{worst:?}");
+    if !is_later {
+        assert!(MIN_USED * HEADROOM <= worst.retries, "{worst:?}");
+    }
 }
--- a/crates/daemon/tests/retry_budget/play.rs
+++ b/crates/daemon/tests/retry_budget/play.rs
@@ -28,7 +28,7 @@
 /// The window in which retries are counted.
 const WINDOW: Duration = Duration::from_secs(6);
 /// The retries that are free in it.
-const HEADROOM: f64 = 50.0;
+pub const HEADROOM: f64 = 50.0;
 /// The retries that each request allows.
 const RATIO: f64 = 0.2;
 /// The time between two requests.
--- a/crates/external/src/http/body_budget.rs
+++ b/crates/external/src/http/body_budget.rs
@@ -13,7 +13,7 @@
 };
 
 /// The share of a node's memory that bodies may use.
-const MEMORY_SHARE: f64 = 0.35;
+const MEMORY_SHARE: f64 = 0.3;
 
 /// A `BodyBudget` bounds the sum of the bodies that a process holds, from the first byte that it reads until the request has
 /// ended. What has no room stays unread, so that its connection waits.
