--- a/crates/external/src/http/checked_body.rs
+++ b/crates/external/src/http/checked_body.rs
@@ -66,6 +66,8 @@
     kept: VecDeque<Bytes>,
     kept_bytes: usize,
     scan: FramingScan,
+    /// Whether what is kept may be returned before the end.
+    is_released: bool,
     state: State,
 }
 
@@ -94,6 +96,7 @@
             kept: VecDeque::new(),
             kept_bytes: 0,
             scan: FramingScan::default(),
+            is_released: false,
             state: State::Open,
         }
     }
@@ -152,7 +155,10 @@
         match scanned {
             ScanResult::Framing => Err(self.fail(ResponseFault::FramingInBody)),
             ScanResult::Undecided if self.kept_bytes < MAX_KEPT_BYTES => Ok(None),
-            ScanResult::Undecided | ScanResult::Plain => Ok(self.take_kept().map(Frame::data)),
+            ScanResult::Undecided | ScanResult::Plain => {
+                self.is_released = true;
+                Ok(None)
+            }
         }
     }
 }
@@ -175,6 +181,9 @@
                 self.state = State::Complete;
             }
             match self.state {
+                State::Open if self.is_released && !self.kept.is_empty() => {
+                    return Poll::Ready(self.take_kept().map(|bytes| Ok(Frame::data(bytes))));
+                }
                 State::Open => {}
                 State::Complete => {
                     return Poll::Ready(self.take_kept().map(|bytes| Ok(Frame::data(bytes))));
