Count one request less for the retries that a node has earned

At 60 processes in calm a service got 110 retries of 106.8 allowed (a trial of retry_budget with another number of processes, window 6 s, 50 requests/s, beside load 11). A retry is asked for when a request has just arrived, and the window that ends then holds up to one more than one that ends at another time: each node was allowed up to a fifth of a retry too much. Weighed: rounding down at each node from another fraction by its rank, so that rounding loses nothing; with that 2 of 20 calm cases at 5 nodes were over (105 of 104.6, 150 of 148).

--- a/crates/daemon/tests/retry_budget.rs
+++ b/crates/daemon/tests/retry_budget.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use harness::backend::Behavior;
-use play::{HEADROOM, Play, Process, Signal};
+use play::{Asked, HEADROOM, Play, Process, Signal};
 use rstest::rstest;
 use tokio::time::sleep;
 
@@ -106,6 +106,23 @@
     assert!(worst.retries <= worst.allowed, "{worst:?}");
 }
 
+// Guards against streams that break off and are resumed more often than the service may get retries.
+#[rstest]
+#[case::calm(Trouble::Nothing)]
+#[case::all_killed(Trouble::AllKilled)]
+#[case::killed_in_turn(Trouble::KilledInTurn)]
+#[case::two_killed(Trouble::TwoKilled)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn broken_streams(#[case] trouble: Trouble) {
+    let mut play = Play::start_for(Asked::Streams, 5, Behavior::Events(2)).await;
+    play.warm_up().await;
+    play.set_behavior(&Behavior::BreakAfter(1));
+    sleep(Duration::from_secs(1)).await;
+    trouble.happen(&mut play).await;
+    let worst = play.finish().await;
+    assert!(0.0 < worst.retries && worst.retries <= worst.allowed, "{worst:?}");
+}
+
 // Guards against a process that ends under SIGTERM and leaves its successor without retries for a whole window.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn successor_retries() {
--- a/crates/daemon/tests/retry_budget/play.rs
+++ b/crates/daemon/tests/retry_budget/play.rs
@@ -18,9 +18,9 @@
 use tokio::{task::JoinHandle, time::sleep};
 
 use crate::harness::{
-    Harness, LEDGER, TestServer,
+    ENGINES, Harness, LEDGER, TestServer,
     backend::{Backend, Behavior},
-    caller::{get_status, post, post_if_open},
+    caller::{get_status, post, post_if_open, prompt_if_open},
     store::Fault,
     wait_until,
 };
@@ -74,8 +74,17 @@
     pub allowed: f64,
 }
 
+/// What is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Asked {
+    Calls,
+    /// Streams that may be resumed.
+    Streams,
+}
+
 /// A `Play` is a deployment under load.
 pub struct Play {
+    asked: Asked,
     pub processes: Vec<Process>,
     pub servers: Vec<Arc<Backend>>,
     harness: Harness,
@@ -135,13 +144,19 @@
 impl Play {
     /// Starts processes and servers and waits until all processes know each other and the servers.
     pub async fn start(count: usize, behavior: Behavior) -> Play {
+        Play::start_for(Asked::Calls, count, behavior).await
+    }
+
+    /// Starts the same for what is asked for.
+    pub async fn start_for(asked: Asked, count: usize, behavior: Behavior) -> Play {
+        let service = if asked == Asked::Streams { ENGINES } else { LEDGER };
         let mut harness = Harness::without_node().await;
         harness.first_start = true;
         harness.sections = "retry_window = 6s\nretry_headroom = 50\nretry_ratio = 0.2\n";
         let (mut servers, mut ports) = (Vec::new(), Vec::new());
         for number in 0..SERVERS {
             let server = Backend::new(&format!("b-{number}"), behavior.clone());
-            ports.push(harness.add_backend(LEDGER, &server).await);
+            ports.push(harness.add_backend(service, &server).await);
             servers.push(server);
         }
         let start = |number| Process::start(&harness, &format!("node-{number}"));
@@ -150,6 +165,7 @@
             wait_until(async || get_status(process.readiness, "/readyz").await == Some(200)).await;
         }
         Play {
+            asked,
             processes,
             servers,
             harness,
@@ -171,12 +187,13 @@
     pub fn begin_load(&mut self) {
         let addresses: Vec<SocketAddr> = self.processes.iter().map(|it| it.callers).collect();
         let (sent, stopped) = (Arc::clone(&self.sent), Arc::clone(&self.stopped));
+        let asked = self.asked;
         self.load = Some(tokio::spawn(async move {
             let next = Arc::new(AtomicUsize::new(0));
             while !stopped.load(Ordering::Relaxed) {
                 let (addresses, sent) = (addresses.clone(), Arc::clone(&sent));
                 let number = next.fetch_add(1, Ordering::Relaxed);
-                tokio::spawn(async move { ask(number, &addresses, &sent).await });
+                tokio::spawn(async move { ask(asked, number, &addresses, &sent).await });
                 sleep(PAUSE).await;
             }
         }));
@@ -283,12 +300,19 @@
 }
 
 // Sends a request to a process, or to the next one that takes it. It counts once, although callers send new ones.
-async fn ask(number: usize, addresses: &[SocketAddr], sent: &Mutex<Vec<Instant>>) {
+async fn ask(asked: Asked, number: usize, addresses: &[SocketAddr], sent: &Mutex<Vec<Instant>>) {
     sent.lock().expect("no panic while it is held").push(Instant::now());
     for attempt in 0..addresses.len() {
         let address = addresses[(number + attempt) % addresses.len()];
         let id = format!("r-{number}-{attempt}");
-        if post_if_open(address, &id, "/look/1").await.is_some() {
+        let response = match asked {
+            Asked::Calls => post_if_open(address, &id, "/look/1").await,
+            Asked::Streams => {
+                let parts = format!("{:x}:4200", number + 1);
+                prompt_if_open(address, &id, "/survey/1", &parts).await
+            }
+        };
+        if response.is_some() {
             return;
         }
     }
--- a/crates/policy/src/windowed_retry_budget.rs
+++ b/crates/policy/src/windowed_retry_budget.rs
@@ -80,8 +80,10 @@
     ) -> RetryAllowance {
         self.remove_expired(now, limit);
         let (last, before) = self.first_attempts.windows(now, limit.window);
+        // A retry is asked for when a request has just arrived, so the window that ends now holds up to one more than most do.
+        let requests = last.min(before).saturating_sub(1);
         RetryAllowance {
-            earned: (limit.ratio * f64::from(last.min(before))) as u32,
+            earned: (limit.ratio * f64::from(requests)) as u32,
             headroom: share.map_or(0, |share| share.of(limit.headroom as u32)),
             spent: u32::try_from(self.retries.len()).unwrap_or(u32::MAX),
         }
--- a/crates/policy/tests/retry_sum.rs
+++ b/crates/policy/tests/retry_sum.rs
@@ -222,3 +222,26 @@
     let (retries, allowed) = run.worst();
     assert!(retries <= allowed, "{retries} of {allowed}");
 }
+
+// Guards against requests that are rounded up at each of many nodes: a retry is asked for when a request has just arrived, and
+// the windows that end then hold more of them than others.
+#[rstest]
+fn few_requests_each(
+    #[values(5, 60, 340)] nodes: usize,
+    #[values(4.2, 4.73, 5.0, 9.6, 14.5, 29.9)] requests_in_window: f64,
+) {
+    let mut run = Run::new(nodes);
+    let pause = LIMIT.window.as_millis() as f64 / (requests_in_window * nodes as f64);
+    let mut next = 0.0;
+    for at in 0..END {
+        if at.is_multiple_of(ROUND) {
+            run.gossip(at);
+        }
+        while next <= at as f64 {
+            run.request_in_turn(at);
+            next += pause;
+        }
+    }
+    let (retries, allowed) = run.worst();
+    assert!(retries <= allowed, "{retries} of {allowed}");
+}
