Ask several nodes at once for a relay while many that are listed are gone

After a loss of power the records of the earlier nodes remain for up to 6 s, and half of a zone's nodes are gone.

A node that was never heard is passed over after 0.3 s (0.6 before), and three of them are asked at once for each silent one. Where relays have been heard, nothing changes.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -59,7 +59,7 @@
 pub use ownership::{Action, CopyLocation, Message, Ownership, OwnershipOptions, Peer, Version};
 pub use pauses::{Pause, Pauses};
 pub use record_lease::{RecordCall, RecordLease, RecordLeaseOptions, RecordPresence, RecordReply};
-pub use relays::{RelayOptions, RelayPeer, RelayPlan, RelayRanking, RelayRequested, Role};
+pub use relays::{Contact, RelayOptions, RelayPeer, RelayPlan, RelayRanking, RelayRequested, Role};
 pub use update_sources::{SourceChoice, UpdateScope, UpdateSources};
 pub use usage::{FixedReports, TeamCounts, UsageCounts, Window};
 pub use watch_evidence::{WatchEvidence, WatchEvidenceOptions, WatchNeed, WatchProof};
--- a/crates/coord/src/relays.rs
+++ b/crates/coord/src/relays.rs
@@ -26,8 +26,13 @@
     pub silent_probes: usize,
     /// How long a node may leave messages unanswered before another one takes its place.
     pub silent_after: Duration,
+    /// The same for a node that has never been heard.
+    pub unheard_silent_after: Duration,
 }
 
+/// The nodes that are asked at once for each silent one, while none of them has been heard.
+const UNHEARD_PER_SILENT: usize = 3;
+
 impl Default for RelayOptions {
     fn default() -> Self {
         RelayOptions {
@@ -35,6 +40,7 @@
             relays_per_zone: 1,
             silent_probes: 2,
             silent_after: Duration::from_millis(600),
+            unheard_silent_after: Duration::from_millis(300),
         }
     }
 }
@@ -62,6 +68,17 @@
     Weight,
 }
 
+/// A `Contact` states whether a node answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Contact {
+    /// It answers.
+    Responsive,
+    /// It has never been heard and may be gone.
+    Unheard,
+    /// It has left messages unanswered for too long.
+    Silent,
+}
+
 /// A `RelayPeer` is a node as an input of a plan.
 #[derive(Clone, Copy, Debug)]
 pub struct RelayPeer<'a> {
@@ -69,8 +86,8 @@
     pub node: &'a NodeName,
     /// Its availability zone.
     pub zone: &'a ZoneName,
-    /// Whether it has left messages unanswered for too long.
-    pub silent: bool,
+    /// Whether it answers.
+    pub contact: Contact,
     /// Its weight; none if it reports none.
     pub weight: Option<CapacityWeight>,
     /// How it ranks the nodes of a zone.
@@ -119,7 +136,7 @@
         requested: RelayRequested,
     ) -> RelayPlan {
         let mut zones: BTreeMap<&ZoneName, Vec<RelayPeer<'a>>> = BTreeMap::new();
-        zones.entry(own.zone).or_default().push(RelayPeer { silent: false, ..own });
+        zones.entry(own.zone).or_default().push(RelayPeer { contact: Contact::Responsive, ..own });
         let mut weights = vec![own.weight];
         let mut ranking = own.ranking;
         for peer in others {
@@ -158,8 +175,11 @@
         plan
     }
 
-    // Returns the relays of a zone, which are the first responsive nodes by rank and some of the
-    // silent ones ranked before them, and the next responsive node after them.
+    // Returns the relays of a zone, which are the first nodes by rank that aren't silent and some of the
+    // silent ones ranked before them, and the next node after them that isn't silent.
+    //
+    // When many nodes are gone and their records remain, asking one after the other would take seconds, so
+    // the nodes that are asked at once grow with those that were silent.
     fn relays_of<'a>(
         &self,
         mut peers: Vec<RelayPeer<'a>>,
@@ -174,17 +194,23 @@
             (Reverse(level), xxh3_64(peer.node.as_str().as_bytes()), peer.node)
         });
         let mut relays = Vec::new();
-        let (mut responsive, mut silent) = (0, 0);
+        let (mut responsive, mut unheard, mut silent) = (0, 0, 0);
         for peer in peers {
-            if !peer.silent && responsive == self.relays_per_zone {
-                return (relays, Some(peer.node));
-            }
-            if !peer.silent {
-                responsive += 1;
-            } else if silent < self.silent_probes && responsive < self.relays_per_zone {
-                silent += 1;
-            } else {
-                continue;
+            let max_unheard = self.relays_per_zone.max(UNHEARD_PER_SILENT * silent);
+            let is_complete =
+                responsive == self.relays_per_zone || max_unheard <= responsive + unheard;
+            match peer.contact {
+                Contact::Responsive | Contact::Unheard if is_complete => {
+                    return (relays, Some(peer.node));
+                }
+                Contact::Responsive => responsive += 1,
+                Contact::Unheard => unheard += 1,
+                Contact::Silent => {
+                    silent += 1;
+                    if is_complete || self.silent_probes < silent {
+                        continue;
+                    }
+                }
             }
             relays.push(peer.node);
         }
--- a/crates/coord/tests/fact_model/mod.rs
+++ b/crates/coord/tests/fact_model/mod.rs
@@ -11,7 +11,7 @@
 };
 
 use bulrushhall_coord::{
-    RelayOptions, RelayPeer, RelayPlan, RelayRanking, RelayRequested, Role, UpdateSources,
+    Contact, RelayOptions, RelayPeer, RelayPlan, RelayRanking, RelayRequested, Role, UpdateSources,
     facts::{
         FactBatch, FactKind, FactKindId, FactPriority, FactScope, FactValue, Facts, MergeRule,
     },
@@ -228,22 +228,28 @@
     fn plan(&mut self, index: usize) {
         let options = RelayOptions::default();
         let now = self.now;
-        let is_silent = |other: usize| {
-            let since = self.peer(index, other).unanswered_since;
-            since.is_some_and(|since| options.silent_after <= now.since(since))
+        let contact_of = |other: usize| {
+            let peer = self.peer(index, other);
+            let (contact, silent_after) = match peer.received_at {
+                Some(_) => (Contact::Responsive, options.silent_after),
+                None => (Contact::Unheard, options.unheard_silent_after),
+            };
+            let since = peer.unanswered_since;
+            let is_silent = since.is_some_and(|since| silent_after <= now.since(since));
+            if is_silent { Contact::Silent } else { contact }
         };
-        let peer_of = |other: usize, silent| {
+        let peer_of = |other: usize, contact| {
             let Node { name, zone, .. } = &self.nodes[other];
-            RelayPeer { node: name, zone, silent, weight: None, ranking: RelayRanking::Weight }
+            RelayPeer { node: name, zone, contact, weight: None, ranking: RelayRanking::Weight }
         };
         let others = (0..self.nodes.len()).filter(|other| *other != index);
-        let others: Vec<_> = others.map(|other| peer_of(other, is_silent(other))).collect();
+        let others: Vec<_> = others.map(|other| peer_of(other, contact_of(other))).collect();
         let contacted_at = self.nodes[index].contacted_at;
         let requested = match contacted_at.is_some_and(|at| now.since(at) < CONTACTED_FOR) {
             true => RelayRequested::Yes,
             false => RelayRequested::No,
         };
-        let plan = options.plan(peer_of(index, false), others, requested);
+        let plan = options.plan(peer_of(index, Contact::Responsive), others, requested);
         let node = &mut self.nodes[index];
         if plan.role != node.plan.role {
             node.sources.clear();
--- a/crates/coord/tests/relay_plan.rs
+++ b/crates/coord/tests/relay_plan.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use bulrushhall_coord::{
-    RelayOptions, RelayPeer, RelayPlan, RelayRanking, RelayRequested, Role, SourceChoice,
-    UpdateScope, UpdateSources,
+    CapacityWeight, Contact, RelayOptions, RelayPeer, RelayPlan, RelayRanking, RelayRequested,
+    Role, SourceChoice, UpdateScope, UpdateSources,
 };
 use bulrushhall_core::{Incarnation, NodeName, Stamp, ZoneName};
 use rstest::rstest;
@@ -26,8 +26,9 @@
 
     fn plan(&self, at: usize) -> RelayPlan {
         let peers = self.nodes.iter().map(|(node, zone)| {
-            let silent = self.silent.contains(node);
-            RelayPeer { node, zone, silent, weight: None, ranking: RelayRanking::Name }
+            let is_silent = self.silent.contains(node);
+            let contact = if is_silent { Contact::Silent } else { Contact::Responsive };
+            RelayPeer { node, zone, contact, weight: None, ranking: RelayRanking::Name }
         });
         let mut peers: Vec<RelayPeer<'_>> = peers.collect();
         let own = peers.remove(at);
@@ -88,6 +89,37 @@
     assert!(fleet.silent.iter().all(|node| plan.same_zone.contains(node)));
 }
 
+// Guards against a node that asks one node after the other while many are gone whose records remain.
+#[test]
+fn many_are_gone() {
+    const GONE: usize = 34;
+    let node = |at: usize| NodeName::new(format!("entry-{at}")).expect("a name");
+    let zone = ZoneName::new("zone").expect("a name");
+    let nodes: Vec<NodeName> = (0..2 * GONE).map(node).collect();
+    let weight = |at: usize| CapacityWeight::new(if at < GONE { 8.0 } else { 1.0 });
+    let mut asked = BTreeSet::new();
+    // A node that was asked in a round is silent in the next one.
+    for round in 0.. {
+        let peer = |at: usize| RelayPeer {
+            node: &nodes[at],
+            zone: &zone,
+            contact: if asked.contains(&at) { Contact::Silent } else { Contact::Unheard },
+            weight: weight(at),
+            ranking: RelayRanking::Weight,
+        };
+        let others = (0..nodes.len() - 1).map(peer);
+        let own = peer(nodes.len() - 1);
+        let plan = RelayOptions::default().plan(own, others, RelayRequested::No);
+        let is_new = |at: &usize| plan.same_zone.contains(&nodes[*at]) && !asked.contains(at);
+        let new: Vec<usize> = (0..nodes.len()).filter(is_new).collect();
+        if new.iter().any(|at| GONE <= *at) {
+            assert!(round <= 3, "{round} rounds, {} asked", asked.len());
+            return;
+        }
+        asked.extend(new);
+    }
+}
+
 // Guards against losing the counts of nodes that have ended with the only relay that knew them.
 #[test]
 fn standby_follows() {
@@ -120,7 +152,7 @@
         .map(|(node, zone)| RelayPeer {
             node,
             zone,
-            silent: false,
+            contact: Contact::Responsive,
             weight: None,
             ranking: RelayRanking::Name,
         })
--- a/crates/coord/tests/relay_weights.rs
+++ b/crates/coord/tests/relay_weights.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeSet;
 
 use bulrushhall_coord::{
-    CapacityWeight, RelayOptions, RelayPeer, RelayRanking, RelayRequested, Role, median_weight,
+    CapacityWeight, Contact, RelayOptions, RelayPeer, RelayRanking, RelayRequested, Role,
+    median_weight,
 };
 use bulrushhall_core::{NodeName, ZoneName};
 use rstest::rstest;
@@ -35,7 +36,7 @@
         let peer = |at: usize| RelayPeer {
             node: &nodes[at].name,
             zone: &nodes[at].zone,
-            silent: silent(at),
+            contact: if silent(at) { Contact::Silent } else { Contact::Responsive },
             weight: nodes[at].weight,
             ranking: nodes[at].ranking,
         };
--- a/crates/gateway/src/cluster/gossip.rs
+++ b/crates/gateway/src/cluster/gossip.rs
@@ -8,7 +8,7 @@
 };
 
 use bulrushhall_coord::{
-    RelayOptions, RelayPeer, RelayRanking, RelayRequested, Role, decode_message,
+    Contact, RelayOptions, RelayPeer, RelayRanking, RelayRequested, Role, decode_message,
 };
 use bulrushhall_core::{Event, NodeName, Stamp};
 use bulrushhall_external::{
@@ -204,14 +204,14 @@
     let own = RelayPeer {
         node: &settings.name,
         zone: &settings.zone,
-        silent: false,
+        contact: Contact::Responsive,
         weight: gateway.settings.capacity.weight(),
         ranking: RelayRanking::Weight,
     };
     let others = state.members.iter().map(|(node, member)| RelayPeer {
         node,
         zone: &member.record.zone,
-        silent: member.is_silent(now, options.silent_after),
+        contact: contact(member, now, &options),
         weight: member.record.weight,
         ranking: member.record.relay_ranking,
     });
@@ -239,6 +239,14 @@
     state.relays = plan;
 }
 
+fn contact(member: &Member, now: Stamp, options: &RelayOptions) -> Contact {
+    let (contact, silent_after) = match member.last_received {
+        Some(_) => (Contact::Responsive, options.silent_after),
+        None => (Contact::Unheard, options.unheard_silent_after),
+    };
+    if member.is_silent(now, silent_after) { Contact::Silent } else { contact }
+}
+
 /// One round of gossip.
 struct Round<'a> {
     gateway: &'a Gateway,
