Check short answers before their heads are passed on

A plain answer whose length is too small reached the caller as a head with status 200 and a broken body, though the node knew that it is malformed (left open by the check of framing). The same holds for chunks that are spoilt behind the first one.

Up to 16 KiB of an answer that is no stream are read before its head is passed on, for at most 20 ms: most are there with their heads. What is malformed or breaks off meanwhile is sent to another server where the route allows it; otherwise the caller gets 502, and an order is sent once.

--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -47,6 +47,11 @@
 const OVERDUE_MARGIN: Duration = Duration::from_millis(700);
 /// The maximum size of the reason why a request was not carried, in bytes.
 const MAX_FAILURE_BYTES: usize = 1_024;
+/// The most that is read ahead of an answer that is no stream while several servers may answer, in bytes.
+const MAX_AHEAD_BYTES: usize = 64 << 10;
+/// How much of an answer that is no stream is read before its head is passed on, in bytes, and how long that may take.
+const MAX_SHORT_BYTES: usize = 16 << 10;
+const SHORT_ANSWER_WAIT: Duration = Duration::from_millis(20);
 /// The time limit for this reason, whose head has arrived already.
 const FAILURE_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -161,12 +166,16 @@
         Ok((head, parts, ResponseBody::new(body), connection))
     });
     let answered = match answered {
-        Ok((head, parts, mut body, connection)) if limit.waits_for_body(&head) => {
-            let is_marked = placement.carrier.is_some() || body.end().is_marked();
-            let reading =
-                read_ahead(req, &head, &mut body, (resume_after, is_marked), &gateway.events);
-            let is_silent = || note_silent(gateway, placement, &mut in_flight, sent.as_ref());
-            let read = limit.outlast(reading, is_silent).await;
+        Ok((head, parts, mut body, connection)) => {
+            let read = if limit.waits_for_body(&head) {
+                let is_marked = placement.carrier.is_some() || body.end().is_marked();
+                let reading =
+                    read_ahead(req, &head, &mut body, (resume_after, is_marked), &gateway.events);
+                let is_silent = || note_silent(gateway, placement, &mut in_flight, sent.as_ref());
+                limit.outlast(reading, is_silent).await
+            } else {
+                check_short(req, &head, &mut body).await
+            };
             if let (Some(sent), true) = (&mut sent, body.has_ahead()) {
                 sent.note_began();
             }
@@ -174,7 +183,7 @@
             read.map(|()| (head, parts, body, connection))
                 .map_err(|fault| SendError { kept, ..may_have_run(fault) })
         }
-        answered => answered,
+        Err(failed) => Err(failed),
     };
     match answered {
         Ok((head, parts, body, connection)) => {
@@ -255,7 +264,7 @@
     let read = if is_stream {
         body.read_event_ahead(after, budget).await
     } else {
-        body.read_to_end_ahead().await
+        body.read_ahead_to(MAX_AHEAD_BYTES).await
     };
     match read {
         Ok(Ahead::Part) => Ok(()),
@@ -266,6 +275,23 @@
     }
 }
 
+// Reads an answer that is no stream, so that one that is not whole never reaches the caller as a head: most are there with
+// their heads. Longer ones are checked as they are forwarded.
+async fn check_short(
+    req: &IdentifiedRequest,
+    head: &ResponseHead,
+    body: &mut ResponseBody,
+) -> Result<(), SendFault> {
+    if req.route.cfg.kind.is_stream() && head.status.is_success() {
+        return Ok(());
+    }
+    match timeout(SHORT_ANSWER_WAIT, body.read_ahead_to(MAX_SHORT_BYTES)).await {
+        Ok(Err(error)) if error.is_fault() => Err(SendFault::Foreign),
+        Ok(Err(_)) => Err(SendFault::Closed),
+        Ok(Ok(_)) | Err(_) => Ok(()),
+    }
+}
+
 // A silent server counts as one that failed until it answers. Its other connections are usually affected too.
 fn note_silent(
     gateway: &Gateway,
--- a/crates/gateway/src/pipeline/response_body.rs
+++ b/crates/gateway/src/pipeline/response_body.rs
@@ -12,9 +12,6 @@
     pipeline::events::{EventSplitter, MAX_EVENT_BYTES},
 };
 
-/// The maximum number of bytes of a response that are read before it is forwarded, unless it is a stream of events.
-const MAX_AHEAD_BYTES: usize = 64 << 10;
-
 /// What a body brings next; none at its end.
 pub type BodyFrame = Option<Result<Frame<Bytes>, ResponseError>>;
 
@@ -86,10 +83,10 @@
         Ok(if splitter.has_partial_event() { Ahead::Cut } else { Ahead::End })
     }
 
-    /// Reads to the end, or as much as may be read ahead.
-    pub async fn read_to_end_ahead(&mut self) -> Result<Ahead, ResponseError> {
+    /// Reads to the end, or about `max_bytes`.
+    pub async fn read_ahead_to(&mut self, max_bytes: usize) -> Result<Ahead, ResponseError> {
         let mut bytes_ahead = 0;
-        while bytes_ahead < MAX_AHEAD_BYTES {
+        while bytes_ahead < max_bytes {
             let Some(bytes) = self.read_ahead().await? else { return Ok(Ahead::End) };
             bytes_ahead += bytes.len();
         }
