--- a/crates/daemon/tests/retry_budget.rs
+++ b/crates/daemon/tests/retry_budget.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use harness::backend::Behavior;
+use harness::{backend::Behavior, config_change::ConfigChange};
 use play::{Asked, HEADROOM, Play, Process, Signal};
 use rstest::rstest;
 use tokio::time::sleep;
@@ -29,6 +29,7 @@
     KilledTwice,
     KilledInTurn,
     TwoKilled,
+    OthersKilled,
     StoppedInTurn,
     FourPaused,
     FourPausedLong,
@@ -54,6 +55,7 @@
                     play.restart(process..process + 1, signal, Duration::from_millis(100)).await;
                 }
             }
+            Trouble::OthersKilled => play.restart(1..count, Signal::Kill, DOWN).await,
             Trouble::TwoKilled => play.restart(0..2, Signal::Kill, DOWN).await,
             Trouble::FourPaused => play.pause(1..count, PAUSE).await,
             Trouble::FourPausedLong => play.pause(1..count, LONG_PAUSE).await,
@@ -123,6 +125,66 @@
     assert!(0.0 < worst.retries && worst.retries <= worst.allowed, "{worst:?}");
 }
 
+// Guards against requests that other processes carry and that get more retries when these end.
+#[rstest]
+#[case::calm(Trouble::Nothing)]
+#[case::all_killed(Trouble::AllKilled)]
+#[case::carriers_killed(Trouble::OthersKilled)]
+#[case::killed_in_turn(Trouble::KilledInTurn)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn carried_requests(#[case] trouble: Trouble) {
+    let mut play = Play::start(5, Behavior::Complete).await;
+    play.cut_first().await;
+    play.warm_up().await;
+    play.set_behavior(&Behavior::Failing);
+    sleep(Duration::from_secs(1)).await;
+    trouble.happen(&mut play).await;
+    let worst = play.finish().await;
+    assert!(0.0 < worst.retries && worst.retries <= worst.allowed, "{worst:?}");
+}
+
+// Guards against a service to which a route is pointed, or one that it has left, and that gets the retries of both.
+#[rstest]
+#[case::once(1, Trouble::Nothing)]
+#[case::there_and_back(4, Trouble::Nothing)]
+#[case::two_killed(1, Trouble::TwoKilled)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn other_service(#[case] changes: usize, #[case] trouble: Trouble) {
+    let mut play = Play::start(5, Behavior::Complete).await;
+    play.add_other_servers().await;
+    play.warm_up().await;
+    play.set_behavior(&Behavior::Failing);
+    for number in 0..changes {
+        sleep(Duration::from_millis(1_500)).await;
+        let is_other = number % 2 == 0;
+        play.change_config(if is_other {
+            ConfigChange::OtherServices
+        } else {
+            ConfigChange::Nothing
+        });
+    }
+    trouble.happen(&mut play).await;
+    let worst = play.finish().await;
+    assert!(0.0 < worst.retries && worst.retries <= worst.allowed, "{worst:?}");
+}
+
+// Guards against processes of which some have another limit, as while it is changed, and that exceed the larger one.
+#[rstest]
+#[case::stopped(Trouble::StoppedInTurn)]
+#[case::killed(Trouble::KilledInTurn)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn other_limit(#[case] trouble: Trouble) {
+    let mut play = Play::start(5, Behavior::Complete).await;
+    play.change_settings("retry_ratio = 0.2", "retry_ratio = 0.1");
+    play.change_settings("retry_headroom = 50", "retry_headroom = 20");
+    play.warm_up().await;
+    play.set_behavior(&Behavior::Failing);
+    sleep(Duration::from_secs(1)).await;
+    trouble.happen(&mut play).await;
+    let worst = play.finish().await;
+    assert!(0.0 < worst.retries && worst.retries <= worst.allowed, "{worst:?}");
+}
+
 // Guards against a process that ends under SIGTERM and leaves its successor without retries for a whole window.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn successor_retries() {
--- a/crates/daemon/tests/retry_budget/play.rs
+++ b/crates/daemon/tests/retry_budget/play.rs
@@ -17,11 +17,18 @@
 
 use tokio::{task::JoinHandle, time::sleep};
 
+use bulrushhall_standin::link::LinkCut;
+
 use crate::harness::{
     ENGINES, Harness, LEDGER, TestServer,
-    backend::{Backend, Behavior},
+    backend::{Backend, Behavior, ReceivedRequest},
     caller::{get_status, post, post_if_open, prompt_if_open},
+    config_change::{ConfigChange, OTHER_LEDGER},
+    document::CONFIG_KEY,
+    partition::OpenConnections,
+    start_server,
     store::Fault,
+    store_view::StoreView,
     wait_until,
 };
 
@@ -36,6 +43,10 @@
 /// How long servers fail.
 const FAILING_TIME: Duration = Duration::from_secs(10);
 const SERVERS: usize = 4;
+/// The attempts of each route that is played.
+const MAX_ATTEMPTS: usize = 2;
+/// By how much the time that a server is given for a repeated request may end after that of the first one.
+const TIME_SLACK: Duration = Duration::from_millis(500);
 
 /// A `Signal` is what a process gets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,7 +74,7 @@
     readiness: SocketAddr,
     settings: PathBuf,
     /// The settings of its successors, which are no first start.
-    next_settings: PathBuf,
+    pub next_settings: PathBuf,
     child: Child,
 }
 
@@ -74,6 +85,13 @@
     pub allowed: f64,
 }
 
+impl Worst {
+    /// Returns the one that is nearer to what is allowed, or further above it.
+    fn worse(self, other: Worst) -> Worst {
+        if other.allowed - other.retries < self.allowed - self.retries { other } else { self }
+    }
+}
+
 /// What is asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Asked {
@@ -92,12 +110,18 @@
     stopped: Arc<AtomicBool>,
     load: Option<JoinHandle<()>>,
     failing_since: Option<Instant>,
+    /// The store as the first process sees it, whose ways to the servers can be cut.
+    view: Arc<StoreView>,
+    /// The version of the configuration.
+    version: u64,
     _ports: Vec<TestServer>,
 }
 
 impl Process {
-    fn start(harness: &Harness, name: &str) -> Process {
+    fn start(harness: &Harness, name: &str, store: SocketAddr) -> Process {
+        let store_line = |address: SocketAddr| format!("key_value = {address}\n");
         let text = harness.settings_text(name);
+        let text = text.replace(&store_line(harness.store_server.address), &store_line(store));
         let address = |key: &str| -> SocketAddr {
             let line = text.lines().find_map(|line| line.strip_prefix(&format!("{key} = ")));
             line.expect("a setting").parse().expect("an address")
@@ -159,8 +183,13 @@
             ports.push(harness.add_backend(service, &server).await);
             servers.push(server);
         }
-        let start = |number| Process::start(&harness, &format!("node-{number}"));
+        let view = StoreView::new(&harness.store);
+        let view_port = start_server(Arc::<StoreView>::clone(&view));
+        let store_of =
+            |number| if number == 0 { view_port.address } else { harness.store_server.address };
+        let start = |number| Process::start(&harness, &format!("node-{number}"), store_of(number));
         let processes: Vec<Process> = (0..count).map(start).collect();
+        ports.push(view_port);
         for process in &processes {
             wait_until(async || get_status(process.readiness, "/readyz").await == Some(200)).await;
         }
@@ -173,6 +202,8 @@
             stopped: Arc::default(),
             load: None,
             failing_since: None,
+            view,
+            version: 1,
             _ports: ports,
         }
     }
@@ -234,6 +265,37 @@
         }
     }
 
+    /// Cuts all ways of the first process to servers, and waits until others carry its requests.
+    pub async fn cut_first(&self) {
+        self.view.cut(LinkCut::Refusing, OpenConnections::Reset);
+        wait_until(async || self.answered_by(&self.processes[0], 3).await == 3).await;
+    }
+
+    /// Adds servers of the service to which routes are pointed later.
+    pub async fn add_other_servers(&mut self) {
+        self.change_config(ConfigChange::Nothing);
+        for number in 0..SERVERS {
+            let server = Backend::new(&format!("other-{number}"), Behavior::Complete);
+            self._ports.push(self.harness.add_backend(OTHER_LEDGER, &server).await);
+            self.servers.push(server);
+        }
+    }
+
+    /// Changes the configuration.
+    pub fn change_config(&mut self, change: ConfigChange) {
+        self.version += 1;
+        self.harness.store.put(CONFIG_KEY, &change.config(self.version).to_string());
+    }
+
+    /// Changes a line of the settings of all later processes.
+    pub fn change_settings(&self, before: &str, after: &str) {
+        for process in &self.processes {
+            let text = fs::read_to_string(&process.next_settings).expect("a file");
+            assert!(text.contains(before));
+            fs::write(&process.next_settings, text.replace(before, after)).expect("a written file");
+        }
+    }
+
     pub fn stop_store(&self) {
         self.harness.store.set_fault(Fault::Down);
     }
@@ -255,30 +317,72 @@
         self.stopped.store(true, Ordering::Relaxed);
         sleep(Duration::from_millis(300)).await;
         let sent = self.sent.lock().expect("no panic while it is held").clone();
-        let worst = worst_window(&sent, &self.retries());
+        let requests = self.requests();
+        for (id, arrivals) in &requests {
+            assert!(arrivals.len() <= MAX_ATTEMPTS, "{id}: {} attempts", arrivals.len());
+            check_times(arrivals);
+        }
+        let (of_other, of_first): (Vec<_>, Vec<_>) =
+            requests.into_values().partition(|arrivals| arrivals[0].server.starts_with("other"));
+        let first_arrivals = |requests: &[Vec<Arrival>]| -> Vec<Instant> {
+            requests.iter().map(|arrivals| arrivals[0].at).collect()
+        };
+        // The other service has only the requests that reached it.
+        let other = worst_window(&first_arrivals(&of_other), &retries(&of_other));
+        let sent = if of_other.is_empty() { sent } else { first_arrivals(&of_first) };
+        let worst = worst_window(&sent, &retries(&of_first)).worse(other);
         let _ = writeln!(io::stderr(), "{worst:?}");
         worst
     }
 
-    // Returns when servers got requests that had reached one before.
-    fn retries(&self) -> Vec<Instant> {
-        let mut arrivals: HashMap<String, Vec<Instant>> = HashMap::new();
+    // Returns the arrivals of each request at servers.
+    fn requests(&self) -> HashMap<String, Vec<Arrival>> {
+        let mut requests: HashMap<String, Vec<Arrival>> = HashMap::new();
         for server in &self.servers {
             for request in server.received() {
                 let id = request.header("bulrushhall-attempt-id").to_owned();
-                arrivals.entry(id).or_default().push(request.at);
+                requests.entry(id).or_default().push(Arrival::new(&server.name, &request));
             }
         }
-        let mut retries = Vec::new();
-        for times in arrivals.values_mut() {
-            times.sort_unstable();
-            retries.extend(&times[1..]);
+        for arrivals in requests.values_mut() {
+            arrivals.sort_unstable_by_key(|arrival| arrival.at);
         }
-        retries.sort_unstable();
-        retries
+        requests
+    }
+}
+
+/// An `Arrival` is a request as a server got it.
+#[derive(Clone, Debug)]
+struct Arrival {
+    server: String,
+    at: Instant,
+    /// When the time is over that the server was given.
+    ends_at: Instant,
+}
+
+impl Arrival {
+    fn new(server: &str, request: &ReceivedRequest) -> Arrival {
+        let given = request.header("bulrushhall-deadline-ms").parse().expect("a time");
+        let ends_at = request.at + Duration::from_millis(given);
+        Arrival { server: server.to_owned(), at: request.at, ends_at }
+    }
+}
+
+// Guards against servers that are given more time than is left of a request.
+fn check_times(arrivals: &[Arrival]) {
+    for arrival in arrivals {
+        assert!(arrival.ends_at <= arrivals[0].ends_at + TIME_SLACK, "{arrivals:?}");
     }
 }
 
+// Returns when servers got requests that had reached one before.
+fn retries(requests: &[Vec<Arrival>]) -> Vec<Instant> {
+    let repeated = requests.iter().flat_map(|arrivals| &arrivals[1..]);
+    let mut retries: Vec<Instant> = repeated.map(|arrival| arrival.at).collect();
+    retries.sort_unstable();
+    retries
+}
+
 // Returns the requests or retries in the window that ends at a time.
 fn count(times: &[Instant], end: Instant) -> f64 {
     times.iter().filter(|at| **at <= end && end.duration_since(**at) < WINDOW).count() as f64
@@ -292,9 +396,7 @@
             [Duration::ZERO, WINDOW / 2, WINDOW].map(|before| count(sent, *end - before));
         let requests = requests.into_iter().fold(0.0, f64::max);
         let window = Worst { retries: count(retries, *end), allowed: RATIO * requests + HEADROOM };
-        if worst.allowed - worst.retries > window.allowed - window.retries {
-            worst = window;
-        }
+        worst = worst.worse(window);
     }
     worst
 }
