Seed the choices of nodes in the model of the start of all nodes

These choices are drawn from random::rng() now, which a test can seed. Choices of requests are as before.

--- a/crates/gateway/src/cluster/follow.rs
+++ b/crates/gateway/src/cluster/follow.rs
@@ -11,7 +11,7 @@
 use rand::RngExt;
 use tokio::time::sleep;
 
-use crate::{clock, cluster::WatchSubject, gateway::Gateway, meters};
+use crate::{clock, cluster::WatchSubject, gateway::Gateway, meters, random};
 
 /// The purpose against whose call budget a follower's calls count.
 const RECORDS: Purpose = Purpose::Records;
@@ -208,7 +208,7 @@
 
 fn pause(failures: u32) -> Duration {
     let full = RETRY_PAUSE * (1 << failures.min(2));
-    full.mul_f64(rand::rng().random_range(0.5..1.0))
+    full.mul_f64(random::rng().random_range(0.5..1.0))
 }
 
 // An empty response was made at the end of the wait, one with changes at any time after the call.
--- a/crates/gateway/src/cluster/gossip.rs
+++ b/crates/gateway/src/cluster/gossip.rs
@@ -35,6 +35,7 @@
     gateway::{Gateway, State},
     meters,
     prefix_homes::exchange_prefixes,
+    random,
     reachability::probe_lost,
     reported_facts::set_own,
     retries::note_members,
@@ -300,7 +301,7 @@
         }
         if self.is_stale {
             let all: Vec<_> = state.members.iter().collect();
-            for (node, member) in all.sample(&mut rand::rng(), STALE_EXCHANGES) {
+            for (node, member) in all.sample(&mut random::rng(), STALE_EXCHANGES) {
                 if exchanges.iter().all(|exchange| exchange.node != **node) {
                     exchanges.push(exchange_with(
                         node,
--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -23,7 +23,7 @@
     cluster::DUTY_KEY,
     duties::within,
     gateway::{Gateway, Phase},
-    meters,
+    meters, random,
 };
 
 /// The interval of checks whether a call for the lease is due.
@@ -171,7 +171,7 @@
             let reply = holder.execute(call).await;
             holder.note_era(&mut era);
             // After a restore no call is pending, so a reply of the earlier era changes nothing.
-            holder.lock(|lease| lease.reply(clock::now(), reply, &mut rand::rng()));
+            holder.lock(|lease| lease.reply(clock::now(), reply, &mut random::rng()));
         } else {
             sleep(CHECK_INTERVAL).await;
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod platform_calls;
 pub mod ports;
 pub mod prefix_homes;
+pub mod random;
 pub mod reachability;
 pub mod reported_facts;
 pub mod retries;
