--- a/crates/daemon/tests/crowds_at_routes.rs
+++ b/crates/daemon/tests/crowds_at_routes.rs
@@ -4,7 +4,12 @@
 #[path = "../../../platform/tests/harness/mod.rs"]
 mod harness;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    io::{self, Write},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use crowd::{Client, Crowd, DaemonProcess, MAX_DESCRIPTORS, Pieces, alone, wait_until};
@@ -109,6 +114,7 @@
         assert!(self.daemon.is_alive());
         self.wait_for_answer().await;
         let (peak, open) = (self.daemon.peak_memory(), self.daemon.descriptors());
+        let _ = writeln!(io::stderr(), "{client:?}: {} kB of memory", peak >> 10);
         assert!(peak <= MEMORY, "{} kB of memory", peak >> 10);
         assert!(open <= MAX_DESCRIPTORS, "{open} descriptors");
         drop(crowd);
