--- a/crates/gateway/src/cluster/gossip.rs
+++ b/crates/gateway/src/cluster/gossip.rs
@@ -212,7 +212,7 @@
     let others = state.members.iter().map(|(node, member)| RelayPeer {
         node,
         zone: &member.record.zone,
-        contact: contact(member, now, &options),
+        contact: contact_of(member, now, &options),
         weight: member.record.weight,
         ranking: member.record.relay_ranking,
     });
@@ -240,7 +240,7 @@
     state.relays = plan;
 }
 
-fn contact(member: &Member, now: Stamp, options: &RelayOptions) -> Contact {
+fn contact_of(member: &Member, now: Stamp, options: &RelayOptions) -> Contact {
     let (contact, silent_after) = match member.last_received {
         Some(_) => (Contact::Responsive, options.silent_after),
         None => (Contact::Unheard, options.unheard_silent_after),
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -47,13 +47,14 @@
 const OVERDUE_MARGIN: Duration = Duration::from_millis(700);
 /// The maximum size of the reason why a request was not carried, in bytes.
 const MAX_FAILURE_BYTES: usize = 1_024;
+/// The time limit for this reason, whose head has arrived already.
+const FAILURE_TIMEOUT: Duration = Duration::from_millis(300);
 /// The most that is read ahead of an answer that is no stream while several servers may answer, in bytes.
 const MAX_AHEAD_BYTES: usize = 64 << 10;
-/// How much of an answer that is no stream is read before its head is passed on, in bytes, and how long that may take.
+/// How much of an answer that is no stream is checked before its head is passed on, in bytes.
 const MAX_SHORT_BYTES: usize = 16 << 10;
+/// How long a head waits for that.
 const SHORT_ANSWER_WAIT: Duration = Duration::from_millis(20);
-/// The time limit for this reason, whose head has arrived already.
-const FAILURE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// An `OriginalRequest` is a caller's request as it was received, kept for as many attempts as it takes.
 #[derive(Debug)]
@@ -275,8 +276,8 @@
     }
 }
 
-// Reads an answer that is no stream, so that one that is not whole never reaches the caller as a head: most are there with
-// their heads. Longer ones are checked as they are forwarded.
+// Checks an answer that is no stream before its head is passed on: the bodies of most have arrived with their heads. Longer
+// or later ones are checked as they are forwarded.
 async fn check_short(
     req: &IdentifiedRequest,
     head: &ResponseHead,
--- a/crates/gateway/src/random.rs
+++ b/crates/gateway/src/random.rs
@@ -13,7 +13,7 @@
     SEEDED.set(Some(StdRng::seed_from_u64(seed)));
 }
 
-/// Returns a source of random numbers for one choice.
+/// Returns a source of random numbers for one choice: repeatable where the thread was seeded.
 pub fn rng() -> StdRng {
     SEEDED.with_borrow_mut(|seeded| match seeded {
         Some(seeded) => StdRng::from_rng(seeded),
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -60,7 +60,7 @@
     started_at: Option<Stamp>,
     /// The usage in first reports that is not yet subtracted.
     pending_usage: f64,
-    /// What the bucket lost to the parts of nodes that were not heard yet, less their usage since.
+    /// What the bucket has lost to the parts of nodes that are not heard, less the usage in their first reports.
     withheld: f64,
     /// When the node started, if the limit was already in use then.
     restarted_at: Option<Stamp>,
