--- a/crates/daemon/tests/retry_budget.rs
+++ b/crates/daemon/tests/retry_budget.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use harness::{backend::Behavior, config_change::ConfigChange};
-use play::{Asked, HEADROOM, Play, Process, Signal};
+use play::{Asked, HEADROOM, Play, Process, Signal, Worst};
 use rstest::rstest;
 use tokio::time::sleep;
 
@@ -65,6 +65,14 @@
     }
 }
 
+// Lets servers fail and something happen to the processes; returns the worst window.
+async fn fail_during(mut play: Play, trouble: Trouble, behavior: &Behavior) -> Worst {
+    play.set_behavior(behavior);
+    sleep(Duration::from_secs(1)).await;
+    trouble.happen(&mut play).await;
+    play.finish().await
+}
+
 // Guards against processes that together send a failing service more retries than its requests and the headroom allow.
 #[rstest]
 #[case::calm(Trouble::Nothing, Behavior::Failing)]
@@ -82,10 +90,7 @@
 async fn sum_is_kept(#[case] trouble: Trouble, #[case] behavior: Behavior) {
     let mut play = Play::start(5, Behavior::Complete).await;
     play.warm_up().await;
-    play.set_behavior(&behavior);
-    sleep(Duration::from_secs(1)).await;
-    trouble.happen(&mut play).await;
-    let worst = play.finish().await;
+    let worst = fail_during(play, trouble, &behavior).await;
     assert!(worst.retries <= worst.allowed, "{worst:?}");
     if matches!(trouble, Trouble::Nothing) {
         assert!(MIN_USED * worst.allowed <= worst.retries, "{worst:?}");
@@ -101,10 +106,7 @@
 async fn silent_servers(#[case] trouble: Trouble) {
     let mut play = Play::start(5, Behavior::Complete).await;
     play.warm_up().await;
-    play.set_behavior(&Behavior::Silent);
-    sleep(Duration::from_secs(1)).await;
-    trouble.happen(&mut play).await;
-    let worst = play.finish().await;
+    let worst = fail_during(play, trouble, &Behavior::Silent).await;
     assert!(worst.retries <= worst.allowed, "{worst:?}");
 }
 
@@ -118,10 +120,7 @@
 async fn broken_streams(#[case] trouble: Trouble) {
     let mut play = Play::start_for(Asked::Streams, 5, Behavior::Events(2)).await;
     play.warm_up().await;
-    play.set_behavior(&Behavior::BreakAfter(1));
-    sleep(Duration::from_secs(1)).await;
-    trouble.happen(&mut play).await;
-    let worst = play.finish().await;
+    let worst = fail_during(play, trouble, &Behavior::BreakAfter(1)).await;
     assert!(0.0 < worst.retries && worst.retries <= worst.allowed, "{worst:?}");
 }
 
@@ -136,10 +135,7 @@
     let mut play = Play::start(5, Behavior::Complete).await;
     play.cut_first().await;
     play.warm_up().await;
-    play.set_behavior(&Behavior::Failing);
-    sleep(Duration::from_secs(1)).await;
-    trouble.happen(&mut play).await;
-    let worst = play.finish().await;
+    let worst = fail_during(play, trouble, &Behavior::Failing).await;
     assert!(0.0 < worst.retries && worst.retries <= worst.allowed, "{worst:?}");
 }
 
@@ -178,10 +174,7 @@
     play.change_settings("retry_ratio = 0.2", "retry_ratio = 0.1");
     play.change_settings("retry_headroom = 50", "retry_headroom = 20");
     play.warm_up().await;
-    play.set_behavior(&Behavior::Failing);
-    sleep(Duration::from_secs(1)).await;
-    trouble.happen(&mut play).await;
-    let worst = play.finish().await;
+    let worst = fail_during(play, trouble, &Behavior::Failing).await;
     assert!(0.0 < worst.retries && worst.retries <= worst.allowed, "{worst:?}");
 }
 
