--- a/crates/external/src/http/response_fault.rs
+++ b/crates/external/src/http/response_fault.rs
@@ -15,7 +15,7 @@
 pub enum ResponseFault {
     /// The bytes are no head of a response, or too long a one.
     Head,
-    /// The status is not a final one from 200 to 599.
+    /// The status is below 200 or above 599.
     Status,
     /// The transfer coding is not `chunked` alone, or is not allowed in this version or status.
     TransferCoding,
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -24,17 +24,18 @@
     adapter::{ResponseHead, SendHead},
     announcements::note_response,
     backends::{Connection, OpenError},
-    body_budget::{BodyBudget, BodyRoom},
+    body_budget::BodyRoom,
     brittle, clock,
     cluster::{CARRIED_HEADER, CARRIED_UNDELIMITED, CARRY_PATH, CarriedRequest, CarryFailure},
     crashes::{SentRequest, log_broken_answer, note_answering, note_unopened},
     gateway::Gateway,
     meters,
     pipeline::{
+        first_bytes::{check_short, read_ahead},
         identify::IdentifiedRequest,
         in_flight::InFlightGuard,
         placement::Placement,
-        response_body::{Ahead, ResponseBody},
+        response_body::ResponseBody,
         send_fault::{SendError, SendFault},
     },
     reachability::{note_opened, note_unreachable, suspect_server},
@@ -49,12 +50,6 @@
 const MAX_FAILURE_BYTES: usize = 1_024;
 /// The time limit for this reason, whose head has arrived already.
 const FAILURE_TIMEOUT: Duration = Duration::from_millis(300);
-/// The most that is read ahead of an answer that is no stream while several servers may answer, in bytes.
-const MAX_AHEAD_BYTES: usize = 64 << 10;
-/// How much of an answer that is no stream is checked before its head is passed on, in bytes.
-const MAX_SHORT_BYTES: usize = 16 << 10;
-/// How long a head waits for that.
-const SHORT_ANSWER_WAIT: Duration = Duration::from_millis(20);
 
 /// An `OriginalRequest` is a caller's request as it was received, kept for as many attempts as it takes.
 #[derive(Debug)]
@@ -253,46 +248,6 @@
     }
 }
 
-// Reads as much of a body as shows that its server goes on with it.
-async fn read_ahead(
-    req: &IdentifiedRequest,
-    head: &ResponseHead,
-    body: &mut ResponseBody,
-    (after, is_marked): (Option<u64>, bool),
-    budget: &BodyBudget,
-) -> Result<(), SendFault> {
-    let is_stream = req.route.cfg.kind.is_stream() && head.status.is_success();
-    let read = if is_stream {
-        body.read_event_ahead(after, budget).await
-    } else {
-        body.read_ahead_to(MAX_AHEAD_BYTES).await
-    };
-    match read {
-        Ok(Ahead::Part) => Ok(()),
-        // The forwarder judges a plain answer without a mark of its end.
-        Ok(Ahead::End) if is_marked || !is_stream => Ok(()),
-        Err(error) if error.is_fault() => Err(SendFault::Foreign),
-        Ok(Ahead::End | Ahead::Cut) | Err(_) => Err(SendFault::Closed),
-    }
-}
-
-// Checks an answer that is no stream before its head is passed on: the bodies of most have arrived with their heads. Longer
-// or later ones are checked as they are forwarded.
-async fn check_short(
-    req: &IdentifiedRequest,
-    head: &ResponseHead,
-    body: &mut ResponseBody,
-) -> Result<(), SendFault> {
-    if req.route.cfg.kind.is_stream() && head.status.is_success() {
-        return Ok(());
-    }
-    match timeout(SHORT_ANSWER_WAIT, body.read_ahead_to(MAX_SHORT_BYTES)).await {
-        Ok(Err(error)) if error.is_fault() => Err(SendFault::Foreign),
-        Ok(Err(_)) => Err(SendFault::Closed),
-        Ok(Ok(_)) | Err(_) => Ok(()),
-    }
-}
-
 // A silent server counts as one that failed until it answers. Its other connections are usually affected too.
 fn note_silent(
     gateway: &Gateway,
--- a/crates/gateway/src/pipeline/mod.rs
+++ b/crates/gateway/src/pipeline/mod.rs
@@ -5,6 +5,7 @@
 mod binding;
 mod events;
 mod failure;
+mod first_bytes;
 mod forward;
 mod identify;
 mod in_flight;
