--- a/review/7/case.py
+++ b/review/7/case.py
@@ -33,7 +33,7 @@
 
 def head_of(method, path, attempt, body, more=""):
     return ("%s %s HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key-1\r\nBulrushhall-Attempt-Id: %s\r\n"
-            "Bulrushhall-Deadline-Ms: 10000\r\n%sContent-Length: %d\r\n\r\n" % (method, path, attempt, more, len(body))).encode() + body
+            "Bulrushhall-Deadline-Ms: 5000\r\n%sContent-Length: %d\r\n\r\n" % (method, path, attempt, more, len(body))).encode() + body
 
 
 async def requester(node, count, results):
@@ -83,7 +83,7 @@
 
 async def main(trouble):
     async with Deployment(3) as d:
-        routes = [route("consults", "/consult/", "streaming", "models", timeout=10000, target=600, attempts=1, target_gap_ms=1000),
+        routes = [route("consults", "/consult/", "streaming", "models", timeout=5000, target=600, attempts=1, target_gap_ms=250),
                   route("looks", "/look/", "safe", "ledger", timeout=3000)]
         tenants = [{"name": "guild-1", "api_keys": ["key-1"], "unit": "token", "uncached_tokens": 200, "rate_per_s": 280000, "burst": 280000}]
         d.store.put("op/config", config(7, routes, [service("models", 360, engine=ENGINE), service("ledger")], tenants))
@@ -96,7 +96,7 @@
         results, rounds = [], []
         for reports in (True, False):
             before = len(results)
-            open_streams = [asyncio.create_task(requester(d.nodes[n % 3], 25 + 3 * n, results)) for n in range(STREAMS)]
+            open_streams = [asyncio.create_task(requester(d.nodes[n % 3], 25 + 2 * n, results)) for n in range(STREAMS)]
             await asyncio.sleep(0.3)
             following = Worker(d.store, "models", "c", stream, slots=64)
             following.open = 0
