Log what is weighed against a part, and how old the answer is that lifts a block

Change: line 463 (PartSuspected) has the evidence about a part once five servers have crashed under it; line 457 has the age of the answer that lifts a block, and of the block. No logic is changed.

--- a/crates/coord/src/crashes/blocks.rs
+++ b/crates/coord/src/crashes/blocks.rs
@@ -57,6 +57,11 @@
         self.entries.get(parts).map(|entry| &entry.block)
     }
 
+    /// Returns when this node learned of the latest change of a record.
+    pub fn learned_at(&self, parts: &PartIds) -> Option<Stamp> {
+        self.entries.get(parts).map(|entry| entry.learned_at)
+    }
+
     /// Returns all records.
     pub fn iter(&self) -> impl Iterator<Item = &Block> {
         self.entries.values().map(|entry| &entry.block)
--- a/crates/coord/src/crashes/evidence.rs
+++ b/crates/coord/src/crashes/evidence.rs
@@ -25,6 +25,8 @@
     sound: HashMap<PartId, KnownSound>,
     /// The parts that are suspected, also those that are blocked, and when servers crashed under them.
     suspects: BTreeMap<PartId, Vec<Stamp>>,
+    /// The parts that were told to be suspected.
+    told: BTreeSet<PartId>,
     written: u32,
 }
 
@@ -59,6 +61,7 @@
             reports: VecDeque::new(),
             sound: HashMap::new(),
             suspects: BTreeMap::new(),
+            told: BTreeSet::new(),
             written: 0,
         }
     }
@@ -239,6 +242,26 @@
         most.map_or_else(Vec::new, |(suspect, part)| self.inseparable(part, suspect, &suspects))
     }
 
+    /// Returns the evidence about parts under which so many servers have crashed that they may be blamed, each once.
+    pub fn newly_suspected(
+        &mut self,
+        now: Stamp,
+        outcomes: &PartOutcomes,
+        blocks: &Blocks,
+    ) -> Vec<(PartId, PartTally)> {
+        let suspects = tally(&self.reports, blocks, &self.options, |part| self.last_sound(part));
+        let mut suspected = Vec::new();
+        for (part, suspect) in &suspects {
+            if suspect.kind == BlockKind::Parts && self.options.many <= suspect.crashed_at.len() {
+                suspected.push((*part, self.tally_of(now, *part, suspect, outcomes)));
+            }
+        }
+        let before = std::mem::take(&mut self.told);
+        self.told = suspected.iter().map(|(part, _)| *part).collect();
+        suspected.retain(|(part, _)| !before.contains(part));
+        suspected
+    }
+
     // Most requests are sent once, so that no other node has answered one that this node has not.
     fn settling(&self, part: PartId, suspect: &Suspect, outcomes: &PartOutcomes) -> Duration {
         let is_answered = self.sound.contains_key(&part) || outcomes.last_sound(part).is_some();
--- a/crates/coord/src/crashes/watch.rs
+++ b/crates/coord/src/crashes/watch.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Blame, Block, BlockState, Blocks, CrashEvidence, CrashedRequest, CrashedServer,
-    EvidenceOptions, Judge, PartId, PartIds, PartOutcomes, ProbeSchedule, Received,
+    EvidenceOptions, Judge, PartId, PartIds, PartOutcomes, PartTally, ProbeSchedule, Received,
 };
 
 /// The latest sound answers of this node to prompts with a part from which it need not be suspected.
@@ -106,6 +106,14 @@
         changed
     }
 
+    /// Returns the evidence about parts that may be blamed soon, each once.
+    pub fn newly_suspected(&mut self, now: Stamp) -> Vec<(PartId, PartTally)> {
+        if !self.evidence.is_recent(now) {
+            return Vec::new();
+        }
+        self.evidence.newly_suspected(now, &self.outcomes, &self.blocks)
+    }
+
     /// Lifts a block and forgets the evidence for it; returns its record unless it is not in force.
     pub fn lift(&mut self, now: Stamp, parts: &PartIds) -> Option<Block> {
         let block = self.blocks.lift(now, parts)?;
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -127,6 +127,8 @@
     PrefixHomesChanged,
     /// A backend server interrupted answers, and was not found to have ended.
     AnswersInterrupted,
+    /// Servers crash under a prompt part, and the evidence does not tell yet whether it is the cause.
+    PartSuspected,
     /// A VM was bought.
     VmBought,
     /// The purchase of a VM was refused; no VM is bought in the same place for a while.
@@ -210,6 +212,7 @@
         Event::EnginesSufficient,
         Event::PrefixHomesChanged,
         Event::AnswersInterrupted,
+        Event::PartSuspected,
         Event::VmBought,
         Event::PurchaseRefused,
         Event::VmReleased,
@@ -285,6 +288,7 @@
             Event::EnginesSufficient => 460,
             Event::PrefixHomesChanged => 461,
             Event::AnswersInterrupted => 462,
+            Event::PartSuspected => 463,
             Event::VmBought => 500,
             Event::PurchaseRefused => 501,
             Event::VmReleased => 502,
--- a/crates/gateway/src/cluster/peer_port.rs
+++ b/crates/gateway/src/cluster/peer_port.rs
@@ -125,7 +125,7 @@
     fn lift(&self, query: &str) -> Response<Body> {
         let parts = query.strip_prefix("parts=").map(PartIds::from_str);
         let Some(Ok(parts)) = parts else { return refuse(StatusCode::BAD_REQUEST) };
-        if !lift(&self.gateway, &parts, "operator") {
+        if !lift(&self.gateway, &parts) {
             return refuse(StatusCode::NOT_FOUND);
         }
         json(&block_statuses(&self.gateway))
--- a/crates/gateway/src/crashes/blocks.rs
+++ b/crates/gateway/src/crashes/blocks.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use bulrushhall_coord::crashes::{Block, BlockKind, BlockState, BlockStatus, PartIds, Received};
+use bulrushhall_coord::crashes::{
+    Block, BlockKind, BlockState, BlockStatus, PartId, PartIds, PartTally, Received,
+};
 use bulrushhall_core::{Event, Stamp};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -28,14 +30,60 @@
     for block in state.crashes.watch.plan(now, gateway.incarnation, unix_ms) {
         note_changed(gateway, state, now, &block, "evidence");
     }
+    for (part, tally) in state.crashes.watch.newly_suspected(now) {
+        log_suspected(part, tally);
+    }
+}
+
+fn log_suspected(part: PartId, tally: PartTally) {
+    let PartTally { crashes, servers, closest, answered, .. } = tally;
+    tracing::info!(
+        event = Event::PartSuspected.number(),
+        %part,
+        servers,
+        moments = crashes,
+        closest,
+        is_answered = tally.is_known_sound,
+        answered,
+        is_other_answered = tally.is_other_sound
+    );
+}
+
+/// Lifts a block that an operator does not want; returns whether it was in force.
+pub fn lift(gateway: &Gateway, parts: &PartIds) -> bool {
+    lift_because(gateway, parts, "operator", None)
+}
+
+/// Lifts a block that an answer speaks against, which began at a time.
+pub fn lift_answered(
+    gateway: &Gateway,
+    parts: &PartIds,
+    source: &'static str,
+    begun_at: Stamp,
+) -> bool {
+    lift_because(gateway, parts, source, Some(begun_at))
 }
 
-/// Lifts a block; returns whether it was in force.
-pub fn lift(gateway: &Gateway, parts: &PartIds, source: &'static str) -> bool {
+fn lift_because(
+    gateway: &Gateway,
+    parts: &PartIds,
+    source: &'static str,
+    begun_at: Option<Stamp>,
+) -> bool {
     let now = clock::now();
     gateway.with(|state| {
+        let blocked_at = state.crashes.watch.blocks.learned_at(parts);
         let Some(block) = state.crashes.watch.lift(now, parts) else { return false };
-        note_changed(gateway, state, now, &block, source);
+        let age_ms = |at: Option<Stamp>| at.map(|at| as_millis(now.since(at)));
+        tracing::warn!(
+            event = Event::PartUnblocked.number(),
+            %parts,
+            kind = block.kind.as_str(),
+            source,
+            blocked_ms = age_ms(blocked_at),
+            answer_age_ms = age_ms(begun_at)
+        );
+        queue_changed(gateway, state, now, &block, source);
         true
     })
 }
@@ -78,6 +126,18 @@
             tracing::warn!(event = Event::PartUnblocked.number(), %parts, kind, source);
         }
     }
+    queue_changed(gateway, state, now, block, source);
+}
+
+// Lets other nodes and the key-value service know of a changed record.
+fn queue_changed(
+    gateway: &Gateway,
+    state: &mut State,
+    now: Stamp,
+    block: &Block,
+    source: &'static str,
+) {
+    let parts = &block.parts;
     meters::parts_blocked(state.crashes.watch.blocks.count_in_force());
     state.crashes.recent.push((parts.clone(), now));
     if source != "key-value service" {
--- a/crates/gateway/src/crashes/mod.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -13,7 +13,9 @@
 mod unsettled;
 
 pub use admit::{admit, is_blocked, may_repeat, send_refusal};
-pub use blocks::{block_statuses, lift, plan_blocks, queue_write, receive_block, write_turn};
+pub use blocks::{
+    block_statuses, lift, lift_answered, plan_blocks, queue_write, receive_block, write_turn,
+};
 pub use digest::{CrashDigest, crash_digest, receive_crashes};
 pub use fingerprint::Fingerprint;
 pub use observe::{
--- a/crates/gateway/src/crashes/observe.rs
+++ b/crates/gateway/src/crashes/observe.rs
@@ -11,8 +11,8 @@
     backends::{ListenerState, listener_state, responds},
     clock,
     crashes::{
-        CrashState, InterruptedAnswers, Interruption, UnsettledAnswer, UnsettledRequest, lift,
-        plan_blocks,
+        CrashState, InterruptedAnswers, Interruption, UnsettledAnswer, UnsettledRequest,
+        lift_answered, plan_blocks,
     },
     gateway::{Gateway, State},
     meters,
@@ -111,7 +111,7 @@
     let blocked = gateway.with(|state| state.crashes.watch.note_sound(now, begun_at, ids));
     if let Some(parts) = blocked {
         let source = if req.probe.is_some() { "probe" } else { "answer" };
-        lift(gateway, &parts, source);
+        lift_answered(gateway, &parts, source, begun_at);
     }
 }
 
@@ -119,16 +119,19 @@
 /// before were whole.
 pub fn note_answering(gateway: &Gateway, key: WorkerKey, sent_at: Stamp) {
     let now = clock::now();
-    let blocked: Vec<PartIds> = gateway.with(|state| {
+    let blocked: Vec<(PartIds, Stamp)> = gateway.with(|state| {
         if let Some(backend) = state.backends.get_mut(key) {
             backend.answered_sent_at = backend.answered_sent_at.max(sent_at);
         }
         let CrashState { unsettled, watch, .. } = &mut state.crashes;
         let whole = unsettled.take_answered(key, sent_at);
-        whole.iter().filter_map(|(at, req)| watch.note_sound(now, *at, &req.ids())).collect()
+        let note = |(at, req): &(Stamp, CrashedRequest)| {
+            Some((watch.note_sound(now, *at, &req.ids())?, *at))
+        };
+        whole.iter().filter_map(note).collect()
     });
-    for parts in blocked {
-        lift(gateway, &parts, "answer");
+    for (parts, begun_at) in blocked {
+        lift_answered(gateway, &parts, "answer", begun_at);
     }
 }
 
