turned_parts: real processes before engines that crash under a part from some moment on; red

Failure: requests with a prompt part reach engines more than three times later than 3 s after the fifth crash under it. The play has five processes, twelve engines and the routes of the tile guild's deployment; the part was answered before.

--- /dev/null
+++ b/crates/daemon/tests/turned_parts.rs
@@ -0,0 +1,60 @@
+//! Prompt parts that were answered before, and under which engines crash from some moment on, before processes of nodes.
+
+#[path = "../../../platform/tests/harness/mod.rs"]
+mod harness;
+#[path = "turned_parts/play.rs"]
+mod play;
+mod route_daemon;
+
+use std::time::Duration;
+
+use harness::raw_engines::{Faults, Moment};
+use play::{Plan, Seen, play};
+
+/// The requests with the part that may be sent later than three seconds after the fifth crash under it.
+const MAX_LATE: usize = 3;
+/// The share of the sound requests that may be refused.
+const MAX_REFUSED: f64 = 0.05;
+
+/// The share of them that has to be answered once the part has to be known.
+const MIN_ANSWERED: f64 = 0.9;
+
+fn check(seen: Seen) {
+    assert!(0 < seen.crashes && seen.late <= MAX_LATE, "{seen:?}");
+    assert!(MIN_ANSWERED * seen.sound_known as f64 <= seen.answered as f64, "{seen:?}");
+    assert!(seen.refused as f64 <= MAX_REFUSED * seen.sound as f64, "{seen:?}");
+}
+
+// Guards against a block that ends with answers that had begun before the part turned bad.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn earlier_streams_end() {
+    let plan = Plan {
+        path: "/consult/1",
+        asked_before: Some(Duration::from_millis(250)),
+        asked_after: Duration::from_millis(300),
+        streams: (24, Duration::from_secs(5), Duration::from_secs(10)),
+        ..Plan::default()
+    };
+    check(play(plan).await);
+}
+
+// Guards against a part that was answered often, is asked for seldom since, and has to crash more than five servers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn rarely_asked_since() {
+    let plan = Plan {
+        asked_before: Some(Duration::from_millis(20)),
+        asked_after: Duration::from_millis(3_300),
+        sends: 2,
+        time: Duration::from_secs(17),
+        ..Plan::default()
+    };
+    check(play(plan).await);
+}
+
+// Guards against crashes that don't count since engines send the heads of answers long before they read the prompts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn heads_come_early() {
+    let faults = Faults { moment: Moment::EarlyHead, ..Faults::default() };
+    let (asked_after, time) = (Duration::from_millis(2_700), Duration::from_secs(28));
+    check(play(Plan { faults, asked_after, time, path: "/consult/1", ..Plan::default() }).await);
+}
