--- a/crates/coord/src/crashes/blame.rs
+++ b/crates/coord/src/crashes/blame.rs
@@ -1,6 +1,6 @@
 //! What the evidence leads to.
 
-use super::{BlockKind, PartId};
+use super::{BlockKind, Confidence, PartId};
 
 /// A `Blame` is what is found to crash servers: requests that have all of some parts, or one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -12,4 +12,6 @@
     pub kind: BlockKind,
     /// The crashes.
     pub crashes: u32,
+    /// Whether the evidence suffices by itself.
+    pub confidence: Confidence,
 }
--- a/crates/coord/src/crashes/block.rs
+++ b/crates/coord/src/crashes/block.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{PartId, PartIds};
+use super::{Confidence, PartId, PartIds};
 
 /// A `BlockState` is whether requests are refused because of a block.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,6 +51,9 @@
     /// Which of the two.
     #[serde(default)]
     pub kind: BlockKind,
+    /// Whether the evidence for it suffices by itself.
+    #[serde(default, skip_serializing_if = "Confidence::is_certain")]
+    pub confidence: Confidence,
     /// The number of times that it was put in force or lifted.
     pub generation: u32,
     /// The crashes that it was put in force after.
--- a/crates/coord/src/crashes/blocks.rs
+++ b/crates/coord/src/crashes/blocks.rs
@@ -89,14 +89,26 @@
 
     /// Puts a block in force; returns its record unless it is in force already.
     pub fn put(&mut self, now: Stamp, blame: &Blame, since_unix_ms: u64) -> Option<Block> {
+        self.put_probed(now, blame, 0, since_unix_ms)
+    }
+
+    /// Puts a block in force in place of another one, of which some probes were sent; returns its record unless it is in force
+    /// already.
+    pub fn put_probed(
+        &mut self,
+        now: Stamp,
+        blame: &Blame,
+        probes: u32,
+        since_unix_ms: u64,
+    ) -> Option<Block> {
         let parts = PartIds(blame.parts.clone());
         let before = self.get(&parts);
         if before.is_some_and(|block| block.state() == BlockState::InForce) {
             return None;
         }
         let generation = before.map_or(0, |block| block.generation) + 1;
-        let Blame { kind, crashes, .. } = *blame;
-        let block = Block { parts, kind, generation, crashes, probes: 0, since_unix_ms };
+        let Blame { kind, crashes, confidence, .. } = *blame;
+        let block = Block { parts, kind, confidence, generation, crashes, probes, since_unix_ms };
         self.insert(now, block.clone());
         Some(block)
     }
@@ -140,7 +152,8 @@
     /// Returns when the next probe of a block is due, if there is one.
     pub fn probe_at(&self, parts: &[PartId]) -> Option<Stamp> {
         let entry = self.entries.get(&PartIds(parts.to_vec()))?;
-        let after = self.schedule.after.get(usize::try_from(entry.block.probes).ok()?)?;
+        let Block { confidence, probes, .. } = entry.block;
+        let after = self.schedule.times(confidence).get(usize::try_from(probes).ok()?)?;
         Some(entry.learned_at + *after)
     }
 
--- a/crates/coord/src/crashes/evidence.rs
+++ b/crates/coord/src/crashes/evidence.rs
@@ -1,6 +1,7 @@
 //! The crashes that nodes have seen, and what the requests in them have in common.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     time::Duration,
 };
@@ -8,7 +9,7 @@
 use bulrushhall_core::{Incarnation, Stamp};
 
 use super::{
-    Blame, BlockKind, Blocks, CrashReport, CrashRun, CrashedRequest, CrashedServer,
+    Blame, BlockKind, Blocks, Confidence, CrashReport, CrashRun, CrashedRequest, CrashedServer,
     EvidenceOptions, Judge, KnownReport, PartId, PartOutcomes, PartTally, SoundReport, Suspect,
     tally,
 };
@@ -30,6 +31,16 @@
     written: u32,
 }
 
+/// How much the evidence speaks against a part: its confidence, how seldom it is answered, and its rank.
+type Weight = (Confidence, Reverse<u32>, (u32, usize, u32));
+
+/// A part that is blamed.
+struct Suspected<'a> {
+    part: PartId,
+    suspect: &'a Suspect,
+    confidence: Confidence,
+}
+
 #[derive(Clone, Copy)]
 struct KnownSound {
     author: Incarnation,
@@ -157,6 +168,12 @@
         crashed_at.is_none_or(|crash| *crash < known.at)
     }
 
+    /// Returns when a server has crashed last under some parts, as far as it is remembered.
+    pub fn last_crash(&self, parts: &[PartId]) -> Option<Stamp> {
+        let concerns = |known: &&KnownReport| parts.iter().any(|id| known.report.concerns(*id));
+        self.reports.iter().filter(concerns).map(|known| known.at).max()
+    }
+
     /// Returns whether a server other than the given one has crashed under a part, or a request, of which nodes know no sound
     /// answer.
     pub fn is_suspect(&self, part: PartId, server: u64) -> bool {
@@ -226,20 +243,24 @@
     /// Returns what the evidence speaks against most, if it suffices.
     pub fn judge(&self, now: Stamp, outcomes: &PartOutcomes, blocks: &Blocks) -> Vec<Blame> {
         let suspects = tally(&self.reports, blocks, &self.options, |part| self.last_sound(part));
-        let mut most: Option<(&Suspect, PartId)> = None;
+        let mut most: Option<(Weight, Suspected<'_>)> = None;
         for (part, suspect) in &suspects {
             let settling = self.settling(*part, suspect, outcomes);
             let is_settled = 0 < suspect.unexplained
                 && suspect.suspected_at.is_some_and(|at| settling <= now.since(at));
-            let is_more = most.is_none_or(|(most, _)| most.rank() < suspect.rank());
-            if is_more
-                && is_settled
-                && self.judge.blames(self.tally_of(now, *part, suspect, outcomes))
-            {
-                most = Some((suspect, *part));
+            if !is_settled {
+                continue;
+            }
+            let tally = self.tally_of(now, *part, suspect, outcomes);
+            let Some(confidence) = self.judge.blames(tally) else { continue };
+            // In doubt a part that is answered often is the last one to be suspected: others may explain its crashes.
+            let answered = if confidence.is_certain() { 0 } else { tally.answered };
+            let weight = (confidence, Reverse(answered), suspect.rank());
+            if most.as_ref().is_none_or(|(most, _)| *most < weight) {
+                most = Some((weight, Suspected { part: *part, suspect, confidence }));
             }
         }
-        most.map_or_else(Vec::new, |(suspect, part)| self.inseparable(part, suspect, &suspects))
+        most.map_or_else(Vec::new, |(_, most)| self.inseparable(most, &suspects))
     }
 
     /// Returns the evidence about parts under which so many servers have crashed that they may be blamed, each once.
@@ -252,7 +273,7 @@
         let suspects = tally(&self.reports, blocks, &self.options, |part| self.last_sound(part));
         let mut suspected = Vec::new();
         for (part, suspect) in &suspects {
-            if suspect.kind == BlockKind::Parts && self.options.many <= suspect.crashed_at.len() {
+            if suspect.kind == BlockKind::Parts && self.options.many <= suspect.ended_at.len() {
                 suspected.push((*part, self.tally_of(now, *part, suspect, outcomes)));
             }
         }
@@ -282,20 +303,18 @@
     ) -> PartTally {
         let is_answered_since =
             |at: &Stamp| outcomes.last_answer().is_some_and(|answered| *at < answered);
-        let crashed_at = &suspect.crashed_at;
-        let many_at = match suspect.kind {
-            BlockKind::Parts => {
-                crashed_at.get(self.options.many - 1).copied().filter(is_answered_since)
-            }
-            BlockKind::Request => crashed_at
-                .get(self.options.many_of_request - 1)
-                .copied()
-                .filter(|at| self.may_be_answered(part, suspect, *at, outcomes)),
+        let enough = match suspect.kind {
+            BlockKind::Parts => self.options.many,
+            BlockKind::Request => self.options.many_of_request,
         };
+        let many_at = suspect.ended_at.get(enough - 1).copied();
+        let many_at = many_at.filter(|at| self.may_be_answered(part, suspect, *at, outcomes));
+        let count = |crashes: &[Stamp]| u32::try_from(crashes.len()).unwrap_or(u32::MAX);
         PartTally {
             kind: suspect.kind,
             crashes: suspect.moments,
-            servers: u32::try_from(suspect.crashed_at.len()).unwrap_or(u32::MAX),
+            servers: count(&suspect.crashed_at),
+            ended: count(&suspect.ended_at),
             closest: suspect.closest,
             is_known_sound: self.sound.contains_key(&part),
             answered: outcomes.sound(now, part),
@@ -304,26 +323,28 @@
         }
     }
 
-    // Returns whether a request that was answered before could have been answered after servers crashed in one moment: while all
-    // servers are away, nothing is.
+    // Returns whether a part, or a request that was answered before, could have been answered after servers crashed in one moment:
+    // while all servers are away, nothing is.
     fn may_be_answered(
         &self,
-        request: PartId,
+        id: PartId,
         suspect: &Suspect,
         crashed_at: Stamp,
         outcomes: &PartOutcomes,
     ) -> bool {
-        let is_new = !self.sound.contains_key(&request);
-        let answered_at = outcomes.last_answer_like(request);
-        is_new || 1 < suspect.moments || answered_at.is_some_and(|at| crashed_at < at)
+        let answered_at = match suspect.kind {
+            BlockKind::Parts => outcomes.last_answer(),
+            BlockKind::Request if !self.sound.contains_key(&id) => return true,
+            BlockKind::Request => outcomes.last_answer_like(id),
+        };
+        1 < suspect.moments || answered_at.is_some_and(|at| crashed_at < at)
     }
 
     // Returns the blame for a part and for those that the evidence does not tell apart from it: parts of the same requests are
     // blamed together, those of different requests each by itself.
     fn inseparable(
         &self,
-        part: PartId,
-        suspect: &Suspect,
+        Suspected { part, suspect, confidence }: Suspected<'_>,
         suspects: &BTreeMap<PartId, Suspect>,
     ) -> Vec<Blame> {
         let (crashes, kind) = (suspect.moments, suspect.kind);
@@ -341,11 +362,11 @@
             if its.requests == suspect.requests && kind == BlockKind::Parts {
                 together.push(*other);
             } else {
-                apart.push(Blame { parts: vec![*other], kind, crashes });
+                apart.push(Blame { parts: vec![*other], kind, crashes, confidence });
             }
         }
         together.sort_unstable();
-        let mut blames = vec![Blame { parts: together, kind, crashes }];
+        let mut blames = vec![Blame { parts: together, kind, crashes, confidence }];
         blames.extend(apart);
         blames
     }
--- a/crates/coord/src/crashes/judge.rs
+++ b/crates/coord/src/crashes/judge.rs
@@ -1,9 +1,9 @@
 //! Ways to tell a part that crashes servers from one whose requests were beside.
 
-use super::PartTally;
+use super::{Confidence, PartTally};
 
 /// A `Judge` decides whether a part crashes servers.
 pub trait Judge: Send + Sync {
-    /// Returns whether the part is blamed.
-    fn blames(&self, tally: PartTally) -> bool;
+    /// Returns how certain it is that the part crashes servers; none if it is not blamed.
+    fn blames(&self, tally: PartTally) -> Option<Confidence>;
 }
--- a/crates/coord/src/crashes/outcomes.rs
+++ b/crates/coord/src/crashes/outcomes.rs
@@ -82,6 +82,22 @@
         self.note(now, begun_at, parts, Answered::Prompt);
     }
 
+    /// Notes an answer to a prompt that began at a time and that its server goes on to write.
+    pub fn note_written(
+        &mut self,
+        now: Stamp,
+        begun_at: Stamp,
+        parts: impl IntoIterator<Item = PartId>,
+    ) {
+        self.last_at = Some(now);
+        for part in parts {
+            let sound = self.parts.entry(part);
+            let sound = sound.or_insert_with(|| Sound::new(now, Answered::Prompt));
+            sound.last_begun_at = sound.last_begun_at.max(begun_at);
+        }
+        self.limit_parts();
+    }
+
     /// Notes an answer to a request without a prompt, which tells nothing of the servers of prompts.
     pub fn note_call(&mut self, now: Stamp, begun_at: Stamp, digest: PartId) {
         self.last_call_at = Some(now);
@@ -99,9 +115,7 @@
             let sound = self.parts.entry(part).or_insert_with(|| Sound::new(now, answered));
             sound.note(now, begun_at);
         }
-        if MAX_PARTS < self.parts.len() {
-            self.drop_oldest();
-        }
+        self.limit_parts();
     }
 
     /// Returns the number of the latest answers to prompts with a part that came to their end.
@@ -135,7 +149,10 @@
         }
     }
 
-    fn drop_oldest(&mut self) {
+    fn limit_parts(&mut self) {
+        if self.parts.len() <= MAX_PARTS {
+            return;
+        }
         let mut used: Vec<Stamp> = self.parts.values().map(|sound| sound.last_at).collect();
         let (_, limit, _) = used.select_nth_unstable(DROPPED_PARTS);
         let limit = *limit;
--- a/crates/coord/src/crashes/suspect.rs
+++ b/crates/coord/src/crashes/suspect.rs
@@ -33,6 +33,8 @@
     by_request: BTreeMap<u64, u32>,
     /// When servers crashed, in ascending order.
     pub crashed_at: Vec<Stamp>,
+    /// The same with all crashes under one request.
+    pub ended_at: Vec<Stamp>,
     /// The number of crashes, those of one moment counted once.
     pub moments: u32,
     /// The crashes in which no other request had begun to be answered later.
@@ -160,12 +162,13 @@
         if 0 < count && (!may_count || sent_at <= last_at) {
             return;
         }
+        self.servers.insert(crash.server, (crash.at, count + 1));
+        self.ended_at.push(crash.at);
         let of_request = self.by_request.entry(req.identity()).or_default();
         if self.kind == BlockKind::Parts && options.max_of_request <= *of_request {
             return;
         }
         *of_request += 1;
-        self.servers.insert(crash.server, (crash.at, count + 1));
         self.crashed_at.push(crash.at);
         if self.crashed_at.len() == options.suspected_from {
             self.suspected_at = Some(learned_at);
--- a/crates/coord/src/crashes/tally.rs
+++ b/crates/coord/src/crashes/tally.rs
@@ -14,6 +14,8 @@
     pub crashes: u32,
     /// These crashes, each server counted.
     pub servers: u32,
+    /// The same with all crashes under one request.
+    pub ended: u32,
     /// Those of them in which no other request had begun to be answered later.
     pub closest: u32,
     /// Whether an answer to such a request has come to its end before.
@@ -21,7 +23,7 @@
     /// The latest such answers that this node has seen.
     pub answered: u32,
     /// The time since so many servers had crashed that they may be evidence by themselves; none if there were not as many, or if
-    /// this node has seen no sound answer to any request since, which does not matter for a request.
+    /// all of them crashed in one moment and this node has seen no sound answer since.
     pub since_many: Option<Duration>,
     /// Whether this node has seen a sound answer to any request since the first of these crashes.
     pub is_other_sound: bool,
--- a/crates/coord/src/crashes/watch.rs
+++ b/crates/coord/src/crashes/watch.rs
@@ -11,9 +11,7 @@
 
 /// The latest sound answers of this node to prompts with a part from which it need not be suspected.
 const KNOWN_SOUND_FROM: u32 = 8;
-/// The same for the request whose answer a crashed server had begun last.
-const BUSY_FROM: u32 = 32;
-/// The time since the last of them.
+/// The time since the last of them began.
 const KNOWN_SOUND_FOR: Duration = Duration::from_secs(1);
 /// The maximum number of parts that are blamed in one judgement.
 const MAX_BLAMED: usize = 64;
@@ -52,11 +50,10 @@
         mut requests: Vec<CrashedRequest>,
     ) {
         requests.sort_by_key(CrashedRequest::closeness);
-        for (number, req) in requests.iter_mut().enumerate() {
-            // A part that was sound may be so no longer, if the server had just begun to answer its request.
-            let from = if number == 0 { BUSY_FROM } else { KNOWN_SOUND_FROM };
-            req.parts.retain(|part| !self.is_known_sound(now, *part, from));
-            req.digest = req.digest.filter(|digest| !self.is_known_sound(now, *digest, from));
+        // A part that was sound may be so no longer, if the server had just begun to answer its request.
+        for req in requests.iter_mut().skip(1) {
+            req.parts.retain(|part| !self.is_known_sound(now, *part));
+            req.digest = req.digest.filter(|digest| !self.is_known_sound(now, *digest));
         }
         requests.retain(|req| !req.parts.is_empty() || req.digest.is_some());
         if !requests.is_empty() {
@@ -64,10 +61,10 @@
         }
     }
 
-    fn is_known_sound(&self, now: Stamp, part: PartId, from: u32) -> bool {
-        let last = self.outcomes.last_sound(part);
+    fn is_known_sound(&self, now: Stamp, part: PartId) -> bool {
+        let last = self.outcomes.last_begun(part);
         last.is_some_and(|at| now.since(at) < KNOWN_SOUND_FOR)
-            && from <= self.outcomes.sound(now, part)
+            && KNOWN_SOUND_FROM <= self.outcomes.sound(now, part)
     }
 
     /// Notes an answer that began at a time and came to its end, to a request with some ids; returns those of the block that it
@@ -77,7 +74,28 @@
             [digest] => self.outcomes.note_call(now, begun_at, *digest),
             _ => self.outcomes.note_sound(now, begun_at, ids.iter().copied()),
         }
-        self.blocks.matching(ids).map(|ids| PartIds(ids.to_vec()))
+        self.refuted(begun_at, ids)
+    }
+
+    /// Notes an answer that began at a time and that its server has written for longer than a part may take to crash it, to a prompt
+    /// with some parts; returns those of the block that it speaks against, if there is one.
+    pub fn note_written(
+        &mut self,
+        now: Stamp,
+        begun_at: Stamp,
+        parts: &[PartId],
+    ) -> Option<PartIds> {
+        self.outcomes.note_written(now, begun_at, parts.iter().copied());
+        self.refuted(begun_at, parts)
+    }
+
+    // Servers crash when they begin to answer a part, so an answer that began before the block, or before the last crash, says
+    // nothing of it.
+    fn refuted(&self, begun_at: Stamp, ids: &[PartId]) -> Option<PartIds> {
+        let parts = PartIds(self.blocks.matching(ids)?.to_vec());
+        let is_later = self.blocks.learned_at(&parts)? <= begun_at;
+        let crashed_at = self.evidence.last_crash(&parts.0);
+        (is_later && crashed_at.is_none_or(|at| at <= begun_at)).then_some(parts)
     }
 
     /// Judges the evidence; returns the records that changed.
@@ -145,7 +163,7 @@
 
     // Of the parts of a block, one that is sound without the others is cleared.
     fn narrow(&mut self, now: Stamp, unix_ms: u64) -> Vec<Block> {
-        let mut narrowed: Vec<(PartIds, Blame)> = Vec::new();
+        let mut narrowed: Vec<(PartIds, Blame, u32)> = Vec::new();
         for block in self.blocks.iter() {
             if block.parts.0.len() < 2 || block.state() == BlockState::Lifted {
                 continue;
@@ -153,13 +171,14 @@
             let parts = block.parts.0.iter().copied();
             let left: Vec<PartId> = parts.filter(|part| !self.evidence.is_cleared(*part)).collect();
             if !left.is_empty() && left.len() < block.parts.0.len() {
-                let Block { kind, crashes, .. } = *block;
-                narrowed.push((block.parts.clone(), Blame { parts: left, kind, crashes }));
+                let Block { kind, crashes, confidence, probes, .. } = *block;
+                let blame = Blame { parts: left, kind, crashes, confidence };
+                narrowed.push((block.parts.clone(), blame, probes));
             }
         }
         let mut changed = Vec::new();
-        for (parts, blame) in narrowed {
-            changed.extend(self.blocks.put(now, &blame, unix_ms));
+        for (parts, blame, probes) in narrowed {
+            changed.extend(self.blocks.put_probed(now, &blame, probes, unix_ms));
             changed.extend(self.blocks.lift(now, &parts));
         }
         changed
--- a/crates/coord/tests/crash_evidence.rs
+++ b/crates/coord/tests/crash_evidence.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use bulrushhall_coord::crashes::{
-    Block, BlockKind, BlockState, CrashReport, CrashWatch, CrashedRequest, CrashedServer, PartId,
-    PartIds, ServerEnd, SoundReport,
+    Block, BlockKind, BlockState, Confidence, CrashReport, CrashWatch, CrashedRequest,
+    CrashedServer, PartId, PartIds, ServerEnd, SoundReport,
 };
 use bulrushhall_core::{Incarnation, Stamp};
 use rstest::rstest;
@@ -347,7 +347,9 @@
     let mut watch = CrashWatch::default();
     let parts = PartIds(vec![BAD]);
     let kind = BlockKind::Parts;
-    let block = Block { parts, kind, generation: 1, crashes: 5, probes: 0, since_unix_ms: 0 };
+    let confidence = Confidence::Certain;
+    let block =
+        Block { parts, kind, confidence, generation: 1, crashes: 5, probes: 0, since_unix_ms: 0 };
     let mut now = begin();
     watch.receive(now, block);
     assert!(watch.blocks.due_probe(now, &[BAD]).is_none());
@@ -369,6 +371,7 @@
     let block = |generation, probes| Block {
         parts: PartIds(vec![BAD]),
         kind: BlockKind::Parts,
+        confidence: Confidence::Certain,
         generation,
         crashes: 5,
         probes,
@@ -446,3 +449,69 @@
     let known: CrashReport = rmp_serde::from_slice(&bytes).expect("a report");
     assert_eq!(known, report);
 }
+
+// Guards against a block that ends with an answer that began before it, or before the last crash under its part.
+#[test]
+fn earlier_answer_keeps_block() {
+    let mut observer = Observer::new();
+    observer.sound(&[BAD], 3);
+    let before = observer.now;
+    for _ in 0..5 {
+        observer.crash(&[&[BAD]]);
+        observer.sound(&[OTHER], 1);
+    }
+    let before_last = observer.now - Duration::from_millis(1);
+    assert_eq!(observer.plan(), ["2"]);
+    for begun_at in [before, before_last] {
+        assert_eq!(observer.watch.note_sound(observer.now, begun_at, &[BAD]), None);
+        assert_eq!(observer.watch.note_written(observer.now, begun_at, &[BAD]), None);
+    }
+    let parts = Some(PartIds(vec![BAD]));
+    let begun_at = observer.now;
+    assert_eq!(observer.watch.note_written(observer.now, begun_at, &[BAD]), parts);
+    observer.crash(&[&[BAD]]);
+    assert_eq!(observer.watch.note_sound(observer.now, begun_at, &[BAD]), None);
+}
+
+// Guards against a part that was answered often and has to crash more than five servers, since its requests are sent again.
+#[test]
+fn doubt_is_probed() {
+    let mut observer = Observer::new();
+    observer.sound(&[BAD], 40);
+    for send in 0..5 {
+        observer.now = observer.now + Duration::from_millis(60);
+        observer.crashes += 1;
+        let digest = Some(PartId(100 + send / 4));
+        let req = CrashedRequest { age_ms: 40, digest, ..req(send, &[BAD]) };
+        let crashed =
+            CrashedServer { server: observer.crashes, end: ServerEnd::Seen, at: observer.now };
+        observer.watch.note_crash(observer.now, OWN, crashed, vec![req]);
+    }
+    observer.now = observer.now + Duration::from_millis(1_500);
+    assert!(observer.plan().contains(&"2".to_owned()));
+    let blocks = &observer.watch.blocks;
+    let claim = blocks.due_probe(observer.now, &[BAD]).expect("a probe at once");
+    assert_eq!(claim.confidence, Confidence::Doubtful);
+    observer.watch.receive(observer.now, claim);
+    let due_after = |time| observer.watch.blocks.due_probe(observer.now + time, &[BAD]);
+    assert_eq!(due_after(Duration::from_secs(29)), None);
+    let claim = due_after(Duration::from_secs(30)).expect("a second probe");
+    assert_eq!(claim.probes, 2);
+}
+
+// Guards against crashes under a part that don't count since it was answered often, and earlier answers to it still end.
+#[test]
+fn earlier_answers_hide_none() {
+    let mut observer = Observer::new();
+    let begun_at = observer.now;
+    observer.now = observer.now + Duration::from_secs(5);
+    for _ in 0..5 {
+        for _ in 0..40 {
+            observer.watch.outcomes.note_sound(observer.now, begun_at, [BAD]);
+        }
+        observer.crash(&[&[OTHER], &[BAD]]);
+        observer.sound(&[OTHER], 1);
+    }
+    let reports = observer.watch.evidence.reports(observer.now);
+    assert!(reports.iter().all(|report| report.concerns(BAD)));
+}
--- a/crates/coord/tests/crash_model/world.rs
+++ b/crates/coord/tests/crash_model/world.rs
@@ -6,7 +6,7 @@
 };
 
 use bulrushhall_coord::crashes::{
-    Block, BlockKind, CrashReport, CrashRun, CrashWatch, CrashedRequest, CrashedServer,
+    Block, BlockKind, Confidence, CrashReport, CrashRun, CrashWatch, CrashedRequest, CrashedServer,
     EvidenceOptions, Judge, PartId, PartTally, ProbeSchedule, ServerEnd, SoundReport,
 };
 use bulrushhall_core::{Incarnation, Stamp};
@@ -21,6 +21,8 @@
 const CRASH_AFTER: Duration = Duration::from_millis(60);
 /// The time in which all nodes have to know a part, from the fifth crash under it on.
 const CONTACT: Duration = Duration::from_millis(3_000);
+/// The time after which an answer that is written was not broken off by a part of its prompt.
+const BEGINNING: Duration = Duration::from_millis(2_000);
 /// The crashes after which a part has to be known.
 const KNOWN_AFTER: usize = 5;
 /// The same for a request that is sent again and again.
@@ -67,8 +69,8 @@
 struct FixedCount(u32);
 
 impl Judge for FixedCount {
-    fn blames(&self, tally: PartTally) -> bool {
-        self.0 <= tally.servers
+    fn blames(&self, tally: PartTally) -> Option<Confidence> {
+        (self.0 <= tally.servers).then_some(Confidence::Certain)
     }
 }
 
@@ -127,6 +129,10 @@
     pub store: StoreState,
     /// Whether bad parts were in sound prompts until they became bad.
     pub turned: bool,
+    /// The requests a second with such a part before it becomes bad.
+    pub turned_rate: f64,
+    /// The time between two losses of all servers.
+    pub all_lost: Option<Duration>,
     /// How often a request is sent whose answer a crash breaks off.
     pub sends: u32,
     /// The longest time for which a server writes an answer, in milliseconds.
@@ -168,6 +174,8 @@
             isolations: None,
             store: StoreState::Up,
             turned: false,
+            turned_rate: 4.0,
+            all_lost: None,
             sends: 1,
             writes_ms: 1_500,
             repeated: None,
@@ -209,6 +217,8 @@
     bad: Option<u64>,
     /// How often it was sent before.
     repeats: u32,
+    /// Whether it was noted that its answer is written for long.
+    is_written: bool,
 }
 
 /// A request that its caller sends again.
@@ -389,7 +399,7 @@
                 self.send(parts.into_iter().map(PartId).collect(), number, Some(bad));
             }
         }
-        if self.plan.turned && since < BAD_FROM && self.chance(4.0) {
+        if self.plan.turned && since < BAD_FROM && self.chance(self.plan.turned_rate) {
             let (first, _) = self.sound_parts();
             let number = self.number();
             self.send([first, bad_part(0)].map(PartId).to_vec(), number, None);
@@ -431,15 +441,16 @@
         }
         let node = up[self.rng.random_range(0..up.len())];
         let ids = with_digest(&parts, digest);
-        let is_blocked = self.nodes[node].watch.blocks.matching(&ids).is_some();
-        if self.way != Way::None && is_blocked {
-            self.seen.refused += usize::from(bad.is_none());
-            return;
-        }
         let cut_from = &self.nodes[node].cut_from;
         let free: Vec<usize> = (0..self.servers.len())
             .filter(|server| self.servers[*server].1 <= self.now && !cut_from.contains(server))
             .collect();
+        let is_blocked = self.nodes[node].watch.blocks.matching(&ids).is_some();
+        if self.way != Way::None && is_blocked && (free.is_empty() || !self.claim_probe(node, &ids))
+        {
+            self.seen.refused += usize::from(bad.is_none());
+            return;
+        }
         if free.is_empty() {
             return;
         }
@@ -470,9 +481,36 @@
             ends_at,
             bad,
             repeats,
+            is_written: false,
         });
     }
 
+    // Returns whether a node may let a blocked request through.
+    fn claim_probe(&mut self, node: usize, ids: &[PartId]) -> bool {
+        let (now, blocks) = (self.now, &self.nodes[node].watch.blocks);
+        let parts = blocks.matching(ids).map(<[_]>::to_vec);
+        let Some(claim) = parts.and_then(|parts| blocks.due_probe(now, &parts)) else {
+            return false;
+        };
+        let stored = self.store.get(&claim.name());
+        let is_next = stored.is_some_and(|(_, stored)| {
+            (stored.generation, stored.probes + 1) == (claim.generation, claim.probes)
+        });
+        if !is_next || self.plan.store == StoreState::Away || self.is_isolated(node) {
+            return false;
+        }
+        self.store.insert(claim.name(), (now, claim.clone()));
+        self.nodes[node].watch.receive(now, claim.clone());
+        for other in 0..self.nodes.len() {
+            if !self.is_isolated(other) {
+                let blocks = vec![claim.clone()];
+                let message = Message::Digest { crashes: vec![], sound: vec![], blocks };
+                self.post(other, STORE_DELAY, message);
+            }
+        }
+        true
+    }
+
     fn is_isolated(&self, node: usize) -> bool {
         self.now < self.nodes[node].isolated_until
     }
@@ -508,6 +546,16 @@
             ended.push((req.node, req.begins_at, with_digest(&req.parts, req.digest)));
             false
         });
+        for req in &mut self.running {
+            if req.is_written || now < req.begins_at + BEGINNING {
+                continue;
+            }
+            req.is_written = true;
+            let Node { watch, .. } = &mut self.nodes[req.node];
+            if let Some(blocked) = watch.note_written(now, req.begins_at, &req.parts) {
+                watch.lift(now, &blocked);
+            }
+        }
         for (node, begun_at, parts) in ended {
             let Node { watch, .. } = &mut self.nodes[node];
             if let Some(blocked) = watch.note_sound(now, begun_at, &parts) {
@@ -540,7 +588,9 @@
             let age_ms = u64::try_from(now.since(req.sent_at).as_millis()).expect("short");
             let begun = (req.begins_at <= now).then(|| now.since(req.begins_at));
             let begun_ms = begun.map(|begun| u64::try_from(begun.as_millis()).expect("short"));
-            let (request, parts) = (req.id, req.parts.clone());
+            let is_beginning = begun.is_none_or(|begun| begun < BEGINNING);
+            let parts = if is_beginning { req.parts.clone() } else { Vec::new() };
+            let request = req.id;
             // A server that lives on is seen to answer later requests.
             let digest = (end == ServerEnd::Seen || plan.same_names).then_some(req.digest);
             let crashed = CrashedRequest { request, age_ms, begun_ms, parts, digest };
@@ -575,6 +625,13 @@
                 }
             }
         }
+        if is_due(self.plan.all_lost) {
+            for server in 0..self.servers.len() {
+                if self.servers[server].1 <= self.now {
+                    self.crash(server);
+                }
+            }
+        }
         if is_due(self.plan.cuts) {
             let node = self.rng.random_range(0..self.nodes.len());
             let cut: BTreeSet<usize> =
--- a/crates/coord/tests/crash_ways.rs
+++ b/crates/coord/tests/crash_ways.rs
@@ -71,6 +71,24 @@
             "requests that are sent again, lost zones",
             Plan { sends: 4, zone_losses: Some(secs(4)), ..no_part },
         ),
+        ("a part that turns bad, long answers", Plan { writes_ms: 4_000, ..turned }),
+        (
+            "a popular part that turns bad, each 3 s",
+            Plan { turned_rate: 40.0, bad: (1, 0.33), ..turned },
+        ),
+        (
+            "a part that turns bad, very long answers",
+            Plan { turned_rate: 10.0, writes_ms: 12_000, sound: 30.0, ..turned },
+        ),
+        (
+            "falling servers, long answers, no bad part",
+            Plan { falls: 2.0, writes_ms: 8_000, ..no_part },
+        ),
+        (
+            "lost zones, long answers, no bad part",
+            Plan { zone_losses: Some(secs(4)), writes_ms: 8_000, ..no_part },
+        ),
+        ("all servers lost, no bad part", Plan { all_lost: Some(secs(12)), ..no_part }),
         ("all nodes killed", Plan { all_killed_at: Some(secs(20)), ..plain }),
         ("one request", Plan { repeated: Some(REPEAT_PAUSE), ..no_part }),
         ("one request, each 2 s", Plan { repeated: Some(secs(2)), ..no_part }),
--- a/crates/daemon/src/crashes/news.rs
+++ b/crates/daemon/src/crashes/news.rs
@@ -88,11 +88,11 @@
 
 /// Logs that a block has changed.
 pub(super) fn log(block: &Block) {
-    let Block { parts, kind, crashes, probes, .. } = block;
-    let (kind, source) = (kind.as_str(), "own interface");
+    let Block { parts, kind, confidence, crashes, probes, .. } = block;
+    let (kind, confidence, source) = (kind.as_str(), confidence.as_str(), "own interface");
     match block.state() {
         BlockState::InForce => {
-            tracing::warn!(event = Event::PartBlocked.number(), %parts, kind, crashes, probes, source);
+            tracing::warn!(event = Event::PartBlocked.number(), %parts, kind, confidence, crashes, probes, source);
         }
         BlockState::Lifted => {
             tracing::warn!(event = Event::PartUnblocked.number(), %parts, kind, source);
--- a/crates/gateway/src/cluster/carried.rs
+++ b/crates/gateway/src/cluster/carried.rs
@@ -32,6 +32,9 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "left_ms")]
     pub left: Duration,
+    /// Whether it is the one that shows whether a blocked request still crashes its server.
+    #[serde(rename = "probe", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_probe: bool,
     /// The method.
     pub method: String,
     /// The path and query.
@@ -70,6 +73,7 @@
             backend: backend.to_owned(),
             born,
             left,
+            is_probe: false,
             method: req.method().to_string(),
             path: req.uri().path_and_query().map_or("/", |path| path.as_str()).to_owned(),
             headers: headers.collect(),
--- a/crates/gateway/src/cluster/carry.rs
+++ b/crates/gateway/src/cluster/carry.rs
@@ -159,7 +159,7 @@
         return Err(NOT_RUN);
     }
     let is_refused = |fingerprint| gateway.with(|state| is_blocked(state, fingerprint));
-    if fingerprint.as_deref().is_some_and(is_refused) {
+    if !carried.is_probe && fingerprint.as_deref().is_some_and(is_refused) {
         return Err(CarryFailure { blocked: true, ..NOT_RUN });
     }
     let sent_at = clock::now();
@@ -326,8 +326,8 @@
     };
     match frame {
         Some(Ok(frame)) => {
-            if let Some(sent) = &mut kept.sent {
-                sent.note_began();
+            if let (Some(sent), Some(bytes)) = (&mut kept.sent, frame.data_ref()) {
+                sent.note_bytes(bytes);
             }
             // hyper does not poll again after the last byte of a body of known length.
             if hyper::body::Body::is_end_stream(&body) {
--- a/crates/gateway/src/crashes/admit.rs
+++ b/crates/gateway/src/crashes/admit.rs
@@ -3,13 +3,13 @@
 use std::{sync::Arc, time::Duration};
 
 use bulrushhall_coord::crashes::{Block, BlockKind, CrashWatch, PartIds};
-use bulrushhall_core::Event;
+use bulrushhall_core::{Event, Stamp};
 use tokio::time::sleep;
 
 use crate::{
     clock,
     cluster::claim_probe,
-    crashes::{CrashState, Fingerprint},
+    crashes::{CrashState, Fingerprint, ProbeClaim},
     gateway::{Gateway, State},
     meters,
     pipeline::{Failure, IdentifiedRequest},
@@ -59,35 +59,53 @@
     Some((ids, failure))
 }
 
-/// Refuses a request that is known to crash its server; returns the ids of the block if the request is the one that may
-/// show whether it still does.
+/// How a request that a block refuses may be sent after all.
+enum Probe {
+    /// This node has claimed a probe that it did not send.
+    Claimed(Block),
+    /// A probe is due, and this node claims it by a record.
+    Due(Block),
+}
+
+/// Refuses a request that is known to crash its server, unless it is the one that may show whether it still does.
 pub async fn admit(
     gateway: &Arc<Gateway>,
     req: &IdentifiedRequest,
-) -> Result<Option<PartIds>, Failure> {
+) -> Result<Option<Arc<ProbeClaim>>, Failure> {
     let now = clock::now();
-    let claim = gateway.with(|state| {
+    let probe = gateway.with(|state| {
         let Some((ids, failure)) = block_of(state, &req.fingerprint) else { return Ok(None) };
-        let CrashState { watch: CrashWatch { blocks, .. }, claiming, .. } = &mut state.crashes;
-        let claim = blocks.due_probe(now, &ids.0).ok_or(failure)?;
-        if claiming.insert(ids) { Ok(Some((claim, failure))) } else { Err(failure) }
+        let probe = next_probe(&mut state.crashes, now, ids).ok_or(failure)?;
+        Ok(Some((probe, failure)))
     });
-    let claim = claim.inspect_err(|_| meters::part_refused())?;
-    let Some((claim, failure)) = claim else { return Ok(None) };
-    let parts = claim.parts.clone();
-    // The claim goes on if the caller leaves.
-    let claiming = tokio::spawn(claim_for(Arc::clone(gateway), claim));
-    if !claiming.await.unwrap_or(false) {
-        meters::part_refused();
-        return Err(failure);
+    let probe = probe.inspect_err(|_| meters::part_refused())?;
+    let Some((probe, failure)) = probe else { return Ok(None) };
+    let claim = match probe {
+        Probe::Claimed(claim) => Arc::new(ProbeClaim::new(gateway, claim)),
+        // The claim goes on if the caller leaves.
+        Probe::Due(claim) => {
+            let claiming = tokio::spawn(claim_for(Arc::clone(gateway), claim));
+            let claimed = claiming.await.ok().flatten();
+            claimed.ok_or(failure).inspect_err(|_| meters::part_refused())?
+        }
+    };
+    let (id, parts) = (req.call.id.as_str(), claim.parts());
+    tracing::warn!(event = Event::PartProbed.number(), id, %parts);
+    Ok(Some(claim))
+}
+
+fn next_probe(crashes: &mut CrashState, now: Stamp, ids: PartIds) -> Option<Probe> {
+    let CrashState { watch: CrashWatch { blocks, .. }, claiming, unused_claims, .. } = crashes;
+    let claimed = unused_claims.remove(&ids);
+    if let Some(claim) = claimed.filter(|claim| blocks.get(&ids) == Some(claim)) {
+        return Some(Probe::Claimed(claim));
     }
-    tracing::warn!(event = Event::PartProbed.number(), id = req.call.id.as_str(), %parts);
-    Ok(Some(parts))
+    let due = blocks.due_probe(now, &ids.0)?;
+    claiming.insert(ids).then_some(Probe::Due(due))
 }
 
-async fn claim_for(gateway: Arc<Gateway>, claim: Block) -> bool {
-    let parts = claim.parts.clone();
-    let is_claimed = claim_probe(&gateway, claim).await;
-    gateway.with(|state| state.crashes.claiming.remove(&parts));
-    is_claimed
+async fn claim_for(gateway: Arc<Gateway>, claim: Block) -> Option<Arc<ProbeClaim>> {
+    let is_claimed = claim_probe(&gateway, claim.clone()).await;
+    gateway.with(|state| state.crashes.claiming.remove(&claim.parts));
+    is_claimed.then(|| Arc::new(ProbeClaim::new(&gateway, claim)))
 }
--- a/crates/gateway/src/crashes/blocks.rs
+++ b/crates/gateway/src/crashes/blocks.rs
@@ -117,10 +117,10 @@
     source: &'static str,
 ) {
     let Block { parts, crashes, probes, .. } = block;
-    let kind = block.kind.as_str();
+    let (kind, confidence) = (block.kind.as_str(), block.confidence.as_str());
     match block.state() {
         BlockState::InForce => {
-            tracing::warn!(event = Event::PartBlocked.number(), %parts, kind, crashes, probes, source);
+            tracing::warn!(event = Event::PartBlocked.number(), %parts, kind, confidence, crashes, probes, source);
         }
         BlockState::Lifted => {
             tracing::warn!(event = Event::PartUnblocked.number(), %parts, kind, source);
--- a/crates/gateway/src/crashes/observe.rs
+++ b/crates/gateway/src/crashes/observe.rs
@@ -10,6 +10,7 @@
 use crate::{
     backends::{ListenerState, listener_state, responds},
     clock,
+    cluster::as_millis,
     crashes::{
         CrashState, InterruptedAnswers, Interruption, UnsettledAnswer, UnsettledRequest,
         lift_answered, plan_blocks,
@@ -110,11 +111,34 @@
     let now = clock::now();
     let blocked = gateway.with(|state| state.crashes.watch.note_sound(now, begun_at, ids));
     if let Some(parts) = blocked {
-        let source = if req.probe.is_some() { "probe" } else { "answer" };
-        lift_answered(gateway, &parts, source, begun_at);
+        lift_answered(gateway, &parts, answer_source(req), begun_at);
     }
 }
 
+/// Notes that a backend server goes on to write an answer whose head arrived at a time, and whose first event at another one;
+/// returns whether it has for so long that no part of the prompt has crashed it.
+pub fn note_written_answer(
+    gateway: &Gateway,
+    req: &IdentifiedRequest,
+    (head_at, event_at): (Stamp, Stamp),
+) -> bool {
+    let now = clock::now();
+    if as_millis(now.since(event_at)) < BEGINNING_MS {
+        return false;
+    }
+    let parts = req.fingerprint.parts();
+    let blocked = gateway.with(|state| state.crashes.watch.note_written(now, head_at, parts));
+    if let Some(parts) = blocked {
+        lift_answered(gateway, &parts, answer_source(req), head_at);
+    }
+    true
+}
+
+// Returns what lifts a block if a request is answered.
+fn answer_source(req: &IdentifiedRequest) -> &'static str {
+    if req.probe.is_some() { "probe" } else { "answer" }
+}
+
 /// Notes that a backend server has begun to answer a request that was sent at a moment: the unmarked answers that had ended
 /// before were whole.
 pub fn note_answering(gateway: &Gateway, key: WorkerKey, sent_at: Stamp) {
--- a/crates/gateway/src/crashes/sent_request.rs
+++ b/crates/gateway/src/crashes/sent_request.rs
@@ -10,7 +10,9 @@
 use crate::{
     clock,
     cluster::as_millis,
-    crashes::{Fingerprint, Interruption, UnsettledAnswer, UnsettledRequest, note_interrupted},
+    crashes::{
+        AnswerBegin, Fingerprint, Interruption, UnsettledAnswer, UnsettledRequest, note_interrupted,
+    },
     gateway::{Gateway, State},
 };
 
@@ -24,6 +26,7 @@
     fingerprint: Arc<Fingerprint>,
     sent_at: Stamp,
     began_at: Option<Stamp>,
+    begin: AnswerBegin,
     answer: UnsettledAnswer,
     is_settled: bool,
 }
@@ -49,17 +52,20 @@
             fingerprint: Arc::clone(fingerprint),
             sent_at: clock::now(),
             began_at: None,
+            begin: AnswerBegin::default(),
             answer: UnsettledAnswer::Abandoned,
             is_settled: false,
         }
     }
 
-    /// Notes that bytes of the answer have arrived.
-    pub fn note_began(&mut self) {
-        self.began_at.get_or_insert_with(clock::now);
+    /// Notes bytes of the body that have arrived.
+    pub fn note_bytes(&mut self, bytes: &[u8]) {
+        if self.began_at.is_none() && self.begin.note(bytes) {
+            self.began_at = Some(clock::now());
+        }
     }
 
-    /// Returns when the first bytes of the answer arrived.
+    /// Returns when the first bytes of the answer arrived, comments left out.
     pub fn began_at(&self) -> Option<Stamp> {
         self.began_at
     }
--- a/crates/gateway/src/crashes/state.rs
+++ b/crates/gateway/src/crashes/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-use bulrushhall_coord::crashes::{CrashWatch, CrashedRequest, PartIds};
+use bulrushhall_coord::crashes::{Block, CrashWatch, CrashedRequest, PartIds};
 use bulrushhall_core::Stamp;
 use bulrushhall_policy::placement::WorkerKey;
 
@@ -43,4 +43,6 @@
     pub recent: Vec<(PartIds, Stamp)>,
     /// The blocks for which this node is claiming a probe.
     pub claiming: HashSet<PartIds>,
+    /// The probes that this node has claimed and not sent.
+    pub unused_claims: HashMap<PartIds, Block>,
 }
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -148,6 +148,9 @@
     let mut in_flight = InFlightGuard::begin(gateway, placement);
     let sent_at = clock::now();
     let mut sent = sent_request(gateway, req, placement);
+    if let Some(probe) = &req.probe {
+        probe.note_sent();
+    }
     let sending = send(gateway, req, original, placement, (resume_after, sent.as_ref()));
     let is_silent = || note_silent(gateway, placement, &mut in_flight, sent.as_ref());
     let answered = limit.outlast(sending, is_silent).await;
@@ -180,8 +183,8 @@
             } else {
                 check_short(req, &head, &mut body).await
             };
-            if let (Some(sent), true) = (&mut sent, body.has_ahead()) {
-                sent.note_began();
+            if let Some(sent) = &mut sent {
+                body.ahead().for_each(|bytes| sent.note_bytes(bytes));
             }
             let kept = connection.reused;
             read.map(|()| (head, parts, body, connection, unmarked))
@@ -302,7 +305,7 @@
         // The message has a copy of the body.
         let room = gateway.bodies.try_reserve(original.body.len());
         _room = Some(room.ok_or_else(|| not_run(SendFault::NotOpened(OpenError::Full)))?);
-        outgoing = carried_request(original, placement, &outgoing)?;
+        outgoing = carried_request(req, original, placement, &outgoing)?;
     }
     loop {
         let mut connection = connect(gateway, placement).await?;
@@ -384,6 +387,7 @@
 }
 
 fn carried_request(
+    req: &IdentifiedRequest,
     original: &OriginalRequest,
     placement: &Placement,
     outgoing: &Request<Full<Bytes>>,
@@ -391,6 +395,7 @@
     let left = original.deadline.since(clock::now());
     let backend = (&*placement.name, placement.born);
     let carried = CarriedRequest::new(backend, left, outgoing, original.body.clone());
+    let carried = CarriedRequest { is_probe: req.probe.is_some(), ..carried };
     let message = rmp_serde::to_vec_named(&carried);
     let message = message.map_err(|_| not_run(SendFault::Foreign))?;
     let req = Request::post(CARRY_PATH).body(Full::new(Bytes::from(message)));
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -14,7 +14,7 @@
     clock,
     crashes::{
         AnswerSpan, EndedAnswer, REMOVAL_TIME, SentRequest, UnmarkedEnd, log_broken_answer,
-        note_whole_answer, server_hash, unmarked_end,
+        note_whole_answer, note_written_answer, server_hash, unmarked_end,
     },
     gateway::Gateway,
     pipeline::{
@@ -86,6 +86,8 @@
     is_begun: bool,
     /// When the last event or, if it is no stream, the last bytes arrived from this backend server.
     progressed_at: Stamp,
+    /// When the first event of this backend server arrived, until the answer is known to be written for long.
+    begun_at: Option<Stamp>,
     /// The bytes and events of the response of this backend server.
     received: Received,
     /// The hash of the server that broke off the response last, and how many have.
@@ -158,6 +160,7 @@
             binding,
             is_begun: false,
             progressed_at: clock::now(),
+            begun_at: None,
             received: Received::default(),
             broken_by: 0,
             breaks: 0,
@@ -233,7 +236,7 @@
         };
         let Ok(bytes) = frame.into_data() else { return Step::Nothing };
         if let Some(sent) = &mut backend_response.sent {
-            sent.note_began();
+            sent.note_bytes(&bytes);
         }
         self.received.bytes += bytes.len();
         if !self.forwards_events {
@@ -258,6 +261,13 @@
         let Some(backend_response) = &mut self.backend_response else { return Step::Broken };
         if self.received.events == 0 {
             note_outcome(&self.gateway, &backend_response.placement, true);
+            self.begun_at = Some(clock::now());
+        }
+        let begun_at = (backend_response.begun_at, self.begun_at);
+        if let (head_at, Some(event_at)) = begun_at
+            && note_written_answer(&self.gateway, &self.req, (head_at, event_at))
+        {
+            self.begun_at = None;
         }
         self.received.events = self.received.events.saturating_add(split.events);
         if max_events < self.received.events {
@@ -310,6 +320,7 @@
     fn begin_rest(&mut self, backend_response: BackendResponse) {
         self.splitter = EventSplitter::after(self.last_event).within(&self.gateway.events, 1);
         (self.progressed_at, self.received) = (clock::now(), Received::default());
+        self.begun_at = None;
         self.backend_response = Some(backend_response);
     }
 
--- a/crates/gateway/src/pipeline/identify.rs
+++ b/crates/gateway/src/pipeline/identify.rs
@@ -2,13 +2,13 @@
 
 use std::sync::Arc;
 
-use bulrushhall_coord::{crashes::PartIds, streams::StreamOrigin};
+use bulrushhall_coord::streams::StreamOrigin;
 use bulrushhall_core::{ServiceName, config::RouteKind};
 use hyper::http::request;
 
 use crate::{
     adapter::Call,
-    crashes::Fingerprint,
+    crashes::{Fingerprint, ProbeClaim},
     gateway::Gateway,
     pipeline::{Failure, serve::service_hash},
     table::{Route, RouteTable, TeamEntry},
@@ -32,8 +32,8 @@
     pub fingerprint: Arc<Fingerprint>,
     /// Where the stream began that it resumes, if it resumes one.
     pub origin: Option<StreamOrigin>,
-    /// The prompt parts that are refused, if it is to show whether they still crash its server.
-    pub probe: Option<PartIds>,
+    /// The right to be sent although it is refused, if it is to show whether it still crashes its server.
+    pub probe: Option<Arc<ProbeClaim>>,
 }
 
 impl IdentifiedRequest {
--- a/crates/gateway/src/pipeline/response_body.rs
+++ b/crates/gateway/src/pipeline/response_body.rs
@@ -57,9 +57,9 @@
         self.ahead.is_empty() && self.rest.is_end_stream()
     }
 
-    /// Returns whether some of it was read ahead.
-    pub fn has_ahead(&self) -> bool {
-        !self.ahead.is_empty()
+    /// Returns what was read ahead.
+    pub fn ahead(&self) -> impl Iterator<Item = &Bytes> {
+        self.ahead.iter()
     }
 
     /// Reads up to the first event after the one with the id `after`; `budget` bounds the incomplete events of all streams.
--- a/crates/gateway/src/pipeline/serve.rs
+++ b/crates/gateway/src/pipeline/serve.rs
@@ -111,6 +111,9 @@
     let sent = sender.send().await;
     let (attempts, error_response) = (sender.attempts, sender.error_response.take());
     drop(sender);
+    if let (Err(_), Ran::No, Some(probe)) = (&sent, attempts.ran(), &req.probe) {
+        probe.note_not_run();
+    }
     match (sent, error_response) {
         (Ok(backend_response), _) => Ok((original, req, backend_response, tried)),
         // An error response of a backend server is forwarded if no retry replaced it.
--- a/crates/gateway/src/pipeline/silence_race.rs
+++ b/crates/gateway/src/pipeline/silence_race.rs
@@ -115,7 +115,7 @@
     };
     let Ok(bytes) = frame.into_data() else { return Progress::Nothing };
     if let Some(sent) = &mut silent.sent {
-        sent.note_began();
+        sent.note_bytes(&bytes);
     }
     match splitter.push(&bytes) {
         Some(events) => Progress::Won(RaceEnd::Events(events)),
