--- a/crates/cli/src/commands/parts.rs
+++ b/crates/cli/src/commands/parts.rs
@@ -63,16 +63,17 @@
 fn to_text(blocks: &[BlockStatus]) -> String {
     let mut rows = Vec::new();
     for block in blocks {
-        let BlockStatus { parts, kind, crashes, probes, since_unix_ms } = block;
+        let BlockStatus { parts, kind, confidence, crashes, probes, since_unix_ms } = block;
         let since = since_unix_ms / 1_000;
         let kind = kind.as_str().to_owned();
         rows.push(vec![
             parts.clone(),
             kind,
+            confidence.as_str().to_owned(),
             crashes.to_string(),
             probes.to_string(),
             since.to_string(),
         ]);
     }
-    table(&["PARTS", "KIND", "CRASHES", "PROBES", "SINCE"], rows)
+    table(&["PARTS", "KIND", "CONFIDENCE", "CRASHES", "PROBES", "SINCE"], rows)
 }
--- a/crates/coord/src/crashes/block_status.rs
+++ b/crates/coord/src/crashes/block_status.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Block, BlockKind};
+use super::{Block, BlockKind, Confidence};
 
 /// A `BlockStatus` is a block in force, for operators.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -12,6 +12,9 @@
     /// Which of the two.
     #[serde(default)]
     pub kind: BlockKind,
+    /// Whether the evidence for it suffices by itself.
+    #[serde(default)]
+    pub confidence: Confidence,
     /// The crashes that it was put in force after.
     pub crashes: u32,
     /// The requests that were let through to see whether they still crash their servers.
@@ -23,7 +26,7 @@
 
 impl From<&Block> for BlockStatus {
     fn from(block: &Block) -> BlockStatus {
-        let Block { kind, crashes, probes, since_unix_ms, .. } = *block;
-        BlockStatus { parts: block.name(), kind, crashes, probes, since_unix_ms }
+        let Block { kind, confidence, crashes, probes, since_unix_ms, .. } = *block;
+        BlockStatus { parts: block.name(), kind, confidence, crashes, probes, since_unix_ms }
     }
 }
--- a/crates/coord/src/crashes/blocks.rs
+++ b/crates/coord/src/crashes/blocks.rs
@@ -1,6 +1,6 @@
 //! The prompt parts that a node refuses.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use bulrushhall_core::Stamp;
 
@@ -52,6 +52,13 @@
         self.by_part.get(&part).into_iter().flatten().any(|ids| ids.0 == [part])
     }
 
+    /// Returns whether it is certain that all prompts with a part, or a request, crash servers.
+    pub fn is_certain(&self, part: PartId) -> bool {
+        let alone = PartIds(vec![part]);
+        let is_certain = |block: &Block| block.confidence.is_certain();
+        self.is_alone(part) && self.get(&alone).is_some_and(is_certain)
+    }
+
     /// Returns the record of some parts.
     pub fn get(&self, parts: &PartIds) -> Option<&Block> {
         self.entries.get(parts).map(|entry| &entry.block)
@@ -149,6 +156,22 @@
         is_due.then(|| Block { probes: block.probes + 1, ..block.clone() })
     }
 
+    /// Returns the same for the block that refuses a request with some ids. At first, a request that other blocks refuse as well is no
+    /// probe: it may crash its server because of these.
+    pub fn due_probe_for(&self, now: Stamp, ids: &[PartId]) -> Option<Block> {
+        let parts = self.matching(ids)?;
+        let claim = self.due_probe(now, parts)?;
+        let [first, _] = self.schedule.after;
+        let is_late = first <= now.since(self.learned_at(&claim.parts)?);
+        (is_late || self.count_matching(ids) == 1).then_some(claim)
+    }
+
+    fn count_matching(&self, ids: &[PartId]) -> usize {
+        let blocks = ids.iter().flat_map(|id| self.by_part.get(id).into_iter().flatten());
+        let matching = blocks.filter(|parts| parts.0.iter().all(|part| ids.contains(part)));
+        matching.collect::<BTreeSet<_>>().len()
+    }
+
     /// Returns when the next probe of a block is due, if there is one.
     pub fn probe_at(&self, parts: &[PartId]) -> Option<Stamp> {
         let entry = self.entries.get(&PartIds(parts.to_vec()))?;
--- a/crates/coord/src/crashes/evidence.rs
+++ b/crates/coord/src/crashes/evidence.rs
@@ -26,6 +26,8 @@
     sound: HashMap<PartId, KnownSound>,
     /// The parts that are suspected, also those that are blocked, and when servers crashed under them.
     suspects: BTreeMap<PartId, Vec<Stamp>>,
+    /// When a block was lifted last.
+    lifted_at: Option<Stamp>,
     /// The parts that were told to be suspected.
     told: BTreeSet<PartId>,
     written: u32,
@@ -72,6 +74,7 @@
             reports: VecDeque::new(),
             sound: HashMap::new(),
             suspects: BTreeMap::new(),
+            lifted_at: None,
             told: BTreeSet::new(),
             written: 0,
         }
@@ -192,11 +195,11 @@
 
     /// Returns whether reports have arrived so lately that the judgement may have changed.
     pub fn is_recent(&self, now: Stamp) -> bool {
-        let last = self.reports.back();
-        last.is_some_and(|last| now.since(last.learned_at) < self.options.judged_for)
+        let last = self.reports.back().map(|last| last.learned_at).max(self.lifted_at);
+        last.is_some_and(|last| now.since(last) < self.options.judged_for)
     }
 
-    /// Drops what is too old, and the requests of crashes that blocks explain.
+    /// Drops what is too old, and the requests of crashes that blocks explain without doubt.
     pub fn expire(&mut self, now: Stamp, blocks: &Blocks) {
         let EvidenceOptions { window, reported_for, .. } = self.options;
         let explained = self.explained(blocks);
@@ -206,7 +209,7 @@
             if is_reported && explained.contains(&known.report.server) {
                 // The report itself is kept: other nodes may still send it. Its parts may be what crashes a blocked request's servers.
                 let is_blocked_by_part =
-                    |req: &CrashedRequest| req.parts.iter().any(|part| blocks.is_alone(*part));
+                    |req: &CrashedRequest| req.parts.iter().any(|part| blocks.is_certain(*part));
                 let requests = &mut known.report.requests;
                 requests.retain(|req| is_blocked(req, blocks) && !is_blocked_by_part(req));
             }
@@ -230,8 +233,9 @@
         explained.map(|(server, _)| server).collect()
     }
 
-    /// Forgets what speaks against a part, or a request, whose block was lifted.
-    pub fn forget(&mut self, part: PartId) {
+    /// Forgets what speaks against a part, or a request, whose block was lifted: what it explained speaks against others.
+    pub fn forget(&mut self, now: Stamp, part: PartId) {
+        self.lifted_at = Some(now);
         for known in &mut self.reports {
             for req in &mut known.report.requests {
                 req.parts.retain(|other| *other != part);
@@ -246,7 +250,7 @@
         let mut most: Option<(Weight, Suspected<'_>)> = None;
         for (part, suspect) in &suspects {
             let settling = self.settling(*part, suspect, outcomes);
-            let is_settled = 0 < suspect.unexplained
+            let is_settled = suspect.is_unexplained()
                 && suspect.suspected_at.is_some_and(|at| settling <= now.since(at));
             if !is_settled {
                 continue;
@@ -384,13 +388,24 @@
     pub fn find_suspects(&mut self) {
         let tallied = tally(&self.reports, &Blocks::default(), &self.options, |_| None);
         let from = self.options.suspected_from;
-        let suspects = tallied.into_iter().filter(|(_, it)| from <= it.crashed_at.len());
-        self.suspects = suspects.map(|(part, it)| (part, it.crashed_at)).collect();
+        let suspects = tallied.into_iter().filter(|(_, it)| from <= it.ended_at.len());
+        let mut suspects: BTreeMap<PartId, Vec<Stamp>> =
+            suspects.map(|(part, _)| (part, Vec::new())).collect();
+        // A sound answer is told after each of them, also after those that don't count by themselves.
+        for KnownReport { at, report, .. } in &self.reports {
+            for part in report.requests.iter().flat_map(CrashedRequest::ids) {
+                if let Some(crashed_at) = suspects.get_mut(&part) {
+                    crashed_at.push(*at);
+                }
+            }
+        }
+        suspects.values_mut().for_each(|crashed_at| crashed_at.sort_unstable());
+        self.suspects = suspects;
     }
 }
 
 fn is_blocked(req: &CrashedRequest, blocks: &Blocks) -> bool {
-    req.ids().iter().any(|id| blocks.is_alone(*id))
+    req.ids().iter().any(|id| blocks.is_certain(*id))
 }
 
 fn millis(time: Duration) -> u64 {
--- a/crates/coord/src/crashes/run.rs
+++ b/crates/coord/src/crashes/run.rs
@@ -21,10 +21,15 @@
     pub known_in_doubt: u32,
     /// The crashes of which one is such a request's, at least, if they are not seldom.
     pub beside: u32,
+    /// The same for a request by itself, which many callers may send.
+    pub request_beside: u32,
     /// The latest answers of a node from which a part is answered often.
     pub often: u32,
     /// The time in which a sound answer may still follow after so many servers have crashed that no more may be lost.
     pub grace: Duration,
+    /// The same for what was answered before, if all of them crashed in one moment: no further request shows that it is the cause, and
+    /// a long answer shows only after some time that it is not.
+    pub lone_grace: Duration,
 }
 
 impl Default for CrashRun {
@@ -36,43 +41,57 @@
             known: 5,
             known_in_doubt: 8,
             beside: 4,
+            request_beside: 2,
             often: 32,
             grace: Duration::from_millis(1_500),
+            lone_grace: Duration::from_millis(2_600),
         }
     }
 }
 
 impl Judge for CrashRun {
     fn blames(&self, tally: PartTally) -> Option<Confidence> {
-        if self.enough(tally) <= tally.crashes {
-            return Some(Confidence::Certain);
+        if tally.is_new() {
+            let enough = if tally.kind == BlockKind::Parts { self.new } else { self.request };
+            if enough <= tally.crashes {
+                return Some(Confidence::Certain);
+            }
+        } else if self.is_clear(tally) {
+            return Some(Confidence::Doubtful);
         }
         // The loss of many servers at once breaks off answers to sound prompts too, but those are answered elsewhere then.
-        let is_over = tally.since_many.is_some_and(|since| self.grace <= since);
-        let is_enough = !self.is_beside(tally) || self.known_in_doubt <= tally.ended;
-        (is_over && is_enough).then_some(Confidence::Doubtful)
+        let is_lone = tally.is_known_sound && tally.crashes == 1;
+        let grace = if is_lone { self.lone_grace } else { self.grace };
+        let is_over = tally.since_many.is_some_and(|since| grace <= since);
+        (is_over && self.is_enough_to_doubt(tally)).then_some(Confidence::Doubtful)
     }
 }
 
 impl CrashRun {
-    // Returns whether requests with a part that was answered before only ran beside those that the servers had begun to answer last.
-    fn is_beside(&self, tally: PartTally) -> bool {
-        tally.kind == BlockKind::Parts
-            && tally.is_known_sound
-            && self.beside * tally.closest < tally.ended
+    // Returns whether the crashes under what was answered before need no time in which a sound answer may still follow.
+    fn is_clear(&self, tally: PartTally) -> bool {
+        let PartTally { crashes, closest, answered, is_other_sound, .. } = tally;
+        let is_closest = crashes <= 2 * closest;
+        match tally.kind {
+            BlockKind::Parts => {
+                self.known <= crashes && is_closest && is_other_sound && answered < self.often
+            }
+            BlockKind::Request => self.known_request <= crashes && is_closest,
+        }
     }
 
-    // Returns the moments of crashes that leave no doubt.
-    fn enough(&self, tally: PartTally) -> u32 {
-        let PartTally { crashes, is_known_sound, answered, .. } = tally;
-        if tally.kind == BlockKind::Request {
-            return if is_known_sound || 0 < answered { self.known_request } else { self.request };
-        }
-        if !is_known_sound {
-            return self.new;
+    // Returns whether so many servers have crashed that no more may be lost.
+    fn is_enough_to_doubt(&self, tally: PartTally) -> bool {
+        if !tally.is_known_sound {
+            return true;
         }
-        let is_clear =
-            tally.is_other_sound && answered < self.often && crashes <= 2 * tally.closest;
-        if is_clear { self.known } else { u32::MAX }
+        // Of requests that are seldom the ones that the servers had begun to answer last, others are more likely to be the cause.
+        let (enough, beside) = match tally.kind {
+            BlockKind::Parts => (self.known, self.beside),
+            BlockKind::Request => (self.known_request, self.request_beside),
+        };
+        let is_beside = beside * tally.closest < tally.ended;
+        let enough = if is_beside { self.known_in_doubt } else { enough };
+        enough <= tally.ended
     }
 }
--- a/crates/coord/src/crashes/suspect.rs
+++ b/crates/coord/src/crashes/suspect.rs
@@ -59,7 +59,7 @@
 /// Returns the crashes under each part since a moment that depends on the part. Those of a server which had just begun to
 /// answer a request that is blocked count only against the parts of that block, or those of the request if it is blocked by itself:
 /// it is known what crashed the server. Those of one that had begun to answer such a request before count only against the request
-/// that it had begun last.
+/// that it had begun last, and the parts of those that are blocked by themselves.
 pub fn tally<'a>(
     reports: impl IntoIterator<Item = &'a KnownReport>,
     blocks: &Blocks,
@@ -78,7 +78,8 @@
         let mut requests = crash.requests.iter();
         let is_beside_blocked = requests.any(|(req, _)| blocks.matching(&req.ids()).is_some());
         for (number, (req, learned_at)) in crash.requests.iter().enumerate() {
-            if is_beside_blocked && explained.is_none() && 0 < number {
+            let is_blocked_alone = req.digest.is_some_and(|digest| blocks.is_alone(digest));
+            if is_beside_blocked && explained.is_none() && 0 < number && !is_blocked_alone {
                 continue;
             }
             let is_blocked_by_itself = blocked_request.is_some() && blocked_request == req.digest;
@@ -147,6 +148,12 @@
         (self.moments, self.crashed_at.len(), self.closest)
     }
 
+    /// Returns whether what is blocked leaves crashes under the part unexplained. Several requests that are blocked by themselves
+    /// leave open whether a part that they share is the cause.
+    pub fn is_unexplained(&self) -> bool {
+        0 < self.unexplained || 1 < self.by_request.len()
+    }
+
     fn add(
         &mut self,
         crash: &Crash<'_>,
--- a/crates/coord/src/crashes/tally.rs
+++ b/crates/coord/src/crashes/tally.rs
@@ -28,3 +28,11 @@
     /// Whether this node has seen a sound answer to any request since the first of these crashes.
     pub is_other_sound: bool,
 }
+
+impl PartTally {
+    /// Returns whether no sound answer to it is known, for a request neither an earlier one of this node.
+    pub fn is_new(&self) -> bool {
+        let is_answered = self.kind == BlockKind::Request && 0 < self.answered;
+        !self.is_known_sound && !is_answered
+    }
+}
--- a/crates/coord/src/crashes/watch.rs
+++ b/crates/coord/src/crashes/watch.rs
@@ -135,7 +135,7 @@
     /// Lifts a block and forgets the evidence for it; returns its record unless it is not in force.
     pub fn lift(&mut self, now: Stamp, parts: &PartIds) -> Option<Block> {
         let block = self.blocks.lift(now, parts)?;
-        parts.0.iter().for_each(|part| self.evidence.forget(*part));
+        parts.0.iter().for_each(|part| self.evidence.forget(now, *part));
         Some(block)
     }
 
@@ -145,7 +145,7 @@
         let received = self.blocks.receive(now, block);
         // A block that gave way to one of fewer parts is no reason to forget these.
         if received == Received::Lifted && self.blocks.matching(&parts.0).is_none() {
-            parts.0.iter().for_each(|part| self.evidence.forget(*part));
+            parts.0.iter().for_each(|part| self.evidence.forget(now, *part));
         }
         received
     }
--- a/crates/coord/tests/crash_evidence.rs
+++ b/crates/coord/tests/crash_evidence.rs
@@ -515,3 +515,28 @@
     let reports = observer.watch.evidence.reports(observer.now);
     assert!(reports.iter().all(|report| report.concerns(BAD)));
 }
+
+// Guards against a sound part that stays blocked since the request that shows it has a bad part too.
+#[test]
+fn probes_have_one_block() {
+    let mut watch = CrashWatch::default();
+    for part in [SHARED, BAD] {
+        let (parts, kind) = (PartIds(vec![part]), BlockKind::Parts);
+        let confidence = Confidence::Doubtful;
+        let block = Block {
+            parts,
+            kind,
+            confidence,
+            generation: 1,
+            crashes: 5,
+            probes: 0,
+            since_unix_ms: 0,
+        };
+        watch.receive(begin(), block);
+    }
+    assert_eq!(watch.blocks.due_probe_for(begin(), &[SHARED, BAD]), None);
+    let claim = watch.blocks.due_probe_for(begin(), &[SHARED, OTHER]).expect("a probe");
+    assert_eq!(claim.parts, PartIds(vec![SHARED]));
+    let later = begin() + Duration::from_secs(30);
+    assert!(watch.blocks.due_probe_for(later, &[SHARED, BAD]).is_some());
+}
--- a/crates/coord/tests/crash_model/world.rs
+++ b/crates/coord/tests/crash_model/world.rs
@@ -488,10 +488,7 @@
     // Returns whether a node may let a blocked request through.
     fn claim_probe(&mut self, node: usize, ids: &[PartId]) -> bool {
         let (now, blocks) = (self.now, &self.nodes[node].watch.blocks);
-        let parts = blocks.matching(ids).map(<[_]>::to_vec);
-        let Some(claim) = parts.and_then(|parts| blocks.due_probe(now, &parts)) else {
-            return false;
-        };
+        let Some(claim) = blocks.due_probe_for(now, ids) else { return false };
         let stored = self.store.get(&claim.name());
         let is_next = stored.is_some_and(|(_, stored)| {
             (stored.generation, stored.probes + 1) == (claim.generation, claim.probes)
--- a/crates/gateway/src/crashes/admit.rs
+++ b/crates/gateway/src/crashes/admit.rs
@@ -75,7 +75,8 @@
     let now = clock::now();
     let probe = gateway.with(|state| {
         let Some((ids, failure)) = block_of(state, &req.fingerprint) else { return Ok(None) };
-        let probe = next_probe(&mut state.crashes, now, ids).ok_or(failure)?;
+        let probe = next_probe(&mut state.crashes, now, (ids, &req.fingerprint));
+        let probe = probe.ok_or(failure)?;
         Ok(Some((probe, failure)))
     });
     let probe = probe.inspect_err(|_| meters::part_refused())?;
@@ -94,13 +95,17 @@
     Ok(Some(claim))
 }
 
-fn next_probe(crashes: &mut CrashState, now: Stamp, ids: PartIds) -> Option<Probe> {
+fn next_probe(
+    crashes: &mut CrashState,
+    now: Stamp,
+    (ids, fingerprint): (PartIds, &Fingerprint),
+) -> Option<Probe> {
     let CrashState { watch: CrashWatch { blocks, .. }, claiming, unused_claims, .. } = crashes;
     let claimed = unused_claims.remove(&ids);
     if let Some(claim) = claimed.filter(|claim| blocks.get(&ids) == Some(claim)) {
         return Some(Probe::Claimed(claim));
     }
-    let due = blocks.due_probe(now, &ids.0)?;
+    let due = blocks.due_probe_for(now, fingerprint.ids())?;
     claiming.insert(ids).then_some(Probe::Due(due))
 }
 
