Second probe of a doubtful block after 10 s

Cause: sound parts whose first probe was lost with its server by chance stayed refused for 30 s; beside 24 bad parts the second probes of all came while those of the bad ones crashed servers.

--- a/crates/coord/src/crashes/probe_schedule.rs
+++ b/crates/coord/src/crashes/probe_schedule.rs
@@ -25,7 +25,8 @@
 
 impl Default for ProbeSchedule {
     fn default() -> ProbeSchedule {
-        let after @ [first, second] = [Duration::from_secs(30), Duration::from_secs(3_600)];
-        ProbeSchedule { after, doubtful_after: [Duration::ZERO, first, second] }
+        let [first, last] = [Duration::from_secs(30), Duration::from_secs(3_600)];
+        let doubtful_after = [Duration::ZERO, Duration::from_secs(10), last];
+        ProbeSchedule { after: [first, last], doubtful_after }
     }
 }
--- a/crates/coord/tests/crash_evidence.rs
+++ b/crates/coord/tests/crash_evidence.rs
@@ -494,8 +494,8 @@
     assert_eq!(claim.confidence, Confidence::Doubtful);
     observer.watch.receive(observer.now, claim);
     let due_after = |time| observer.watch.blocks.due_probe(observer.now + time, &[BAD]);
-    assert_eq!(due_after(Duration::from_secs(29)), None);
-    let claim = due_after(Duration::from_secs(30)).expect("a second probe");
+    assert_eq!(due_after(Duration::from_secs(9)), None);
+    let claim = due_after(Duration::from_secs(10)).expect("a second probe");
     assert_eq!(claim.probes, 2);
 }
 
