--- a/crates/coord/src/crashes/watch.rs
+++ b/crates/coord/src/crashes/watch.rs
@@ -50,7 +50,7 @@
         mut requests: Vec<CrashedRequest>,
     ) {
         requests.sort_by_key(CrashedRequest::closeness);
-        // A part that was sound may be so no longer, if the server had just begun to answer its request.
+        // The closest request may be the one that crashed the server, however often its parts were answered.
         for req in requests.iter_mut().skip(1) {
             req.parts.retain(|part| !self.is_known_sound(now, *part));
             req.digest = req.digest.filter(|digest| !self.is_known_sound(now, *digest));
