Sound answers count as of the send of their requests

What callers saw: a part that had turned bad was asked for at load 40, and five requests reached engines late (rarely_asked_since). Cause: an answer was dated by when its node read the head. A node under load reads heads late, after crashes of a part that turned bad meanwhile; the count began anew, and a block could be lifted.

--- a/crates/gateway/src/crashes/unsettled.rs
+++ b/crates/gateway/src/crashes/unsettled.rs
@@ -64,7 +64,7 @@
     }
 
     /// Removes the requests whose answers ended before a server got a request that it has answered, and returns them with when
-    /// the answers began: it did not crash under them.
+    /// they were sent: it did not crash under them.
     pub fn take_answered(
         &mut self,
         key: WorkerKey,
@@ -75,8 +75,7 @@
             let is_answered =
                 it.key == key && it.at < sent_at && it.answer == UnsettledAnswer::Unmarked;
             if is_answered {
-                let begun = Duration::from_millis(it.req.begun_ms.unwrap_or(it.req.age_ms));
-                taken.push((it.at - begun, it.req.clone()));
+                taken.push((it.at - Duration::from_millis(it.req.age_ms), it.req.clone()));
             }
             !is_answered
         });
