--- a/crates/coord/src/crashes/evidence.rs
+++ b/crates/coord/src/crashes/evidence.rs
@@ -151,7 +151,7 @@
     /// Notes this node's own sound answers to prompts with parts that are suspected, if they tell more than is known.
     pub fn note_own_sound(&mut self, now: Stamp, own: Incarnation, outcomes: &PartOutcomes) {
         for (part, crashed_at) in &self.suspects {
-            let Some(at) = outcomes.last_sent(*part) else { continue };
+            let Some(at) = outcomes.last_begun(*part) else { continue };
             let tells = match self.sound.get(part) {
                 None => true,
                 Some(known) => crashed_at.iter().any(|crash| known.at < *crash && *crash < at),
--- a/crates/coord/src/crashes/outcomes.rs
+++ b/crates/coord/src/crashes/outcomes.rs
@@ -36,8 +36,8 @@
     previous: u32,
     window_at: Stamp,
     last_at: Stamp,
-    /// When the latest of the requests was sent to its server.
-    last_sent_at: Stamp,
+    /// When the latest of these answers began.
+    last_begun_at: Stamp,
     answered: Answered,
 }
 
@@ -48,12 +48,12 @@
             previous: 0,
             window_at: now,
             last_at: now,
-            last_sent_at: Stamp(0),
+            last_begun_at: Stamp(0),
             answered,
         }
     }
 
-    fn note(&mut self, now: Stamp, sent_at: Stamp) {
+    fn note(&mut self, now: Stamp, begun_at: Stamp) {
         if SOUND_WINDOW <= now.since(self.window_at) {
             let is_next = now.since(self.window_at) < 2 * SOUND_WINDOW;
             self.previous = if is_next { self.current } else { 0 };
@@ -61,7 +61,7 @@
         }
         self.current = self.current.saturating_add(1);
         self.last_at = now;
-        self.last_sent_at = self.last_sent_at.max(sent_at);
+        self.last_begun_at = self.last_begun_at.max(begun_at);
     }
 
     fn count(&self, now: Stamp) -> u32 {
@@ -71,49 +71,49 @@
 }
 
 impl PartOutcomes {
-    /// Notes an answer that came to its end, to a prompt that was sent to its server at a time.
+    /// Notes an answer to a prompt that began at a time and came to its end.
     pub fn note_sound(
         &mut self,
         now: Stamp,
-        sent_at: Stamp,
+        begun_at: Stamp,
         parts: impl IntoIterator<Item = PartId>,
     ) {
         self.last_at = Some(now);
-        self.note(now, sent_at, parts, Answered::Prompt);
+        self.note(now, begun_at, parts, Answered::Prompt);
     }
 
-    /// Notes an answer that its server goes on to write, to a prompt that was sent there at a time.
+    /// Notes an answer to a prompt that began at a time and that its server goes on to write.
     pub fn note_written(
         &mut self,
         now: Stamp,
-        sent_at: Stamp,
+        begun_at: Stamp,
         parts: impl IntoIterator<Item = PartId>,
     ) {
         self.last_at = Some(now);
         for part in parts {
             let sound = self.parts.entry(part);
             let sound = sound.or_insert_with(|| Sound::new(now, Answered::Prompt));
-            sound.last_sent_at = sound.last_sent_at.max(sent_at);
+            sound.last_begun_at = sound.last_begun_at.max(begun_at);
         }
         self.limit_parts();
     }
 
     /// Notes an answer to a request without a prompt, which tells nothing of the servers of prompts.
-    pub fn note_call(&mut self, now: Stamp, sent_at: Stamp, digest: PartId) {
+    pub fn note_call(&mut self, now: Stamp, begun_at: Stamp, digest: PartId) {
         self.last_call_at = Some(now);
-        self.note(now, sent_at, [digest], Answered::Call);
+        self.note(now, begun_at, [digest], Answered::Call);
     }
 
     fn note(
         &mut self,
         now: Stamp,
-        sent_at: Stamp,
+        begun_at: Stamp,
         ids: impl IntoIterator<Item = PartId>,
         answered: Answered,
     ) {
         for part in ids {
             let sound = self.parts.entry(part).or_insert_with(|| Sound::new(now, answered));
-            sound.note(now, sent_at);
+            sound.note(now, begun_at);
         }
         self.limit_parts();
     }
@@ -128,10 +128,10 @@
         self.parts.get(&part).map(|sound| sound.last_at)
     }
 
-    /// Returns when the latest prompt with a part was sent that got a sound answer: servers crash when they begin to answer a part,
-    /// so the end of the answer says nothing of it.
-    pub fn last_sent(&self, part: PartId) -> Option<Stamp> {
-        self.parts.get(&part).map(|sound| sound.last_sent_at)
+    /// Returns when the latest sound answer to a prompt with a part began: servers crash when they begin to answer a part, so the
+    /// end of the answer says nothing of it.
+    pub fn last_begun(&self, part: PartId) -> Option<Stamp> {
+        self.parts.get(&part).map(|sound| sound.last_begun_at)
     }
 
     /// Returns when the last answer to any prompt came to its end.
--- a/crates/coord/src/crashes/report.rs
+++ b/crates/coord/src/crashes/report.rs
@@ -94,7 +94,7 @@
     pub part: PartId,
     /// The number of such answers, of which nodes of an earlier version go by.
     pub answers: u32,
-    /// The time since its request was sent to a server, in milliseconds; nodes of an earlier version count from the begin of the answer.
+    /// The time since the answer ended, in milliseconds.
     #[serde(default)]
     pub age_ms: u64,
 }
--- a/crates/coord/src/crashes/watch.rs
+++ b/crates/coord/src/crashes/watch.rs
@@ -11,7 +11,7 @@
 
 /// The latest sound answers of this node to prompts with a part from which it need not be suspected.
 const KNOWN_SOUND_FROM: u32 = 8;
-/// The time since the last of their requests was sent.
+/// The time since the last of them began.
 const KNOWN_SOUND_FOR: Duration = Duration::from_secs(1);
 /// The maximum number of parts that are blamed in one judgement.
 const MAX_BLAMED: usize = 64;
@@ -62,40 +62,40 @@
     }
 
     fn is_known_sound(&self, now: Stamp, part: PartId) -> bool {
-        let last = self.outcomes.last_sent(part);
+        let last = self.outcomes.last_begun(part);
         last.is_some_and(|at| now.since(at) < KNOWN_SOUND_FOR)
             && KNOWN_SOUND_FROM <= self.outcomes.sound(now, part)
     }
 
-    /// Notes an answer that came to its end, to a request with some ids that was sent at a time; returns those of the block that it
+    /// Notes an answer that began at a time and came to its end, to a request with some ids; returns those of the block that it
     /// speaks against, if there is one.
-    pub fn note_sound(&mut self, now: Stamp, sent_at: Stamp, ids: &[PartId]) -> Option<PartIds> {
+    pub fn note_sound(&mut self, now: Stamp, begun_at: Stamp, ids: &[PartId]) -> Option<PartIds> {
         match ids {
-            [digest] => self.outcomes.note_call(now, sent_at, *digest),
-            _ => self.outcomes.note_sound(now, sent_at, ids.iter().copied()),
+            [digest] => self.outcomes.note_call(now, begun_at, *digest),
+            _ => self.outcomes.note_sound(now, begun_at, ids.iter().copied()),
         }
-        self.refuted(sent_at, ids)
+        self.refuted(begun_at, ids)
     }
 
-    /// Notes an answer that its server has written for longer than a part may take to crash it, to a prompt with some parts that was
-    /// sent at a time; returns those of the block that it speaks against, if there is one.
+    /// Notes an answer that began at a time and that its server has written for longer than a part may take to crash it, to a prompt
+    /// with some parts; returns those of the block that it speaks against, if there is one.
     pub fn note_written(
         &mut self,
         now: Stamp,
-        sent_at: Stamp,
+        begun_at: Stamp,
         parts: &[PartId],
     ) -> Option<PartIds> {
-        self.outcomes.note_written(now, sent_at, parts.iter().copied());
-        self.refuted(sent_at, parts)
+        self.outcomes.note_written(now, begun_at, parts.iter().copied());
+        self.refuted(begun_at, parts)
     }
 
-    // Servers crash when they begin to answer a part, which they may do as soon as they have the request: one that was sent before
-    // the block, or before the last crash, says nothing of it.
-    fn refuted(&self, sent_at: Stamp, ids: &[PartId]) -> Option<PartIds> {
+    // Servers crash when they begin to answer a part, so an answer that began before the block, or before the last crash, says
+    // nothing of it.
+    fn refuted(&self, begun_at: Stamp, ids: &[PartId]) -> Option<PartIds> {
         let parts = PartIds(self.blocks.matching(ids)?.to_vec());
-        let is_later = self.blocks.learned_at(&parts)? <= sent_at;
+        let is_later = self.blocks.learned_at(&parts)? <= begun_at;
         let crashed_at = self.evidence.last_crash(&parts.0);
-        (is_later && crashed_at.is_none_or(|at| at <= sent_at)).then_some(parts)
+        (is_later && crashed_at.is_none_or(|at| at <= begun_at)).then_some(parts)
     }
 
     /// Judges the evidence; returns the records that changed.
--- a/crates/coord/tests/crash_model/world.rs
+++ b/crates/coord/tests/crash_model/world.rs
@@ -540,7 +540,7 @@
             if now < req.ends_at {
                 return true;
             }
-            ended.push((req.node, req.sent_at, with_digest(&req.parts, req.digest)));
+            ended.push((req.node, req.begins_at, with_digest(&req.parts, req.digest)));
             false
         });
         for req in &mut self.running {
@@ -549,7 +549,7 @@
             }
             req.is_written = true;
             let Node { watch, .. } = &mut self.nodes[req.node];
-            if let Some(blocked) = watch.note_written(now, req.sent_at, &req.parts) {
+            if let Some(blocked) = watch.note_written(now, req.begins_at, &req.parts) {
                 watch.lift(now, &blocked);
             }
         }
--- a/crates/gateway/src/crashes/blocks.rs
+++ b/crates/gateway/src/crashes/blocks.rs
@@ -54,21 +54,21 @@
     lift_because(gateway, parts, "operator", None)
 }
 
-/// Lifts a block that the answer to a request speaks against, which was sent at a time.
+/// Lifts a block that an answer speaks against, which began at a time.
 pub fn lift_answered(
     gateway: &Gateway,
     parts: &PartIds,
     source: &'static str,
-    sent_at: Stamp,
+    begun_at: Stamp,
 ) -> bool {
-    lift_because(gateway, parts, source, Some(sent_at))
+    lift_because(gateway, parts, source, Some(begun_at))
 }
 
 fn lift_because(
     gateway: &Gateway,
     parts: &PartIds,
     source: &'static str,
-    sent_at: Option<Stamp>,
+    begun_at: Option<Stamp>,
 ) -> bool {
     let now = clock::now();
     gateway.with(|state| {
@@ -81,7 +81,7 @@
             kind = block.kind.as_str(),
             source,
             blocked_ms = age_ms(blocked_at),
-            request_age_ms = age_ms(sent_at)
+            answer_age_ms = age_ms(begun_at)
         );
         queue_changed(gateway, state, now, &block, source);
         true
--- a/crates/gateway/src/crashes/observe.rs
+++ b/crates/gateway/src/crashes/observe.rs
@@ -93,12 +93,12 @@
     Resumed,
 }
 
-/// Notes that the answer of a backend server to a request that was sent at a time came to its end; `is_delimited` tells whether its end could be told from a
+/// Notes that an answer of a backend server, which began at a time, came to its end; `is_delimited` tells whether its end could be told from a
 /// connection that was closed.
 pub fn note_whole_answer(
     gateway: &Gateway,
     req: &IdentifiedRequest,
-    (span, sent_at): (AnswerSpan, Stamp),
+    (span, begun_at): (AnswerSpan, Stamp),
     is_delimited: bool,
 ) {
     if !is_delimited {
@@ -109,27 +109,27 @@
         AnswerSpan::Resumed => req.fingerprint.parts(),
     };
     let now = clock::now();
-    let blocked = gateway.with(|state| state.crashes.watch.note_sound(now, sent_at, ids));
+    let blocked = gateway.with(|state| state.crashes.watch.note_sound(now, begun_at, ids));
     if let Some(parts) = blocked {
-        lift_answered(gateway, &parts, answer_source(req), sent_at);
+        lift_answered(gateway, &parts, answer_source(req), begun_at);
     }
 }
 
-/// Notes that a backend server goes on to write the answer to a request that was sent at a time, the first event of which arrived at
-/// another one; returns whether it has for so long that no part of the prompt has crashed it.
+/// Notes that a backend server goes on to write an answer whose head arrived at a time, and whose first event at another one;
+/// returns whether it has for so long that no part of the prompt has crashed it.
 pub fn note_written_answer(
     gateway: &Gateway,
     req: &IdentifiedRequest,
-    (sent_at, begun_at): (Stamp, Stamp),
+    (head_at, event_at): (Stamp, Stamp),
 ) -> bool {
     let now = clock::now();
-    if as_millis(now.since(begun_at)) < BEGINNING_MS {
+    if as_millis(now.since(event_at)) < BEGINNING_MS {
         return false;
     }
     let parts = req.fingerprint.parts();
-    let blocked = gateway.with(|state| state.crashes.watch.note_written(now, sent_at, parts));
+    let blocked = gateway.with(|state| state.crashes.watch.note_written(now, head_at, parts));
     if let Some(parts) = blocked {
-        lift_answered(gateway, &parts, answer_source(req), sent_at);
+        lift_answered(gateway, &parts, answer_source(req), head_at);
     }
     true
 }
@@ -154,8 +154,8 @@
         };
         whole.iter().filter_map(note).collect()
     });
-    for (parts, sent_at) in blocked {
-        lift_answered(gateway, &parts, "answer", sent_at);
+    for (parts, begun_at) in blocked {
+        lift_answered(gateway, &parts, "answer", begun_at);
     }
 }
 
--- a/crates/gateway/src/crashes/unsettled.rs
+++ b/crates/gateway/src/crashes/unsettled.rs
@@ -64,7 +64,7 @@
     }
 
     /// Removes the requests whose answers ended before a server got a request that it has answered, and returns them with when
-    /// they were sent: it did not crash under them.
+    /// the answers began: it did not crash under them.
     pub fn take_answered(
         &mut self,
         key: WorkerKey,
@@ -75,7 +75,8 @@
             let is_answered =
                 it.key == key && it.at < sent_at && it.answer == UnsettledAnswer::Unmarked;
             if is_answered {
-                taken.push((it.at - Duration::from_millis(it.req.age_ms), it.req.clone()));
+                let begun = Duration::from_millis(it.req.begun_ms.unwrap_or(it.req.age_ms));
+                taken.push((it.at - begun, it.req.clone()));
             }
             !is_answered
         });
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -94,8 +94,8 @@
     pub placement: Placement,
     /// The request there; none if another node carries it, which observes the server.
     pub sent: Option<SentRequest>,
-    /// When the request was sent.
-    pub sent_at: Stamp,
+    /// When the head arrived.
+    pub begun_at: Stamp,
     /// The answer, if its end will have no mark.
     _unmarked: Option<UnmarkedAnswer>,
 }
@@ -154,6 +154,7 @@
     let sending = send(gateway, req, original, placement, (resume_after, sent.as_ref()));
     let is_silent = || note_silent(gateway, placement, &mut in_flight, sent.as_ref());
     let answered = limit.outlast(sending, is_silent).await;
+    let begun_at = clock::now();
     let answered = answered.and_then(|(response, connection)| {
         let (parts, body) = response.into_parts();
         let head = gateway.platform.wire.read_response(&parts);
@@ -211,7 +212,7 @@
                 in_flight,
                 placement: placement.clone(),
                 sent,
-                sent_at,
+                begun_at,
                 _unmarked: unmarked,
             })
         }
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -263,9 +263,9 @@
             note_outcome(&self.gateway, &backend_response.placement, true);
             self.begun_at = Some(clock::now());
         }
-        let sent_at = backend_response.sent_at;
-        if let Some(begun_at) = self.begun_at
-            && note_written_answer(&self.gateway, &self.req, (sent_at, begun_at))
+        let begun_at = (backend_response.begun_at, self.begun_at);
+        if let (head_at, Some(event_at)) = begun_at
+            && note_written_answer(&self.gateway, &self.req, (head_at, event_at))
         {
             self.begun_at = None;
         }
@@ -471,8 +471,8 @@
         if backend_response.head.status.is_success() {
             let is_resumed = 0 < self.breaks || self.req.call.resume_after.is_some();
             let span = if is_resumed { AnswerSpan::Resumed } else { AnswerSpan::Whole };
-            let sent_at = backend_response.sent_at;
-            note_whole_answer(&self.gateway, &self.req, (span, sent_at), is_delimited);
+            let begun_at = backend_response.begun_at;
+            note_whole_answer(&self.gateway, &self.req, (span, begun_at), is_delimited);
         }
         match &mut backend_response.sent {
             Some(sent) if is_delimited => sent.settle(),
