Line 463 names the last sound answer; plainer names in coord::crashes

Cause: a part was not blamed since a sound answer, whose head was read late, began the count anew, and no log said which answer or which process. Change: sound_age_ms and sound_node in line 463, which now counts all servers, also those under one request. A newcomer stopped at ended, told, lone_grace, beside and written: they are all_servers, suspects_told, single_moment_grace, closest_one_in and progress. No decision is changed.

--- a/crates/coord/src/crashes/evidence.rs
+++ b/crates/coord/src/crashes/evidence.rs
@@ -11,7 +11,7 @@
 use super::{
     Blame, BlockKind, Blocks, Confidence, CrashReport, CrashRun, CrashedRequest, CrashedServer,
     EvidenceOptions, Judge, KnownReport, PartId, PartOutcomes, PartTally, SoundReport, Suspect,
-    tally,
+    SuspectedPart, tally,
 };
 
 /// The greatest difference between what nodes take for the time of one sound answer.
@@ -29,7 +29,7 @@
     /// When a block was lifted last.
     lifted_at: Option<Stamp>,
     /// The parts that were told to be suspected.
-    told: BTreeSet<PartId>,
+    suspects_told: BTreeSet<PartId>,
     written: u32,
 }
 
@@ -37,7 +37,7 @@
 type Weight = (Confidence, Reverse<u32>, (u32, usize, u32));
 
 /// A part that is blamed.
-struct Suspected<'a> {
+struct Blamed<'a> {
     part: PartId,
     suspect: &'a Suspect,
     confidence: Confidence,
@@ -75,7 +75,7 @@
             sound: HashMap::new(),
             suspects: BTreeMap::new(),
             lifted_at: None,
-            told: BTreeSet::new(),
+            suspects_told: BTreeSet::new(),
             written: 0,
         }
     }
@@ -247,7 +247,7 @@
     /// Returns what the evidence speaks against most, if it suffices.
     pub fn judge(&self, now: Stamp, outcomes: &PartOutcomes, blocks: &Blocks) -> Vec<Blame> {
         let suspects = tally(&self.reports, blocks, &self.options, |part| self.last_sound(part));
-        let mut most: Option<(Weight, Suspected<'_>)> = None;
+        let mut most: Option<(Weight, Blamed<'_>)> = None;
         for (part, suspect) in &suspects {
             let settling = self.settling(*part, suspect, outcomes);
             let is_settled = suspect.is_unexplained()
@@ -261,29 +261,33 @@
             let answered = if confidence.is_certain() { 0 } else { tally.answered };
             let weight = (confidence, Reverse(answered), suspect.rank());
             if most.as_ref().is_none_or(|(most, _)| *most < weight) {
-                most = Some((weight, Suspected { part: *part, suspect, confidence }));
+                most = Some((weight, Blamed { part: *part, suspect, confidence }));
             }
         }
         most.map_or_else(Vec::new, |(_, most)| self.inseparable(most, &suspects))
     }
 
-    /// Returns the evidence about parts under which so many servers have crashed that they may be blamed, each once.
+    /// Returns the evidence about parts under which so many servers have crashed that they may be blamed, each once until fewer have.
     pub fn newly_suspected(
         &mut self,
         now: Stamp,
         outcomes: &PartOutcomes,
         blocks: &Blocks,
-    ) -> Vec<(PartId, PartTally)> {
+    ) -> Vec<SuspectedPart> {
         let suspects = tally(&self.reports, blocks, &self.options, |part| self.last_sound(part));
         let mut suspected = Vec::new();
         for (part, suspect) in &suspects {
-            if suspect.kind == BlockKind::Parts && self.options.many <= suspect.ended_at.len() {
-                suspected.push((*part, self.tally_of(now, *part, suspect, outcomes)));
+            let is_many = self.options.many <= suspect.all_crashed_at.len();
+            if suspect.kind != BlockKind::Parts || !is_many {
+                continue;
             }
+            let tally = self.tally_of(now, *part, suspect, outcomes);
+            let last_sound = self.sound.get(part).map(|known| (known.author, now.since(known.at)));
+            suspected.push(SuspectedPart { part: *part, tally, last_sound });
         }
-        let before = std::mem::take(&mut self.told);
-        self.told = suspected.iter().map(|(part, _)| *part).collect();
-        suspected.retain(|(part, _)| !before.contains(part));
+        let before = std::mem::take(&mut self.suspects_told);
+        self.suspects_told = suspected.iter().map(|suspected| suspected.part).collect();
+        suspected.retain(|suspected| !before.contains(&suspected.part));
         suspected
     }
 
@@ -311,14 +315,14 @@
             BlockKind::Parts => self.options.many,
             BlockKind::Request => self.options.many_of_request,
         };
-        let many_at = suspect.ended_at.get(enough - 1).copied();
+        let many_at = suspect.all_crashed_at.get(enough - 1).copied();
         let many_at = many_at.filter(|at| self.may_be_answered(part, suspect, *at, outcomes));
         let count = |crashes: &[Stamp]| u32::try_from(crashes.len()).unwrap_or(u32::MAX);
         PartTally {
             kind: suspect.kind,
             crashes: suspect.moments,
             servers: count(&suspect.crashed_at),
-            ended: count(&suspect.ended_at),
+            all_servers: count(&suspect.all_crashed_at),
             closest: suspect.closest,
             is_known_sound: self.sound.contains_key(&part),
             answered: outcomes.sound(now, part),
@@ -348,7 +352,7 @@
     // blamed together, those of different requests each by itself.
     fn inseparable(
         &self,
-        Suspected { part, suspect, confidence }: Suspected<'_>,
+        Blamed { part, suspect, confidence }: Blamed<'_>,
         suspects: &BTreeMap<PartId, Suspect>,
     ) -> Vec<Blame> {
         let (crashes, kind) = (suspect.moments, suspect.kind);
@@ -388,7 +392,7 @@
     pub fn find_suspects(&mut self) {
         let tallied = tally(&self.reports, &Blocks::default(), &self.options, |_| None);
         let from = self.options.suspected_from;
-        let suspects = tallied.into_iter().filter(|(_, it)| from <= it.ended_at.len());
+        let suspects = tallied.into_iter().filter(|(_, it)| from <= it.all_crashed_at.len());
         let mut suspects: BTreeMap<PartId, Vec<Stamp>> =
             suspects.map(|(part, _)| (part, Vec::new())).collect();
         // A sound answer is told after each of them, also after those that don't count by themselves.
--- a/crates/coord/src/crashes/mod.rs
+++ b/crates/coord/src/crashes/mod.rs
@@ -15,6 +15,7 @@
 mod report;
 mod run;
 mod suspect;
+mod suspected_part;
 mod tally;
 mod watch;
 
@@ -34,5 +35,6 @@
 pub use received::Received;
 pub use report::{CrashReport, CrashedRequest, CrashedServer, ServerEnd, SoundReport};
 pub use run::CrashRun;
+pub use suspected_part::SuspectedPart;
 pub use tally::PartTally;
 pub use watch::CrashWatch;
--- a/crates/coord/src/crashes/outcomes.rs
+++ b/crates/coord/src/crashes/outcomes.rs
@@ -83,7 +83,7 @@
     }
 
     /// Notes an answer to a prompt that began at a time and that its server goes on to write.
-    pub fn note_written(
+    pub fn note_progress(
         &mut self,
         now: Stamp,
         begun_at: Stamp,
--- a/crates/coord/src/crashes/report.rs
+++ b/crates/coord/src/crashes/report.rs
@@ -94,7 +94,7 @@
     pub part: PartId,
     /// The number of such answers, of which nodes of an earlier version go by.
     pub answers: u32,
-    /// The time since the answer ended, in milliseconds.
+    /// The time since the answer began, in milliseconds.
     #[serde(default)]
     pub age_ms: u64,
 }
--- a/crates/coord/src/crashes/run.rs
+++ b/crates/coord/src/crashes/run.rs
@@ -17,19 +17,20 @@
     pub new: u32,
     /// The moments that blame a part which was answered before.
     pub known: u32,
-    /// The servers that put such a part in doubt whose requests were seldom the ones that they had begun to answer last.
-    pub known_in_doubt: u32,
-    /// The crashes of which one is such a request's, at least, if they are not seldom.
-    pub beside: u32,
+    /// The servers that it takes to doubt what was answered before and whose requests were seldom the ones that they had begun to
+    /// answer last.
+    pub known_seldom_closest: u32,
+    /// Of so many crashes one server, at least, had begun to answer a request with the part last, or these requests are seldom the ones.
+    pub closest_one_in: u32,
     /// The same for a request by itself, which many callers may send.
-    pub request_beside: u32,
+    pub request_closest_one_in: u32,
     /// The latest answers of a node from which a part is answered often.
     pub often: u32,
     /// The time in which a sound answer may still follow after so many servers have crashed that no more may be lost.
     pub grace: Duration,
     /// The same for what was answered before, if all of them crashed in one moment: no further request shows that it is the cause, and
     /// a long answer shows only after some time that it is not.
-    pub lone_grace: Duration,
+    pub single_moment_grace: Duration,
 }
 
 impl Default for CrashRun {
@@ -39,12 +40,12 @@
             known_request: 5,
             new: 4,
             known: 5,
-            known_in_doubt: 8,
-            beside: 4,
-            request_beside: 2,
+            known_seldom_closest: 8,
+            closest_one_in: 4,
+            request_closest_one_in: 2,
             often: 32,
             grace: Duration::from_millis(1_500),
-            lone_grace: Duration::from_millis(2_600),
+            single_moment_grace: Duration::from_millis(2_600),
         }
     }
 }
@@ -60,8 +61,8 @@
             return Some(Confidence::Doubtful);
         }
         // The loss of many servers at once breaks off answers to sound prompts too, but those are answered elsewhere then.
-        let is_lone = tally.is_known_sound && tally.crashes == 1;
-        let grace = if is_lone { self.lone_grace } else { self.grace };
+        let is_single_moment = tally.is_known_sound && tally.crashes == 1;
+        let grace = if is_single_moment { self.single_moment_grace } else { self.grace };
         let is_over = tally.since_many.is_some_and(|since| grace <= since);
         (is_over && self.is_enough_to_doubt(tally)).then_some(Confidence::Doubtful)
     }
@@ -87,11 +88,11 @@
         }
         // Of requests that are seldom the ones that the servers had begun to answer last, others are more likely to be the cause.
         let (enough, beside) = match tally.kind {
-            BlockKind::Parts => (self.known, self.beside),
-            BlockKind::Request => (self.known_request, self.request_beside),
+            BlockKind::Parts => (self.known, self.closest_one_in),
+            BlockKind::Request => (self.known_request, self.request_closest_one_in),
         };
-        let is_beside = beside * tally.closest < tally.ended;
-        let enough = if is_beside { self.known_in_doubt } else { enough };
-        enough <= tally.ended
+        let is_beside = beside * tally.closest < tally.all_servers;
+        let enough = if is_beside { self.known_seldom_closest } else { enough };
+        enough <= tally.all_servers
     }
 }
--- a/crates/coord/src/crashes/suspect.rs
+++ b/crates/coord/src/crashes/suspect.rs
@@ -34,7 +34,7 @@
     /// When servers crashed, in ascending order.
     pub crashed_at: Vec<Stamp>,
     /// The same with all crashes under one request.
-    pub ended_at: Vec<Stamp>,
+    pub all_crashed_at: Vec<Stamp>,
     /// The number of crashes, those of one moment counted once.
     pub moments: u32,
     /// The crashes in which no other request had begun to be answered later.
@@ -170,7 +170,7 @@
             return;
         }
         self.servers.insert(crash.server, (crash.at, count + 1));
-        self.ended_at.push(crash.at);
+        self.all_crashed_at.push(crash.at);
         let of_request = self.by_request.entry(req.identity()).or_default();
         if self.kind == BlockKind::Parts && options.max_of_request <= *of_request {
             return;
--- a/crates/coord/src/crashes/tally.rs
+++ b/crates/coord/src/crashes/tally.rs
@@ -15,7 +15,7 @@
     /// These crashes, each server counted.
     pub servers: u32,
     /// The same with all crashes under one request.
-    pub ended: u32,
+    pub all_servers: u32,
     /// Those of them in which no other request had begun to be answered later.
     pub closest: u32,
     /// Whether an answer to such a request has come to its end before.
--- a/crates/coord/src/crashes/watch.rs
+++ b/crates/coord/src/crashes/watch.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Blame, Block, BlockState, Blocks, CrashEvidence, CrashedRequest, CrashedServer,
-    EvidenceOptions, Judge, PartId, PartIds, PartOutcomes, PartTally, ProbeSchedule, Received,
+    EvidenceOptions, Judge, PartId, PartIds, PartOutcomes, ProbeSchedule, Received, SuspectedPart,
 };
 
 /// The latest sound answers of this node to prompts with a part from which it need not be suspected.
@@ -79,13 +79,13 @@
 
     /// Notes an answer that began at a time and that its server has written for longer than a part may take to crash it, to a prompt
     /// with some parts; returns those of the block that it speaks against, if there is one.
-    pub fn note_written(
+    pub fn note_progress(
         &mut self,
         now: Stamp,
         begun_at: Stamp,
         parts: &[PartId],
     ) -> Option<PartIds> {
-        self.outcomes.note_written(now, begun_at, parts.iter().copied());
+        self.outcomes.note_progress(now, begun_at, parts.iter().copied());
         self.refuted(begun_at, parts)
     }
 
@@ -125,7 +125,7 @@
     }
 
     /// Returns the evidence about parts that may be blamed soon, each once.
-    pub fn newly_suspected(&mut self, now: Stamp) -> Vec<(PartId, PartTally)> {
+    pub fn newly_suspected(&mut self, now: Stamp) -> Vec<SuspectedPart> {
         if !self.evidence.is_recent(now) {
             return Vec::new();
         }
--- a/crates/coord/tests/crash_evidence.rs
+++ b/crates/coord/tests/crash_evidence.rs
@@ -464,11 +464,11 @@
     assert_eq!(observer.plan(), ["2"]);
     for begun_at in [before, before_last] {
         assert_eq!(observer.watch.note_sound(observer.now, begun_at, &[BAD]), None);
-        assert_eq!(observer.watch.note_written(observer.now, begun_at, &[BAD]), None);
+        assert_eq!(observer.watch.note_progress(observer.now, begun_at, &[BAD]), None);
     }
     let parts = Some(PartIds(vec![BAD]));
     let begun_at = observer.now;
-    assert_eq!(observer.watch.note_written(observer.now, begun_at, &[BAD]), parts);
+    assert_eq!(observer.watch.note_progress(observer.now, begun_at, &[BAD]), parts);
     observer.crash(&[&[BAD]]);
     assert_eq!(observer.watch.note_sound(observer.now, begun_at, &[BAD]), None);
 }
--- a/crates/coord/tests/crash_model/world.rs
+++ b/crates/coord/tests/crash_model/world.rs
@@ -218,7 +218,7 @@
     /// How often it was sent before.
     repeats: u32,
     /// Whether it was noted that its answer is written for long.
-    is_written: bool,
+    has_progressed: bool,
 }
 
 /// A request that its caller sends again.
@@ -481,7 +481,7 @@
             ends_at,
             bad,
             repeats,
-            is_written: false,
+            has_progressed: false,
         });
     }
 
@@ -544,12 +544,12 @@
             false
         });
         for req in &mut self.running {
-            if req.is_written || now < req.begins_at + BEGINNING {
+            if req.has_progressed || now < req.begins_at + BEGINNING {
                 continue;
             }
-            req.is_written = true;
+            req.has_progressed = true;
             let Node { watch, .. } = &mut self.nodes[req.node];
-            if let Some(blocked) = watch.note_written(now, req.begins_at, &req.parts) {
+            if let Some(blocked) = watch.note_progress(now, req.begins_at, &req.parts) {
                 watch.lift(now, &blocked);
             }
         }
--- a/crates/gateway/src/crashes/blocks.rs
+++ b/crates/gateway/src/crashes/blocks.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bulrushhall_coord::crashes::{
-    Block, BlockKind, BlockState, BlockStatus, PartId, PartIds, PartTally, Received,
+    Block, BlockKind, BlockState, BlockStatus, PartIds, PartTally, Received, SuspectedPart,
 };
 use bulrushhall_core::{Event, Stamp};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -30,17 +30,20 @@
     for block in state.crashes.watch.plan(now, gateway.incarnation, unix_ms) {
         note_changed(gateway, state, now, &block, "evidence");
     }
-    for (part, tally) in state.crashes.watch.newly_suspected(now) {
-        log_suspected(part, tally);
+    for suspected in state.crashes.watch.newly_suspected(now) {
+        log_suspected(suspected);
     }
 }
 
-fn log_suspected(part: PartId, tally: PartTally) {
-    let PartTally { crashes, servers, closest, answered, .. } = tally;
+fn log_suspected(SuspectedPart { part, tally, last_sound }: SuspectedPart) {
+    let PartTally { crashes, all_servers, closest, answered, .. } = tally;
+    let (sound_node, sound_age) = last_sound.unzip();
     tracing::info!(
         event = Event::PartSuspected.number(),
         %part,
-        servers,
+        servers = all_servers,
+        sound_node = sound_node.map(|node| node.0),
+        sound_age_ms = sound_age.map(as_millis),
         moments = crashes,
         closest,
         is_answered = tally.is_known_sound,
--- a/crates/gateway/src/crashes/mod.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -22,8 +22,8 @@
 pub use digest::{CrashDigest, crash_digest, receive_crashes};
 pub use fingerprint::Fingerprint;
 pub use observe::{
-    AnswerSpan, log_broken_answer, note_answering, note_crash, note_interrupted,
-    note_removed_servers, note_unopened, note_whole_answer, note_written_answer,
+    AnswerSpan, log_broken_answer, note_answer_progress, note_answering, note_crash,
+    note_interrupted, note_removed_servers, note_unopened, note_whole_answer,
 };
 pub use probe_claim::ProbeClaim;
 pub use sent_request::{SentRequest, server_hash};
--- a/crates/gateway/src/crashes/observe.rs
+++ b/crates/gateway/src/crashes/observe.rs
@@ -117,7 +117,7 @@
 
 /// Notes that a backend server goes on to write an answer whose head arrived at a time, and whose first event at another one;
 /// returns whether it has for so long that no part of the prompt has crashed it.
-pub fn note_written_answer(
+pub fn note_answer_progress(
     gateway: &Gateway,
     req: &IdentifiedRequest,
     (head_at, event_at): (Stamp, Stamp),
@@ -127,7 +127,7 @@
         return false;
     }
     let parts = req.fingerprint.parts();
-    let blocked = gateway.with(|state| state.crashes.watch.note_written(now, head_at, parts));
+    let blocked = gateway.with(|state| state.crashes.watch.note_progress(now, head_at, parts));
     if let Some(parts) = blocked {
         lift_answered(gateway, &parts, answer_source(req), head_at);
     }
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -14,7 +14,7 @@
     clock,
     crashes::{
         AnswerSpan, EndedAnswer, REMOVAL_TIME, SentRequest, UnmarkedEnd, log_broken_answer,
-        note_whole_answer, note_written_answer, server_hash, unmarked_end,
+        note_answer_progress, note_whole_answer, server_hash, unmarked_end,
     },
     gateway::Gateway,
     pipeline::{
@@ -265,7 +265,7 @@
         }
         let begun_at = (backend_response.begun_at, self.begun_at);
         if let (head_at, Some(event_at)) = begun_at
-            && note_written_answer(&self.gateway, &self.req, (head_at, event_at))
+            && note_answer_progress(&self.gateway, &self.req, (head_at, event_at))
         {
             self.begun_at = None;
         }
