--- a/crates/daemon/tests/route_daemon/mod.rs
+++ b/crates/daemon/tests/route_daemon/mod.rs
@@ -2,10 +2,14 @@
 #![allow(dead_code, reason = "each test file uses a part of this")]
 
 use std::{
+    env,
     net::SocketAddr,
     process::{Child, Command, ExitStatus, Stdio},
 };
 
+/// The environment variable with the path of another build of the daemon.
+const DAEMON: &str = "BULRUSH_SOAK_DAEMON";
+
 /// A `Process` is a daemon, which is killed when it is dropped.
 pub struct Process {
     child: Child,
@@ -42,9 +46,10 @@
     let node = text.lines().find_map(|line| line.strip_prefix("name = "));
     let name =
         format!("bulrushd-routes-{}-{}.ini", std::process::id(), node.expect("a node's name"));
-    let path = std::env::temp_dir().join(name);
+    let path = env::temp_dir().join(name);
     std::fs::write(&path, text).expect("a written file");
-    let mut daemon = Command::new(env!("CARGO_BIN_EXE_bulrushd"));
+    let daemon = env::var(DAEMON).unwrap_or_else(|_| env!("CARGO_BIN_EXE_bulrushd").to_owned());
+    let mut daemon = Command::new(daemon);
     daemon.arg("--settings").arg(&path).stdout(out).stderr(Stdio::null());
     Process { child: daemon.spawn().expect("a started daemon") }
 }
--- a/crates/daemon/tests/turned_parts.rs
+++ b/crates/daemon/tests/turned_parts.rs
@@ -1,4 +1,7 @@
 //! Prompt parts that were answered before, and under which engines crash from some moment on, before processes of nodes.
+//!
+//! `BULRUSH_PLAYS_FIRST=1 BULRUSH_PLAYS=20 cargo test -p bulrushhall-daemon --test turned_parts -- --ignored` plays 20 plans
+//! that are drawn from the seeds 1 to 20.
 
 #[path = "../../../platform/tests/harness/mod.rs"]
 mod harness;
@@ -6,7 +9,11 @@
 mod play;
 mod route_daemon;
 
-use std::time::Duration;
+use std::{
+    env,
+    io::{self, Write},
+    time::Duration,
+};
 
 use harness::raw_engines::{Faults, Moment};
 use play::{Plan, Seen, play};
@@ -58,3 +65,24 @@
     let (asked_after, time) = (Duration::from_millis(2_700), Duration::from_secs(28));
     check(play(Plan { faults, asked_after, time, path: "/consult/1", ..Plan::default() }).await);
 }
+
+fn number(name: &str, default: u64) -> u64 {
+    env::var(name).ok().map_or(default, |text| text.parse().expect("a number"))
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+#[ignore = "many seeds, run by hand"]
+async fn random_plans() {
+    let first = number("BULRUSH_PLAYS_FIRST", 1);
+    let mut broken = Vec::new();
+    for seed in first..first + number("BULRUSH_PLAYS", 10) {
+        let plan = Plan::random(seed);
+        let seen = play(plan).await;
+        let text = format!("seed {seed}: {seen:?} {plan:?}\n");
+        io::stderr().write_all(text.as_bytes()).expect("a written line");
+        if MAX_LATE < seen.late {
+            broken.push(seed);
+        }
+    }
+    assert!(broken.is_empty(), "more than {MAX_LATE} late: seeds {broken:?}");
+}
--- a/crates/daemon/tests/turned_parts/play.rs
+++ b/crates/daemon/tests/turned_parts/play.rs
@@ -16,6 +16,8 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, client::conn::http1};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
 use serde_json::{Value, json};
 use tokio::{
     net::TcpStream,
@@ -29,7 +31,7 @@
         caller::get_status,
         document::{CONFIG_KEY, HOST, KEY, default_config},
         engines::Registry,
-        raw_engines::{Faults, RawEngines},
+        raw_engines::{Ending, Faults, Framing, Moment, RawEngines},
         wait_until,
     },
     route_daemon::{Process, address_of, start},
@@ -39,6 +41,9 @@
 pub const PART: &str = "bad0";
 const NODES: usize = 5;
 const ENGINE_COUNT: usize = 12;
+/// The moment of a kill of a node is up to this long after the part has turned bad, and it is down for this long.
+const KILLS_WITHIN: f64 = 6.0;
+const KILLED_TIME: Duration = Duration::from_millis(800);
 /// The crashes after which nodes have to know the part, and the time in which all of them learn of it.
 const KNOWN_AFTER: usize = 5;
 const CONTACT: Duration = Duration::from_millis(3_000);
@@ -46,6 +51,10 @@
 const RETRY_SETTINGS: &str = "retry_window = 6s\nretry_headroom = 50\nretry_ratio = 0.2\n";
 /// The time limit of requests, in milliseconds.
 const TIMEOUT_MS: u64 = 15_000;
+/// How long callers wait, if nothing else is said.
+const PATIENCE: Duration = Duration::from_millis(TIMEOUT_MS);
+/// The number of the first request that is another one than all before.
+const NEW_FROM: usize = 0x1000;
 /// The time for which the nodes answer requests before the part turns bad.
 const WARM_UP: Duration = Duration::from_secs(4);
 /// The pause between two sound requests.
@@ -67,10 +76,18 @@
     pub asked_after: Duration,
     /// How often a caller sends a request that fails.
     pub sends: usize,
+    /// How long it waits for each answer.
+    pub patience: Duration,
+    /// Whether the requests after the turn are other ones than those before.
+    pub are_new: bool,
     /// The streams with the part that begin before it turns bad, and when the first and the last one end after that.
     pub streams: (usize, Duration, Duration),
+    /// The engines.
+    pub engines: usize,
     /// The engines that end by themselves, a second.
     pub falls: f64,
+    /// The nodes that are killed and started again, one after the other.
+    pub kills: usize,
     /// How long the play goes on after the part has turned bad.
     pub time: Duration,
     pub faults: Faults,
@@ -83,14 +100,55 @@
             asked_before: None,
             asked_after: Duration::from_millis(700),
             sends: 1,
+            patience: PATIENCE,
+            are_new: false,
             streams: (0, Duration::ZERO, Duration::ZERO),
+            engines: ENGINE_COUNT,
             falls: 0.0,
+            kills: 0,
             time: Duration::from_secs(14),
             faults: Faults::default(),
         }
     }
 }
 
+impl Plan {
+    /// Returns a plan drawn from a seed.
+    pub fn random(seed: u64) -> Plan {
+        let rng = &mut Pcg64::seed_from_u64(seed);
+        let millis = |rng: &mut Pcg64, from: f64, to: f64| {
+            Duration::from_secs_f64(from * (to / from).powf(rng.random()) / 1_000.0)
+        };
+        let paths = ["/survey/1", "/consult/1", "/catalogue/1"];
+        let moments =
+            [Moment::BeforeHead, Moment::FirstEvent, Moment::FirstEvent, Moment::EarlyHead];
+        let endings = [Ending::Refuses, Ending::Refuses, Ending::Hangs, Ending::ReturnsAtOnce];
+        let framings = [Framing::Chunks, Framing::Chunks, Framing::Undelimited];
+        let first = Duration::from_secs_f64(rng.random_range(0.0..6.0));
+        let last = first + Duration::from_secs_f64(rng.random_range(0.0..6.0));
+        let streams = if rng.random_bool(0.5) { rng.random_range(2..30) } else { 0 };
+        Plan {
+            path: paths[rng.random_range(0..paths.len())],
+            asked_before: rng.random_bool(0.8).then(|| millis(rng, 15.0, 1_500.0)),
+            asked_after: millis(rng, 150.0, 4_000.0),
+            sends: rng.random_range(1..5),
+            patience: if rng.random_bool(0.7) { PATIENCE } else { millis(rng, 200.0, 3_000.0) },
+            are_new: rng.random(),
+            streams: (streams, first, last),
+            engines: rng.random_range(5..=ENGINE_COUNT),
+            falls: if rng.random_bool(0.3) { rng.random_range(0.3..2.0) } else { 0.0 },
+            kills: if rng.random_bool(0.25) { rng.random_range(1..3) } else { 0 },
+            time: Duration::from_secs(20),
+            faults: Faults {
+                framing: framings[rng.random_range(0..framings.len())],
+                ending: endings[rng.random_range(0..endings.len())],
+                moment: moments[rng.random_range(0..moments.len())],
+                broken_of: rng.random_bool(0.2).then(|| rng.random_range(20..200)),
+            },
+        }
+    }
+}
+
 /// What was seen.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Seen {
@@ -133,12 +191,15 @@
     parts: String,
     /// Its events and the pause before each, if they are not the usual ones.
     pace: Option<(u64, Duration)>,
+    /// How long the caller waits.
+    patience: Duration,
 }
 
 /// A deployment with the routes of a guild of tile makers.
 struct Deployment {
     harness: Harness,
     processes: Vec<Process>,
+    settings: Vec<String>,
     callers: Vec<SocketAddr>,
     engines: Arc<RawEngines>,
     directory: PathBuf,
@@ -157,18 +218,18 @@
 }
 
 impl Deployment {
-    async fn start(faults: Faults) -> Deployment {
+    async fn start(plan: &Plan) -> Deployment {
         let mut harness = Harness::without_node().await;
         harness.first_start = true;
         harness.sections = RETRY_SETTINGS;
         harness.store.put(CONFIG_KEY, &config().to_string());
         let store: Arc<dyn Registry> = harness.store.clone();
-        let engines = RawEngines::start(store, ENGINES, ENGINE_COUNT, &[], faults);
+        let engines = RawEngines::start(store, ENGINES, plan.engines, &[], plan.faults);
         let tag = PLAYS.fetch_add(1, Ordering::Relaxed);
         let unique = format!("bulrush-turned-{}-{tag}", std::process::id());
         let directory = env::temp_dir().join(unique);
         fs::create_dir_all(&directory).expect("a directory");
-        let (mut processes, mut callers) = (Vec::new(), Vec::new());
+        let (mut processes, mut callers, mut settings) = (Vec::new(), Vec::new(), Vec::new());
         for number in 0..NODES {
             let name = format!("play-{tag}-node-{number}");
             let text = harness.settings_text(&name);
@@ -177,8 +238,18 @@
             let readiness = address_of(&text, "readiness");
             processes.push(start(&text, log.into()));
             wait_until(async || get_status(readiness, "/readyz").await == Some(200)).await;
+            settings.push(text);
         }
-        Deployment { harness, processes, callers, engines, directory }
+        Deployment { harness, processes, settings, callers, engines, directory }
+    }
+
+    // Kills a node and starts it again.
+    async fn restart(&mut self, node: usize) {
+        self.processes[node].kill();
+        self.processes[node].wait();
+        sleep(KILLED_TIME).await;
+        let log = File::create(self.directory.join(format!("restarted-{node}.log")));
+        self.processes[node] = start(&self.settings[node], log.expect("a file").into());
     }
 
     fn ask_every(
@@ -229,7 +300,7 @@
 
 #[expect(clippy::disallowed_methods, reason = "a caller reads what it gets")]
 async fn send_to(caller: SocketAddr, asked: &Asked, send: usize) -> Option<Answer> {
-    let Asked { id, path, parts, pace } = asked;
+    let Asked { id, path, parts, pace, patience } = asked;
     let mut req = Request::post(*path)
         .header("host", HOST)
         .header("authorization", format!("Bearer {KEY}"))
@@ -256,7 +327,7 @@
         let body = String::from_utf8_lossy(&body).into_owned();
         Some(Answer { at, status, body, is_whole })
     };
-    timeout(Duration::from_millis(TIMEOUT_MS), received).await.ok().flatten()
+    timeout(*patience, received).await.ok().flatten()
 }
 
 // Returns a request without the part: of each route, with the parts that its prompts share.
@@ -269,7 +340,7 @@
             ("/catalogue/1", format!("5d{:x}:210,5e{:x}:140,{own}", number % 40, number * 7 % 268))
         }
     };
-    Asked { id: format!("sound-{number}"), path, parts, pace: None }
+    Asked { id: format!("sound-{number}"), path, parts, pace: None, patience: PATIENCE }
 }
 
 // Returns a request with the part.
@@ -279,12 +350,12 @@
         "/consult/1" => format!("5b{:x}:500,{PART}:700,{own}", number % 4),
         _ => format!("{PART}:1200,{own}"),
     };
-    Asked { id: format!("{kind}-{number}"), path, parts, pace: None }
+    Asked { id: format!("{kind}-{number}"), path, parts, pace: None, patience: PATIENCE }
 }
 
 /// Plays a plan on five processes.
 pub async fn play(plan: Plan) -> Seen {
-    let deployment = Deployment::start(plan.faults).await;
+    let mut deployment = Deployment::start(&plan).await;
     let turns_at = Instant::now() + WARM_UP;
     let end = turns_at + plan.time;
     let sounds = deployment.ask_every(SOUND_PAUSE, end, 1, sound);
@@ -292,12 +363,12 @@
         let asked = move |number| with_part("before", plan.path, number);
         deployment.ask_every(pause, turns_at, 1, asked)
     });
-    let (count, first, last) = plan.streams;
+    let (count, first_end, last_end) = plan.streams;
     let lead = Duration::from_millis(500);
     sleep_until((turns_at - lead).into()).await;
     for number in 0..count {
         let pause = Duration::from_millis(100);
-        let lasts = lead + first + (last - first).mul_f64(number as f64 / count as f64);
+        let lasts = lead + first_end + (last_end - first_end).mul_f64(number as f64 / count as f64);
         let events = u64::try_from(lasts.as_millis() / pause.as_millis());
         let pace = Some((events.expect("few"), pause));
         let asked = Asked { pace, ..with_part("earlier", "/consult/1", number) };
@@ -305,14 +376,26 @@
     }
     sleep_until(turns_at.into()).await;
     deployment.engines.turn_bad(PART);
-    let asked = move |number| with_part("after", plan.path, number);
+    let first = if plan.are_new { NEW_FROM } else { 0 };
+    let asked = move |number| Asked {
+        patience: plan.patience,
+        ..with_part("after", plan.path, first + number)
+    };
     let after = deployment.ask_every(plan.asked_after, end, plan.sends, asked);
-    while 0.0 < plan.falls && Instant::now() < end {
-        sleep(Duration::from_secs_f64(1.0 / plan.falls)).await;
-        deployment.engines.lose_one();
+    let engines = Arc::clone(&deployment.engines);
+    let falls = tokio::spawn(async move {
+        while 0.0 < plan.falls && Instant::now() < end {
+            sleep(Duration::from_secs_f64(1.0 / plan.falls)).await;
+            engines.lose_one();
+        }
+    });
+    for node in 0..plan.kills {
+        sleep(Duration::from_secs_f64(KILLS_WITHIN / plan.kills as f64)).await;
+        deployment.restart(node).await;
     }
     let sounds = sounds.await.expect("answers");
     after.await.expect("answers");
+    falls.await.expect("no panic");
     if let Some(before) = before {
         before.await.expect("answers");
     }
