Crashes under requests that were answered before count while engines hang

Cause: to save connections, a node checked the server of a stalled answer only if it had not seen the request answered, and forgot abandoned requests that it had. So no crash counted under a request that was answered before, until the connection closed seconds later.

Change: a stalled answer to a known request counts unless its server answers later requests; an abandoned one counts if its server ends without answering a later one. A crash under an answer that has begun is dated by its last byte.

--- a/crates/daemon/tests/route_daemon/mod.rs
+++ b/crates/daemon/tests/route_daemon/mod.rs
@@ -8,7 +8,7 @@
 };
 
 /// The environment variable with the path of another build of the daemon.
-const DAEMON: &str = "BULRUSH_SOAK_DAEMON";
+const DAEMON: &str = "BULRUSH_DAEMON";
 
 /// A `Process` is a daemon, which is killed when it is dropped.
 pub struct Process {
--- a/crates/daemon/tests/turned_parts.rs
+++ b/crates/daemon/tests/turned_parts.rs
@@ -15,7 +15,7 @@
     time::Duration,
 };
 
-use harness::raw_engines::{Faults, Moment};
+use harness::raw_engines::{Ending, Faults, Moment};
 use play::{Plan, Seen, play};
 
 /// The requests with the part that may be sent later than three seconds after the fifth crash under it.
@@ -66,6 +66,33 @@
     check(play(Plan { faults, asked_after, time, path: "/consult/1", ..Plan::default() }).await);
 }
 
+// Guards against crashes under requests that were answered before, which aren't noted while the engines' connections hang.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn hanging_engines() {
+    let plan = Plan {
+        path: "/consult/1",
+        asked_before: Some(Duration::from_millis(60)),
+        asked_after: Duration::from_millis(250),
+        faults: Faults { ending: Ending::Hangs, ..Faults::default() },
+        ..Plan::default()
+    };
+    check(play(plan).await);
+}
+
+// Guards against the same crashes if the callers leave before they are noted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn callers_leave_hanging_engines() {
+    let plan = Plan {
+        path: "/consult/1",
+        asked_before: Some(Duration::from_millis(60)),
+        asked_after: Duration::from_millis(250),
+        patience: Duration::from_millis(500),
+        faults: Faults { ending: Ending::Hangs, ..Faults::default() },
+        ..Plan::default()
+    };
+    check(play(plan).await);
+}
+
 fn number(name: &str, default: u64) -> u64 {
     env::var(name).ok().map_or(default, |text| text.parse().expect("a number"))
 }
--- a/crates/gateway/src/crashes/mod.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -27,7 +27,7 @@
 };
 pub use probe_claim::ProbeClaim;
 pub use sent_request::{SentRequest, server_hash};
-pub use state::{CrashState, InterruptedAnswers, Interruption};
+pub use state::{CrashState, InterruptedAnswer, InterruptedAnswers, Interruption};
 pub use unmarked_answer::UnmarkedAnswer;
 pub use unmarked_end::{EndedAnswer, REMOVAL_TIME, UnmarkedEnd, unmarked_end};
 pub use unsettled::{UnsettledAnswer, UnsettledRequest, UnsettledRequests};
--- a/crates/gateway/src/crashes/observe.rs
+++ b/crates/gateway/src/crashes/observe.rs
@@ -12,8 +12,8 @@
     clock,
     cluster::as_millis,
     crashes::{
-        CrashState, InterruptedAnswers, Interruption, UnsettledAnswer, UnsettledRequest,
-        lift_answered, plan_blocks,
+        CrashState, InterruptedAnswer, InterruptedAnswers, Interruption, UnsettledAnswer,
+        UnsettledRequest, lift_answered, plan_blocks,
     },
     gateway::{Gateway, State},
     meters,
@@ -42,24 +42,24 @@
     );
 }
 
-/// Notes a request whose answer a backend server interrupted.
+/// Notes an answer that a backend server interrupted.
 pub fn note_interrupted(
     gateway: &Arc<Gateway>,
     (key, server): (WorkerKey, u64),
-    interruption: Interruption,
-    req: CrashedRequest,
+    answer: InterruptedAnswer,
 ) {
     let now = clock::now();
     let is_first = gateway.with(|state| {
         let CrashState { serving, .. } = &mut state.crashes;
         serving.retain(|_, at| now.since(*at) < CHECK_VALID_FOR);
-        if interruption == Interruption::Stalled && serving.contains_key(&key) {
+        if answer.interruption == Interruption::Stalled && serving.contains_key(&key) {
             return false;
         }
         let entry = state.crashes.interrupted.entry(key);
-        let answers = entry.or_insert_with(|| InterruptedAnswers { server, ..Default::default() });
-        answers.requests.push((interruption, req));
-        answers.requests.len() == 1
+        let interrupted =
+            entry.or_insert_with(|| InterruptedAnswers { server, ..Default::default() });
+        interrupted.answers.push(answer);
+        interrupted.answers.len() == 1
     });
     if is_first {
         tokio::spawn(check_server(Arc::clone(gateway), key));
@@ -76,7 +76,7 @@
         }
         let server = unsettled.servers().find(|(other, _)| *other == key).map(|(_, server)| server);
         let Some(server) = server else { return false };
-        interrupted.insert(key, InterruptedAnswers { server, requests: Vec::new() });
+        interrupted.insert(key, InterruptedAnswers { server, answers: Vec::new() });
         true
     });
     if is_first {
@@ -206,28 +206,30 @@
     let (now, is_serving) = (clock::now(), listener == ListenerState::Accepting);
     let end =
         if listener == ListenerState::Refusing { ServerEnd::Seen } else { ServerEnd::Unknown };
-    let (server, requests) = gateway.with(|state| {
-        let InterruptedAnswers { server, requests } =
+    let (crashed, requests) = gateway.with(|state| {
+        let InterruptedAnswers { server, answers } =
             state.crashes.interrupted.remove(&key).unwrap_or_default();
         if is_serving {
             state.crashes.serving.insert(key, now);
         }
         // An answer that a serving server does not go on with may be slow.
-        let counts = |interruption| !is_serving || interruption == Interruption::Closed;
-        let requests = requests.into_iter().filter(|(interruption, _)| counts(*interruption));
-        let requests: Vec<CrashedRequest> = requests.map(|(_, req)| req).collect();
-        let crashed = CrashedServer { server, end, at: now };
+        let counts =
+            |answer: &InterruptedAnswer| !is_serving || answer.interruption == Interruption::Closed;
+        let answers: Vec<InterruptedAnswer> = answers.into_iter().filter(counts).collect();
+        let at = answers.iter().map(|answer| answer.at).min().unwrap_or(now);
+        let requests: Vec<CrashedRequest> =
+            answers.into_iter().map(|answer| answer.request_at(at)).collect();
+        let crashed = CrashedServer { server, end, at };
         let noted = if is_serving { common_only(&requests) } else { requests.clone() };
         note_crash(&gateway, state, crashed, noted);
         plan_blocks(&gateway, state, now);
-        (server, requests)
+        (crashed, requests)
     });
     if requests.is_empty() {
         return;
     }
     log_crash(&name, end, &requests, is_serving);
     if let Some(address) = address.filter(|_| is_serving) {
-        let crashed = CrashedServer { server, end, at: now };
         await_sign_of_life(&gateway, (key, address), crashed, requests).await;
     }
 }
--- a/crates/gateway/src/crashes/sent_request.rs
+++ b/crates/gateway/src/crashes/sent_request.rs
@@ -11,7 +11,8 @@
     clock,
     cluster::as_millis,
     crashes::{
-        AnswerBegin, Fingerprint, Interruption, UnsettledAnswer, UnsettledRequest, note_interrupted,
+        AnswerBegin, Fingerprint, InterruptedAnswer, Interruption, UnsettledAnswer,
+        UnsettledRequest, note_interrupted,
     },
     gateway::{Gateway, State},
 };
@@ -65,6 +66,11 @@
         }
     }
 
+    /// Returns when the request was sent.
+    pub fn sent_at(&self) -> Stamp {
+        self.sent_at
+    }
+
     /// Returns when the first bytes of the answer arrived, comments left out.
     pub fn began_at(&self) -> Option<Stamp> {
         self.began_at
@@ -73,15 +79,22 @@
     /// Notes that the server closed the connection before the end of the answer.
     pub fn note_broken(&mut self) {
         self.is_settled = true;
-        self.interrupt(Interruption::Closed);
+        self.interrupt(Interruption::Closed, clock::now());
     }
 
-    /// Notes that nothing more of the answer arrives. Engines with much work pause as well, and each check of a server costs a
-    /// connection, so only requests count that this node has not seen answered lately.
-    pub fn note_stalled(&self) {
+    /// Notes that nothing of the answer has arrived since a moment. Engines with much work pause as well, and each check of a server
+    /// costs a connection: one that answers later requests needs none, unless this node has not seen this one answered lately.
+    pub fn note_stalled(&self, silent_since: Stamp) {
         let now = clock::now();
-        if self.gateway.with(|state| is_new(state, now, self.fingerprint.ids())) {
-            self.interrupt(Interruption::Stalled);
+        let is_checked = self.gateway.with(|state| {
+            let backend = state.backends.get(self.key);
+            let is_answering = backend.is_some_and(|it| silent_since <= it.answered_sent_at);
+            !is_answering || is_new(state, now, self.fingerprint.ids())
+        });
+        if is_checked {
+            // Before its answer begins, it isn't known when the server has crashed.
+            let at = if self.began_at.is_some() { silent_since } else { now };
+            self.interrupt(Interruption::Stalled, at);
         }
     }
 
@@ -95,12 +108,12 @@
         self.is_settled = true;
     }
 
-    fn interrupt(&self, interruption: Interruption) {
-        note_interrupted(&self.gateway, (self.key, self.server), interruption, self.crashed());
+    fn interrupt(&self, interruption: Interruption, at: Stamp) {
+        let answer = InterruptedAnswer { interruption, at, req: self.crashed(at) };
+        note_interrupted(&self.gateway, (self.key, self.server), answer);
     }
 
-    fn crashed(&self) -> CrashedRequest {
-        let now = clock::now();
+    fn crashed(&self, at: Stamp) -> CrashedRequest {
         // Brittle servers fall by the number of requests, which may all be the same one.
         let is_brittle = self.gateway.with(|state| {
             let service = state.backends.get(self.key).map(|backend| &backend.record.service);
@@ -108,8 +121,8 @@
         });
         CrashedRequest {
             request: self.attempt,
-            age_ms: as_millis(now.since(self.sent_at)),
-            begun_ms: self.began_at.map(|at| as_millis(now.since(at))),
+            age_ms: as_millis(at.since(self.sent_at)),
+            begun_ms: self.began_at.map(|began_at| as_millis(at.since(began_at))),
             parts: self.fingerprint.parts().to_vec(),
             digest: (!is_brittle).then(|| self.fingerprint.digest()),
         }
@@ -121,12 +134,16 @@
         if self.is_settled {
             return;
         }
-        let (at, key, server, req) = (clock::now(), self.key, self.server, self.crashed());
-        let answer = self.answer;
+        let (at, key, server) = (clock::now(), self.key, self.server);
+        let req = self.crashed(at);
         self.gateway.with(|state| {
-            if is_new(state, at, self.fingerprint.ids()) {
-                state.crashes.unsettled.note(UnsettledRequest { key, server, req, at, answer });
-            }
+            let is_new = is_new(state, at, self.fingerprint.ids());
+            let answer = match self.answer {
+                UnsettledAnswer::Abandoned if !is_new => UnsettledAnswer::KnownAbandoned,
+                UnsettledAnswer::Unmarked if !is_new => return,
+                answer => answer,
+            };
+            state.crashes.unsettled.note(UnsettledRequest { key, server, req, at, answer });
         });
     }
 }
--- a/crates/gateway/src/crashes/state.rs
+++ b/crates/gateway/src/crashes/state.rs
@@ -6,7 +6,7 @@
 use bulrushhall_core::Stamp;
 use bulrushhall_policy::placement::WorkerKey;
 
-use crate::crashes::UnsettledRequests;
+use crate::{cluster::as_millis, crashes::UnsettledRequests};
 
 /// An `Interruption` is how an answer was interrupted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,13 +17,35 @@
     Stalled,
 }
 
+/// An `InterruptedAnswer` is an answer that a server interrupted.
+#[derive(Clone, Debug)]
+pub struct InterruptedAnswer {
+    /// How.
+    pub interruption: Interruption,
+    /// When.
+    pub at: Stamp,
+    /// The request, as of this moment.
+    pub req: CrashedRequest,
+}
+
+impl InterruptedAnswer {
+    /// Returns the request as of an earlier moment.
+    pub fn request_at(self, at: Stamp) -> CrashedRequest {
+        let earlier_ms = as_millis(self.at.since(at));
+        let mut req = self.req;
+        req.age_ms = req.age_ms.saturating_sub(earlier_ms);
+        req.begun_ms = req.begun_ms.map(|begun| begun.saturating_sub(earlier_ms));
+        req
+    }
+}
+
 /// The answers that a server interrupted, until it is known whether it has ended.
 #[derive(Debug, Default)]
 pub struct InterruptedAnswers {
     /// A hash of the server's name and start time.
     pub server: u64,
-    /// The requests.
-    pub requests: Vec<(Interruption, CrashedRequest)>,
+    /// The answers.
+    pub answers: Vec<InterruptedAnswer>,
 }
 
 /// `CrashState` is what a node knows of crashes of backend servers.
--- a/crates/gateway/src/crashes/unsettled.rs
+++ b/crates/gateway/src/crashes/unsettled.rs
@@ -8,8 +8,9 @@
 
 use crate::cluster::as_millis;
 
-/// The maximum number of requests that are remembered.
+/// The maximum number of requests that are remembered, and of those from which none is that was answered before.
 const MAX_REQUESTS: usize = 1_024;
+const MAX_WITH_KNOWN: usize = 768;
 /// How long a server that ends may have crashed under a request whose caller has left: its record remains for some seconds.
 const REMEMBERED_FOR: Duration = Duration::from_secs(6);
 
@@ -33,6 +34,8 @@
 pub enum UnsettledAnswer {
     /// It was not awaited.
     Abandoned,
+    /// The same, and the request was answered before: the server doesn't crash under it if it answers a later one.
+    KnownAbandoned,
     /// It ended with its connection, without a mark of its end.
     Unmarked,
 }
@@ -48,7 +51,9 @@
     pub fn note(&mut self, unsettled: UnsettledRequest) {
         let oldest = unsettled.at;
         self.requests.retain(|known| oldest.since(known.at) < REMEMBERED_FOR);
-        if self.requests.len() < MAX_REQUESTS {
+        let is_known = unsettled.answer == UnsettledAnswer::KnownAbandoned;
+        let max = if is_known { MAX_WITH_KNOWN } else { MAX_REQUESTS };
+        if self.requests.len() < max {
             self.requests.push_back(unsettled);
         }
     }
@@ -63,8 +68,8 @@
         self.requests.iter().map(|it| (it.key, it.server))
     }
 
-    /// Removes the requests whose answers ended before a server got a request that it has answered, and returns them with when
-    /// the answers began: it did not crash under them.
+    /// Removes the requests whose answers ended before a server got a request that it has answered: it did not crash under them.
+    /// Returns those whose answers were awaited, with when they began.
     pub fn take_answered(
         &mut self,
         key: WorkerKey,
@@ -73,8 +78,8 @@
         let mut taken = Vec::new();
         self.requests.retain(|it| {
             let is_answered =
-                it.key == key && it.at < sent_at && it.answer == UnsettledAnswer::Unmarked;
-            if is_answered {
+                it.key == key && it.at < sent_at && it.answer != UnsettledAnswer::Abandoned;
+            if is_answered && it.answer == UnsettledAnswer::Unmarked {
                 let begun = Duration::from_millis(it.req.begun_ms.unwrap_or(it.req.age_ms));
                 taken.push((it.at - begun, it.req.clone()));
             }
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -272,7 +272,7 @@
     note_outcome(gateway, placement, false);
     in_flight.note_failed();
     if let Some(sent) = sent {
-        sent.note_stalled();
+        sent.note_stalled(sent.sent_at());
     }
 }
 
@@ -370,7 +370,7 @@
         suspect_server(gateway, placement.key);
     }
     if let Some(sent) = sent {
-        sent.note_stalled();
+        sent.note_stalled(sent.sent_at());
     }
     sending.await
 }
--- a/crates/gateway/src/pipeline/forward.rs
+++ b/crates/gateway/src/pipeline/forward.rs
@@ -53,7 +53,7 @@
     if let Ok(frame) = timeout(stall, body.frame()).await {
         return Ok(frame);
     }
-    sent.note_stalled();
+    sent.note_stalled(clock::now() - stall);
     timeout(limit.saturating_sub(stall), body.frame()).await
 }
 
