Crashes count under requests that servers had not begun to answer

The engines crash before the heads of their answers.

Cause: beside an answer that has begun, a request that has not is never the closest one. Reports leave out what is answered often from all others, and a part whose requests are seldom the closest ones takes eight servers instead of five.

Change: requests that had not begun to be answered keep such parts in reports, and count for the number of servers. unbegun_requests_count fails before. Random plays may cut off a node, lose the store, and ask for one request.

--- a/crates/coord/src/crashes/evidence.rs
+++ b/crates/coord/src/crashes/evidence.rs
@@ -324,6 +324,7 @@
             servers: count(&suspect.crashed_at),
             all_servers: count(&suspect.all_crashed_at),
             closest: suspect.closest,
+            closest_or_unbegun: suspect.closest_or_unbegun,
             is_known_sound: self.sound.contains_key(&part),
             answered: outcomes.sound(now, part),
             since_many: many_at.map(|at| now.since(at)),
--- a/crates/coord/src/crashes/run.rs
+++ b/crates/coord/src/crashes/run.rs
@@ -87,11 +87,11 @@
             return true;
         }
         // Of requests that are seldom the ones that the servers had begun to answer last, others are more likely to be the cause.
-        let (enough, beside) = match tally.kind {
-            BlockKind::Parts => (self.known, self.closest_one_in),
-            BlockKind::Request => (self.known_request, self.request_closest_one_in),
+        let (enough, closest, one_in) = match tally.kind {
+            BlockKind::Parts => (self.known, tally.closest_or_unbegun, self.closest_one_in),
+            BlockKind::Request => (self.known_request, tally.closest, self.request_closest_one_in),
         };
-        let is_beside = beside * tally.closest < tally.all_servers;
+        let is_beside = one_in * closest < tally.all_servers;
         let enough = if is_beside { self.known_seldom_closest } else { enough };
         enough <= tally.all_servers
     }
--- a/crates/coord/src/crashes/suspect.rs
+++ b/crates/coord/src/crashes/suspect.rs
@@ -39,6 +39,8 @@
     pub moments: u32,
     /// The crashes in which no other request had begun to be answered later.
     pub closest: u32,
+    /// The same with those in which one of its requests had not begun to be answered.
+    pub closest_or_unbegun: u32,
     /// The crashes that no block in force explains.
     pub unexplained: u32,
     /// Since when there are enough crashes to suspect the part.
@@ -77,6 +79,7 @@
             blocked_request.filter(|digest| explained.as_deref() == Some(&[*digest]));
         let mut requests = crash.requests.iter();
         let is_beside_blocked = requests.any(|(req, _)| blocks.matching(&req.ids()).is_some());
+        let mut counted = BTreeSet::new();
         for (number, (req, learned_at)) in crash.requests.iter().enumerate() {
             let is_blocked_alone = req.digest.is_some_and(|digest| blocks.is_alone(digest));
             if is_beside_blocked && explained.is_none() && 0 < number && !is_blocked_alone {
@@ -95,6 +98,10 @@
                     suspect.kind = BlockKind::Request;
                 }
                 suspect.closest += u32::from(number == 0);
+                let may_be_cause = number == 0 || req.begun_ms.is_none();
+                if may_be_cause && counted.insert(*part) {
+                    suspect.closest_or_unbegun += 1;
+                }
                 suspect.unexplained += u32::from(explained.is_none());
                 let is_known_sound = since(*part).is_some();
                 suspect.add(&crash, req, (*learned_at, is_known_sound), options);
--- a/crates/coord/src/crashes/watch.rs
+++ b/crates/coord/src/crashes/watch.rs
@@ -50,8 +50,9 @@
         mut requests: Vec<CrashedRequest>,
     ) {
         requests.sort_by_key(CrashedRequest::closeness);
-        // The closest request may be the one that crashed the server, however often its parts were answered.
-        for req in requests.iter_mut().skip(1) {
+        // The closest request may be the one that crashed the server, however often its parts were answered, as may those that
+        // the server had not begun to answer.
+        for req in requests.iter_mut().skip(1).filter(|req| req.begun_ms.is_some()) {
             req.parts.retain(|part| !self.is_known_sound(now, *part));
             req.digest = req.digest.filter(|digest| !self.is_known_sound(now, *digest));
         }
--- a/crates/coord/tests/crash_evidence.rs
+++ b/crates/coord/tests/crash_evidence.rs
@@ -540,3 +540,24 @@
     let later = begin() + Duration::from_secs(30);
     assert!(watch.blocks.due_probe_for(later, &[SHARED, BAD]).is_some());
 }
+
+// Guards against a part that was answered often and crashes servers before they begin to answer it: beside requests whose answers
+// had begun its crashes don't count, or more of them are asked for.
+#[test]
+fn unbegun_requests_count() {
+    let mut observer = Observer::new();
+    observer.sound(&[BAD], 40);
+    for _ in 0..5 {
+        observer.now = observer.now + Duration::from_millis(150);
+        observer.crashes += 1;
+        let unbegun = CrashedRequest { begun_ms: None, ..req(observer.crashes, &[BAD]) };
+        let requests = vec![req(100 + observer.crashes, &[OTHER]), unbegun];
+        let (server, at) = (observer.crashes, observer.now);
+        let crashed = CrashedServer { server, end: ServerEnd::Seen, at };
+        observer.watch.note_crash(at, OWN, crashed, requests);
+        observer.sound(&[OTHER], 1);
+    }
+    assert_eq!(observer.plan(), Vec::<String>::new());
+    observer.now = observer.now + Duration::from_secs(1);
+    assert_eq!(observer.plan(), ["2"]);
+}
--- a/crates/daemon/tests/turned_parts/play.rs
+++ b/crates/daemon/tests/turned_parts/play.rs
@@ -13,6 +13,7 @@
     time::{Duration, Instant},
 };
 
+use bulrushhall_standin::link::LinkCut;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, client::conn::http1};
@@ -27,11 +28,15 @@
 
 use crate::{
     harness::{
-        ENGINES, Harness,
+        ENGINES, Harness, TestServer,
         caller::get_status,
         document::{CONFIG_KEY, HOST, KEY, default_config},
         engines::Registry,
+        partition::OpenConnections,
         raw_engines::{Ending, Faults, Framing, Moment, RawEngines},
+        start_server,
+        store::Fault,
+        store_view::StoreView,
         wait_until,
     },
     route_daemon::{Process, address_of, start},
@@ -80,6 +85,8 @@
     pub patience: Duration,
     /// Whether the requests after the turn are other ones than those before.
     pub are_new: bool,
+    /// Whether all requests with the part are the same one.
+    pub is_one: bool,
     /// The streams with the part that begin before it turns bad, and when the first and the last one end after that.
     pub streams: (usize, Duration, Duration),
     /// The engines.
@@ -88,6 +95,10 @@
     pub falls: f64,
     /// The nodes that are killed and started again, one after the other.
     pub kills: usize,
+    /// Whether the first node is cut off from all engines shortly before the part turns bad.
+    pub is_cut: bool,
+    /// Whether the key-value service is away from the turn on.
+    pub is_store_away: bool,
     /// How long the play goes on after the part has turned bad.
     pub time: Duration,
     pub faults: Faults,
@@ -102,10 +113,13 @@
             sends: 1,
             patience: PATIENCE,
             are_new: false,
+            is_one: false,
             streams: (0, Duration::ZERO, Duration::ZERO),
             engines: ENGINE_COUNT,
             falls: 0.0,
             kills: 0,
+            is_cut: false,
+            is_store_away: false,
             time: Duration::from_secs(14),
             faults: Faults::default(),
         }
@@ -122,7 +136,13 @@
         let paths = ["/survey/1", "/consult/1", "/catalogue/1"];
         let moments =
             [Moment::BeforeHead, Moment::FirstEvent, Moment::FirstEvent, Moment::EarlyHead];
-        let endings = [Ending::Refuses, Ending::Refuses, Ending::Hangs, Ending::ReturnsAtOnce];
+        let endings = [
+            Ending::Refuses,
+            Ending::Refuses,
+            Ending::Hangs,
+            Ending::ReturnsAtOnce,
+            Ending::TakesInSilence,
+        ];
         let framings = [Framing::Chunks, Framing::Chunks, Framing::Undelimited];
         let first = Duration::from_secs_f64(rng.random_range(0.0..6.0));
         let last = first + Duration::from_secs_f64(rng.random_range(0.0..6.0));
@@ -134,10 +154,13 @@
             sends: rng.random_range(1..5),
             patience: if rng.random_bool(0.7) { PATIENCE } else { millis(rng, 200.0, 3_000.0) },
             are_new: rng.random(),
+            is_one: rng.random_bool(0.2),
             streams: (streams, first, last),
-            engines: rng.random_range(5..=ENGINE_COUNT),
+            engines: rng.random_range(3..=ENGINE_COUNT),
             falls: if rng.random_bool(0.3) { rng.random_range(0.3..2.0) } else { 0.0 },
             kills: if rng.random_bool(0.25) { rng.random_range(1..3) } else { 0 },
+            is_cut: rng.random_bool(0.25),
+            is_store_away: rng.random_bool(0.15),
             time: Duration::from_secs(20),
             faults: Faults {
                 framing: framings[rng.random_range(0..framings.len())],
@@ -149,6 +172,16 @@
     }
 }
 
+impl Plan {
+    fn with_part(&self, kind: &'static str, number: usize) -> Asked {
+        let asked = with_part(kind, self.path, number);
+        if !self.is_one {
+            return asked;
+        }
+        Asked { parts: with_part(kind, self.path, 0).parts, ..asked }
+    }
+}
+
 /// What was seen.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Seen {
@@ -198,6 +231,8 @@
 /// A deployment with the routes of a guild of tile makers.
 struct Deployment {
     harness: Harness,
+    /// The key-value service as the first node sees it, whose ways to the engines can be cut.
+    view: (Arc<StoreView>, TestServer),
     processes: Vec<Process>,
     settings: Vec<String>,
     callers: Vec<SocketAddr>,
@@ -225,6 +260,8 @@
         harness.store.put(CONFIG_KEY, &config().to_string());
         let store: Arc<dyn Registry> = harness.store.clone();
         let engines = RawEngines::start(store, ENGINES, plan.engines, &[], plan.faults);
+        let view = StoreView::new(&harness.store);
+        let view_port = start_server(Arc::<StoreView>::clone(&view));
         let tag = PLAYS.fetch_add(1, Ordering::Relaxed);
         let unique = format!("bulrush-turned-{}-{tag}", std::process::id());
         let directory = env::temp_dir().join(unique);
@@ -232,7 +269,11 @@
         let (mut processes, mut callers, mut settings) = (Vec::new(), Vec::new(), Vec::new());
         for number in 0..NODES {
             let name = format!("play-{tag}-node-{number}");
-            let text = harness.settings_text(&name);
+            let mut text = harness.settings_text(&name);
+            if number == 0 {
+                let line = |store: &TestServer| format!("key_value = {}\n", store.address);
+                text = text.replace(&line(&harness.store_server), &line(&view_port));
+            }
             let log = File::create(directory.join(format!("{name}.log"))).expect("a file");
             callers.push(address_of(&text, "callers"));
             let readiness = address_of(&text, "readiness");
@@ -240,7 +281,8 @@
             wait_until(async || get_status(readiness, "/readyz").await == Some(200)).await;
             settings.push(text);
         }
-        Deployment { harness, processes, settings, callers, engines, directory }
+        let view = (view, view_port);
+        Deployment { harness, view, processes, settings, callers, engines, directory }
     }
 
     // Kills a node and starts it again.
@@ -360,12 +402,15 @@
     let end = turns_at + plan.time;
     let sounds = deployment.ask_every(SOUND_PAUSE, end, 1, sound);
     let before = plan.asked_before.map(|pause| {
-        let asked = move |number| with_part("before", plan.path, number);
+        let asked = move |number| plan.with_part("before", number);
         deployment.ask_every(pause, turns_at, 1, asked)
     });
     let (count, first_end, last_end) = plan.streams;
     let lead = Duration::from_millis(500);
     sleep_until((turns_at - lead).into()).await;
+    if plan.is_cut {
+        deployment.view.0.cut(LinkCut::Refusing, OpenConnections::Reset);
+    }
     for number in 0..count {
         let pause = Duration::from_millis(100);
         let lasts = lead + first_end + (last_end - first_end).mul_f64(number as f64 / count as f64);
@@ -376,11 +421,12 @@
     }
     sleep_until(turns_at.into()).await;
     deployment.engines.turn_bad(PART);
+    if plan.is_store_away {
+        deployment.harness.store.set_fault(Fault::Down);
+    }
     let first = if plan.are_new { NEW_FROM } else { 0 };
-    let asked = move |number| Asked {
-        patience: plan.patience,
-        ..with_part("after", plan.path, first + number)
-    };
+    let asked =
+        move |number| Asked { patience: plan.patience, ..plan.with_part("after", first + number) };
     let after = deployment.ask_every(plan.asked_after, end, plan.sends, asked);
     let engines = Arc::clone(&deployment.engines);
     let falls = tokio::spawn(async move {
@@ -403,7 +449,7 @@
 }
 
 async fn seen(deployment: Deployment, sounds: &[Answer], turns_at: Instant) -> Seen {
-    let Deployment { engines, processes, directory, harness, .. } = deployment;
+    let Deployment { engines, processes, directory, harness, view, .. } = deployment;
     let crashes = engines.crashes(PART);
     let known = crashes.get(KNOWN_AFTER - 1).map(|at| *at + CONTACT);
     let late = engines.received(PART).into_iter().filter(|at| known.is_some_and(|it| it <= *at));
@@ -424,6 +470,6 @@
     let logs = directory.display();
     let text = format!("{seen:?}\ncrashes {crashed:?} ms\nsent {received:?} ms\nlogs in {logs}\n");
     let _ = io::stderr().write_all(text.as_bytes());
-    drop((processes, harness));
+    drop((processes, harness, view));
     seen
 }
--- a/crates/gateway/src/crashes/blocks.rs
+++ b/crates/gateway/src/crashes/blocks.rs
@@ -36,7 +36,7 @@
 }
 
 fn log_suspected(SuspectedPart { part, tally, last_sound }: SuspectedPart) {
-    let PartTally { crashes, all_servers, closest, answered, .. } = tally;
+    let PartTally { crashes, all_servers, closest, closest_or_unbegun, answered, .. } = tally;
     let (sound_node, sound_age) = last_sound.unzip();
     tracing::info!(
         event = Event::PartSuspected.number(),
@@ -46,6 +46,7 @@
         sound_age_ms = sound_age.map(as_millis),
         moments = crashes,
         closest,
+        closest_or_unbegun,
         is_answered = tally.is_known_sound,
         answered,
         is_other_answered = tally.is_other_sound
