--- a/crates/gateway/src/crashes/unsettled.rs
+++ b/crates/gateway/src/crashes/unsettled.rs
@@ -8,8 +8,9 @@
 
 use crate::cluster::as_millis;
 
-/// The maximum number of requests that are remembered, and of those from which none is that was answered before.
+/// The maximum number of requests that are remembered.
 const MAX_REQUESTS: usize = 1_024;
+/// The number of them from which no further request is remembered that was answered before.
 const MAX_WITH_KNOWN: usize = 768;
 /// How long a server that ends may have crashed under a request whose caller has left: its record remains for some seconds.
 const REMEMBERED_FOR: Duration = Duration::from_secs(6);
