Requests that had not begun count only if no other one had just begun

Cause: servers crash when they begin to answer, so beside an answer that has just begun a request that has not is no suspect; all of them were, and sound parts were doubted while bad streams took the servers away.

Change: they count unless the closest answer had begun in the last 0.1 s.

--- a/crates/coord/src/crashes/report.rs
+++ b/crates/coord/src/crashes/report.rs
@@ -5,6 +5,9 @@
 
 use super::PartId;
 
+/// The time in which an answer that begins may crash its server, so that requests which had not begun are none of the suspects.
+const JUST_BEGUN_MS: u64 = 100;
+
 /// A `CrashedRequest` is a request whose answer a backend server broke off when it crashed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashedRequest {
@@ -32,6 +35,11 @@
         self.digest.map_or(self.request, |digest| digest.0)
     }
 
+    /// Returns whether its answer had begun immediately before the crash.
+    pub fn had_just_begun(&self) -> bool {
+        self.begun_ms.is_some_and(|begun| begun < JUST_BEGUN_MS)
+    }
+
     /// Returns a number that is lowest for the request whose answer had begun last before the crash.
     pub fn closeness(&self) -> u64 {
         self.begun_ms.unwrap_or(u64::MAX)
--- a/crates/coord/src/crashes/suspect.rs
+++ b/crates/coord/src/crashes/suspect.rs
@@ -39,7 +39,7 @@
     pub moments: u32,
     /// The crashes in which no other request had begun to be answered later.
     pub closest: u32,
-    /// The same with those in which one of its requests had not begun to be answered.
+    /// The same with those in which one of its requests had not begun to be answered, and no other one had just begun.
     pub closest_or_unbegun: u32,
     /// The crashes that no block in force explains.
     pub unexplained: u32,
@@ -79,6 +79,7 @@
             blocked_request.filter(|digest| explained.as_deref() == Some(&[*digest]));
         let mut requests = crash.requests.iter();
         let is_beside_blocked = requests.any(|(req, _)| blocks.matching(&req.ids()).is_some());
+        let had_just_begun = closest.is_some_and(CrashedRequest::had_just_begun);
         let mut counted = BTreeSet::new();
         for (number, (req, learned_at)) in crash.requests.iter().enumerate() {
             let is_blocked_alone = req.digest.is_some_and(|digest| blocks.is_alone(digest));
@@ -98,8 +99,8 @@
                     suspect.kind = BlockKind::Request;
                 }
                 suspect.closest += u32::from(number == 0);
-                let may_be_cause = number == 0 || req.begun_ms.is_none();
-                if may_be_cause && counted.insert(*part) {
+                let is_unbegun = !had_just_begun && req.begun_ms.is_none();
+                if (number == 0 || is_unbegun) && counted.insert(*part) {
                     suspect.closest_or_unbegun += 1;
                 }
                 suspect.unexplained += u32::from(explained.is_none());
--- a/crates/coord/src/crashes/tally.rs
+++ b/crates/coord/src/crashes/tally.rs
@@ -18,7 +18,7 @@
     pub all_servers: u32,
     /// Those of them in which no other request had begun to be answered later.
     pub closest: u32,
-    /// The same with those in which one of its requests had not begun to be answered.
+    /// The same with those in which one of its requests had not begun to be answered, and no other one had just begun.
     pub closest_or_unbegun: u32,
     /// Whether an answer to such a request has come to its end before.
     pub is_known_sound: bool,
--- a/crates/coord/src/crashes/watch.rs
+++ b/crates/coord/src/crashes/watch.rs
@@ -50,9 +50,11 @@
         mut requests: Vec<CrashedRequest>,
     ) {
         requests.sort_by_key(CrashedRequest::closeness);
-        // The closest request may be the one that crashed the server, however often its parts were answered, as may those that
-        // the server had not begun to answer.
-        for req in requests.iter_mut().skip(1).filter(|req| req.begun_ms.is_some()) {
+        // The closest request may be the one that crashed the server, however often its parts were answered. So may those that the
+        // server had not begun to answer, unless the closest one had just begun.
+        let had_just_begun = requests.first().is_some_and(CrashedRequest::had_just_begun);
+        let others = requests.iter_mut().skip(1);
+        for req in others.filter(|req| had_just_begun || req.begun_ms.is_some()) {
             req.parts.retain(|part| !self.is_known_sound(now, *part));
             req.digest = req.digest.filter(|digest| !self.is_known_sound(now, *digest));
         }
