--- a/crates/coord/src/crashes/report.rs
+++ b/crates/coord/src/crashes/report.rs
@@ -5,7 +5,7 @@
 
 use super::PartId;
 
-/// The time in which an answer that begins may crash its server, so that requests which had not begun are none of the suspects.
+/// An answer that began less than this before a crash is more likely its cause than requests that had not begun to be answered.
 const JUST_BEGUN_MS: u64 = 100;
 
 /// A `CrashedRequest` is a request whose answer a backend server broke off when it crashed.
--- a/crates/coord/src/crashes/run.rs
+++ b/crates/coord/src/crashes/run.rs
@@ -17,8 +17,8 @@
     pub new: u32,
     /// The moments that blame a part which was answered before.
     pub known: u32,
-    /// The servers that it takes to doubt what was answered before and whose requests were seldom the ones that they had begun to
-    /// answer last.
+    /// The servers that must crash under a part with earlier sound answers until it is doubted, if its requests were seldom the
+    /// ones that these servers had begun to answer last.
     pub known_seldom_closest: u32,
     /// Of so many crashes one server, at least, had begun to answer a request with the part last, or these requests are seldom the ones.
     pub closest_one_in: u32,
--- a/crates/gateway/src/crashes/unsettled.rs
+++ b/crates/gateway/src/crashes/unsettled.rs
@@ -10,7 +10,7 @@
 
 /// The maximum number of requests that are remembered.
 const MAX_REQUESTS: usize = 1_024;
-/// The number of them from which no further request is remembered that was answered before.
+/// The number from which requests that were answered before are no longer added.
 const MAX_WITH_KNOWN: usize = 768;
 /// How long a server that ends may have crashed under a request whose caller has left: its record remains for some seconds.
 const REMEMBERED_FOR: Duration = Duration::from_secs(6);
